--- /dev/null
+++ b/crates/tanagerhub/src/lib.rs
@@ -0,0 +1,1 @@
+//! A tanagerhub node, assembled.
--- /dev/null
+++ b/crates/tanagerhub_catalogue/src/catalogue_error.rs
@@ -0,0 +1,36 @@
+//! Mistakes in a catalogue document.
+
+use std::fmt;
+
+use serde::Serialize;
+
+/// One mistake, with its place in the document.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Mistake {
+    /// The place, such as `entries.advisor.limits.replicas_max`.
+    pub path: String,
+    /// What is wrong and what is allowed.
+    pub message: String,
+}
+
+impl fmt::Display for Mistake {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.path, self.message)
+    }
+}
+
+/// Why a catalogue document was refused: every mistake found in it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, thiserror::Error)]
+#[error("the catalogue has {} mistake(s): {}", mistakes.len(), list(mistakes))]
+pub struct CatalogueError {
+    /// The mistakes, in the document's order.
+    pub mistakes: Vec<Mistake>,
+}
+
+fn list(mistakes: &[Mistake]) -> String {
+    mistakes
+        .iter()
+        .map(Mistake::to_string)
+        .collect::<Vec<_>>()
+        .join("; ")
+}
--- /dev/null
+++ b/crates/tanagerhub_catalogue/src/lib.rs
@@ -0,0 +1,28 @@
+//! The catalogue: entries, organisations, limits and marks.
+//!
+//! Operators drive the system by editing the [`Catalogue`] and by marking VMs and data centres in
+//! or out of service. This crate parses it, checks it and compares versions, without any I/O.
+
+mod catalogue;
+mod catalogue_error;
+mod document;
+mod entry;
+mod ids;
+mod marks;
+mod organisation;
+mod units;
+mod vm;
+
+pub use catalogue::{Catalogue, CatalogueVersion, DataCentre, Region};
+pub use catalogue_error::{CatalogueError, Mistake};
+pub use entry::{
+    Class, ColdLimit, Entry, EntryKind, Fencing, Limits, ModelEntry, Route, ServiceEntry,
+};
+pub use ids::{
+    BootId, DataCentreId, DomainId, EntryId, Epoch, GroupId, IdHex, NodeId, OrganisationId, Rank,
+    RequestId, VmId,
+};
+pub use marks::{Mark, Marks};
+pub use organisation::{KeyHash, Organisation, OrganisationLimits};
+pub use units::{Bytes, PerSecond, Tokens};
+pub use vm::{Vm, VmState};
--- /dev/null
+++ b/crates/tanagerhub_catalogue/src/units.rs
@@ -0,0 +1,22 @@
+//! Units of limits.
+
+use serde::{Deserialize, Serialize};
+
+/// A number of tokens.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Tokens(pub u64);
+
+/// A number of bytes.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Bytes(pub u64);
+
+/// A rate, in events a second.
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd, Default, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct PerSecond(pub f64);
--- /dev/null
+++ b/crates/tanagerhub_clock/src/clock.rs
@@ -0,0 +1,86 @@
+//! The clock that a process reads.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crate::{ManualClock, Moment};
+
+/// The clock of a process: real, or advanced by a test.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use tanagerhub_clock::{Clock, Moment};
+///
+/// let (clock, hand) = Clock::manual();
+/// assert_eq!(clock.now(), Moment::ZERO);
+/// hand.advance(Duration::from_secs(1));
+/// assert_eq!(clock.now(), Moment::from_millis(1_000));
+/// ```
+#[derive(Debug, Clone)]
+pub enum Clock {
+    /// The machine's monotonic clock, counted from the given instant.
+    Real(Instant),
+    /// A clock that stands still until a test advances it.
+    Manual(Arc<ManualClock>),
+}
+
+impl Default for Clock {
+    fn default() -> Self {
+        Self::real()
+    }
+}
+
+impl Clock {
+    /// Starts a clock on the machine's monotonic time.
+    #[must_use]
+    pub fn real() -> Self {
+        Self::Real(Instant::now())
+    }
+
+    /// Starts a paused clock, and gives the handle that advances it.
+    #[must_use]
+    pub fn manual() -> (Self, Arc<ManualClock>) {
+        let hand = Arc::new(ManualClock::default());
+        (Self::Manual(Arc::clone(&hand)), hand)
+    }
+
+    /// The present moment.
+    #[must_use]
+    pub fn now(&self) -> Moment {
+        match self {
+            Self::Real(start) => Moment::ZERO + start.elapsed(),
+            Self::Manual(hand) => hand.now(),
+        }
+    }
+
+    /// Waits until `span` has passed on this clock.
+    pub async fn sleep(&self, span: Duration) {
+        match self {
+            Self::Real(_) => async_std::task::sleep(span).await,
+            Self::Manual(hand) => hand.sleep(span).await,
+        }
+    }
+
+    /// Runs `work` until it ends or `limit` has passed; `None` means that it was too late.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use tanagerhub_clock::Clock;
+    ///
+    /// let clock = Clock::real();
+    /// let late = clock.timeout(Duration::from_millis(5), std::future::pending::<()>());
+    /// assert!(async_std::task::block_on(late).is_none());
+    /// ```
+    pub async fn timeout<T>(&self, limit: Duration, work: impl Future<Output = T>) -> Option<T> {
+        let work = async { Some(work.await) };
+        let late = async {
+            self.sleep(limit).await;
+            None
+        };
+        futures_lite::future::or(work, late).await
+    }
+}
--- /dev/null
+++ b/crates/tanagerhub_daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! Thin programs: tanagerhubd and tanagerctl.
--- /dev/null
+++ b/crates/tanagerhub_membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership, configuration versions and freshness of a node.
--- /dev/null
+++ b/crates/tanagerhub_standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins for the platform, engines and services.
--- /dev/null
+++ b/crates/tanagerhub_table/src/transaction.rs
@@ -0,0 +1,140 @@
+//! A conditional transaction on several rows.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+use serde_with::base64::Base64;
+use serde_with::{DisplayFromStr, serde_as};
+
+use crate::{RowKey, RowVersion};
+
+/// Names one transaction; kept in every row that it writes.
+#[serde_as]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct TransactionId(#[serde_as(as = "DisplayFromStr")] pub u128);
+
+impl fmt::Display for TransactionId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+/// What must hold for a transaction to be applied.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Condition {
+    /// The row does not exist.
+    Absent {
+        /// The row's name.
+        key: RowKey,
+    },
+    /// The row exists at exactly this version.
+    Version {
+        /// The row's name.
+        key: RowKey,
+        /// The expected version.
+        version: RowVersion,
+    },
+}
+
+impl Condition {
+    /// The row that the condition looks at.
+    #[must_use]
+    pub const fn key(&self) -> &RowKey {
+        match self {
+            Self::Absent { key } | Self::Version { key, .. } => key,
+        }
+    }
+}
+
+/// One change to one row.
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Write {
+    /// Creates or replaces the row.
+    Put {
+        /// The row's name.
+        key: RowKey,
+        /// The new content.
+        #[serde_as(as = "Base64")]
+        value: Vec<u8>,
+    },
+    /// Removes the row.
+    Delete {
+        /// The row's name.
+        key: RowKey,
+    },
+}
+
+impl Write {
+    /// The row that the change is made to.
+    #[must_use]
+    pub const fn key(&self) -> &RowKey {
+        match self {
+            Self::Put { key, .. } | Self::Delete { key } => key,
+        }
+    }
+}
+
+/// Changes that are applied together when every condition holds, and otherwise not at all.
+///
+/// # Examples
+///
+/// ```
+/// use tanagerhub_table::{RowKey, Transaction, TransactionId};
+///
+/// let key = RowKey::new("claim/7");
+/// let claim = Transaction::new(TransactionId(7)).absent(key.clone()).put(key, b"taken".to_vec());
+/// assert_eq!(claim.writes.len(), 1);
+/// ```
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Transaction {
+    /// The transaction's name, kept in the rows it writes.
+    pub id: TransactionId,
+    /// What must hold.
+    pub conditions: Vec<Condition>,
+    /// What is then changed.
+    pub writes: Vec<Write>,
+}
+
+impl Transaction {
+    /// Starts an empty transaction.
+    #[must_use]
+    pub const fn new(id: TransactionId) -> Self {
+        Self {
+            id,
+            conditions: Vec::new(),
+            writes: Vec::new(),
+        }
+    }
+
+    /// Requires that the row does not exist.
+    #[must_use]
+    pub fn absent(mut self, key: RowKey) -> Self {
+        self.conditions.push(Condition::Absent { key });
+        self
+    }
+
+    /// Requires that the row is at this version.
+    #[must_use]
+    pub fn at(mut self, key: RowKey, version: RowVersion) -> Self {
+        self.conditions.push(Condition::Version { key, version });
+        self
+    }
+
+    /// Creates or replaces a row.
+    #[must_use]
+    pub fn put(mut self, key: RowKey, value: Vec<u8>) -> Self {
+        self.writes.push(Write::Put { key, value });
+        self
+    }
+
+    /// Removes a row.
+    #[must_use]
+    pub fn delete(mut self, key: RowKey) -> Self {
+        self.writes.push(Write::Delete { key });
+        self
+    }
+}
--- /dev/null
+++ b/crates/tanagerhub_traffic/src/lib.rs
@@ -0,0 +1,1 @@
+//! Traffic decisions: admission, routing, retries and claims.
--- /dev/null
+++ b/crates/tanagerhub_wire/src/lib.rs
@@ -0,0 +1,4 @@
+//! Edges of a node: HTTP, engines, peers and the platform.
+
+pub mod engine;
+pub mod platform;
