--- /dev/null
+++ b/crates/tanagerhub_membership/src/acceptance.rs
@@ -0,0 +1,176 @@
+//! When a catalogue version counts as accepted in a region.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use tanagerhub_catalogue::{CatalogueVersion, NodeId};
+
+use crate::Identity;
+
+/// The fewest of `count` slots that are more than half.
+///
+/// # Examples
+///
+/// ```
+/// assert_eq!(tanagerhub_membership::majority(5), 3);
+/// assert_eq!(tanagerhub_membership::majority(6), 4);
+/// ```
+#[must_use]
+pub const fn majority(count: usize) -> usize {
+    count / 2 + 1
+}
+
+/// How far a version has come towards being accepted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum AcceptanceStage {
+    /// Waiting for a majority to say that they hold the version.
+    Collecting,
+    /// Waiting for each of that majority to say so again, as the same process.
+    Confirming,
+    /// A majority held the version at one and the same moment.
+    Accepted,
+}
+
+/// The two rounds of acknowledgements that make a version accepted.
+///
+/// One round is not enough: a node that acknowledged may be replaced and adopt the old version
+/// before the last acknowledgement arrives. Once a majority has answered, that set is fixed and
+/// every member answers a second request. All answers with unchanged identities prove that every
+/// member held the version when the set was fixed. Another identity starts over.
+///
+/// # Examples
+///
+/// ```
+/// use tanagerhub_catalogue::{CatalogueVersion, NodeId};
+/// use tanagerhub_membership::{Acceptance, AcceptanceStage, Identity};
+///
+/// let (a, b, c) = (NodeId(1), NodeId(2), NodeId(3));
+/// let mut acceptance = Acceptance::new([a, b, c], CatalogueVersion(4));
+/// for _ in 0..2 {
+///     let round = acceptance.round();
+///     acceptance.held(a, Identity::default(), round);
+///     acceptance.held(b, Identity::default(), round);
+/// }
+/// assert_eq!(acceptance.stage(), AcceptanceStage::Accepted);
+/// ```
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Acceptance {
+    version: CatalogueVersion,
+    slots: BTreeSet<NodeId>,
+    stage: AcceptanceStage,
+    round: u32,
+    fixed: BTreeMap<NodeId, Identity>,
+    confirmed: BTreeSet<NodeId>,
+    holders: BTreeSet<NodeId>,
+}
+
+impl Acceptance {
+    /// Starts to collect answers of a region's slots.
+    #[must_use]
+    pub fn new(slots: impl IntoIterator<Item = NodeId>, version: CatalogueVersion) -> Self {
+        Self {
+            version,
+            slots: slots.into_iter().collect(),
+            stage: AcceptanceStage::Collecting,
+            round: 0,
+            fixed: BTreeMap::new(),
+            confirmed: BTreeSet::new(),
+            holders: BTreeSet::new(),
+        }
+    }
+
+    /// The version.
+    #[must_use]
+    pub const fn version(&self) -> CatalogueVersion {
+        self.version
+    }
+
+    /// How far it has come.
+    #[must_use]
+    pub const fn stage(&self) -> AcceptanceStage {
+        self.stage
+    }
+
+    /// The number that requests must carry now, and that answers must repeat.
+    #[must_use]
+    pub const fn round(&self) -> u32 {
+        self.round
+    }
+
+    /// Slots that have ever answered that they hold the version.
+    #[must_use]
+    pub const fn holders(&self) -> &BTreeSet<NodeId> {
+        &self.holders
+    }
+
+    /// Slots that have not answered yet.
+    pub fn missing(&self) -> impl Iterator<Item = NodeId> + '_ {
+        self.slots.difference(&self.holders).copied()
+    }
+
+    /// Slots to which a request should be sent now.
+    #[must_use]
+    pub fn wanted(&self) -> Vec<NodeId> {
+        match self.stage {
+            AcceptanceStage::Collecting => self
+                .slots
+                .iter()
+                .filter(|node| !self.fixed.contains_key(node))
+                .copied()
+                .collect(),
+            AcceptanceStage::Confirming => {
+                let open = self.fixed.keys().copied();
+                let open = open.filter(|node| !self.confirmed.contains(node));
+                open.chain(self.missing()).collect()
+            }
+            AcceptanceStage::Accepted => self.missing().collect(),
+        }
+    }
+
+    /// Takes in an answer to a request of round `round`.
+    pub fn held(&mut self, node: NodeId, identity: Identity, round: u32) {
+        if !self.slots.contains(&node) {
+            return;
+        }
+        self.holders.insert(node);
+        if round != self.round {
+            return;
+        }
+        match self.stage {
+            AcceptanceStage::Collecting => self.collect(node, identity),
+            AcceptanceStage::Confirming => self.confirm(node, identity),
+            AcceptanceStage::Accepted => {}
+        }
+    }
+
+    /// Drops the fixed set, for example because a member of it went silent.
+    pub fn restart(&mut self) {
+        if self.stage == AcceptanceStage::Accepted {
+            return;
+        }
+        self.stage = AcceptanceStage::Collecting;
+        self.round += 1;
+        self.fixed.clear();
+        self.confirmed.clear();
+    }
+
+    fn collect(&mut self, node: NodeId, identity: Identity) {
+        self.fixed.insert(node, identity);
+        if self.fixed.len() >= majority(self.slots.len()) {
+            self.stage = AcceptanceStage::Confirming;
+            self.round += 1;
+        }
+    }
+
+    fn confirm(&mut self, node: NodeId, identity: Identity) {
+        match self.fixed.get(&node) {
+            None => {}
+            Some(first) if *first == identity => {
+                self.confirmed.insert(node);
+                if self.confirmed.len() == self.fixed.len() {
+                    self.stage = AcceptanceStage::Accepted;
+                }
+            }
+            Some(_) => self.restart(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/tanagerhub_membership/src/apply.rs
@@ -0,0 +1,147 @@
+//! One operator's change on its way.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use tanagerhub_catalogue::NodeId;
+use tanagerhub_clock::Moment;
+use tanagerhub_table::{Attempt, AttemptState};
+
+use crate::{Acceptance, AcceptanceStage, ApplyOutcome, Document, OperationId};
+
+/// A fixed set that makes no progress for this long is dropped.
+const ROUND_LIMIT: Duration = Duration::from_millis(1_500);
+
+/// How far a change has come.
+#[derive(Debug)]
+pub(crate) enum ApplyStage {
+    /// The newest version is being read.
+    Reading,
+    /// The document is being stored.
+    Storing,
+    /// The transaction is on its way.
+    Committing,
+    /// It is committed and spreads.
+    Spreading(Spread),
+}
+
+/// One operator's change.
+#[derive(Debug)]
+pub(crate) struct Apply {
+    pub(crate) operation: OperationId,
+    pub(crate) token: u64,
+    pub(crate) document: Document,
+    pub(crate) attempt: Option<Attempt>,
+    /// Whether a copy of the transaction may still arrive.
+    pub(crate) doubted: bool,
+    pub(crate) stage: ApplyStage,
+    pub(crate) deadline: Moment,
+    pub(crate) resend: Moment,
+}
+
+impl Apply {
+    /// What can be said at the deadline.
+    pub(crate) fn give_up(&self) -> ApplyOutcome {
+        let version = self.document.head().version;
+        match &self.stage {
+            ApplyStage::Spreading(spread) => ApplyOutcome::Committed {
+                version,
+                missing: spread.missing(),
+            },
+            ApplyStage::Committing if self.is_in_doubt() => ApplyOutcome::Unknown { version },
+            ApplyStage::Reading | ApplyStage::Storing | ApplyStage::Committing => {
+                ApplyOutcome::NotCommitted {
+                    reason: "the platform's store did not answer in time".to_owned(),
+                }
+            }
+        }
+    }
+
+    /// Whether the transaction may be, or may yet be, applied.
+    pub(crate) fn is_in_doubt(&self) -> bool {
+        let state = self.attempt.as_ref().map(Attempt::state);
+        self.doubted || state.is_some_and(|state| state != AttemptState::NotApplied)
+    }
+}
+
+/// A committed version on its way to every region.
+#[derive(Debug)]
+pub(crate) struct Spread {
+    pub(crate) regions: BTreeMap<String, RegionSpread>,
+    /// When the last region accepted the version.
+    accepted: Option<Moment>,
+}
+
+/// A committed version on its way through one region.
+#[derive(Debug)]
+pub(crate) struct RegionSpread {
+    pub(crate) acceptance: Acceptance,
+    round_began: Moment,
+}
+
+impl Spread {
+    pub(crate) fn new(regions: BTreeMap<String, Acceptance>, now: Moment) -> Self {
+        let spread = |acceptance| RegionSpread {
+            acceptance,
+            round_began: now,
+        };
+        let regions = regions.into_iter();
+        Self {
+            regions: regions.map(|(name, it)| (name, spread(it))).collect(),
+            accepted: None,
+        }
+    }
+
+    /// Takes in an acknowledgement.
+    pub(crate) fn held(
+        &mut self,
+        node: NodeId,
+        identity: crate::Identity,
+        round: u32,
+        now: Moment,
+    ) {
+        for region in self.regions.values_mut() {
+            let before = region.acceptance.round();
+            region.acceptance.held(node, identity, round);
+            if region.acceptance.round() != before {
+                region.round_began = now;
+            }
+        }
+        self.note_acceptance(now);
+    }
+
+    /// Drops fixed sets whose members don't confirm.
+    pub(crate) fn tick(&mut self, now: Moment) {
+        for region in self.regions.values_mut() {
+            let confirming = region.acceptance.stage() == AcceptanceStage::Confirming;
+            if confirming && now.since(region.round_began) >= ROUND_LIMIT {
+                region.acceptance.restart();
+                region.round_began = now;
+            }
+        }
+        self.note_acceptance(now);
+    }
+
+    fn note_acceptance(&mut self, now: Moment) {
+        let accepted =
+            |region: &RegionSpread| region.acceptance.stage() == AcceptanceStage::Accepted;
+        if self.accepted.is_none() && self.regions.values().all(accepted) {
+            self.accepted = Some(now);
+        }
+    }
+
+    /// Slots that have not acknowledged the version.
+    pub(crate) fn missing(&self) -> Vec<NodeId> {
+        let regions = self.regions.values();
+        regions.flat_map(|it| it.acceptance.missing()).collect()
+    }
+
+    /// Whether no node can work under an older version any more.
+    ///
+    /// Nodes that have not acknowledged stop once all that confirmed the older version before
+    /// the acceptance is older than `limit`.
+    pub(crate) fn is_in_force(&self, now: Moment, limit: Duration) -> bool {
+        self.accepted
+            .is_some_and(|at| now.since(at) >= limit || self.missing().is_empty())
+    }
+}
--- a/crates/tanagerhub_membership/src/lib.rs
+++ b/crates/tanagerhub_membership/src/lib.rs
@@ -1,1 +1,54 @@
 //! Membership, configuration versions and freshness of a node.
+//!
+//! [`Membership`] decides, without any I/O, which catalogue version a node follows and whether it
+//! may take new work. The table is the only truth. While it is down, a majority of the region's
+//! node slots confirms that nobody holds a newer version. Peers are asked by [`Probe`]s; an
+//! [`Answer`] is never older than the time since its probe was sent, so that ages need no common
+//! clock.
+
+mod acceptance;
+mod adoption;
+mod apply;
+mod apply_outcome;
+mod beacon;
+mod confirmations;
+mod document;
+mod fact;
+mod fact_batch;
+mod freshness;
+mod identity;
+mod membership;
+mod membership_action;
+mod membership_counters;
+mod membership_error;
+mod membership_event;
+mod membership_status;
+mod node_slot;
+mod peer;
+mod peer_message;
+mod settings;
+mod shared_facts;
+mod slot_table;
+mod store_reader;
+
+pub use acceptance::{Acceptance, AcceptanceStage, majority};
+pub use adoption::Adoption;
+pub use apply_outcome::ApplyOutcome;
+pub use beacon::{Answer, AnswerHead, Beacon, BeaconBody, Held, Hold, PROTOCOL, Probe, Standing};
+pub use confirmations::{Confirmation, Confirmations, is_recent};
+pub use document::{CatalogueHead, ContentHash, Document, HEAD_KEY};
+pub use fact::{AgedFact, Fact, FactKey};
+pub use fact_batch::{AttestedPart, FactBatch, Short, WireFact};
+pub use freshness::{Confirmer, Freshness, StaleReason};
+pub use identity::Identity;
+pub use membership::Membership;
+pub use membership_action::{MembershipAction, TableRead};
+pub use membership_counters::MembershipCounters;
+pub use membership_error::MembershipError;
+pub use membership_event::{AskId, MembershipEvent, OperationId, ReadId};
+pub use membership_status::{MembershipStatus, StoreState};
+pub use node_slot::{NodeSlot, SLOT_PREFIX, SlotRow};
+pub use peer::Peer;
+pub use peer_message::{PeerReply, PeerRequest};
+pub use settings::MembershipSettings;
+pub use shared_facts::SharedFacts;
--- /dev/null
+++ b/crates/tanagerhub_membership/src/membership.rs
@@ -0,0 +1,332 @@
+//! The state machine of one node's membership.
+
+mod adopting;
+mod applying;
+mod probing;
+mod reading;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+use tanagerhub_catalogue::{Catalogue, CatalogueVersion, NodeId};
+use tanagerhub_clock::Moment;
+use tanagerhub_table::TransactionId;
+
+use crate::apply::Apply;
+use crate::slot_table::SlotTable;
+use crate::store_reader::StoreReader;
+use crate::{
+    Adoption, AgedFact, AskId, CatalogueHead, Confirmations, Document, Freshness, Identity,
+    MembershipAction, MembershipCounters, MembershipEvent, MembershipSettings, MembershipStatus,
+    Peer, PeerReply, PeerRequest, SharedFacts, StaleReason, Standing, is_recent,
+};
+use adopting::OpenFetch;
+use probing::{Heard, OpenProbe};
+
+/// One node's view of its region, of the catalogue and of its own freshness.
+///
+/// # Examples
+///
+/// ```
+/// use tanagerhub_catalogue::{BootId, DataCentreId};
+/// use tanagerhub_clock::Moment;
+/// use tanagerhub_membership::{Membership, MembershipAction, MembershipEvent, MembershipSettings};
+///
+/// let address = "10.0.0.1:7400".parse()?;
+/// let settings = MembershipSettings::new(address, BootId(7), "tbilisi", DataCentreId::of("tbs-a"));
+/// let mut membership = Membership::new(settings, 1);
+/// let actions = membership.on_event(Moment::ZERO, MembershipEvent::Tick);
+/// assert!(actions.iter().any(|action| matches!(action, MembershipAction::Read { .. })));
+/// assert!(!membership.freshness(Moment::ZERO).is_fresh());
+/// # Ok::<(), std::net::AddrParseError>(())
+/// ```
+#[derive(Debug)]
+pub struct Membership {
+    settings: MembershipSettings,
+    rng: ChaCha8Rng,
+    identity: Identity,
+    standing: Standing,
+    held: Document,
+    newest: CatalogueHead,
+    newest_from: Option<SocketAddr>,
+    slots: SlotTable,
+    confirmations: Confirmations,
+    adoption: Adoption,
+    adopting: Option<CatalogueVersion>,
+    verified: BTreeSet<NodeId>,
+    probes: BTreeMap<u64, OpenProbe>,
+    probe_due: Moment,
+    far_due: Moment,
+    heard: BTreeMap<NodeId, Heard>,
+    leaving_seen: BTreeMap<NodeId, Moment>,
+    leaving: bool,
+    load: u16,
+    facts: SharedFacts,
+    store: StoreReader,
+    registering: Option<(TransactionId, Moment)>,
+    slots_asked: Option<Moment>,
+    asks: BTreeMap<AskId, SocketAddr>,
+    next_ask: u64,
+    fetch: Option<OpenFetch>,
+    fetch_tries: u32,
+    applies: Vec<Apply>,
+    last_event: Option<Moment>,
+    stale_since: Moment,
+    counters: MembershipCounters,
+    actions: Vec<MembershipAction>,
+}
+
+impl Membership {
+    /// Starts with an empty view; `seed` feeds the choice of peers and the jitter.
+    #[must_use]
+    pub fn new(settings: MembershipSettings, seed: u64) -> Self {
+        let identity = Identity {
+            incarnation: 1,
+            boot: settings.boot,
+        };
+        Self {
+            settings,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            identity,
+            standing: Standing::Starting,
+            held: Document::of(Catalogue::default()),
+            newest: CatalogueHead::default(),
+            newest_from: None,
+            slots: SlotTable::default(),
+            confirmations: Confirmations::default(),
+            adoption: Adoption::new(0),
+            adopting: None,
+            verified: BTreeSet::new(),
+            probes: BTreeMap::new(),
+            probe_due: Moment::ZERO,
+            far_due: Moment::ZERO,
+            heard: BTreeMap::new(),
+            leaving_seen: BTreeMap::new(),
+            leaving: false,
+            load: 0,
+            facts: SharedFacts::default(),
+            store: StoreReader::new(),
+            registering: None,
+            slots_asked: None,
+            asks: BTreeMap::new(),
+            next_ask: 0,
+            fetch: None,
+            fetch_tries: 0,
+            applies: Vec::new(),
+            last_event: None,
+            stale_since: Moment::ZERO,
+            counters: MembershipCounters::default(),
+            actions: Vec::new(),
+        }
+    }
+
+    /// Takes in an event and says what to do.
+    pub fn on_event(&mut self, now: Moment, event: MembershipEvent) -> Vec<MembershipAction> {
+        self.notice_pause(now);
+        match event {
+            MembershipEvent::Tick => self.tick(now),
+            MembershipEvent::Beacon { from, beacon } => self.beacon(now, from, beacon),
+            MembershipEvent::Asked { ask, request } => self.asked(ask, &request),
+            MembershipEvent::Replied { ask, reply } => self.replied(now, ask, reply),
+            MembershipEvent::Rows { read, rows } => self.rows(now, read, &rows),
+            MembershipEvent::ReadFailed { read } => self.read_failed(now, read),
+            MembershipEvent::Committed {
+                transaction,
+                outcome,
+            } => self.committed(now, transaction, &outcome),
+            MembershipEvent::Fetched { hash, body } => self.fetched(now, hash, body),
+            MembershipEvent::Stored { hash, kept } => self.stored(now, hash, kept),
+            MembershipEvent::Apply {
+                operation,
+                catalogue,
+                expected,
+            } => self.apply(now, operation, catalogue, expected),
+            MembershipEvent::Retire { node } => self.retire(node),
+            MembershipEvent::LocalFacts(facts) => self.local_facts(now, facts),
+            MembershipEvent::Load(load) => self.load = load,
+            MembershipEvent::Leaving => self.leaving = true,
+        }
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Whether this node may take new work now.
+    #[must_use]
+    pub fn freshness(&self, now: Moment) -> Freshness {
+        let stale = |reason, since| Freshness::Stale { since, reason };
+        match self.standing {
+            Standing::Starting => return stale(StaleReason::Starting, self.stale_since),
+            Standing::Paused => return stale(StaleReason::Paused, self.stale_since),
+            Standing::Member => {}
+        }
+        if self.newest.version > self.version() {
+            return stale(StaleReason::NewerVersion, self.stale_since);
+        }
+        let limit = self.settings.freshness_limit;
+        match self.last_confirmed() {
+            Some((at, by)) if is_recent(at, now, limit) => Freshness::Fresh {
+                version: self.version(),
+                by,
+                age: now.since(at),
+            },
+            Some((at, _)) => stale(StaleReason::Unconfirmed, at + limit),
+            None => stale(StaleReason::Unconfirmed, self.stale_since),
+        }
+    }
+
+    /// The moment at which the view stops to be fresh, unless it is confirmed again.
+    ///
+    /// `None` means that it is not fresh. Compare it with the present time right before each send:
+    /// a process that was paused since must not send.
+    #[must_use]
+    pub fn fresh_until(&self, now: Moment) -> Option<Moment> {
+        let fresh = self.freshness(now).is_fresh();
+        let confirmed = self.last_confirmed().filter(|_| fresh);
+        confirmed.map(|(at, _)| at + self.settings.freshness_limit)
+    }
+
+    /// The catalogue that is followed.
+    #[must_use]
+    pub const fn catalogue(&self) -> &Arc<Catalogue> {
+        self.held.catalogue()
+    }
+
+    /// The version that is followed.
+    #[must_use]
+    pub fn version(&self) -> CatalogueVersion {
+        self.held.catalogue().version
+    }
+
+    /// Which process this is in its slot.
+    #[must_use]
+    pub const fn identity(&self) -> Identity {
+        self.identity
+    }
+
+    /// Whether this process counts in its region.
+    #[must_use]
+    pub const fn standing(&self) -> Standing {
+        self.standing
+    }
+
+    /// Live nodes of the region without this one, in the order of their ids.
+    #[must_use]
+    pub fn peers(&self, now: Moment) -> Vec<Peer> {
+        let slots = self.slots.region(&self.settings.region);
+        let live = slots.filter(|slot| self.is_live(slot.node(), now));
+        live.map(|slot| self.peer(slot, now)).collect()
+    }
+
+    /// Whether this node shuts down.
+    #[must_use]
+    pub const fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Known shared facts with their ages.
+    pub fn facts(&self, now: Moment) -> impl Iterator<Item = AgedFact> + '_ {
+        self.facts.aged(now)
+    }
+
+    /// Counts since the start.
+    #[must_use]
+    pub const fn counters(&self) -> MembershipCounters {
+        self.counters
+    }
+
+    /// The whole state for a dump.
+    #[must_use]
+    pub fn status(&self, now: Moment) -> MembershipStatus {
+        MembershipStatus {
+            node: self.settings.node,
+            identity: self.identity,
+            standing: self.standing,
+            version: self.version(),
+            newest: self.newest.version,
+            freshness: self.freshness(now),
+            store: self.store.state,
+            slots: self.slot_count(),
+            all_slots: self.slots.len(),
+            peers: self.peers(now),
+            facts: self.facts.len(),
+            counters: self.counters,
+        }
+    }
+
+    fn tick(&mut self, now: Moment) {
+        self.read_due(now);
+        self.probe_due(now);
+        self.fetch_due(now);
+        self.applies_due(now);
+        self.facts.expire(now);
+    }
+
+    fn asked(&mut self, ask: AskId, request: &PeerRequest) {
+        let reply = match request {
+            PeerRequest::Document(hash) => {
+                let held = self.held.head().hash == *hash;
+                PeerReply::Document(held.then(|| Arc::clone(self.held.body())))
+            }
+            PeerRequest::Slots => PeerReply::Slots(self.slots.export()),
+            PeerRequest::Ping(_) => PeerReply::Pong(self.identity.boot),
+            PeerRequest::Claims(_) | PeerRequest::Group(_) => {
+                PeerReply::Refused("not a request for membership".to_owned())
+            }
+        };
+        self.act(MembershipAction::Reply { ask, reply });
+    }
+
+    fn replied(&mut self, now: Moment, ask: AskId, reply: Option<PeerReply>) {
+        if self.asks.remove(&ask).is_none() {
+            return;
+        }
+        match reply {
+            Some(PeerReply::Document(Some(body))) => self.document(now, body),
+            Some(PeerReply::Slots(rows)) => {
+                self.slots.merge(rows);
+                self.slots_changed();
+            }
+            Some(_) | None => self.fetch_failed(ask),
+        }
+    }
+
+    fn local_facts(&mut self, now: Moment, facts: Vec<AgedFact>) {
+        for fact in facts {
+            self.facts.learn(fact, now);
+        }
+    }
+
+    /// Asks a peer for something.
+    fn ask(&mut self, to: SocketAddr, request: PeerRequest) -> AskId {
+        self.next_ask += 1;
+        let ask = AskId(self.next_ask);
+        self.asks.insert(ask, to);
+        self.act(MembershipAction::Ask { ask, to, request });
+        ask
+    }
+
+    fn act(&mut self, action: MembershipAction) {
+        self.actions.push(action);
+    }
+
+    fn slot_count(&self) -> usize {
+        self.slots.count(&self.settings.region)
+    }
+
+    fn last_confirmed(&self) -> Option<(Moment, crate::Confirmer)> {
+        self.confirmations.newest(self.slot_count(), self.version())
+    }
+
+    fn new_transaction(&mut self) -> TransactionId {
+        TransactionId(self.rng.random())
+    }
+
+    /// `span` with up to a quarter more or less.
+    fn jitter(&mut self, span: Duration) -> Duration {
+        span.mul_f64(self.rng.random_range(0.75..1.25))
+    }
+}
--- /dev/null
+++ b/crates/tanagerhub_membership/src/membership/reading.rs
@@ -0,0 +1,235 @@
+//! Reads of the table, and the own slot's row.
+
+use std::time::Duration;
+
+use rand::RngExt;
+use tanagerhub_catalogue::NodeId;
+use tanagerhub_clock::Moment;
+use tanagerhub_table::{CommitOutcome, Row, Transaction, TransactionId};
+
+use super::Membership;
+use crate::store_reader::ReadPurpose;
+use crate::{
+    CatalogueHead, MembershipAction, NodeSlot, ReadId, SLOT_PREFIX, SlotRow, Standing, StoreState,
+    TableRead,
+};
+
+/// A registration without an answer for this long is tried again.
+const REGISTER_LIMIT: Duration = Duration::from_secs(3);
+
+impl Membership {
+    pub(super) fn read_due(&mut self, now: Moment) {
+        for read in self.store.overdue(now) {
+            self.read_failed(now, read);
+        }
+        if now >= self.store.head_due && !self.store.is_open(ReadPurpose::Head) {
+            let own = NodeSlot::key(self.settings.node);
+            let keys = vec![CatalogueHead::key(), own];
+            self.read(ReadPurpose::Head, TableRead::Keys(keys), now);
+            self.store.head_due = now + self.head_wait();
+        }
+        let slots_known = self.store.state == StoreState::Up || self.slots.len() == 0;
+        if slots_known && now >= self.store.slots_due && !self.store.is_open(ReadPurpose::Slots) {
+            let prefix = SLOT_PREFIX.to_owned();
+            self.read(ReadPurpose::Slots, TableRead::Prefix(prefix), now);
+            self.store.slots_due = now + self.slots_wait();
+        }
+    }
+
+    pub(super) fn read(&mut self, purpose: ReadPurpose, rows: TableRead, now: Moment) {
+        let read = self.store.open(purpose, now);
+        self.counters.reads += 1;
+        self.act(MembershipAction::Read { read, rows });
+    }
+
+    /// The wait until the next read of the head; the nodes of a region share a budget.
+    fn head_wait(&mut self) -> Duration {
+        let slots = u32::try_from(self.slot_count()).unwrap_or(u32::MAX);
+        let shared = Duration::from_secs(1) * slots / self.settings.region_reads.max(1);
+        let period = shared.max(self.settings.store_period);
+        let limit = self.settings.store_backoff;
+        self.store.wait(period, limit, &mut self.rng)
+    }
+
+    /// The wait until the next read of all slots; one node a second reads them.
+    fn slots_wait(&mut self) -> Duration {
+        let slots = u32::try_from(self.slots.len()).unwrap_or(u32::MAX);
+        let shared = Duration::from_secs(1) * slots;
+        let period = shared.max(self.settings.slots_period);
+        let limit = self.settings.store_backoff;
+        self.store.wait(period, limit, &mut self.rng)
+    }
+
+    pub(super) fn read_failed(&mut self, now: Moment, read: ReadId) {
+        let Some(open) = self.store.failed(read) else {
+            return;
+        };
+        self.counters.read_failures += 1;
+        self.store.head_due = now + self.head_wait();
+        match open.purpose {
+            ReadPurpose::Apply(operation) => self.apply_read_failed(operation, now),
+            ReadPurpose::Slots => self.store.slots_due = now + self.slots_wait(),
+            ReadPurpose::Head => {}
+        }
+    }
+
+    pub(super) fn rows(&mut self, now: Moment, read: ReadId, rows: &[Row]) {
+        let was_down = self.store.state == StoreState::Down;
+        let Some(open) = self.store.answered(read) else {
+            return;
+        };
+        if was_down {
+            let wait = self.part_of(self.settings.store_backoff);
+            self.store.slots_due = now + wait;
+        }
+        match open.purpose {
+            ReadPurpose::Head => self.head_read(now, open.sent, rows),
+            ReadPurpose::Slots => self.slots_read(rows),
+            ReadPurpose::Apply(operation) => self.apply_read(now, operation, rows),
+        }
+    }
+
+    /// A random part of `span`, so that nodes don't all come at once.
+    fn part_of(&mut self, span: Duration) -> Duration {
+        span.mul_f64(self.rng.random_range(0.0..1.0))
+    }
+
+    fn head_read(&mut self, now: Moment, sent: Moment, rows: &[Row]) {
+        let Some(head) = self.find_head(rows) else {
+            return;
+        };
+        self.confirmations.store(head.version, sent);
+        self.hear_of(head, None, now);
+        let own = NodeSlot::key(self.settings.node);
+        let row = rows.iter().find(|row| row.key == own);
+        self.own_row_read(now, row);
+        if self.standing == Standing::Starting && self.is_registered(row) {
+            self.adopting = Some(head.version.max(self.adopting.unwrap_or_default()));
+            self.try_joining();
+        }
+        let since_wake = sent >= self.stale_since;
+        if self.standing == Standing::Paused && since_wake && self.version() >= head.version {
+            self.standing = Standing::Member;
+        }
+    }
+
+    /// The head among `rows`; version zero if there is none yet, `None` if it is malformed.
+    pub(super) fn find_head(&mut self, rows: &[Row]) -> Option<CatalogueHead> {
+        let key = CatalogueHead::key();
+        let Some(row) = rows.iter().find(|row| row.key == key) else {
+            return Some(CatalogueHead::default());
+        };
+        let head = CatalogueHead::decode(row);
+        if head.is_err() {
+            self.counters.malformed += 1;
+        }
+        head.ok()
+    }
+
+    fn is_registered(&self, row: Option<&Row>) -> bool {
+        let slot = row.and_then(|row| NodeSlot::decode(row).ok());
+        slot.is_some_and(|slot| slot.identity == self.identity)
+    }
+
+    /// Compares the own row with this process: takes the slot, or notices a takeover.
+    fn own_row_read(&mut self, now: Moment, row: Option<&Row>) {
+        let slot = row.and_then(|row| NodeSlot::decode(row).ok());
+        let known = slot.as_ref().map(|slot| slot.identity).unwrap_or_default();
+        if known > self.identity {
+            self.rejoin(known, now);
+        }
+        if slot.as_ref() == Some(&self.own_slot()) {
+            return;
+        }
+        let waits = |(_, sent): (TransactionId, Moment)| now.since(sent) < REGISTER_LIMIT;
+        if self.registering.is_some_and(waits) {
+            return;
+        }
+        self.register(row, now);
+    }
+
+    fn own_slot(&self) -> NodeSlot {
+        NodeSlot {
+            address: self.settings.address,
+            identity: self.identity,
+            region: self.settings.region.clone(),
+            data_centre: self.settings.data_centre,
+        }
+    }
+
+    fn register(&mut self, row: Option<&Row>, now: Moment) {
+        let id = self.new_transaction();
+        let key = NodeSlot::key(self.settings.node);
+        let base = match row {
+            Some(row) => Transaction::new(id).at(key.clone(), row.version),
+            None => Transaction::new(id).absent(key.clone()),
+        };
+        self.registering = Some((id, now));
+        self.counters.commits += 1;
+        let write = base.put(key, self.own_slot().encode());
+        self.act(MembershipAction::Commit(write));
+    }
+
+    pub(super) fn committed(&mut self, now: Moment, id: TransactionId, outcome: &CommitOutcome) {
+        if self.registering.is_some_and(|(known, _)| known == id) {
+            self.registering = None;
+            // Whatever came of it, the next read of the own row shows it.
+            self.store.head_due = now;
+            if let CommitOutcome::Committed { rows } = outcome {
+                self.slots.merge(decode_slots(rows));
+                self.slots_changed();
+            }
+            return;
+        }
+        self.apply_committed(now, id, outcome);
+    }
+
+    fn slots_read(&mut self, rows: &[Row]) {
+        let slots = decode_slots(rows);
+        self.counters.malformed += u64::try_from(rows.len() - slots.len()).unwrap_or(0);
+        self.slots.replace(slots);
+        self.slots_changed();
+    }
+
+    /// Follows a change in the list of slots.
+    pub(super) fn slots_changed(&mut self) {
+        let region = self.settings.region.clone();
+        let counted: Vec<NodeId> = self.slots.region(&region).map(NodeSlot::node).collect();
+        self.confirmations.retain(|node| counted.contains(&node));
+        self.heard.retain(|node, _| counted.contains(node));
+        self.leaving_seen.retain(|node, _| counted.contains(node));
+        if self.standing != Standing::Starting {
+            return;
+        }
+        let known = self.slots.identity(self.settings.node);
+        if known > self.identity {
+            self.identity = known.successor(self.settings.boot);
+            self.slots.meet(self.settings.node, self.identity);
+        }
+        self.restart_adoption();
+    }
+
+    /// Removes the slot of a VM that is gone for good.
+    pub(super) fn retire(&mut self, node: NodeId) {
+        let Some(row) = self.slots.row(node) else {
+            return;
+        };
+        let (key, version) = (NodeSlot::key(node), row.version);
+        let id = self.new_transaction();
+        let removal = Transaction::new(id).at(key.clone(), version).delete(key);
+        self.counters.commits += 1;
+        self.act(MembershipAction::Commit(removal));
+        self.slots.remove(node);
+        self.slots_changed();
+    }
+}
+
+fn decode_slots(rows: &[Row]) -> Vec<SlotRow> {
+    let decode = |row: &Row| {
+        NodeSlot::decode(row).ok().map(|slot| SlotRow {
+            slot,
+            version: row.version,
+        })
+    };
+    rows.iter().filter_map(decode).collect()
+}
--- /dev/null
+++ b/crates/tanagerhub_membership/src/store_reader.rs
@@ -0,0 +1,102 @@
+//! When the table is read, and how failures slow that down.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+use tanagerhub_clock::Moment;
+
+use crate::{OperationId, ReadId, StoreState};
+
+/// A read without an answer for this long has failed.
+const READ_LIMIT: Duration = Duration::from_secs(3);
+
+/// What a read is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ReadPurpose {
+    /// The catalogue head and the own slot.
+    Head,
+    /// All node slots.
+    Slots,
+    /// The catalogue head for an operator's change.
+    Apply(OperationId),
+}
+
+/// A read on its way.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct OpenRead {
+    pub(crate) purpose: ReadPurpose,
+    pub(crate) sent: Moment,
+}
+
+/// Reads of the table: due times, open reads and backoff.
+#[derive(Debug)]
+pub(crate) struct StoreReader {
+    open: BTreeMap<ReadId, OpenRead>,
+    next_id: u64,
+    failures: u32,
+    pub(crate) state: StoreState,
+    pub(crate) head_due: Moment,
+    pub(crate) slots_due: Moment,
+}
+
+impl StoreReader {
+    pub(crate) const fn new() -> Self {
+        Self {
+            open: BTreeMap::new(),
+            next_id: 0,
+            failures: 0,
+            state: StoreState::Unasked,
+            head_due: Moment::ZERO,
+            slots_due: Moment::ZERO,
+        }
+    }
+
+    /// Notes a read that is being sent.
+    pub(crate) fn open(&mut self, purpose: ReadPurpose, now: Moment) -> ReadId {
+        self.next_id += 1;
+        let read = ReadId(self.next_id);
+        self.open.insert(read, OpenRead { purpose, sent: now });
+        read
+    }
+
+    /// Whether a read for this purpose is on its way.
+    pub(crate) fn is_open(&self, purpose: ReadPurpose) -> bool {
+        self.open.values().any(|open| open.purpose == purpose)
+    }
+
+    /// Takes in an answer.
+    pub(crate) fn answered(&mut self, read: ReadId) -> Option<OpenRead> {
+        let open = self.open.remove(&read)?;
+        self.failures = 0;
+        self.state = StoreState::Up;
+        Some(open)
+    }
+
+    /// Takes in a failure.
+    pub(crate) fn failed(&mut self, read: ReadId) -> Option<OpenRead> {
+        let open = self.open.remove(&read)?;
+        self.failures += 1;
+        self.state = StoreState::Down;
+        Some(open)
+    }
+
+    /// Reads whose answer is overdue.
+    pub(crate) fn overdue(&self, now: Moment) -> Vec<ReadId> {
+        let late = self.open.iter();
+        let late = late.filter(|(_, open)| now.since(open.sent) >= READ_LIMIT);
+        late.map(|(read, _)| *read).collect()
+    }
+
+    /// The wait before the next read: `period` with jitter, doubled by each failure up to `limit`.
+    pub(crate) fn wait(&self, period: Duration, limit: Duration, rng: &mut ChaCha8Rng) -> Duration {
+        let doubled = period.saturating_mul(1 << self.failures.min(6));
+        let wait = if self.failures == 0 {
+            period
+        } else {
+            doubled.min(limit.max(period))
+        };
+        wait.mul_f64(rng.random_range(0.75..1.25))
+    }
+}
--- /dev/null
+++ b/crates/tanagerhub_wire/src/peers.rs
@@ -0,0 +1,22 @@
+//! Node to node: beacons over UDP, requests over HTTP/2.
+//!
+//! Both carry a protocol version, the sender's boot id and a rising sequence number, and are
+//! authenticated with HMAC-SHA256 under a key that all nodes share. What is malformed, foreign,
+//! oversized or replayed is counted and dropped.
+
+mod beacon_socket;
+mod frame;
+mod peer_client;
+mod peer_counters;
+mod peer_error;
+mod peer_key;
+mod peer_server;
+mod peer_transport;
+mod replay_window;
+
+pub use frame::{Frame, FrameError, MAX_DATAGRAM, MAX_FRAME};
+pub use peer_counters::PeerCounters;
+pub use peer_error::PeerError;
+pub use peer_key::{PeerKey, PeerKeyError};
+pub use peer_transport::{PeerEvent, PeerSender, PeerTransport};
+pub use replay_window::{ReplayGuard, ReplayWindow};
--- /dev/null
+++ b/crates/tanagerhub_wire/src/peers/beacon_socket.rs
@@ -0,0 +1,82 @@
+//! Beacons over UDP.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_channel::{Sender, TrySendError};
+use async_std::net::UdpSocket;
+use tanagerhub_membership::Beacon;
+
+use crate::peers::peer_counters::{add, bump};
+use crate::peers::peer_transport::Shared;
+use crate::peers::{Frame, FrameError, MAX_DATAGRAM, PeerError, PeerEvent};
+
+/// Wait after a failed receive, so that a broken socket doesn't spin.
+const FAILURE_WAIT: Duration = Duration::from_millis(10);
+
+/// Sends one datagram.
+pub(crate) async fn send(
+    socket: &UdpSocket,
+    shared: &Shared,
+    to: SocketAddr,
+    beacon: &Beacon,
+) -> Result<(), PeerError> {
+    let frame = Frame {
+        boot: shared.boot,
+        sequence: shared.next_sequence(),
+        body: beacon,
+    };
+    let bytes = frame.seal(&shared.key, &[], MAX_DATAGRAM);
+    let bytes = bytes.map_err(|source| PeerError::Frame {
+        address: to,
+        source,
+    })?;
+    let sent = socket.send_to(&bytes, to).await;
+    sent.map_err(|source| PeerError::Connect {
+        address: to,
+        source,
+    })?;
+    bump(&shared.tally.sent);
+    add(&shared.tally.sent_bytes, bytes.len());
+    Ok(())
+}
+
+/// Takes datagrams in until the node is gone.
+pub(crate) async fn receive(
+    socket: Arc<UdpSocket>,
+    shared: Arc<Shared>,
+    events: Sender<PeerEvent>,
+) {
+    // One byte more than allowed, so that an oversized datagram shows.
+    let mut buffer = vec![0; MAX_DATAGRAM + 1];
+    loop {
+        // An error tells of an earlier send that nobody took; the socket stays usable.
+        let Ok((length, from)) = socket.recv_from(&mut buffer).await else {
+            async_std::task::sleep(FAILURE_WAIT).await;
+            continue;
+        };
+        match open(&buffer[..length], &shared) {
+            Ok(Some(beacon)) => {
+                let event = PeerEvent::Beacon { from, beacon };
+                match events.try_send(event) {
+                    Ok(()) => {}
+                    Err(TrySendError::Full(_)) => bump(&shared.tally.overrun),
+                    Err(TrySendError::Closed(_)) => return,
+                }
+            }
+            Ok(None) => {}
+            Err(error) => shared.tally.drop_frame(&error),
+        }
+    }
+}
+
+fn open(bytes: &[u8], shared: &Shared) -> Result<Option<Beacon>, FrameError> {
+    let frame = Frame::<Beacon>::open(bytes, &shared.key, &[], MAX_DATAGRAM)?;
+    if !shared.is_first(frame.boot, frame.sequence) {
+        return Ok(None);
+    }
+    bump(&shared.tally.received);
+    add(&shared.tally.received_bytes, bytes.len());
+    Ok(Some(frame.body))
+}
--- /dev/null
+++ b/crates/tanagerhub_wire/src/peers/frame.rs
@@ -0,0 +1,147 @@
+//! The envelope of every message between nodes.
+
+use std::fmt::Display;
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tanagerhub_catalogue::BootId;
+use tanagerhub_membership::PROTOCOL;
+
+use crate::peers::PeerKey;
+use crate::peers::peer_key::MAC_LEN;
+
+/// The longest datagram, in bytes.
+pub const MAX_DATAGRAM: usize = 4_096;
+/// The longest request or answer over HTTP/2, in bytes.
+pub const MAX_FRAME: usize = 8 * 1_024 * 1_024;
+/// Protocol version, boot id and sequence number, in bytes.
+const HEADER_LEN: usize = 18;
+
+/// A message with its sender's boot id and sequence number.
+///
+/// # Examples
+///
+/// ```
+/// use tanagerhub_catalogue::BootId;
+/// use tanagerhub_wire::peers::{Frame, MAX_DATAGRAM, PeerKey};
+///
+/// let key: PeerKey = "correct horse battery staple".parse()?;
+/// let frame = Frame { boot: BootId(4), sequence: 1, body: "hello".to_owned() };
+/// let bytes = frame.seal(&key, b"", MAX_DATAGRAM)?;
+/// assert_eq!(Frame::<String>::open(&bytes, &key, b"", MAX_DATAGRAM)?.body, "hello");
+/// # Ok::<(), Box<dyn std::error::Error>>(())
+/// ```
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Frame<T> {
+    /// The sender's start.
+    pub boot: BootId,
+    /// Rises with each message of that start.
+    pub sequence: u64,
+    /// The message.
+    pub body: T,
+}
+
+/// Why a message is dropped.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum FrameError {
+    /// It is longer than allowed.
+    #[error("the message has {length} bytes; at most {limit} are allowed")]
+    Oversized {
+        /// Its length, in bytes.
+        length: usize,
+        /// The limit, in bytes.
+        limit: usize,
+    },
+    /// Its sender doesn't have the shared key.
+    #[error("the message is not authenticated with the shared key")]
+    Foreign,
+    /// It has another protocol version.
+    #[error("the message has protocol version {version}; this node speaks {PROTOCOL}")]
+    Version {
+        /// Its version.
+        version: u16,
+    },
+    /// It is authentic but can't be read.
+    #[error("the message is malformed: {reason}")]
+    Malformed {
+        /// What is wrong with it.
+        reason: String,
+    },
+}
+
+impl<T: Serialize> Frame<T> {
+    /// Encodes and authenticates the message, bound to `context`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the message is longer than `limit` bytes.
+    pub fn seal(&self, key: &PeerKey, context: &[u8], limit: usize) -> Result<Vec<u8>, FrameError> {
+        let mut bytes = Vec::with_capacity(HEADER_LEN + MAC_LEN);
+        bytes.extend(PROTOCOL.to_le_bytes());
+        bytes.extend(self.boot.0.to_le_bytes());
+        bytes.extend(self.sequence.to_le_bytes());
+        let config = bincode::config::standard();
+        bincode::serde::encode_into_std_write(&self.body, &mut bytes, config).map_err(malformed)?;
+        let code = key.sign(context, &bytes);
+        bytes.extend(code);
+        check_length(bytes.len(), limit)?;
+        Ok(bytes)
+    }
+}
+
+impl<T: DeserializeOwned> Frame<T> {
+    /// Checks and decodes a message.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that says why the message must be dropped.
+    pub fn open(
+        bytes: &[u8],
+        key: &PeerKey,
+        context: &[u8],
+        limit: usize,
+    ) -> Result<Self, FrameError> {
+        check_length(bytes.len(), limit)?;
+        let split = bytes.len().checked_sub(MAC_LEN);
+        let split = split.filter(|at| *at >= HEADER_LEN);
+        let (signed, code) = bytes.split_at(split.ok_or(FrameError::Foreign)?);
+        if !key.verify(context, signed, code) {
+            return Err(FrameError::Foreign);
+        }
+        let version = u16::from_le_bytes([signed[0], signed[1]]);
+        if version != PROTOCOL {
+            return Err(FrameError::Version { version });
+        }
+        let config = bincode::config::standard().with_limit::<MAX_FRAME>();
+        let payload = &signed[HEADER_LEN..];
+        let (body, used) = bincode::serde::decode_from_slice(payload, config).map_err(malformed)?;
+        if used != payload.len() {
+            return Err(malformed("bytes are left over"));
+        }
+        Ok(Self {
+            boot: BootId(number(&signed[2..10])),
+            sequence: number(&signed[10..HEADER_LEN]),
+            body,
+        })
+    }
+}
+
+fn check_length(length: usize, limit: usize) -> Result<(), FrameError> {
+    if length > limit {
+        return Err(FrameError::Oversized { length, limit });
+    }
+    Ok(())
+}
+
+fn malformed(reason: impl Display) -> FrameError {
+    FrameError::Malformed {
+        reason: reason.to_string(),
+    }
+}
+
+/// Eight bytes as a little-endian number.
+fn number(bytes: &[u8]) -> u64 {
+    let mut copy = [0; 8];
+    copy.copy_from_slice(bytes);
+    u64::from_le_bytes(copy)
+}
--- /dev/null
+++ b/crates/tanagerhub_wire/src/peers/peer_client.rs
@@ -0,0 +1,198 @@
+//! Requests to peers over HTTP/2, on pooled connections.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use async_std::net::TcpStream;
+use async_std::task;
+use bytes::Bytes;
+use futures_lite::future;
+use h2::client::SendRequest;
+use h2::{Ping, PingPong};
+use http::{Request, StatusCode};
+use tanagerhub_clock::Clock;
+use tanagerhub_membership::{PeerReply, PeerRequest};
+use tokio_util::compat::FuturesAsyncReadCompatExt;
+
+use crate::peers::peer_counters::bump;
+use crate::peers::peer_server::read_body;
+use crate::peers::peer_transport::Shared;
+use crate::peers::{Frame, MAX_FRAME, PeerError};
+
+/// Time between two pings of a connection.
+const PING_PERIOD: Duration = Duration::from_secs(2);
+/// How long the answer to a ping is awaited.
+const PING_LIMIT: Duration = Duration::from_secs(2);
+
+/// An open connection; the number tells it from its successors.
+#[derive(Debug, Clone)]
+struct Open {
+    number: u64,
+    sender: SendRequest<Bytes>,
+}
+
+/// Open connections by peer.
+#[derive(Debug, Default)]
+struct Pool {
+    open: BTreeMap<SocketAddr, Open>,
+    dialled: u64,
+}
+
+/// Asks peers; dials where no connection is open.
+#[derive(Debug)]
+pub(crate) struct PeerClient {
+    shared: Arc<Shared>,
+    pool: Arc<Mutex<Pool>>,
+}
+
+impl PeerClient {
+    pub(crate) fn new(shared: Arc<Shared>) -> Self {
+        Self {
+            shared,
+            pool: Arc::default(),
+        }
+    }
+
+    /// Sends a request and awaits its answer.
+    pub(crate) async fn ask(
+        &self,
+        to: SocketAddr,
+        request: &PeerRequest,
+    ) -> Result<PeerReply, PeerError> {
+        let frame = Frame {
+            boot: self.shared.boot,
+            sequence: self.shared.next_sequence(),
+            body: request,
+        };
+        let refused = |source| PeerError::Frame {
+            address: to,
+            source,
+        };
+        let sealed = frame
+            .seal(&self.shared.key, &[], MAX_FRAME)
+            .map_err(refused)?;
+        let sealed = Bytes::from(sealed);
+        let open = self.connection(to).await?;
+        let answer = exchange(open.sender, to, sealed.clone()).await;
+        if matches!(answer, Err(PeerError::Connection { .. })) {
+            forget(&self.pool, to, open.number);
+        }
+        let bytes = answer?;
+        let reply = Frame::<PeerReply>::open(&bytes, &self.shared.key, &sealed, MAX_FRAME);
+        reply.map(|frame| frame.body).map_err(|source| {
+            self.shared.tally.drop_frame(&source);
+            refused(source)
+        })
+    }
+
+    /// An open connection that takes requests.
+    async fn connection(&self, to: SocketAddr) -> Result<Open, PeerError> {
+        let pooled = lock(&self.pool).open.get(&to).cloned();
+        if let Some(open) = pooled {
+            match open.sender.clone().ready().await {
+                Ok(sender) => return Ok(Open { sender, ..open }),
+                Err(_) => forget(&self.pool, to, open.number),
+            }
+        }
+        self.dial(to).await
+    }
+
+    async fn dial(&self, to: SocketAddr) -> Result<Open, PeerError> {
+        bump(&self.shared.tally.dials);
+        let stream = TcpStream::connect(to).await;
+        let stream = stream.map_err(|source| PeerError::Connect {
+            address: to,
+            source,
+        })?;
+        // Without it small frames wait for acknowledgements; the call fails only on a dead socket.
+        let _: std::io::Result<()> = stream.set_nodelay(true);
+        let broken = |source| PeerError::Connection {
+            address: to,
+            source,
+        };
+        let handshake = h2::client::handshake(stream.compat()).await;
+        let (sender, mut connection) = handshake.map_err(broken)?;
+        let pings = connection.ping_pong();
+        let number = {
+            let mut pool = lock(&self.pool);
+            pool.dialled += 1;
+            let number = pool.dialled;
+            let sender = sender.clone();
+            pool.open.insert(to, Open { number, sender });
+            number
+        };
+        let (shared, pool) = (Arc::clone(&self.shared), Arc::clone(&self.pool));
+        task::spawn(async move {
+            let traffic = async {
+                let _: Result<(), h2::Error> = connection.await;
+                false
+            };
+            let liveness = async {
+                keep_alive(pings, &shared.clock).await;
+                true
+            };
+            if future::or(traffic, liveness).await {
+                bump(&shared.tally.dead);
+            }
+            forget(&pool, to, number);
+        });
+        Ok(Open { number, sender })
+    }
+}
+
+/// Pings until one stays unanswered.
+async fn keep_alive(pings: Option<PingPong>, clock: &Clock) {
+    let Some(mut pings) = pings else {
+        return future::pending().await;
+    };
+    loop {
+        clock.sleep(PING_PERIOD).await;
+        let pong = clock.timeout(PING_LIMIT, pings.ping(Ping::opaque())).await;
+        if !matches!(pong, Some(Ok(_))) {
+            return;
+        }
+    }
+}
+
+async fn exchange(
+    mut sender: SendRequest<Bytes>,
+    to: SocketAddr,
+    body: Bytes,
+) -> Result<Vec<u8>, PeerError> {
+    let broken = |source| PeerError::Connection {
+        address: to,
+        source,
+    };
+    let request = Request::post(format!("http://{to}/peer")).body(());
+    let request = request.expect("a socket address is a valid authority");
+    let (response, mut stream) = sender.send_request(request, false).map_err(broken)?;
+    stream.send_data(body, true).map_err(broken)?;
+    let response = response.await.map_err(broken)?;
+    let status = response.status();
+    if status != StatusCode::OK {
+        let status = status.as_u16();
+        return Err(PeerError::Status {
+            address: to,
+            status,
+        });
+    }
+    let body = read_body(response.into_body()).await.map_err(broken)?;
+    let body = body.map_err(|source| PeerError::Frame {
+        address: to,
+        source,
+    })?;
+    Ok(body.to_vec())
+}
+
+fn forget(pool: &Mutex<Pool>, to: SocketAddr, number: u64) {
+    let mut pool = lock(pool);
+    if pool.open.get(&to).is_some_and(|open| open.number == number) {
+        pool.open.remove(&to);
+    }
+}
+
+fn lock(pool: &Mutex<Pool>) -> MutexGuard<'_, Pool> {
+    pool.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/tanagerhub_wire/src/peers/peer_counters.rs
@@ -0,0 +1,101 @@
+//! Counts of messages between nodes.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use serde::Serialize;
+
+use crate::peers::FrameError;
+
+/// Messages between nodes since the start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize)]
+pub struct PeerCounters {
+    /// Datagrams sent.
+    pub sent: u64,
+    /// Bytes of datagrams sent.
+    pub sent_bytes: u64,
+    /// Datagrams taken in.
+    pub received: u64,
+    /// Bytes of datagrams taken in.
+    pub received_bytes: u64,
+    /// Messages dropped because they can't be read.
+    pub malformed: u64,
+    /// Messages dropped because their sender doesn't have the key.
+    pub foreign: u64,
+    /// Messages dropped because of another protocol version.
+    pub versions: u64,
+    /// Messages dropped because of their length.
+    pub oversized: u64,
+    /// Messages dropped because they had arrived before.
+    pub replayed: u64,
+    /// Datagrams dropped because the node was too slow to take them.
+    pub overrun: u64,
+    /// Connections dialled.
+    pub dials: u64,
+    /// Connections given up because a ping stayed unanswered.
+    pub dead: u64,
+    /// Requests sent.
+    pub asks: u64,
+    /// Requests that failed.
+    pub ask_failures: u64,
+}
+
+/// The counters as the tasks share them.
+#[derive(Debug, Default)]
+pub(crate) struct Tally {
+    pub(crate) sent: AtomicU64,
+    pub(crate) sent_bytes: AtomicU64,
+    pub(crate) received: AtomicU64,
+    pub(crate) received_bytes: AtomicU64,
+    pub(crate) malformed: AtomicU64,
+    pub(crate) foreign: AtomicU64,
+    pub(crate) versions: AtomicU64,
+    pub(crate) oversized: AtomicU64,
+    pub(crate) replayed: AtomicU64,
+    pub(crate) overrun: AtomicU64,
+    pub(crate) dials: AtomicU64,
+    pub(crate) dead: AtomicU64,
+    pub(crate) asks: AtomicU64,
+    pub(crate) ask_failures: AtomicU64,
+}
+
+impl Tally {
+    /// Counts one dropped message.
+    pub(crate) fn drop_frame(&self, error: &FrameError) {
+        bump(match error {
+            FrameError::Oversized { .. } => &self.oversized,
+            FrameError::Foreign => &self.foreign,
+            FrameError::Version { .. } => &self.versions,
+            FrameError::Malformed { .. } => &self.malformed,
+        });
+    }
+
+    pub(crate) fn snapshot(&self) -> PeerCounters {
+        let read = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
+        PeerCounters {
+            sent: read(&self.sent),
+            sent_bytes: read(&self.sent_bytes),
+            received: read(&self.received),
+            received_bytes: read(&self.received_bytes),
+            malformed: read(&self.malformed),
+            foreign: read(&self.foreign),
+            versions: read(&self.versions),
+            oversized: read(&self.oversized),
+            replayed: read(&self.replayed),
+            overrun: read(&self.overrun),
+            dials: read(&self.dials),
+            dead: read(&self.dead),
+            asks: read(&self.asks),
+            ask_failures: read(&self.ask_failures),
+        }
+    }
+}
+
+/// Adds one.
+pub(crate) fn bump(counter: &AtomicU64) {
+    counter.fetch_add(1, Ordering::Relaxed);
+}
+
+/// Adds a length.
+pub(crate) fn add(counter: &AtomicU64, length: usize) {
+    counter.fetch_add(length as u64, Ordering::Relaxed);
+}
--- /dev/null
+++ b/crates/tanagerhub_wire/src/peers/peer_server.rs
@@ -0,0 +1,155 @@
+//! Requests of peers over HTTP/2.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_channel::Sender;
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task;
+use bytes::{Bytes, BytesMut};
+use futures_lite::StreamExt;
+use h2::server::SendResponse;
+use h2::{Reason, RecvStream};
+use http::{Request, Response, StatusCode};
+use tanagerhub_membership::PeerRequest;
+use tokio_util::compat::FuturesAsyncReadCompatExt;
+
+use crate::peers::peer_transport::Shared;
+use crate::peers::{Frame, FrameError, MAX_FRAME, PeerEvent};
+
+/// How long a peer may take for the handshake or for a request's body.
+const SLOW_LIMIT: Duration = Duration::from_secs(5);
+/// Requests of one peer in work at a time.
+const MAX_STREAMS: u32 = 64;
+/// Connections open at a time.
+const MAX_CONNECTIONS: usize = 1_024;
+/// Wait after a failed accept, so that a lack of descriptors doesn't spin.
+const FAILURE_WAIT: Duration = Duration::from_millis(10);
+
+/// Accepts connections until the node is gone.
+pub(crate) async fn listen(listener: TcpListener, shared: Arc<Shared>, events: Sender<PeerEvent>) {
+    let open = Arc::new(());
+    let mut incoming = listener.incoming();
+    while let Some(stream) = incoming.next().await {
+        if events.is_closed() {
+            return;
+        }
+        let Ok(stream) = stream else {
+            task::sleep(FAILURE_WAIT).await;
+            continue;
+        };
+        if Arc::strong_count(&open) > MAX_CONNECTIONS {
+            continue;
+        }
+        let (shared, events, open) = (Arc::clone(&shared), events.clone(), Arc::clone(&open));
+        task::spawn(async move {
+            // A broken connection is the dialling side's to report.
+            let _: Result<(), h2::Error> = serve(stream, shared, events).await;
+            drop(open);
+        });
+    }
+}
+
+async fn serve(
+    stream: TcpStream,
+    shared: Arc<Shared>,
+    events: Sender<PeerEvent>,
+) -> Result<(), h2::Error> {
+    let mut builder = h2::server::Builder::new();
+    builder.max_concurrent_streams(MAX_STREAMS);
+    let handshake = builder.handshake::<_, Bytes>(stream.compat());
+    let handshake = shared.clock.timeout(SLOW_LIMIT, handshake).await;
+    let Some(connection) = handshake else {
+        return Ok(());
+    };
+    let mut connection = connection?;
+    while let Some(request) = connection.accept().await {
+        let (request, respond) = request?;
+        let (shared, events) = (Arc::clone(&shared), events.clone());
+        task::spawn(async move {
+            let _: Result<(), h2::Error> = handle(request, respond, &shared, &events).await;
+        });
+    }
+    Ok(())
+}
+
+async fn handle(
+    request: Request<RecvStream>,
+    mut respond: SendResponse<Bytes>,
+    shared: &Shared,
+    events: &Sender<PeerEvent>,
+) -> Result<(), h2::Error> {
+    let body = read_body(request.into_body());
+    let Some(body) = shared.clock.timeout(SLOW_LIMIT, body).await else {
+        respond.send_reset(Reason::CANCEL);
+        return Ok(());
+    };
+    let bytes = match body? {
+        Ok(bytes) => bytes,
+        Err(error) => return refuse(respond, shared, &error),
+    };
+    let frame = match Frame::<PeerRequest>::open(&bytes, &shared.key, &[], MAX_FRAME) {
+        Ok(frame) => frame,
+        Err(error) => return refuse(respond, shared, &error),
+    };
+    if !shared.is_first(frame.boot, frame.sequence) {
+        return send_status(respond, StatusCode::CONFLICT);
+    }
+    let (reply, answer) = async_channel::bounded(1);
+    let event = PeerEvent::Asked {
+        request: frame.body,
+        reply,
+    };
+    if events.send(event).await.is_err() {
+        return send_status(respond, StatusCode::SERVICE_UNAVAILABLE);
+    }
+    let Ok(answer) = answer.recv().await else {
+        return send_status(respond, StatusCode::SERVICE_UNAVAILABLE);
+    };
+    let frame = Frame {
+        boot: shared.boot,
+        sequence: shared.next_sequence(),
+        body: answer,
+    };
+    // The answer is bound to the request, so that it can't be passed off as another's.
+    match frame.seal(&shared.key, &bytes, MAX_FRAME) {
+        Ok(sealed) => {
+            let mut stream = respond.send_response(Response::new(()), false)?;
+            stream.send_data(Bytes::from(sealed), true)
+        }
+        Err(error) => refuse(respond, shared, &error),
+    }
+}
+
+fn refuse(
+    respond: SendResponse<Bytes>,
+    shared: &Shared,
+    error: &FrameError,
+) -> Result<(), h2::Error> {
+    shared.tally.drop_frame(error);
+    send_status(respond, StatusCode::FORBIDDEN)
+}
+
+fn send_status(mut respond: SendResponse<Bytes>, status: StatusCode) -> Result<(), h2::Error> {
+    let mut response = Response::new(());
+    *response.status_mut() = status;
+    respond.send_response(response, true).map(drop)
+}
+
+/// Reads a body up to the longest allowed frame.
+pub(crate) async fn read_body(
+    mut body: RecvStream,
+) -> Result<Result<BytesMut, FrameError>, h2::Error> {
+    let mut bytes = BytesMut::new();
+    while let Some(chunk) = body.data().await {
+        let chunk = chunk?;
+        let length = bytes.len() + chunk.len();
+        if length > MAX_FRAME {
+            let limit = MAX_FRAME;
+            return Ok(Err(FrameError::Oversized { length, limit }));
+        }
+        bytes.extend_from_slice(&chunk);
+        body.flow_control().release_capacity(chunk.len())?;
+    }
+    Ok(Ok(bytes))
+}
--- /dev/null
+++ b/crates/tanagerhub_wire/src/peers/peer_transport.rs
@@ -0,0 +1,202 @@
+//! The node's ends towards its peers.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use async_std::net::{TcpListener, UdpSocket};
+use async_std::task;
+use tanagerhub_catalogue::BootId;
+use tanagerhub_clock::Clock;
+use tanagerhub_membership::{Beacon, PeerReply, PeerRequest};
+
+use crate::peers::beacon_socket;
+use crate::peers::peer_client::PeerClient;
+use crate::peers::peer_counters::{Tally, bump};
+use crate::peers::peer_server;
+use crate::peers::{PeerCounters, PeerError, PeerKey, ReplayGuard};
+
+/// Events that wait for the node before datagrams are dropped.
+const EVENT_QUEUE: usize = 4_096;
+
+/// Something that came from a peer.
+#[derive(Debug)]
+pub enum PeerEvent {
+    /// A datagram.
+    Beacon {
+        /// Where it came from.
+        from: SocketAddr,
+        /// The datagram.
+        beacon: Beacon,
+    },
+    /// A request; it is refused if `reply` is dropped.
+    Asked {
+        /// The request.
+        request: PeerRequest,
+        /// Takes the answer.
+        reply: async_channel::Sender<PeerReply>,
+    },
+}
+
+/// What binds a node's address for its peers.
+#[derive(Debug)]
+pub struct PeerTransport {
+    address: SocketAddr,
+    key: PeerKey,
+    boot: BootId,
+    clock: Clock,
+}
+
+/// What the tasks of a transport share.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) key: PeerKey,
+    pub(crate) boot: BootId,
+    pub(crate) clock: Clock,
+    pub(crate) tally: Tally,
+    sequence: AtomicU64,
+    guard: Mutex<ReplayGuard>,
+}
+
+impl Shared {
+    /// The sequence number of the next message.
+    pub(crate) fn next_sequence(&self) -> u64 {
+        self.sequence.fetch_add(1, Ordering::Relaxed) + 1
+    }
+
+    /// Whether a message arrives for the first time; counts it if not.
+    pub(crate) fn is_first(&self, boot: BootId, sequence: u64) -> bool {
+        let first = self.guard().accept(boot, sequence);
+        if !first {
+            bump(&self.tally.replayed);
+        }
+        first
+    }
+
+    fn guard(&self) -> MutexGuard<'_, ReplayGuard> {
+        self.guard.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl PeerTransport {
+    /// Prepares the transport of a node at `address`.
+    #[must_use]
+    pub const fn new(address: SocketAddr, key: PeerKey, boot: BootId, clock: Clock) -> Self {
+        Self {
+            address,
+            key,
+            boot,
+            clock,
+        }
+    }
+
+    /// Binds the address for UDP and TCP and starts to listen.
+    ///
+    /// Port 0 takes any port that is free for both. Listening ends when the [`PeerSender`] and all
+    /// its clones, and the receiver, are dropped.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that names the address when it can't be bound.
+    pub async fn bind(self) -> Result<(PeerSender, async_channel::Receiver<PeerEvent>), PeerError> {
+        let asked = self.address;
+        let failed = |source| PeerError::Bind {
+            address: asked,
+            source,
+        };
+        let listener = TcpListener::bind(asked).await.map_err(failed)?;
+        let address = listener.local_addr().map_err(failed)?;
+        let socket = UdpSocket::bind(address).await.map_err(failed)?;
+        let socket = Arc::new(socket);
+        let shared = Arc::new(Shared {
+            key: self.key,
+            boot: self.boot,
+            clock: self.clock,
+            tally: Tally::default(),
+            sequence: AtomicU64::new(0),
+            guard: Mutex::new(ReplayGuard::default()),
+        });
+        let (events, receiver) = async_channel::bounded(EVENT_QUEUE);
+        let datagrams =
+            beacon_socket::receive(Arc::clone(&socket), Arc::clone(&shared), events.clone());
+        let requests = peer_server::listen(listener, Arc::clone(&shared), events);
+        let tasks = Tasks(vec![task::spawn(datagrams), task::spawn(requests)]);
+        let sender = PeerSender {
+            address,
+            socket,
+            client: Arc::new(PeerClient::new(Arc::clone(&shared))),
+            shared,
+            _tasks: Arc::new(tasks),
+        };
+        Ok((sender, receiver))
+    }
+}
+
+/// Listening tasks, cancelled with the last sender.
+#[derive(Debug)]
+struct Tasks(Vec<task::JoinHandle<()>>);
+
+impl Drop for Tasks {
+    fn drop(&mut self) {
+        for handle in self.0.drain(..) {
+            task::spawn(handle.cancel());
+        }
+    }
+}
+
+/// Sends to peers; clones share one socket and one pool of connections.
+#[derive(Debug, Clone)]
+pub struct PeerSender {
+    address: SocketAddr,
+    socket: Arc<UdpSocket>,
+    client: Arc<PeerClient>,
+    shared: Arc<Shared>,
+    _tasks: Arc<Tasks>,
+}
+
+impl PeerSender {
+    /// The bound address.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sends a datagram; it may be lost.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the datagram is oversized or the system refuses it.
+    pub async fn send_beacon(&self, to: SocketAddr, beacon: &Beacon) -> Result<(), PeerError> {
+        beacon_socket::send(&self.socket, &self.shared, to, beacon).await
+    }
+
+    /// Asks a peer and waits at most `limit` for the answer.
+    ///
+    /// A request that failed may have been taken in by the peer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the peer can't be reached, doesn't answer in time or refuses.
+    pub async fn ask(
+        &self,
+        to: SocketAddr,
+        request: &PeerRequest,
+        limit: Duration,
+    ) -> Result<PeerReply, PeerError> {
+        bump(&self.shared.tally.asks);
+        let answer = self.client.ask(to, request);
+        let answer = self.shared.clock.timeout(limit, answer).await;
+        let answer = answer.unwrap_or(Err(PeerError::Late { address: to }));
+        if answer.is_err() {
+            bump(&self.shared.tally.ask_failures);
+        }
+        answer
+    }
+
+    /// Counts since the start.
+    #[must_use]
+    pub fn counters(&self) -> PeerCounters {
+        self.shared.tally.snapshot()
+    }
+}
--- /dev/null
+++ b/crates/tanagerhub_wire/src/peers/replay_window.rs
@@ -0,0 +1,75 @@
+//! Detection of messages that arrive twice.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use tanagerhub_catalogue::BootId;
+
+/// Sequence numbers below the highest that are remembered one by one.
+const WINDOW: u64 = 128;
+/// Senders that are remembered.
+const MAX_SENDERS: usize = 2_048;
+
+/// The sequence numbers of one sender that have arrived.
+///
+/// # Examples
+///
+/// ```
+/// use tanagerhub_wire::peers::ReplayWindow;
+///
+/// let mut window = ReplayWindow::default();
+/// assert!(window.accept(10));
+/// assert!(window.accept(9));
+/// assert!(!window.accept(10));
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct ReplayWindow {
+    highest: u64,
+    seen: u128,
+}
+
+impl ReplayWindow {
+    /// Whether a number arrives for the first time and is not far below the highest.
+    pub fn accept(&mut self, sequence: u64) -> bool {
+        if sequence > self.highest {
+            let shift = u32::try_from(sequence - self.highest).unwrap_or(u32::MAX);
+            self.seen = self.seen.checked_shl(shift).unwrap_or(0) | 1;
+            self.highest = sequence;
+            return true;
+        }
+        let below = self.highest - sequence;
+        if below >= WINDOW {
+            return false;
+        }
+        let bit = 1 << below;
+        let first = self.seen & bit == 0;
+        self.seen |= bit;
+        first
+    }
+}
+
+/// A [`ReplayWindow`] for each sender; the first met is forgotten first.
+#[derive(Debug, Default)]
+pub struct ReplayGuard {
+    windows: BTreeMap<BootId, ReplayWindow>,
+    order: VecDeque<BootId>,
+}
+
+impl ReplayGuard {
+    /// Whether the message arrives for the first time.
+    pub fn accept(&mut self, boot: BootId, sequence: u64) -> bool {
+        if !self.windows.contains_key(&boot) {
+            self.make_room();
+            self.order.push_back(boot);
+        }
+        self.windows.entry(boot).or_default().accept(sequence)
+    }
+
+    fn make_room(&mut self) {
+        if self.order.len() < MAX_SENDERS {
+            return;
+        }
+        if let Some(oldest) = self.order.pop_front() {
+            self.windows.remove(&oldest);
+        }
+    }
+}
