Explore acceptance, adoption and pauses exhaustively with the real decisions

One round of acknowledgements at five nodes, adopting from one slot fewer and a missing re-check after a pause each give a counterexample. The product's rules are safe at 3 nodes with 3 replacements, and at 5 and 6 with one. Nodes that nothing has happened to yet are interchangeable and explored once.

--- a/crates/tanagerhub_membership/src/beacon.rs
+++ b/crates/tanagerhub_membership/src/beacon.rs
@@ -112,6 +112,8 @@
     pub round: u32,
     /// The version and its document.
     pub head: CatalogueHead,
+    /// The hash of the list of slots of the peer's region, as the asker knows it.
+    pub slots: u64,
 }
 
 /// Says that the sender holds the version.
--- a/crates/tanagerhub_membership/src/confirmations.rs
+++ b/crates/tanagerhub_membership/src/confirmations.rs
@@ -17,7 +17,12 @@
     pub at: Moment,
 }
 
-/// What the store and each slot of the region last said of their version.
+/// The fewest slots of a region whose majority can stand in for the store.
+const MIN_SLOTS: usize = 3;
+
+/// What the store and each other slot of the region last said of their version.
+///
+/// The own slot agrees with itself and is not kept.
 ///
 /// # Examples
 ///
@@ -29,7 +34,6 @@
 ///
 /// let mut seen = Confirmations::default();
 /// let (now, version) = (Moment::from_millis(9_000), CatalogueVersion(3));
-/// seen.slot(NodeId(1), version, now);
 /// assert_eq!(seen.newest(3, version), None);
 /// seen.slot(NodeId(2), version, now);
 /// assert_eq!(seen.newest(3, version), Some((now, Confirmer::Majority)));
@@ -75,7 +79,7 @@
 
     /// The last moment at which `version` was surely not behind an accepted one.
     ///
-    /// `slots` is the number of the region's slots.
+    /// `slots` is the number of the region's slots, the own one included.
     #[must_use]
     pub fn newest(&self, slots: usize, version: CatalogueVersion) -> Option<(Moment, Confirmer)> {
         let store = self.store.filter(|seen| seen.bound <= version);
@@ -94,7 +98,9 @@
         let agreeing = self.slots.values().filter(|seen| seen.bound <= version);
         let mut moments: Vec<Moment> = agreeing.map(|seen| seen.at).collect();
         moments.sort_unstable_by(|a, b| b.cmp(a));
-        moments.get(majority(slots) - 1).copied()
+        let others = majority(slots) - 1;
+        let last = others.checked_sub(1).filter(|_| slots >= MIN_SLOTS)?;
+        moments.get(last).copied()
     }
 }
 
--- a/crates/tanagerhub_membership/src/membership/applying.rs
+++ b/crates/tanagerhub_membership/src/membership/applying.rs
@@ -121,14 +121,21 @@
             return;
         };
         self.hold_own(spread, now);
-        for region in spread.regions.values() {
+        for (name, region) in &spread.regions {
+            let slots = self.slots.digest(name);
             let round = region.acceptance.round();
             for node in region.acceptance.wanted() {
                 let address = self.slots.row(node).map(|row| row.slot.address);
                 let Some(to) = address.filter(|_| node != self.settings.node) else {
                     continue;
                 };
-                self.send(to, BeaconBody::Hold(Hold { token, round, head }));
+                let hold = Hold {
+                    token,
+                    round,
+                    head,
+                    slots,
+                };
+                self.send(to, BeaconBody::Hold(hold));
             }
         }
     }
--- a/crates/tanagerhub_membership/src/membership/probing.rs
+++ b/crates/tanagerhub_membership/src/membership/probing.rs
@@ -134,6 +134,9 @@
         let slots = self.slots.digest(&region);
         let near = probe.region == xxh3_64(region.as_bytes());
         let same_slots = near && slots == probe.slots;
+        if near && !same_slots {
+            self.ask_slots(to, now);
+        }
         let answer = Answer {
             nonce: probe.nonce,
             standing: self.standing,
@@ -263,7 +266,8 @@
         if !self.is_near(node) {
             return;
         }
-        if answer.standing == Standing::Member {
+        let same_slots = answer.slots == self.slots.digest(&self.settings.region);
+        if answer.standing == Standing::Member && same_slots {
             self.confirmations.slot(node, bound, sent);
         }
         let said = Heard {
@@ -304,6 +308,11 @@
     /// Answers an operator's node, once the version is here.
     fn hold(&mut self, now: Moment, from: SocketAddr, hold: Hold) {
         self.hear_of(hold.head, None, now);
+        // An acknowledgement counts only among nodes that count the same slots.
+        if hold.slots != self.slots.digest(&self.settings.region) {
+            self.ask_slots(from, now);
+            return;
+        }
         if self.standing != Standing::Member || self.version() < hold.head.version {
             return;
         }
--- /dev/null
+++ b/crates/tanagerhub_membership/tests/support/pause_model.rs
@@ -0,0 +1,135 @@
+//! A small specification of a mark, a node that sends work, and pauses.
+//!
+//! Time runs in whole seconds. An operator's mark is committed at some moment. A node reads the
+//! version from the store, decides to send, may be paused at any point, and sends.
+
+use std::time::Duration;
+
+use pathfinding::directed::bfs::bfs_reach;
+use tanagerhub_catalogue::CatalogueVersion;
+use tanagerhub_clock::Moment;
+use tanagerhub_membership::{Confirmations, is_recent};
+
+/// How long a confirmed version allows new work.
+const FRESHNESS_LIMIT: Duration = Duration::from_secs(4);
+/// From when on nobody may send under the old version.
+const MARK_LIMIT: Duration = Duration::from_secs(5);
+/// The last moment that is explored.
+const LAST: u64 = 14;
+
+/// When a node compares the time with the moment its view ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Recheck {
+    /// When it decides, and again right before it sends.
+    BeforeSend,
+    /// Only when it decides.
+    Never,
+}
+
+/// What is explored.
+#[derive(Debug, Clone, Copy)]
+pub struct PauseModel {
+    pub recheck: Recheck,
+}
+
+/// What an exploration found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Verdict {
+    pub states: usize,
+    pub is_safe: bool,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct State {
+    now: Moment,
+    /// When the mark was committed as version 1.
+    marked: Option<Moment>,
+    held: CatalogueVersion,
+    seen: Confirmations,
+    /// A read of the store that was answered but not yet taken in.
+    answer: Option<(Moment, CatalogueVersion)>,
+    /// The version under which the node has decided to send.
+    decided: Option<CatalogueVersion>,
+    /// Whether work was sent too late under the old version.
+    broken: bool,
+}
+
+impl PauseModel {
+    /// Explores every reachable state, or stops at the first unsafe one.
+    pub fn explore(&self) -> Verdict {
+        let start = State {
+            now: Moment::ZERO,
+            marked: None,
+            held: CatalogueVersion(0),
+            seen: Confirmations::default(),
+            answer: None,
+            decided: None,
+            broken: false,
+        };
+        let mut states = 0;
+        for state in bfs_reach(start, |state| self.next(state)) {
+            states += 1;
+            if state.broken {
+                return Verdict {
+                    states,
+                    is_safe: false,
+                };
+            }
+        }
+        Verdict {
+            states,
+            is_safe: true,
+        }
+    }
+
+    /// A node that takes no step while time passes is a paused one.
+    fn next(&self, state: &State) -> Vec<State> {
+        let mut next = Vec::new();
+        let mut step = |change: &dyn Fn(&mut State)| {
+            let mut after = state.clone();
+            change(&mut after);
+            next.push(after);
+        };
+        if state.now < Moment::from_millis(LAST * 1_000) {
+            step(&|after| after.now = after.now + Duration::from_secs(1));
+        }
+        if state.marked.is_none() {
+            step(&|after| after.marked = Some(after.now));
+        }
+        let head = CatalogueVersion(u64::from(state.marked.is_some()));
+        if state.answer.is_none() {
+            step(&|after| after.answer = Some((after.now, head)));
+        }
+        if let Some((at, version)) = state.answer {
+            step(&|after| {
+                after.answer = None;
+                after.seen.store(version, at);
+                after.held = version.max(after.held);
+            });
+        }
+        if state.decided.is_none() && is_fresh(state) {
+            step(&|after| after.decided = Some(after.held));
+        }
+        if let Some(version) = state.decided {
+            step(&|after| self.send(after, version));
+        }
+        next
+    }
+
+    fn send(&self, state: &mut State, version: CatalogueVersion) {
+        state.decided = None;
+        let rechecked = match self.recheck {
+            Recheck::BeforeSend => is_fresh(state) && state.held == version,
+            Recheck::Never => true,
+        };
+        let late = state
+            .marked
+            .is_some_and(|at| state.now.since(at) >= MARK_LIMIT);
+        state.broken = rechecked && late && version == CatalogueVersion(0);
+    }
+}
+
+fn is_fresh(state: &State) -> bool {
+    let confirmed = state.seen.newest(1, state.held);
+    confirmed.is_some_and(|(at, _)| is_recent(at, state.now, FRESHNESS_LIMIT))
+}
--- /dev/null
+++ b/crates/tanagerhub_membership/tests/support/protocol_model.rs
@@ -0,0 +1,267 @@
+//! A small specification of how a version is accepted while the store is down.
+//!
+//! Version 1 is committed; the proposer, node 0, holds it and the store is gone. Nodes get the
+//! version from a holder, are replaced, adopt, and acknowledge. Messages are answered at any later
+//! moment. The decisions are those of the product: [`Acceptance`], [`Adoption`], [`Confirmations`].
+
+use std::time::Duration;
+
+use pathfinding::directed::bfs::bfs_reach;
+use tanagerhub_catalogue::{BootId, CatalogueVersion, NodeId};
+use tanagerhub_clock::Moment;
+use tanagerhub_membership::{
+    Acceptance, AcceptanceStage, Adoption, Confirmations, Identity, is_recent, majority,
+};
+
+const OLD: CatalogueVersion = CatalogueVersion(0);
+const NEW: CatalogueVersion = CatalogueVersion(1);
+
+/// Which rule, if any, is broken on purpose.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Rules {
+    /// As the product has them.
+    Product,
+    /// Accepted after the first round of acknowledgements.
+    OneRound,
+    /// A new process adopts from one slot fewer.
+    FewerAnswers,
+}
+
+/// What is explored.
+#[derive(Debug, Clone, Copy)]
+pub struct Model {
+    pub rules: Rules,
+    pub nodes: u8,
+    pub replacements: u8,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Process {
+    boot: u8,
+    version: CatalogueVersion,
+    /// Answers collected so far; `None` once the process counts.
+    adoption: Option<Adoption>,
+}
+
+/// A state of the specification.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct State {
+    processes: Vec<Process>,
+    acceptance: Acceptance,
+    /// Acknowledgements on their way to the proposer: node, boot, round.
+    acks: Vec<(u8, u8, u32)>,
+    replaced: u8,
+}
+
+/// What an exploration found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Verdict {
+    pub states: usize,
+    pub is_safe: bool,
+}
+
+impl Model {
+    /// Explores every reachable state, or stops at the first unsafe one.
+    pub fn explore(&self) -> Verdict {
+        let mut states = 0;
+        for state in bfs_reach(self.start(), |state| self.next(state)) {
+            states += 1;
+            if self.is_unsafe(&state) {
+                return Verdict {
+                    states,
+                    is_safe: false,
+                };
+            }
+        }
+        Verdict {
+            states,
+            is_safe: true,
+        }
+    }
+
+    fn start(&self) -> State {
+        let process = |node| Process {
+            boot: 0,
+            version: if node == 0 { NEW } else { OLD },
+            adoption: None,
+        };
+        let slots = (0..self.nodes).map(|node| NodeId(node.into()));
+        let mut acceptance = Acceptance::new(slots, NEW);
+        acceptance.held(NodeId(0), identity(0), 0);
+        State {
+            processes: (0..self.nodes).map(process).collect(),
+            acceptance,
+            acks: Vec::new(),
+            replaced: 0,
+        }
+    }
+
+    /// Whether the version counts as accepted and some node can yet be fresh without it.
+    fn is_unsafe(&self, state: &State) -> bool {
+        self.is_accepted(state) && (0..self.nodes).any(|node| self.can_read_old(state, node))
+    }
+
+    fn is_accepted(&self, state: &State) -> bool {
+        let needed = match self.rules {
+            Rules::OneRound => AcceptanceStage::Confirming,
+            Rules::Product | Rules::FewerAnswers => AcceptanceStage::Accepted,
+        };
+        state.acceptance.stage() >= needed
+    }
+
+    /// Whether a node with the old version would be confirmed by a majority of the slots.
+    fn can_read_old(&self, state: &State, reader: u8) -> bool {
+        let own = &state.processes[usize::from(reader)];
+        if own.adoption.is_some() || own.version == NEW {
+            return false;
+        }
+        let mut seen = Confirmations::default();
+        let now = Moment::from_millis(1_000);
+        for (node, process) in state.processes.iter().enumerate() {
+            if process.adoption.is_none() && node != usize::from(reader) {
+                seen.slot(NodeId(node as u64), process.version, now);
+            }
+        }
+        let confirmed = seen.newest(usize::from(self.nodes), OLD);
+        confirmed.is_some_and(|(at, _)| is_recent(at, now, Duration::from_secs(4)))
+    }
+
+    fn next(&self, state: &State) -> Vec<State> {
+        let mut next = Vec::new();
+        for node in self.distinct(state) {
+            self.learn(state, node, &mut next);
+            self.acknowledge(state, node, &mut next);
+            self.replace(state, node, &mut next);
+            self.adopt(state, node, &mut next);
+        }
+        self.receive(state, &mut next);
+        next
+    }
+
+    /// All nodes but those that can't be told from one before: nothing has happened to them yet.
+    fn distinct(&self, state: &State) -> Vec<u8> {
+        let mut seen_untouched = false;
+        let is_first = |node: &u8| {
+            let untouched = is_untouched(state, *node);
+            let repeated = untouched && seen_untouched;
+            seen_untouched |= untouched;
+            !repeated
+        };
+        (0..self.nodes).filter(is_first).collect()
+    }
+
+    /// A node that counts gets the version from any holder.
+    fn learn(&self, state: &State, node: u8, next: &mut Vec<State>) {
+        let process = &state.processes[usize::from(node)];
+        if process.adoption.is_some() || process.version == NEW {
+            return;
+        }
+        let mut after = state.clone();
+        after.processes[usize::from(node)].version = NEW;
+        next.push(after);
+    }
+
+    /// A holder answers the request of the present round; its answer travels.
+    fn acknowledge(&self, state: &State, node: u8, next: &mut Vec<State>) {
+        let process = &state.processes[usize::from(node)];
+        let wanted = state.acceptance.wanted().contains(&NodeId(node.into()));
+        let ack = (node, process.boot, state.acceptance.round());
+        let holds = process.adoption.is_none() && process.version == NEW;
+        if node == 0 || !wanted || !holds || self.is_accepted(state) || state.acks.contains(&ack) {
+            return;
+        }
+        let mut after = state.clone();
+        after.acks.push(ack);
+        after.acks.sort_unstable();
+        next.push(after);
+    }
+
+    /// The proposer takes in an acknowledgement; answers of earlier rounds are worth nothing.
+    fn receive(&self, state: &State, next: &mut Vec<State>) {
+        for place in 0..state.acks.len() {
+            let mut after = state.clone();
+            let (node, boot, round) = after.acks.remove(place);
+            after
+                .acceptance
+                .held(NodeId(node.into()), identity(boot), round);
+            let round = after.acceptance.round();
+            after.acceptance.held(NodeId(0), identity(0), round);
+            after.acks.retain(|ack| ack.2 == round);
+            next.push(after);
+        }
+    }
+
+    /// A node's VM is replaced; the new process knows nothing.
+    fn replace(&self, state: &State, node: u8, next: &mut Vec<State>) {
+        // Without its proposer a change is given up; only an accepted one is of interest.
+        let given_up = node == 0 && !self.is_accepted(state);
+        if given_up || state.replaced == self.replacements {
+            return;
+        }
+        let mut after = state.clone();
+        after.replaced += 1;
+        let process = &mut after.processes[usize::from(node)];
+        process.boot += 1;
+        process.version = OLD;
+        process.adoption = Some(self.new_adoption());
+        next.push(after);
+    }
+
+    fn new_adoption(&self) -> Adoption {
+        let needed = majority(usize::from(self.nodes));
+        match self.rules {
+            Rules::FewerAnswers => Adoption::needing(needed - 1),
+            Rules::Product | Rules::OneRound => Adoption::new(usize::from(self.nodes)),
+        }
+    }
+
+    /// A new process hears from one slot that counts, and counts once it has heard enough.
+    fn adopt(&self, state: &State, node: u8, next: &mut Vec<State>) {
+        let Some(adoption) = &state.processes[usize::from(node)].adoption else {
+            return;
+        };
+        for other in self.distinct(state) {
+            let process = &state.processes[usize::from(other)];
+            if process.adoption.is_some() || other == node {
+                continue;
+            }
+            let mut heard = adoption.clone();
+            heard.answered(NodeId(other.into()), process.version);
+            if heard == *adoption {
+                continue;
+            }
+            let mut after = state.clone();
+            let process = &mut after.processes[usize::from(node)];
+            match heard.highest() {
+                Some(version) => {
+                    process.version = version;
+                    process.adoption = None;
+                }
+                None => process.adoption = Some(heard),
+            }
+            next.push(after);
+        }
+    }
+}
+
+/// Whether a node is as it was at the start, and nobody has heard of it.
+fn is_untouched(state: &State, node: u8) -> bool {
+    let process = &state.processes[usize::from(node)];
+    let slot = NodeId(node.into());
+    let as_started = process.boot == 0 && process.version == OLD && process.adoption.is_none();
+    let adoptions = state.processes.iter().filter_map(|it| it.adoption.as_ref());
+    let mut heard_of = adoptions.map(|adoption| {
+        let mut with_answer = adoption.clone();
+        with_answer.answered(slot, OLD);
+        with_answer == *adoption
+    });
+    let silent = state.acks.iter().all(|ack| ack.0 != node);
+    as_started && silent && !state.acceptance.holders().contains(&slot) && !heard_of.any(|it| it)
+}
+
+fn identity(boot: u8) -> Identity {
+    Identity {
+        incarnation: boot.into(),
+        boot: BootId(boot.into()),
+    }
+}
--- /dev/null
+++ b/crates/tanagerhub_membership/tests/support/world.rs
@@ -0,0 +1,384 @@
+//! Several memberships in logical time, with loss, delay, cuts and pauses.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+use tanagerhub_catalogue::{BootId, Catalogue, CatalogueVersion, DataCentreId};
+use tanagerhub_clock::Moment;
+use tanagerhub_membership::{
+    AgedFact, ApplyOutcome, AskId, Beacon, Membership, MembershipAction, MembershipEvent,
+    MembershipSettings, OperationId, PeerReply,
+};
+
+#[path = "store.rs"]
+pub mod store;
+
+use store::{Mode, Store};
+
+/// Time between two ticks of a node.
+const TICK: Duration = Duration::from_millis(100);
+/// The frame's header and code, and the headers of UDP and IP, in bytes.
+const DATAGRAM_OVERHEAD: u64 = 34 + 28;
+
+/// One process.
+#[derive(Debug)]
+pub struct Node {
+    pub membership: Membership,
+    pub address: SocketAddr,
+    pub alive: bool,
+    pub paused_until: Moment,
+    pub sent_bytes: u64,
+    pub sent: u64,
+    pub followed: Vec<(Moment, CatalogueVersion)>,
+    pub heard: Vec<AgedFact>,
+}
+
+#[derive(Debug, Clone)]
+enum Delivery {
+    Tick,
+    Event(Box<MembershipEvent>),
+    Ask {
+        back: usize,
+        ask: AskId,
+        event: Box<MembershipEvent>,
+    },
+}
+
+/// How the network and the store behave, and all processes.
+#[derive(Debug)]
+pub struct World {
+    pub now: Moment,
+    pub nodes: Vec<Node>,
+    pub store: Store,
+    pub loss: f64,
+    pub delay: Duration,
+    pub store_delay: Duration,
+    /// Links that carry nothing, by the places of sender and receiver.
+    pub cuts: BTreeSet<(usize, usize)>,
+    /// Nodes that can't reach the store.
+    pub storeless: BTreeSet<usize>,
+    pub answers: Vec<(Moment, OperationId, ApplyOutcome)>,
+    routes: BTreeMap<SocketAddr, usize>,
+    queue: BinaryHeap<Reverse<(Moment, u64)>>,
+    payloads: BTreeMap<u64, (usize, Delivery)>,
+    asked: BTreeMap<AskId, (usize, AskId)>,
+    next: u64,
+    rng: ChaCha8Rng,
+    seed: u64,
+}
+
+/// The address of the node at a place.
+pub fn address(place: usize) -> SocketAddr {
+    let (high, low) = (place / 250, place % 250 + 1);
+    SocketAddr::from(([10, 0, high as u8, low as u8], 7400))
+}
+
+impl World {
+    pub fn new(seed: u64) -> Self {
+        Self {
+            now: Moment::ZERO,
+            nodes: Vec::new(),
+            store: Store::new(),
+            loss: 0.0,
+            delay: Duration::from_millis(1),
+            store_delay: Duration::from_millis(10),
+            cuts: BTreeSet::new(),
+            storeless: BTreeSet::new(),
+            answers: Vec::new(),
+            routes: BTreeMap::new(),
+            queue: BinaryHeap::new(),
+            payloads: BTreeMap::new(),
+            asked: BTreeMap::new(),
+            next: 0,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            seed,
+        }
+    }
+
+    /// A world with `count` nodes in `regions` regions that have settled.
+    pub fn settled(seed: u64, count: usize, regions: usize) -> Self {
+        let mut world = Self::new(seed);
+        for place in 0..count {
+            world.start(place, place % regions);
+        }
+        world.run(Duration::from_secs(3));
+        // What each node has yet to read of the others' slots comes in with the next reads.
+        world.run(Duration::from_secs(20).max(Duration::from_secs(1) * count as u32 * 5 / 4));
+        world
+    }
+
+    /// Starts a process at the address of `place`; the newest one gets what is sent there.
+    pub fn start(&mut self, place: usize, region: usize) -> usize {
+        let boot = BootId(self.rng.random());
+        let centre = DataCentreId::of(["a", "b", "c"][place % 3]);
+        let mut settings =
+            MembershipSettings::new(address(place), boot, format!("region-{region}"), centre);
+        settings.seeds = (0..3).map(address).collect();
+        let node = Node {
+            membership: Membership::new(settings, self.seed ^ self.rng.random::<u64>()),
+            address: address(place),
+            alive: true,
+            paused_until: Moment::ZERO,
+            sent_bytes: 0,
+            sent: 0,
+            followed: Vec::new(),
+            heard: Vec::new(),
+        };
+        let number = self.nodes.len();
+        self.nodes.push(node);
+        self.routes.insert(address(place), number);
+        let offset = TICK.mul_f64(self.rng.random_range(0.0..1.0));
+        self.deliver(number, self.now + offset, Delivery::Tick);
+        number
+    }
+
+    /// Ends a process.
+    pub fn kill(&mut self, node: usize) {
+        self.nodes[node].alive = false;
+    }
+
+    /// Stops a process for a while; what is sent to it waits.
+    pub fn pause(&mut self, node: usize, span: Duration) {
+        self.nodes[node].paused_until = self.now + span;
+    }
+
+    /// Lets the traffic of an address go to this process again.
+    pub fn route_to(&mut self, node: usize) {
+        self.routes.insert(self.nodes[node].address, node);
+    }
+
+    /// Cuts a node from all others, in both directions.
+    pub fn isolate(&mut self, node: usize) {
+        for other in 0..self.nodes.len() {
+            self.cuts.insert((node, other));
+            self.cuts.insert((other, node));
+        }
+    }
+
+    /// Lets an operator apply `catalogue` through a node.
+    pub fn apply(&mut self, node: usize, operation: u64, expected: u64) {
+        let event = MembershipEvent::Apply {
+            operation: OperationId(operation),
+            catalogue: catalogue(operation),
+            expected: CatalogueVersion(expected),
+        };
+        self.event(node, event);
+    }
+
+    /// Gives a node an event now.
+    pub fn event(&mut self, node: usize, event: MembershipEvent) {
+        let actions = self.nodes[node].membership.on_event(self.now, event);
+        self.act(node, actions);
+    }
+
+    pub fn run(&mut self, span: Duration) {
+        self.run_with(span, |_| {});
+    }
+
+    /// Runs for a while and calls `check` after each step.
+    pub fn run_with(&mut self, span: Duration, mut check: impl FnMut(&mut Self)) {
+        let end = self.now + span;
+        while let Some(Reverse((at, id))) = self.queue.peek().copied() {
+            if at > end {
+                break;
+            }
+            self.queue.pop();
+            self.now = self.now.max(at);
+            let (node, delivery) = self.payloads.remove(&id).expect("queued");
+            self.step(node, delivery);
+            check(self);
+        }
+        self.now = end;
+    }
+
+    pub fn version(&self, node: usize) -> u64 {
+        self.nodes[node].membership.version().0
+    }
+
+    pub fn is_fresh(&self, node: usize) -> bool {
+        let awake = self.nodes[node].paused_until <= self.now && self.nodes[node].alive;
+        awake && self.nodes[node].membership.freshness(self.now).is_fresh()
+    }
+
+    /// The answer to an operator's change.
+    pub fn answer(&self, operation: u64) -> Option<&ApplyOutcome> {
+        let found = self
+            .answers
+            .iter()
+            .find(|it| it.1 == OperationId(operation));
+        found.map(|(_, _, outcome)| outcome)
+    }
+
+    /// When an operator's change was answered.
+    pub fn answered_at(&self, operation: u64) -> Moment {
+        let found = self
+            .answers
+            .iter()
+            .find(|it| it.1 == OperationId(operation));
+        found.expect("answered").0
+    }
+
+    fn deliver(&mut self, node: usize, at: Moment, delivery: Delivery) {
+        self.next += 1;
+        self.queue.push(Reverse((at, self.next)));
+        self.payloads.insert(self.next, (node, delivery));
+    }
+
+    fn step(&mut self, node: usize, delivery: Delivery) {
+        if !self.nodes[node].alive {
+            return;
+        }
+        let wake = self.nodes[node].paused_until;
+        if wake > self.now {
+            self.deliver(node, wake, delivery);
+            return;
+        }
+        match delivery {
+            Delivery::Tick => {
+                self.event(node, MembershipEvent::Tick);
+                self.deliver(node, self.now + TICK, Delivery::Tick);
+            }
+            Delivery::Event(event) => self.event(node, *event),
+            Delivery::Ask { back, ask, event } => {
+                if let MembershipEvent::Asked { ask: own, .. } = *event {
+                    self.asked.insert(own, (back, ask));
+                }
+                self.event(node, *event);
+            }
+        }
+    }
+
+    fn later(&mut self, node: usize, after: Duration, event: MembershipEvent) {
+        let at = self.now + after;
+        self.deliver(node, at, Delivery::Event(Box::new(event)));
+    }
+
+    fn act(&mut self, node: usize, actions: Vec<MembershipAction>) {
+        for action in actions {
+            self.act_one(node, action);
+        }
+    }
+
+    fn act_one(&mut self, node: usize, action: MembershipAction) {
+        match action {
+            MembershipAction::SendBeacon { to, beacon } => self.send(node, to, beacon),
+            MembershipAction::Ask { ask, to, request } => {
+                let target = self.routes.get(&to).copied();
+                let open = target.filter(|it| self.is_open(node, *it) && self.nodes[*it].alive);
+                let Some(target) = open else {
+                    let event = MembershipEvent::Replied { ask, reply: None };
+                    self.later(node, Duration::from_secs(1), event);
+                    return;
+                };
+                self.next += 1;
+                let own = AskId(u64::MAX - self.next);
+                let event = Box::new(MembershipEvent::Asked { ask: own, request });
+                let delivery = Delivery::Ask {
+                    back: node,
+                    ask,
+                    event,
+                };
+                self.deliver(target, self.now + self.delay * 2, delivery);
+            }
+            MembershipAction::Reply { ask, reply } => self.reply(node, ask, reply),
+            MembershipAction::Read { read, rows } => {
+                let cut = self.storeless.contains(&node);
+                let rows = if cut { None } else { self.store.read(&rows) };
+                let event = match rows {
+                    Some(rows) => MembershipEvent::Rows { read, rows },
+                    None => MembershipEvent::ReadFailed { read },
+                };
+                self.later(node, self.store_delay, event);
+            }
+            MembershipAction::Commit(transaction) => {
+                let cut = self.storeless.contains(&node);
+                let outcome = if cut {
+                    tanagerhub_table::CommitOutcome::NotApplied
+                } else {
+                    self.store.commit(&transaction)
+                };
+                let transaction = transaction.id;
+                let event = MembershipEvent::Committed {
+                    transaction,
+                    outcome,
+                };
+                self.later(node, self.store_delay, event);
+            }
+            MembershipAction::Fetch(hash) => {
+                let cut = self.storeless.contains(&node);
+                let body = self.store.get(hash).filter(|_| !cut);
+                self.later(
+                    node,
+                    self.store_delay,
+                    MembershipEvent::Fetched { hash, body },
+                );
+            }
+            MembershipAction::Store { hash, body } => {
+                let kept = !self.storeless.contains(&node) && self.store.put(hash, body);
+                self.later(
+                    node,
+                    self.store_delay,
+                    MembershipEvent::Stored { hash, kept },
+                );
+            }
+            MembershipAction::InForce(catalogue) => {
+                self.nodes[node]
+                    .followed
+                    .push((self.now, catalogue.version));
+            }
+            MembershipAction::ApplyAnswered { operation, outcome } => {
+                self.answers.push((self.now, operation, outcome));
+            }
+            MembershipAction::Facts(facts) => self.nodes[node].heard.extend(facts),
+        }
+    }
+
+    fn is_open(&self, from: usize, to: usize) -> bool {
+        !self.cuts.contains(&(from, to))
+    }
+
+    fn reply(&mut self, node: usize, ask: AskId, reply: PeerReply) {
+        let Some((back, ask)) = self.asked.remove(&ask) else {
+            return;
+        };
+        let reply = Some(reply).filter(|_| self.is_open(node, back));
+        let event = MembershipEvent::Replied { ask, reply };
+        self.later(back, self.delay * 2, event);
+    }
+
+    fn send(&mut self, node: usize, to: SocketAddr, beacon: Beacon) {
+        let config = bincode::config::standard();
+        let size = bincode::serde::encode_to_vec(&beacon, config)
+            .expect("encodes")
+            .len();
+        self.nodes[node].sent_bytes += size as u64 + DATAGRAM_OVERHEAD;
+        self.nodes[node].sent += 1;
+        let lost = self.rng.random_bool(self.loss);
+        let Some(target) = self.routes.get(&to).copied() else {
+            return;
+        };
+        if lost || !self.is_open(node, target) {
+            return;
+        }
+        let from = self.nodes[node].address;
+        let wait = self.delay.mul_f64(self.rng.random_range(0.5..1.5));
+        self.later(target, wait, MembershipEvent::Beacon { from, beacon });
+    }
+}
+
+/// A catalogue that differs from that of every other number.
+pub fn catalogue(number: u64) -> Catalogue {
+    let mut catalogue = Catalogue::default();
+    catalogue.marks.vms_out.insert(format!("vm-{number}"));
+    catalogue
+}
+
+/// The store's mode for a test case.
+pub const fn down() -> Mode {
+    Mode::Down
+}
