--- a/crates/tanagerhub_membership/src/slot_table.rs
+++ b/crates/tanagerhub_membership/src/slot_table.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use tanagerhub_catalogue::NodeId;
+use tanagerhub_table::RowVersion;
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::{Identity, NodeSlot, SlotRow};
@@ -12,12 +13,20 @@
 pub(crate) struct SlotTable {
     rows: BTreeMap<NodeId, SlotRow>,
     heard: BTreeMap<NodeId, Identity>,
+    /// Rows that the table no longer has; peers may still tell of them.
+    removed: BTreeMap<NodeId, RowVersion>,
 }
 
 impl SlotTable {
     /// Takes the rows of the table in place of those known.
     pub(crate) fn replace(&mut self, rows: impl IntoIterator<Item = SlotRow>) {
+        let old = std::mem::take(&mut self.rows);
         self.rows = rows.into_iter().map(|row| (row.slot.node(), row)).collect();
+        let gone = old.into_iter();
+        let gone = gone.filter(|(node, _)| !self.rows.contains_key(node));
+        self.removed
+            .extend(gone.map(|(node, row)| (node, row.version)));
+        self.removed.retain(|node, _| !self.rows.contains_key(node));
         self.note_identities();
     }
 
@@ -26,6 +35,10 @@
         for row in rows {
             let node = row.slot.node();
             self.meet(node, row.slot.identity);
+            let removed = self.removed.get(&node);
+            if removed.is_some_and(|version| *version >= row.version) {
+                continue;
+            }
             let known = self.rows.get(&node);
             if known.is_none_or(|known| known.version < row.version) {
                 self.rows.insert(node, row);
@@ -35,7 +48,9 @@
 
     /// Forgets a slot.
     pub(crate) fn remove(&mut self, node: NodeId) {
-        self.rows.remove(&node);
+        if let Some(row) = self.rows.remove(&node) {
+            self.removed.insert(node, row.version);
+        }
     }
 
     /// Notes which process speaks for a slot; says whether it is the newest known.
