--- /dev/null
+++ b/crates/tanagerhub_membership/examples/measure.rs
@@ -0,0 +1,63 @@
+//! Prints the figures of docs/design/nodes.md, in logical time.
+//!
+//! Run it with `cargo run --release -p tanagerhub_membership --example measure`.
+#![expect(
+    clippy::print_stdout,
+    clippy::missing_panics_doc,
+    reason = "it prints a report"
+)]
+
+use std::time::{Duration, Instant};
+
+#[path = "../tests/support/measure.rs"]
+mod measure;
+#[path = "../tests/support/world.rs"]
+mod world;
+
+use measure::{steady, store_down, time_to_follow};
+use world::World;
+
+const SEED: u64 = 11;
+
+fn main() {
+    println!("time to follow a change");
+    for (count, regions) in [(8, 1), (72, 1), (360, 5)] {
+        for loss in [0.0, 0.05, 0.2] {
+            let mut world = World::settled(SEED, count, regions);
+            world.loss = loss;
+            let changes = if count == 8 { 40 } else { 5 };
+            let (follow, answer) = time_to_follow(&mut world, changes);
+            println!("nodes {count} loss {loss}: follow {follow:?} answered {answer:?}");
+        }
+    }
+    println!("steady state");
+    for (count, regions, groups) in [
+        (8, 1, 0),
+        (8, 1, 60),
+        (8, 1, 120),
+        (8, 1, 240),
+        (24, 1, 240),
+        (72, 1, 0),
+        (72, 1, 60),
+        (72, 1, 240),
+        (144, 2, 480),
+        (360, 5, 1_200),
+    ] {
+        for loss in [0.0, 0.05, 0.2] {
+            for outage in [false, true] {
+                let began = Instant::now();
+                let mut world = World::settled(SEED, count, regions);
+                world.loss = loss;
+                if outage {
+                    store_down(&mut world);
+                }
+                let figures = steady(&mut world, regions, groups, Duration::from_secs(20));
+                let took = began.elapsed();
+                println!(
+                    "nodes {count} regions {regions} groups {groups} loss {loss} \
+                     outage {outage}: {figures:?} ({took:.1?})"
+                );
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/tanagerhub_membership/tests/support/measure.rs
@@ -0,0 +1,156 @@
+//! Figures of many nodes in logical time.
+
+use std::time::Duration;
+
+use tanagerhub_catalogue::{Epoch, GroupId};
+use tanagerhub_clock::Moment;
+use tanagerhub_membership::{AgedFact, Fact, FactKey, MembershipEvent};
+
+use crate::world::World;
+use crate::world::store::Mode;
+
+const SECOND: Duration = Duration::from_secs(1);
+const STEP: Duration = Duration::from_millis(100);
+/// Nodes that watch one group.
+const WATCHERS: u64 = 2;
+
+/// Median, 95th percentile and highest of some times.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Quantiles {
+    pub p50: Duration,
+    pub p95: Duration,
+    pub max: Duration,
+}
+
+impl Quantiles {
+    pub fn of(mut values: Vec<Duration>) -> Self {
+        values.sort_unstable();
+        let at = |percent: usize| values[(values.len() * percent / 100).min(values.len() - 1)];
+        Self {
+            p50: at(50),
+            p95: at(95),
+            max: at(100),
+        }
+    }
+}
+
+/// Time from the commit of a change until each node follows it, over several changes.
+pub fn time_to_follow(world: &mut World, changes: u64) -> (Quantiles, Quantiles) {
+    let (mut follows, mut answers) = (Vec::new(), Vec::new());
+    let start = world.version(0);
+    for change in start..start + changes {
+        let before = world.store.commits;
+        let node = usize::try_from(change).unwrap() % world.nodes.len();
+        world.apply(node, change + 1, change);
+        while world.store.commits == before {
+            world.run(Duration::from_millis(1));
+        }
+        let committed = world.now;
+        world.run(SECOND * 20);
+        for node in &world.nodes {
+            let found = node.followed.iter().find(|it| it.1.0 == change + 1);
+            follows.push(found.map_or(SECOND * 99, |it| it.0.since(committed)));
+        }
+        answers.push(world.answered_at(change + 1).since(committed));
+    }
+    (Quantiles::of(follows), Quantiles::of(answers))
+}
+
+/// What control costs and brings while groups are attested.
+#[derive(Debug, Clone, Copy)]
+pub struct Steady {
+    /// Bytes of datagrams that a node sends a second, on average and at most.
+    pub bytes: f64,
+    pub bytes_max: f64,
+    /// Share of node-seconds in which a node is fresh.
+    pub fresh: f64,
+    /// Age of attestations at the nodes of the region.
+    pub ages: Quantiles,
+    /// Share of groups and node-seconds with an attestation younger than two seconds.
+    pub attested: f64,
+    /// Calls to the table a second, by all nodes.
+    pub reads: f64,
+    pub rows: f64,
+}
+
+/// Runs settled nodes for `span`, with groups spread over the regions.
+pub fn steady(world: &mut World, regions: usize, groups: u64, span: Duration) -> Steady {
+    run_groups(world, regions, groups, SECOND * 10, |_| {});
+    let sent: Vec<u64> = world.nodes.iter().map(|node| node.sent_bytes).collect();
+    let (reads, rows) = (world.store.reads, world.store.rows_read);
+    let (mut ages, mut attested) = (Vec::new(), 0_u64);
+    let (mut fresh, mut seen) = (0_u32, 0_u32);
+    run_groups(world, regions, groups, span, |world| {
+        for node in 0..world.nodes.len() {
+            seen += 1;
+            fresh += u32::from(world.is_fresh(node));
+            let known = world.nodes[node].membership.facts(world.now);
+            for known in known.filter(|it| matches!(it.fact.key(), FactKey::Attested(_))) {
+                ages.push(known.age);
+                attested += u64::from(known.age < SECOND * 2);
+            }
+        }
+    });
+    let seconds = span.as_secs_f64();
+    let grown = world.nodes.iter().zip(&sent);
+    let bytes: Vec<f64> = grown
+        .map(|(node, before)| (node.sent_bytes - before) as f64 / seconds)
+        .collect();
+    let expected = f64::from(seen) * groups as f64 / regions as f64;
+    Steady {
+        bytes: bytes.iter().sum::<f64>() / bytes.len() as f64,
+        bytes_max: bytes.iter().copied().fold(0.0, f64::max),
+        fresh: f64::from(fresh) / f64::from(seen),
+        ages: Quantiles::of(if ages.is_empty() {
+            vec![SECOND * 99]
+        } else {
+            ages
+        }),
+        attested: attested as f64 / expected.max(1.0),
+        reads: (world.store.reads - reads) as f64 / seconds,
+        rows: (world.store.rows_read - rows) as f64 / seconds,
+    }
+}
+
+/// Lets each group be attested by its watchers once a second, and samples once a second.
+fn run_groups(
+    world: &mut World,
+    regions: usize,
+    groups: u64,
+    span: Duration,
+    mut sample: impl FnMut(&World),
+) {
+    let end: Moment = world.now + span;
+    let mut step = 0;
+    while world.now < end {
+        world.run(STEP);
+        for group in (0..groups).filter(|group| group % 10 == step % 10) {
+            attest(world, regions, group);
+        }
+        if step % 10 == 9 {
+            sample(world);
+        }
+        step += 1;
+    }
+}
+
+fn attest(world: &mut World, regions: usize, group: u64) {
+    let in_region = world.nodes.len() / regions;
+    let region = usize::try_from(group).unwrap() % regions;
+    for watcher in 0..WATCHERS {
+        let place = usize::try_from(group * 7 + watcher * 3).unwrap() % in_region;
+        let fact = Fact::Attested {
+            group: GroupId((group + 1).wrapping_mul(0x9E37_79B9_7F4A_7C15)),
+            epoch: Epoch(3),
+        };
+        let age = Duration::ZERO;
+        let event = MembershipEvent::LocalFacts(vec![AgedFact { fact, age }]);
+        world.event(place * regions + region, event);
+    }
+}
+
+/// Takes the store away and waits until nobody relies on it any more.
+pub fn store_down(world: &mut World) {
+    world.store.mode = Mode::Down;
+    world.run(SECOND * 10);
+}
--- a/crates/tanagerhub_membership/tests/support/world.rs
+++ b/crates/tanagerhub_membership/tests/support/world.rs
@@ -106,12 +106,20 @@
         for place in 0..count {
             world.start(place, place % regions);
         }
-        world.run(Duration::from_secs(3));
-        // What each node has yet to read of the others' slots comes in with the next reads.
-        world.run(Duration::from_secs(20).max(Duration::from_secs(1) * count as u32 * 5 / 4));
+        let limit = world.now + Duration::from_secs(120);
+        while world.now < limit && !world.knows_all_slots() {
+            world.run(Duration::from_secs(1));
+        }
+        world.run(Duration::from_secs(5));
         world
     }
 
+    fn knows_all_slots(&self) -> bool {
+        let slots = |node: &Node| node.membership.status(self.now).all_slots;
+        let count = self.nodes.len();
+        self.nodes.iter().all(|node| slots(node) == count)
+    }
+
     /// Starts a process at the address of `place`; the newest one gets what is sent there.
     pub fn start(&mut self, place: usize, region: usize) -> usize {
         let boot = BootId(self.rng.random());
@@ -377,8 +385,3 @@
     catalogue.marks.vms_out.insert(format!("vm-{number}"));
     catalogue
 }
-
-/// The store's mode for a test case.
-pub const fn down() -> Mode {
-    Mode::Down
-}
--- a/crates/tanagerhub_wire/src/peers/frame.rs
+++ b/crates/tanagerhub_wire/src/peers/frame.rs
@@ -17,6 +17,9 @@
 /// Protocol version, boot id and sequence number, in bytes.
 const HEADER_LEN: usize = 18;
 
+#[cfg(test)]
+mod tests;
+
 /// A message with its sender's boot id and sequence number.
 ///
 /// # Examples
@@ -76,8 +79,18 @@
     ///
     /// Returns an error when the message is longer than `limit` bytes.
     pub fn seal(&self, key: &PeerKey, context: &[u8], limit: usize) -> Result<Vec<u8>, FrameError> {
+        self.seal_as(PROTOCOL, key, context, limit)
+    }
+
+    fn seal_as(
+        &self,
+        version: u16,
+        key: &PeerKey,
+        context: &[u8],
+        limit: usize,
+    ) -> Result<Vec<u8>, FrameError> {
         let mut bytes = Vec::with_capacity(HEADER_LEN + MAC_LEN);
-        bytes.extend(PROTOCOL.to_le_bytes());
+        bytes.extend(version.to_le_bytes());
         bytes.extend(self.boot.0.to_le_bytes());
         bytes.extend(self.sequence.to_le_bytes());
         let config = bincode::config::standard();
--- /dev/null
+++ b/crates/tanagerhub_wire/tests/peers.rs
@@ -0,0 +1,261 @@
+//! Transport between nodes, over loopback.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use async_channel::Receiver;
+use async_std::io::{ReadExt, WriteExt};
+use async_std::net::{TcpListener, TcpStream, UdpSocket};
+use async_std::task::{self, block_on};
+use futures_lite::StreamExt;
+use tanagerhub_catalogue::{BootId, NodeId};
+use tanagerhub_clock::Clock;
+use tanagerhub_membership::{
+    Beacon, BeaconBody, CatalogueHead, Hold, Identity, PeerReply, PeerRequest,
+};
+use tanagerhub_wire::peers::{
+    Frame, MAX_DATAGRAM, PeerCounters, PeerError, PeerEvent, PeerKey, PeerSender, PeerTransport,
+};
+
+const KEY: &str = "a key that all nodes share";
+const WAIT: Duration = Duration::from_secs(10);
+
+fn key(text: &str) -> PeerKey {
+    text.parse().expect("a long key")
+}
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+async fn node(boot: u64, secret: &str, clock: Clock) -> (PeerSender, Receiver<PeerEvent>) {
+    let transport = PeerTransport::new(any_port(), key(secret), BootId(boot), clock);
+    transport.bind().await.expect("binds")
+}
+
+fn beacon(token: u64) -> Beacon {
+    let hold = Hold {
+        token,
+        round: 0,
+        head: CatalogueHead::default(),
+        slots: 0,
+    };
+    Beacon {
+        node: NodeId(1),
+        identity: Identity::default(),
+        body: BeaconBody::Hold(hold),
+    }
+}
+
+/// Waits until a counter has changed.
+async fn until(sender: &PeerSender, reached: impl Fn(PeerCounters) -> bool) {
+    let clock = Clock::real();
+    let poll = async {
+        while !reached(sender.counters()) {
+            task::sleep(Duration::from_millis(2)).await;
+        }
+    };
+    let done = clock.timeout(WAIT, poll).await;
+    assert!(done.is_some(), "{:?}", sender.counters());
+}
+
+/// Answers every request with its own content.
+fn echo(events: Receiver<PeerEvent>) {
+    task::spawn(async move {
+        while let Ok(event) = events.recv().await {
+            if let PeerEvent::Asked { request, reply } = event {
+                let answer = match request {
+                    PeerRequest::Claims(body) => PeerReply::Claims(body),
+                    _ => PeerReply::Pong(BootId(2)),
+                };
+                reply.send(answer).await.expect("the asker waits");
+            }
+        }
+    });
+}
+
+#[test]
+fn beacon_delivered() {
+    block_on(async {
+        let (one, _events) = node(1, KEY, Clock::real()).await;
+        let (two, events) = node(2, KEY, Clock::real()).await;
+        let sent = one.send_beacon(two.address(), &beacon(7)).await;
+        sent.expect("sent");
+        match events.recv().await.expect("open") {
+            PeerEvent::Beacon { from, beacon: got } => {
+                assert_eq!(from, one.address());
+                assert_eq!(got, beacon(7));
+            }
+            other @ PeerEvent::Asked { .. } => panic!("{other:?}"),
+        }
+    });
+}
+
+#[test]
+fn beacon_foreign() {
+    block_on(async {
+        let (one, _events) = node(1, "another key, of others", Clock::real()).await;
+        let (two, events) = node(2, KEY, Clock::real()).await;
+        let sent = one.send_beacon(two.address(), &beacon(7)).await;
+        sent.expect("sent");
+        until(&two, |counters| counters.foreign == 1).await;
+        assert!(events.is_empty());
+    });
+}
+
+/// Sends raw bytes to a node.
+async fn throw(bytes: &[u8], to: &PeerSender) {
+    let socket = UdpSocket::bind(any_port()).await.expect("binds");
+    socket.send_to(bytes, to.address()).await.expect("sent");
+}
+
+#[test]
+fn beacon_replayed() {
+    block_on(async {
+        let (two, events) = node(2, KEY, Clock::real()).await;
+        let frame = Frame {
+            boot: BootId(1),
+            sequence: 5,
+            body: beacon(7),
+        };
+        let bytes = frame.seal(&key(KEY), &[], MAX_DATAGRAM).expect("fits");
+        for _ in 0..3 {
+            throw(&bytes, &two).await;
+        }
+        until(&two, |counters| counters.replayed == 2).await;
+        assert_eq!(two.counters().received, 1);
+        assert_eq!(events.len(), 1);
+    });
+}
+
+#[test]
+fn beacon_oversized_or_garbage() {
+    block_on(async {
+        let (two, events) = node(2, KEY, Clock::real()).await;
+        let long = vec![0; MAX_DATAGRAM + 1];
+        throw(&long, &two).await;
+        throw(b"x", &two).await;
+        throw(&long[..100], &two).await;
+        until(&two, |it| it.oversized == 1 && it.foreign == 2).await;
+        assert!(events.is_empty());
+    });
+}
+
+#[test]
+fn beacon_malformed() {
+    block_on(async {
+        let (two, events) = node(2, KEY, Clock::real()).await;
+        let frame = Frame {
+            boot: BootId(1),
+            sequence: 1,
+            body: [255_u8; 9],
+        };
+        let bytes = frame.seal(&key(KEY), &[], MAX_DATAGRAM).expect("fits");
+        throw(&bytes, &two).await;
+        until(&two, |counters| counters.malformed == 1).await;
+        assert!(events.is_empty());
+    });
+}
+
+#[test]
+fn ask_answered() {
+    block_on(async {
+        let (one, _events) = node(1, KEY, Clock::real()).await;
+        let (two, events) = node(2, KEY, Clock::real()).await;
+        echo(events);
+        let body = vec![3; 1_000_000];
+        for _ in 0..3 {
+            let request = PeerRequest::Claims(body.clone());
+            let reply = one.ask(two.address(), &request, WAIT).await;
+            assert_eq!(reply.expect("answered"), PeerReply::Claims(body.clone()));
+        }
+        assert_eq!(one.counters().dials, 1);
+    });
+}
+
+#[test]
+fn ask_foreign() {
+    block_on(async {
+        let (one, _events) = node(1, "another key, of others", Clock::real()).await;
+        let (two, events) = node(2, KEY, Clock::real()).await;
+        let reply = one.ask(two.address(), &PeerRequest::Slots, WAIT).await;
+        let refused = matches!(reply, Err(PeerError::Status { status: 403, .. }));
+        assert!(refused, "{reply:?}");
+        assert_eq!(two.counters().foreign, 1);
+        assert!(events.is_empty());
+    });
+}
+
+#[test]
+fn ask_nobody() {
+    block_on(async {
+        let (one, _events) = node(1, KEY, Clock::real()).await;
+        let gone = TcpListener::bind(any_port()).await.expect("binds");
+        let address = gone.local_addr().expect("bound");
+        drop(gone);
+        let reply = one.ask(address, &PeerRequest::Slots, WAIT).await;
+        let refused = matches!(reply, Err(PeerError::Connect { .. }));
+        assert!(refused, "{reply:?}");
+        assert_eq!(one.counters().ask_failures, 1);
+    });
+}
+
+/// Passes bytes on until told to swallow them; new connections work.
+async fn swallowing_relay(to: SocketAddr, swallow: Arc<AtomicBool>) -> SocketAddr {
+    let listener = TcpListener::bind(any_port()).await.expect("binds");
+    let address = listener.local_addr().expect("bound");
+    task::spawn(async move {
+        let mut incoming = listener.incoming();
+        while let Some(Ok(near)) = incoming.next().await {
+            let far = TcpStream::connect(to).await.expect("connects");
+            // Only connections from before the switch go silent.
+            let silent = if swallow.load(Ordering::SeqCst) {
+                Arc::default()
+            } else {
+                Arc::clone(&swallow)
+            };
+            task::spawn(pass(near.clone(), far.clone(), Arc::clone(&silent)));
+            task::spawn(pass(far, near, silent));
+        }
+    });
+    address
+}
+
+async fn pass(mut from: TcpStream, mut to: TcpStream, silent: Arc<AtomicBool>) {
+    let mut buffer = vec![0; 4_096];
+    while let Ok(length) = from.read(&mut buffer).await {
+        if length == 0 {
+            return;
+        }
+        if !silent.load(Ordering::SeqCst) && to.write_all(&buffer[..length]).await.is_err() {
+            return;
+        }
+    }
+}
+
+#[test]
+fn ask_over_silent_connection() {
+    block_on(async {
+        let (clock, hand) = Clock::manual();
+        let (one, _events) = node(1, KEY, clock).await;
+        let (two, events) = node(2, KEY, Clock::real()).await;
+        echo(events);
+        let swallow = Arc::new(AtomicBool::new(false));
+        let relay = swallowing_relay(two.address(), Arc::clone(&swallow)).await;
+        let reply = one.ask(relay, &PeerRequest::Slots, WAIT).await;
+        reply.expect("answered");
+        swallow.store(true, Ordering::SeqCst);
+        let mut advances = 0;
+        while one.counters().dead == 0 {
+            assert!(advances < 1_000, "the silent connection stays open");
+            advances += 1;
+            hand.advance(Duration::from_millis(500));
+            task::sleep(Duration::from_millis(5)).await;
+        }
+        let reply = one.ask(relay, &PeerRequest::Slots, WAIT).await;
+        reply.expect("answered on a new connection");
+        assert_eq!(one.counters().dials, 2);
+    });
+}
