Keep the lists of node slots ready and answer pending holds at once

Cause: each probe formatted and hashed every slot's address, and a node that got a Hold before its document answered only the next one, 300 ms later.

--- a/crates/tanagerhub_membership/src/membership.rs
+++ b/crates/tanagerhub_membership/src/membership.rs
@@ -21,7 +21,7 @@
 use crate::slot_table::SlotTable;
 use crate::store_reader::StoreReader;
 use crate::{
-    Adoption, AgedFact, AskId, CatalogueHead, Confirmations, Document, Freshness, Identity,
+    Adoption, AgedFact, AskId, CatalogueHead, Confirmations, Document, Freshness, Hold, Identity,
     MembershipAction, MembershipCounters, MembershipEvent, MembershipSettings, MembershipStatus,
     Peer, PeerReply, PeerRequest, SharedFacts, StaleReason, Standing, is_recent,
 };
@@ -65,6 +65,7 @@
     heard: BTreeMap<NodeId, Heard>,
     leaving_seen: BTreeMap<NodeId, Moment>,
     leaving: bool,
+    pending_hold: Option<(SocketAddr, Hold)>,
     load: u16,
     facts: SharedFacts,
     store: StoreReader,
@@ -108,6 +109,7 @@
             heard: BTreeMap::new(),
             leaving_seen: BTreeMap::new(),
             leaving: false,
+            pending_hold: None,
             load: 0,
             facts: SharedFacts::default(),
             store: StoreReader::new(),
@@ -216,9 +218,11 @@
     /// Live nodes of the region without this one, in the order of their ids.
     #[must_use]
     pub fn peers(&self, now: Moment) -> Vec<Peer> {
-        let slots = self.slots.region(&self.settings.region);
-        let live = slots.filter(|slot| self.is_live(slot.node(), now));
-        live.map(|slot| self.peer(slot, now)).collect()
+        let slots = self.slots.nodes(&self.settings.region).iter();
+        let live = slots.filter(|node| self.is_live(**node, now));
+        let rows = live.filter_map(|node| Some((*node, self.slots.row(*node)?)));
+        rows.map(|(node, row)| self.peer(node, &row.slot, now))
+            .collect()
     }
 
     /// Whether this node shuts down.
--- a/crates/tanagerhub_membership/src/membership/adopting.rs
+++ b/crates/tanagerhub_membership/src/membership/adopting.rs
@@ -180,18 +180,18 @@
     }
 
     /// Takes in a document's bytes and follows it, if it is the newest.
-    pub(super) fn document(&mut self, _now: Moment, body: Arc<[u8]>) {
+    pub(super) fn document(&mut self, now: Moment, body: Arc<[u8]>) {
         if ContentHash::of(&body) != self.newest.hash {
             return;
         }
         match Document::decode(body) {
-            Ok(document) => self.follow(document),
+            Ok(document) => self.follow(document, now),
             Err(_) => self.counters.malformed += 1,
         }
     }
 
     /// Follows a catalogue that is newer than the present one.
-    pub(super) fn follow(&mut self, document: Document) {
+    pub(super) fn follow(&mut self, document: Document, now: Moment) {
         if document.head().version <= self.version() {
             return;
         }
@@ -201,5 +201,8 @@
         self.held = document;
         self.act(MembershipAction::InForce(catalogue));
         self.try_joining();
+        if let Some((from, hold)) = self.pending_hold.take() {
+            self.hold(now, from, hold);
+        }
     }
 }
--- a/crates/tanagerhub_membership/src/membership/applying.rs
+++ b/crates/tanagerhub_membership/src/membership/applying.rs
@@ -1,6 +1,5 @@
 //! Operators' changes: commit, spread, answer.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use rand::RngExt;
@@ -15,7 +14,7 @@
 use crate::store_reader::ReadPurpose;
 use crate::{
     Acceptance, ApplyOutcome, BeaconBody, CatalogueHead, ContentHash, Document, Held, Hold,
-    Identity, MembershipAction, NodeSlot, OperationId, Standing, TableRead,
+    Identity, MembershipAction, OperationId, Standing, TableRead,
 };
 
 /// Wait before a step that the store refused is tried again.
@@ -305,15 +304,11 @@
     fn start_spread(&mut self, apply: &mut Apply, now: Moment) {
         let head = apply.document.head();
         self.hear_of(head, None, now);
-        self.follow(apply.document.clone());
-        let mut regions: BTreeMap<String, Vec<NodeId>> = BTreeMap::new();
-        for slot in self.slots.all() {
-            let nodes = regions.entry(slot.region.clone()).or_default();
-            nodes.push(NodeSlot::node(slot));
-        }
-        let regions = regions.into_iter();
-        let start = |nodes| Acceptance::new(nodes, head.version);
-        let regions = regions.map(|(name, nodes)| (name, start(nodes))).collect();
+        self.follow(apply.document.clone(), now);
+        let start = |nodes: &[NodeId]| Acceptance::new(nodes.iter().copied(), head.version);
+        let regions = self.slots.regions();
+        let regions = regions.map(|(name, nodes)| (name.to_owned(), start(nodes)));
+        let regions = regions.collect();
         apply.stage = ApplyStage::Spreading(Spread::new(regions, now));
         self.send_holds(apply, now);
     }
--- a/crates/tanagerhub_membership/src/membership/probing.rs
+++ b/crates/tanagerhub_membership/src/membership/probing.rs
@@ -185,8 +185,8 @@
 
     /// Per slot of the region: since it was known to hold nothing newer than this node.
     fn slot_ages(&self, now: Moment) -> Vec<Short> {
-        let slots = self.slots.region(&self.settings.region);
-        slots.map(|slot| self.slot_age(slot.node(), now)).collect()
+        let slots = self.slots.nodes(&self.settings.region).iter();
+        slots.map(|slot| self.slot_age(*slot, now)).collect()
     }
 
     fn slot_age(&self, node: NodeId, now: Moment) -> Short {
@@ -203,8 +203,8 @@
     }
 
     fn leaving_places(&self, now: Moment) -> Vec<u16> {
-        let slots = self.slots.region(&self.settings.region);
-        let leaves = slots.map(|slot| self.leaves(slot.node(), now));
+        let slots = self.slots.nodes(&self.settings.region).iter();
+        let leaves = slots.map(|slot| self.leaves(*slot, now));
         let places = leaves.enumerate().filter(|(_, leaves)| *leaves);
         places
             .filter_map(|(place, _)| u16::try_from(place).ok())
@@ -283,7 +283,7 @@
         if answer.slots != self.slots.digest(region) {
             return;
         }
-        let slots: Vec<_> = self.slots.region(region).map(NodeSlot::node).collect();
+        let slots = self.slots.nodes(region).to_vec();
         for (slot, age) in slots.iter().zip(&answer.ages) {
             let Some(age) = age.span().filter(|_| *slot != self.settings.node) else {
                 continue;
@@ -306,14 +306,19 @@
     }
 
     /// Answers an operator's node, once the version is here.
-    fn hold(&mut self, now: Moment, from: SocketAddr, hold: Hold) {
+    pub(super) fn hold(&mut self, now: Moment, from: SocketAddr, hold: Hold) {
         self.hear_of(hold.head, None, now);
+        self.pending_hold = None;
         // An acknowledgement counts only among nodes that count the same slots.
         if hold.slots != self.slots.digest(&self.settings.region) {
             self.ask_slots(from, now);
             return;
         }
-        if self.standing != Standing::Member || self.version() < hold.head.version {
+        if self.standing != Standing::Member {
+            return;
+        }
+        if self.version() < hold.head.version {
+            self.pending_hold = Some((from, hold));
             return;
         }
         let acknowledgement = Held {
@@ -339,8 +344,7 @@
         recent && node != self.settings.node
     }
 
-    pub(super) fn peer(&self, slot: &NodeSlot, now: Moment) -> Peer {
-        let node = slot.node();
+    pub(super) fn peer(&self, node: NodeId, slot: &NodeSlot, now: Moment) -> Peer {
         let heard = self.heard.get(&node);
         Peer {
             node,
--- a/crates/tanagerhub_membership/src/membership/reading.rs
+++ b/crates/tanagerhub_membership/src/membership/reading.rs
@@ -194,7 +194,7 @@
     /// Follows a change in the list of slots.
     pub(super) fn slots_changed(&mut self) {
         let region = self.settings.region.clone();
-        let counted: Vec<NodeId> = self.slots.region(&region).map(NodeSlot::node).collect();
+        let counted = self.slots.nodes(&region).to_vec();
         self.confirmations.retain(|node| counted.contains(&node));
         self.heard.retain(|node, _| counted.contains(node));
         self.leaving_seen.retain(|node, _| counted.contains(node));
--- a/crates/tanagerhub_membership/src/slot_table.rs
+++ b/crates/tanagerhub_membership/src/slot_table.rs
@@ -15,6 +15,14 @@
     heard: BTreeMap<NodeId, Identity>,
     /// Rows that the table no longer has; peers may still tell of them.
     removed: BTreeMap<NodeId, RowVersion>,
+    regions: BTreeMap<String, RegionSlots>,
+}
+
+/// The slots of one region in order, and a hash over them.
+#[derive(Debug, Default)]
+struct RegionSlots {
+    nodes: Vec<NodeId>,
+    digest: u64,
 }
 
 impl SlotTable {
@@ -28,6 +36,7 @@
             .extend(gone.map(|(node, row)| (node, row.version)));
         self.removed.retain(|node, _| !self.rows.contains_key(node));
         self.note_identities();
+        self.rebuild();
     }
 
     /// Takes in rows that are newer than those known.
@@ -44,6 +53,7 @@
                 self.rows.insert(node, row);
             }
         }
+        self.rebuild();
     }
 
     /// Forgets a slot.
@@ -51,6 +61,7 @@
         if let Some(row) = self.rows.remove(&node) {
             self.removed.insert(node, row.version);
         }
+        self.rebuild();
     }
 
     /// Notes which process speaks for a slot; says whether it is the newest known.
@@ -72,12 +83,12 @@
 
     /// The rows with the newest identities, for a peer.
     pub(crate) fn export(&self) -> Vec<SlotRow> {
-        let newest = |row: &SlotRow| {
+        let newest = |(node, row): (&NodeId, &SlotRow)| {
             let mut row = row.clone();
-            row.slot.identity = self.identity(row.slot.node());
+            row.slot.identity = self.identity(*node);
             row
         };
-        self.rows.values().map(newest).collect()
+        self.rows.iter().map(newest).collect()
     }
 
     /// All slots.
@@ -86,8 +97,21 @@
     }
 
     /// Slots of one region, in order.
-    pub(crate) fn region<'a>(&'a self, region: &'a str) -> impl Iterator<Item = &'a NodeSlot> {
-        self.all().filter(move |slot| slot.region == region)
+    pub(crate) fn region(&self, region: &str) -> impl Iterator<Item = &NodeSlot> {
+        let rows = self.nodes(region).iter();
+        rows.filter_map(|node| self.row(*node)).map(|row| &row.slot)
+    }
+
+    /// The ids of one region's slots, in order.
+    pub(crate) fn nodes(&self, region: &str) -> &[NodeId] {
+        let slots = self.regions.get(region);
+        slots.map_or(&[], |slots| &slots.nodes)
+    }
+
+    /// The ids of every region's slots, by the region's name.
+    pub(crate) fn regions(&self) -> impl Iterator<Item = (&str, &[NodeId])> {
+        let regions = self.regions.iter();
+        regions.map(|(name, slots)| (name.as_str(), slots.nodes.as_slice()))
     }
 
     /// How many slots all regions have.
@@ -97,22 +121,34 @@
 
     /// How many slots a region has.
     pub(crate) fn count(&self, region: &str) -> usize {
-        self.region(region).count()
+        self.nodes(region).len()
     }
 
     /// A hash over the slots of one region.
     pub(crate) fn digest(&self, region: &str) -> u64 {
-        let mut hasher = Xxh3::new();
-        for slot in self.region(region) {
-            hasher.update(&slot.node().0.to_le_bytes());
-        }
-        hasher.digest()
+        self.regions.get(region).map_or(0, |slots| slots.digest)
     }
 
     fn note_identities(&mut self) {
-        let rows: Vec<_> = self.all().map(|it| (it.node(), it.identity)).collect();
+        let rows = self.rows.iter();
+        let rows: Vec<_> = rows.map(|(node, row)| (*node, row.slot.identity)).collect();
         for (node, identity) in rows {
             self.meet(node, identity);
         }
     }
+
+    fn rebuild(&mut self) {
+        self.regions.clear();
+        for (node, row) in &self.rows {
+            let region = self.regions.entry(row.slot.region.clone()).or_default();
+            region.nodes.push(*node);
+        }
+        for slots in self.regions.values_mut() {
+            let mut hasher = Xxh3::new();
+            for node in &slots.nodes {
+                hasher.update(&node.0.to_le_bytes());
+            }
+            slots.digest = hasher.digest();
+        }
+    }
 }
