Compare attested groups by buckets that outlive their attestations

Cause: two nodes sent ages alone only if their whole lists of fresh attestations agreed; at 240 groups they never did, and lists of 60 were too slow to keep the rest alive.

--- a/crates/tanagerhub_membership/src/beacon.rs
+++ b/crates/tanagerhub_membership/src/beacon.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 use tanagerhub_catalogue::{CatalogueVersion, NodeId};
 
-use crate::{CatalogueHead, FactBatch, Identity, Short};
+use crate::{CatalogueHead, DirectoryDigest, FactBatch, Identity, Short};
 
 /// The version of the messages between nodes.
 pub const PROTOCOL: u16 = 1;
@@ -41,8 +41,8 @@
     pub region: u64,
     /// The version that the asker holds.
     pub version: CatalogueVersion,
-    /// The asker's directory of attested groups.
-    pub directory: u64,
+    /// What the asker's attested groups are compared by.
+    pub digest: DirectoryDigest,
     /// The hash of the asker's list of node slots.
     pub slots: u64,
 }
--- a/crates/tanagerhub_membership/src/fact_batch.rs
+++ b/crates/tanagerhub_membership/src/fact_batch.rs
@@ -3,9 +3,8 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use tanagerhub_catalogue::{Epoch, GroupId};
 
-use crate::{AgedFact, Fact};
+use crate::{AgedFact, AttestedPart, Fact};
 
 /// An age of up to four seconds in one byte, rounded up.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -36,26 +35,6 @@
     }
 }
 
-/// Attestations in a batch.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum AttestedPart {
-    /// Ages only, in the order of a directory that both ends have.
-    Ages {
-        /// The hash of the directory.
-        directory: u64,
-        /// One age per group.
-        ages: Vec<Short>,
-    },
-    /// A part of the groups in full.
-    Listed(Vec<(GroupId, Epoch, Short)>),
-}
-
-impl Default for AttestedPart {
-    fn default() -> Self {
-        Self::Listed(Vec::new())
-    }
-}
-
 /// A fact other than an attestation, with its age in units that suit its life.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WireFact {
--- a/crates/tanagerhub_membership/src/membership/probing.rs
+++ b/crates/tanagerhub_membership/src/membership/probing.rs
@@ -10,8 +10,8 @@
 
 use super::Membership;
 use crate::{
-    Answer, AnswerHead, Beacon, BeaconBody, CatalogueHead, FactBatch, Held, Hold, MembershipAction,
-    NodeSlot, Peer, PeerRequest, Probe, Short, Standing,
+    Answer, AnswerHead, Beacon, BeaconBody, CatalogueHead, DirectoryDigest, FactBatch, Held, Hold,
+    MembershipAction, NodeSlot, Peer, PeerRequest, Probe, Short, Standing,
 };
 
 /// A probe without an answer for this long is forgotten.
@@ -86,7 +86,7 @@
             nonce,
             region: xxh3_64(region.as_bytes()),
             version: self.version(),
-            directory: self.facts.directory(),
+            digest: self.facts.digest(),
             slots: self.slots.digest(region),
         };
         self.probes.insert(nonce, OpenProbe { sent: now });
@@ -155,7 +155,7 @@
                 Vec::new()
             },
             load: self.load,
-            facts: self.fact_batch(near, probe.directory, now),
+            facts: self.fact_batch(near, &probe.digest, now),
         };
         self.counters.answers += 1;
         self.send(to, BeaconBody::Answer(Box::new(answer)));
@@ -169,9 +169,9 @@
         }
     }
 
-    fn fact_batch(&mut self, near: bool, directory: u64, now: Moment) -> FactBatch {
+    fn fact_batch(&mut self, near: bool, digest: &DirectoryDigest, now: Moment) -> FactBatch {
         if near {
-            self.facts.batch(directory, now)
+            self.facts.batch(digest, now)
         } else {
             self.facts.far_batch(now)
         }
--- a/crates/tanagerhub_membership/src/shared_facts.rs
+++ b/crates/tanagerhub_membership/src/shared_facts.rs
@@ -4,18 +4,14 @@
 use std::ops::Bound;
 use std::time::Duration;
 
-use tanagerhub_catalogue::{Epoch, GroupId};
 use tanagerhub_clock::Moment;
-use xxhash_rust::xxh3::Xxh3;
 
-use crate::fact_batch::{AttestedPart, FactBatch, Short, WireFact};
-use crate::{AgedFact, Fact, FactKey};
+use crate::attestations::Attestations;
+use crate::{AgedFact, AttestedPart, DirectoryDigest, Fact, FactBatch, FactKey, WireFact};
 
-/// The most facts that are kept; the oldest of a kind go first.
+/// The most facts of each sort that are kept; new ones are dropped until others expire.
 const MAX_FACTS: usize = 4_096;
-/// Explicit attestations in one batch.
-const MAX_EXPLICIT: usize = 60;
-/// Other facts in one batch.
+/// Facts other than attestations in one batch.
 const MAX_OTHER: usize = 12;
 
 #[derive(Debug, Clone, Copy)]
@@ -26,8 +22,8 @@
 
 /// Facts by what they are about: the newest wins, ages add up, the size is bounded.
 ///
-/// Attestations are most of what is shared. Two nodes that know the same groups at the same epochs
-/// have the same [`SharedFacts::directory`]; between them one byte of age per group is enough.
+/// Attestations are most of what is shared. Nodes compare hashes of the groups that they know;
+/// where these agree, one byte of age per group is enough.
 ///
 /// # Examples
 ///
@@ -46,9 +42,9 @@
 /// ```
 #[derive(Debug, Default)]
 pub struct SharedFacts {
-    known: BTreeMap<FactKey, Known>,
+    attested: Attestations,
+    others: BTreeMap<FactKey, Known>,
     cursor: Option<FactKey>,
-    explicit_cursor: Option<FactKey>,
 }
 
 impl SharedFacts {
@@ -57,78 +53,70 @@
         if aged.age >= aged.fact.life() {
             return false;
         }
+        let at = now.before(aged.age);
+        if let Fact::Attested { group, epoch } = aged.fact {
+            let room = self.attested.len() < MAX_FACTS;
+            return room && self.attested.learn(group, epoch, at);
+        }
         let key = aged.fact.key();
         let new = Known {
             fact: aged.fact,
-            at: now.before(aged.age),
+            at,
         };
-        if let Some(old) = self.known.get(&key) {
-            let order = |known: &Known| (known.fact.rank(), known.at);
-            if order(&new) <= order(old) {
-                return false;
-            }
-        } else if self.known.len() >= MAX_FACTS {
-            self.expire(now);
-            if self.known.len() >= MAX_FACTS {
-                return false;
-            }
+        let order = |known: &Known| (known.fact.rank(), known.at);
+        match self.others.get(&key) {
+            Some(old) if order(&new) <= order(old) => return false,
+            None if self.others.len() >= MAX_FACTS => return false,
+            Some(_) | None => {}
         }
-        self.known.insert(key, new);
+        self.others.insert(key, new);
         true
     }
 
     /// Drops facts that are older than their life.
     pub fn expire(&mut self, now: Moment) {
-        self.known
+        self.attested.expire(now);
+        self.others
             .retain(|_, known| now.since(known.at) < known.fact.life());
     }
 
     /// How many facts are known.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.known.len()
+        self.attested.len() + self.others.len()
     }
 
     /// Whether no fact is known.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.known.is_empty()
+        self.len() == 0
     }
 
-    /// Every fact with its age.
+    /// Every fact with its age, without those older than their life.
     pub fn aged(&self, now: Moment) -> impl Iterator<Item = AgedFact> + '_ {
-        self.known.values().map(move |known| AgedFact {
+        let attested = self.attested.iter().map(|(group, epoch, at)| Known {
+            fact: Fact::Attested { group, epoch },
+            at,
+        });
+        let known = attested.chain(self.others.values().copied());
+        let aged = known.map(move |known| AgedFact {
             fact: known.fact,
             age: now.since(known.at),
-        })
+        });
+        aged.filter(|aged| aged.age < aged.fact.life())
     }
 
-    /// A hash over the attested groups and their epochs.
+    /// What tells the attested groups of two nodes apart.
     #[must_use]
-    pub fn directory(&self) -> u64 {
-        let mut hasher = Xxh3::new();
-        for (group, epoch, _) in self.attested() {
-            hasher.update(&group.0.to_le_bytes());
-            hasher.update(&epoch.0.to_le_bytes());
-        }
-        hasher.digest()
+    pub fn digest(&self) -> DirectoryDigest {
+        self.attested.digest()
     }
 
-    /// Fills a batch for a peer whose directory is `directory`.
-    pub fn batch(&mut self, directory: u64, now: Moment) -> FactBatch {
-        let own = self.directory();
-        let attested = if own == directory {
-            let ages = self.attested().map(|(_, _, at)| Short::of(now.since(at)));
-            AttestedPart::Ages {
-                directory: own,
-                ages: ages.collect(),
-            }
-        } else {
-            AttestedPart::Listed(self.listed(now))
-        };
+    /// Fills a batch for a peer of the same region.
+    pub fn batch(&mut self, peer: &DirectoryDigest, now: Moment) -> FactBatch {
         FactBatch {
-            attested,
-            other: self.others(now, |_| true),
+            attested: self.attested.batch(peer, now),
+            other: self.window(now, |_| true),
         }
     }
 
@@ -136,87 +124,42 @@
     pub fn far_batch(&mut self, now: Moment) -> FactBatch {
         FactBatch {
             attested: AttestedPart::default(),
-            other: self.others(now, Fact::is_global),
+            other: self.window(now, Fact::is_global),
         }
     }
 
     /// Takes in a batch that is `transit` old at most; gives back what is news.
     pub fn merge(&mut self, batch: &FactBatch, transit: Duration, now: Moment) -> Vec<AgedFact> {
-        let mut heard: Vec<AgedFact> = batch.other.iter().map(WireFact::aged).collect();
-        match &batch.attested {
-            AttestedPart::Ages { directory, ages } if *directory == self.directory() => {
-                let groups: Vec<_> = self.attested().collect();
-                let pairs = groups.into_iter().zip(ages);
-                let facts = pairs.map(|((group, epoch, _), age)| aged(group, epoch, *age));
-                heard.extend(facts.flatten());
-            }
-            AttestedPart::Ages { .. } => {}
-            AttestedPart::Listed(list) => {
-                let facts = list.iter();
-                heard.extend(facts.filter_map(|(group, epoch, age)| aged(*group, *epoch, *age)));
+        let groups = self.attested.merge(&batch.attested, transit, now);
+        let mut news: Vec<AgedFact> = Vec::new();
+        for fact in &batch.other {
+            let mut aged = fact.aged();
+            aged.age += transit;
+            if self.learn(aged, now) {
+                news.push(aged);
             }
         }
-        for fact in &mut heard {
-            fact.age += transit;
-        }
-        heard.retain(|fact| self.learn(*fact, now));
-        heard
+        let facts = groups.into_iter().filter_map(|(group, epoch)| {
+            let at = self.attested.seen(group)?;
+            let fact = Fact::Attested { group, epoch };
+            let age = now.since(at);
+            Some(AgedFact { fact, age })
+        });
+        news.extend(facts);
+        news
     }
 
-    fn attested(&self) -> impl Iterator<Item = (GroupId, Epoch, Moment)> + '_ {
-        let range = FactKey::Attested(GroupId(0))..=FactKey::Attested(GroupId(u64::MAX));
-        let known = self.known.range(range).map(|(_, known)| known);
-        known.filter_map(|known| match known.fact {
-            Fact::Attested { group, epoch } => Some((group, epoch, known.at)),
-            _ => None,
-        })
-    }
-
-    /// Attestations in full, from where the last list ended.
-    fn listed(&mut self, now: Moment) -> Vec<(GroupId, Epoch, Short)> {
-        let is_attested = |fact: &Fact| matches!(fact, Fact::Attested { .. });
-        let window = self.window(self.explicit_cursor, MAX_EXPLICIT, is_attested);
-        self.explicit_cursor = window.last().map(|known| known.fact.key());
-        let item = |known: &Known| match known.fact {
-            Fact::Attested { group, epoch } => Some((group, epoch, Short::of(now.since(known.at)))),
-            _ => None,
-        };
-        window.iter().filter_map(item).collect()
-    }
-
-    /// Other facts, from where the last batch ended.
-    fn others(&mut self, now: Moment, wanted: impl Fn(&Fact) -> bool) -> Vec<WireFact> {
-        let is_other = |fact: &Fact| !matches!(fact, Fact::Attested { .. }) && wanted(fact);
-        let window = self.window(self.cursor, MAX_OTHER, is_other);
+    /// Some of the other facts, from where the last batch ended.
+    fn window(&mut self, now: Moment, wanted: impl Fn(&Fact) -> bool) -> Vec<WireFact> {
+        let start = self.cursor.map_or(Bound::Unbounded, Bound::Excluded);
+        let after = self.others.range((start, Bound::Unbounded));
+        let until = self.cursor.map(Bound::Included);
+        let before = until.map(|end| self.others.range((Bound::Unbounded, end)));
+        let all = after.chain(before.into_iter().flatten());
+        let all = all.filter(|(_, known)| wanted(&known.fact));
+        let window: Vec<_> = all.take(MAX_OTHER).map(|(_, known)| *known).collect();
         self.cursor = window.last().map(|known| known.fact.key());
         let item = |known: &Known| WireFact::new(known.fact, now.since(known.at));
         window.iter().map(item).collect()
     }
-
-    /// Up to `limit` facts after `cursor`, going round at the end.
-    fn window(
-        &self,
-        cursor: Option<FactKey>,
-        limit: usize,
-        wanted: impl Fn(&Fact) -> bool,
-    ) -> Vec<Known> {
-        let start = cursor.map_or(Bound::Unbounded, Bound::Excluded);
-        let end = cursor.map_or(
-            Bound::Excluded(FactKey::Attested(GroupId(0))),
-            Bound::Included,
-        );
-        let after = self.known.range((start, Bound::Unbounded));
-        let before = self.known.range((Bound::Unbounded, end));
-        let all = after.chain(before).map(|(_, known)| *known);
-        all.filter(|known| wanted(&known.fact))
-            .take(limit)
-            .collect()
-    }
-}
-
-fn aged(group: GroupId, epoch: Epoch, age: Short) -> Option<AgedFact> {
-    age.span().map(|age| AgedFact {
-        fact: Fact::Attested { group, epoch },
-        age,
-    })
 }
