Probe peers in a shuffled order, four times a second

Cause: at two probes each 500 ms attestations reached 72 nodes too late. The shuffled order narrowed the bytes of the busiest node (2,598 -> 2,346 B/s at 72 nodes, 240 groups) and changed ages little; it stays for that. Probing each 250 ms: p95 of attestation ages at 5 % loss 2.43 s -> 1.62 s, groups with an attestation younger than 2 s 78 % -> 99.6 %, bytes 2.0 -> 3.8 KB/s a node (360 nodes, 1,200 groups: 4.2 KB/s; target 5).

--- a/crates/tanagerhub_membership/src/membership/probing.rs
+++ b/crates/tanagerhub_membership/src/membership/probing.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use rand::RngExt;
+use rand::seq::SliceRandom;
 use tanagerhub_catalogue::{CatalogueVersion, NodeId};
 use tanagerhub_clock::Moment;
 use xxhash_rust::xxh3::xxh3_64;
@@ -53,18 +54,30 @@
 
     /// Peers to probe in this round: all of the region, while this process doesn't count.
     fn near_targets(&mut self) -> Vec<SocketAddr> {
-        let own = self.settings.address;
-        let slots = self.slots.region(&self.settings.region);
-        let mut others: Vec<_> = slots.map(|it| it.address).filter(|it| *it != own).collect();
-        if self.standing != Standing::Member {
-            return others;
-        }
-        let count = self.settings.fanout.min(others.len());
-        for place in 0..count {
-            let pick = self.rng.random_range(place..others.len());
-            others.swap(place, pick);
+        let count = if self.standing == Standing::Member {
+            self.settings.fanout
+        } else {
+            self.deck = self.shuffled_region();
+            self.deck.len()
+        };
+        let picks: Vec<_> = (0..count).filter_map(|_| self.next_target()).collect();
+        let rows = picks.iter().filter_map(|node| self.slots.row(*node));
+        rows.map(|row| row.slot.address).collect()
+    }
+
+    /// The next peer of the region; none comes again before all others have come.
+    fn next_target(&mut self) -> Option<NodeId> {
+        if self.deck.is_empty() {
+            self.deck = self.shuffled_region();
         }
-        others.truncate(count);
+        self.deck.pop()
+    }
+
+    fn shuffled_region(&mut self) -> Vec<NodeId> {
+        let own = self.settings.node;
+        let nodes = self.slots.nodes(&self.settings.region).iter().copied();
+        let mut others: Vec<_> = nodes.filter(|node| *node != own).collect();
+        others.shuffle(&mut self.rng);
         others
     }
 
--- a/crates/tanagerhub_membership/src/settings.rs
+++ b/crates/tanagerhub_membership/src/settings.rs
@@ -74,7 +74,7 @@
             data_centre,
             seeds: Vec::new(),
             freshness_limit: Duration::from_secs(4),
-            probe_period: Duration::from_millis(500),
+            probe_period: Duration::from_millis(250),
             fanout: 2,
             far_period: Duration::from_secs(1),
             store_period: Duration::from_secs(1),
