--- a/crates/tanagerhub_membership/examples/measure.rs
+++ b/crates/tanagerhub_membership/examples/measure.rs
@@ -1,17 +1,14 @@
 //! Prints the figures of docs/design/nodes.md, in logical time.
 //!
 //! Run it with `cargo run --release -p tanagerhub_membership --example measure`.
-#![expect(
-    clippy::print_stdout,
-    clippy::missing_panics_doc,
-    reason = "it prints a report"
-)]
 
 use std::time::{Duration, Instant};
 
-#[path = "../tests/support/measure.rs"]
+#[path = "../tests/nodes/measure.rs"]
+#[expect(dead_code, reason = "some figures are only printed as a whole")]
 mod measure;
-#[path = "../tests/support/world.rs"]
+#[path = "../tests/nodes/world.rs"]
+#[expect(dead_code, reason = "the tests use more of it")]
 mod world;
 
 use measure::{steady, store_down, time_to_follow};
--- a/crates/tanagerhub_membership/tests/model.rs
+++ b/crates/tanagerhub_membership/tests/model.rs
@@ -1,8 +1,8 @@
 //! Exhaustive exploration of acceptance and adoption, and of a paused node.
 
-#[path = "support/pause_model.rs"]
+#[path = "model/pause_model.rs"]
 mod pause_model;
-#[path = "support/protocol_model.rs"]
+#[path = "model/protocol_model.rs"]
 mod protocol_model;
 
 use pause_model::{PauseModel, Recheck};
--- a/crates/tanagerhub_membership/tests/support/pause_model.rs
+++ b/crates/tanagerhub_membership/tests/model/pause_model.rs
@@ -56,7 +56,7 @@
 
 impl PauseModel {
     /// Explores every reachable state, or stops at the first unsafe one.
-    pub fn explore(&self) -> Verdict {
+    pub fn explore(self) -> Verdict {
         let start = State {
             now: Moment::ZERO,
             marked: None,
@@ -83,7 +83,7 @@
     }
 
     /// A node that takes no step while time passes is a paused one.
-    fn next(&self, state: &State) -> Vec<State> {
+    fn next(self, state: &State) -> Vec<State> {
         let mut next = Vec::new();
         let mut step = |change: &dyn Fn(&mut State)| {
             let mut after = state.clone();
@@ -116,7 +116,7 @@
         next
     }
 
-    fn send(&self, state: &mut State, version: CatalogueVersion) {
+    fn send(self, state: &mut State, version: CatalogueVersion) {
         state.decided = None;
         let rechecked = match self.recheck {
             Recheck::BeforeSend => is_fresh(state) && state.held == version,
--- a/crates/tanagerhub_membership/tests/support/protocol_model.rs
+++ b/crates/tanagerhub_membership/tests/model/protocol_model.rs
@@ -62,7 +62,7 @@
 
 impl Model {
     /// Explores every reachable state, or stops at the first unsafe one.
-    pub fn explore(&self) -> Verdict {
+    pub fn explore(self) -> Verdict {
         let mut states = 0;
         for state in bfs_reach(self.start(), |state| self.next(state)) {
             states += 1;
@@ -79,7 +79,7 @@
         }
     }
 
-    fn start(&self) -> State {
+    fn start(self) -> State {
         let process = |node| Process {
             boot: 0,
             version: if node == 0 { NEW } else { OLD },
@@ -97,11 +97,11 @@
     }
 
     /// Whether the version counts as accepted and some node can yet be fresh without it.
-    fn is_unsafe(&self, state: &State) -> bool {
+    fn is_unsafe(self, state: &State) -> bool {
         self.is_accepted(state) && (0..self.nodes).any(|node| self.can_read_old(state, node))
     }
 
-    fn is_accepted(&self, state: &State) -> bool {
+    fn is_accepted(self, state: &State) -> bool {
         let needed = match self.rules {
             Rules::OneRound => AcceptanceStage::Confirming,
             Rules::Product | Rules::FewerAnswers => AcceptanceStage::Accepted,
@@ -110,7 +110,7 @@
     }
 
     /// Whether a node with the old version would be confirmed by a majority of the slots.
-    fn can_read_old(&self, state: &State, reader: u8) -> bool {
+    fn can_read_old(self, state: &State, reader: u8) -> bool {
         let own = &state.processes[usize::from(reader)];
         if own.adoption.is_some() || own.version == NEW {
             return false;
@@ -126,20 +126,20 @@
         confirmed.is_some_and(|(at, _)| is_recent(at, now, Duration::from_secs(4)))
     }
 
-    fn next(&self, state: &State) -> Vec<State> {
+    fn next(self, state: &State) -> Vec<State> {
         let mut next = Vec::new();
         for node in self.distinct(state) {
-            self.learn(state, node, &mut next);
+            Self::learn(state, node, &mut next);
             self.acknowledge(state, node, &mut next);
             self.replace(state, node, &mut next);
             self.adopt(state, node, &mut next);
         }
-        self.receive(state, &mut next);
+        Self::receive(state, &mut next);
         next
     }
 
     /// All nodes but those that can't be told from one before: nothing has happened to them yet.
-    fn distinct(&self, state: &State) -> Vec<u8> {
+    fn distinct(self, state: &State) -> Vec<u8> {
         let mut seen_untouched = false;
         let is_first = |node: &u8| {
             let untouched = is_untouched(state, *node);
@@ -151,7 +151,7 @@
     }
 
     /// A node that counts gets the version from any holder.
-    fn learn(&self, state: &State, node: u8, next: &mut Vec<State>) {
+    fn learn(state: &State, node: u8, next: &mut Vec<State>) {
         let process = &state.processes[usize::from(node)];
         if process.adoption.is_some() || process.version == NEW {
             return;
@@ -162,7 +162,7 @@
     }
 
     /// A holder answers the request of the present round; its answer travels.
-    fn acknowledge(&self, state: &State, node: u8, next: &mut Vec<State>) {
+    fn acknowledge(self, state: &State, node: u8, next: &mut Vec<State>) {
         let process = &state.processes[usize::from(node)];
         let wanted = state.acceptance.wanted().contains(&NodeId(node.into()));
         let ack = (node, process.boot, state.acceptance.round());
@@ -177,7 +177,7 @@
     }
 
     /// The proposer takes in an acknowledgement; answers of earlier rounds are worth nothing.
-    fn receive(&self, state: &State, next: &mut Vec<State>) {
+    fn receive(state: &State, next: &mut Vec<State>) {
         for place in 0..state.acks.len() {
             let mut after = state.clone();
             let (node, boot, round) = after.acks.remove(place);
@@ -192,7 +192,7 @@
     }
 
     /// A node's VM is replaced; the new process knows nothing.
-    fn replace(&self, state: &State, node: u8, next: &mut Vec<State>) {
+    fn replace(self, state: &State, node: u8, next: &mut Vec<State>) {
         // Without its proposer a change is given up; only an accepted one is of interest.
         let given_up = node == 0 && !self.is_accepted(state);
         if given_up || state.replaced == self.replacements {
@@ -207,7 +207,7 @@
         next.push(after);
     }
 
-    fn new_adoption(&self) -> Adoption {
+    fn new_adoption(self) -> Adoption {
         let needed = majority(usize::from(self.nodes));
         match self.rules {
             Rules::FewerAnswers => Adoption::needing(needed - 1),
@@ -216,7 +216,7 @@
     }
 
     /// A new process hears from one slot that counts, and counts once it has heard enough.
-    fn adopt(&self, state: &State, node: u8, next: &mut Vec<State>) {
+    fn adopt(self, state: &State, node: u8, next: &mut Vec<State>) {
         let Some(adoption) = &state.processes[usize::from(node)].adoption else {
             return;
         };
--- /dev/null
+++ b/crates/tanagerhub_membership/tests/nodes.rs
@@ -0,0 +1,13 @@
+//! Many memberships in logical time.
+
+#[path = "nodes/failures.rs"]
+mod failures;
+#[path = "nodes/measure.rs"]
+#[expect(dead_code, reason = "some figures are only printed, by an example")]
+mod measure;
+#[path = "nodes/spreading.rs"]
+mod spreading;
+#[path = "nodes/targets.rs"]
+mod targets;
+#[path = "nodes/world.rs"]
+mod world;
--- a/crates/tanagerhub_membership/tests/failures.rs
+++ b/crates/tanagerhub_membership/tests/nodes/failures.rs
@@ -8,11 +8,8 @@
 };
 use yare::parameterized;
 
-#[path = "support/world.rs"]
-mod world;
-
-use world::World;
-use world::store::Mode;
+use crate::world::World;
+use crate::world::store::Mode;
 
 const SECOND: Duration = Duration::from_secs(1);
 
--- a/crates/tanagerhub_membership/tests/support/measure.rs
+++ b/crates/tanagerhub_membership/tests/nodes/measure.rs
@@ -91,14 +91,15 @@
             }
         }
     });
-    let seconds = span.as_secs_f64();
     let grown = world.nodes.iter().zip(&sent);
     let bytes: Vec<f64> = grown
-        .map(|(node, before)| (node.sent_bytes - before) as f64 / seconds)
+        .map(|(node, before)| rate(node.sent_bytes - before, span))
         .collect();
-    let expected = f64::from(seen) * groups as f64 / regions as f64;
+    let in_region = groups / u64::try_from(regions).expect("few");
+    let expected = u64::from(seen) * in_region;
+    let bytes_count = as_float(bytes.len() as u64);
     Steady {
-        bytes: bytes.iter().sum::<f64>() / bytes.len() as f64,
+        bytes: bytes.iter().sum::<f64>() / bytes_count,
         bytes_max: bytes.iter().copied().fold(0.0, f64::max),
         fresh: f64::from(fresh) / f64::from(seen),
         ages: Quantiles::of(if ages.is_empty() {
@@ -106,9 +107,9 @@
         } else {
             ages
         }),
-        attested: attested as f64 / expected.max(1.0),
-        reads: (world.store.reads - reads) as f64 / seconds,
-        rows: (world.store.rows_read - rows) as f64 / seconds,
+        attested: as_float(attested) / as_float(expected.max(1)),
+        reads: rate(world.store.reads - reads, span),
+        rows: rate(world.store.rows_read - rows, span),
     }
 }
 
@@ -157,3 +158,12 @@
     world.store.mode = Mode::Down;
     world.run(SECOND * 10);
 }
+
+/// Events a second.
+fn rate(count: u64, span: Duration) -> f64 {
+    as_float(count) / span.as_secs_f64()
+}
+
+fn as_float(count: u64) -> f64 {
+    f64::from(u32::try_from(count).expect("fits"))
+}
--- a/crates/tanagerhub_membership/tests/spreading.rs
+++ b/crates/tanagerhub_membership/tests/nodes/spreading.rs
@@ -6,11 +6,8 @@
 use tanagerhub_membership::ApplyOutcome;
 use yare::parameterized;
 
-#[path = "support/world.rs"]
-mod world;
-
-use world::World;
-use world::store::Mode;
+use crate::world::World;
+use crate::world::store::Mode;
 
 const SECOND: Duration = Duration::from_secs(1);
 /// How long after its commit a mark must be obeyed everywhere.
@@ -169,7 +166,11 @@
         Trouble::None | Trouble::StoreLostAfterCommit => {}
         Trouble::SlowStore => world.store_delay = Duration::from_millis(1_500),
         Trouble::Pause => world.pause(6, SECOND * 7),
-        Trouble::Partition => (5..8).for_each(|node| world.isolate(node)),
+        Trouble::Partition => {
+            for node in 5..8 {
+                world.isolate(node);
+            }
+        }
         Trouble::OneWay => {
             world.cuts.extend((0..8).map(|other| (other, 6)));
             world.storeless.insert(6);
@@ -221,10 +222,12 @@
         world.store.mode = Mode::Down;
         for place in [1, 3, 0, 4, 2, 1] {
             let old = world.nodes.len() - 1;
-            let address = world::address(place);
+            let address = crate::world::address(place);
             let running = (0..=old).filter(|node| world.nodes[*node].address == address);
             let running: Vec<_> = running.collect();
-            running.into_iter().for_each(|node| world.kill(node));
+            for node in running {
+                world.kill(node);
+            }
             world.start(place, 0);
             world.run_with(SECOND * 8, |world| {
                 for node in 0..world.nodes.len() {
--- /dev/null
+++ b/crates/tanagerhub_membership/tests/nodes/targets.rs
@@ -0,0 +1,75 @@
+//! The targets of docs/design/nodes.md, in logical time.
+
+use std::time::Duration;
+
+use yare::parameterized;
+
+use crate::measure::{steady, store_down, time_to_follow};
+use crate::world::World;
+
+const SEED: u64 = 5;
+const CHANGE_LIMIT: Duration = Duration::from_secs(17);
+/// Datagrams that a node may send, in bytes a second.
+const BYTES_LIMIT: f64 = 5_000.0;
+/// Share of node-seconds in which a connected node is fresh.
+const FRESH_SHARE: f64 = 0.99;
+/// Age of attestations at other nodes, 95 in 100.
+const ATTESTED_LIMIT: Duration = Duration::from_secs(2);
+/// Reads of the table a second by one region of 72 nodes, a fifth of all.
+const READS_LIMIT: f64 = 10.0;
+
+#[parameterized(
+    eight_nodes = { 8, 1, 0.0, 1 },
+    eight_nodes_little_loss = { 8, 1, 0.05, 1 },
+    eight_nodes_heavy_loss = { 8, 1, 0.2, 1 },
+    three_regions_heavy_loss = { 72, 3, 0.2, 3 },
+)]
+fn change_followed(count: usize, regions: usize, loss: f64, limit: u64) {
+    let mut world = World::settled(SEED, count, regions);
+    world.loss = loss;
+    let (follow, answer) = time_to_follow(&mut world, 10);
+    assert!(follow.p95 <= Duration::from_secs(limit), "{follow:?}");
+    assert!(answer.max <= CHANGE_LIMIT, "{answer:?}");
+}
+
+#[parameterized(
+    today = { 8, 60, 0.05 },
+    region = { 72, 240, 0.05 },
+    region_without_loss = { 72, 240, 0.0 },
+)]
+fn control_within_budget(count: usize, groups: u64, loss: f64) {
+    let mut world = World::settled(SEED, count, 1);
+    world.loss = loss;
+    let figures = steady(&mut world, 1, groups, Duration::from_secs(10));
+    assert!(figures.bytes_max <= BYTES_LIMIT, "{figures:?}");
+    assert!(figures.ages.p95 <= ATTESTED_LIMIT, "{figures:?}");
+    assert!(figures.reads <= READS_LIMIT, "{figures:?}");
+}
+
+#[parameterized(
+    up = { false },
+    down = { true },
+)]
+fn fresh_under_loss(outage: bool) {
+    let mut world = World::settled(SEED, 72, 1);
+    world.loss = 0.2;
+    if outage {
+        store_down(&mut world);
+    }
+    let figures = steady(&mut world, 1, 60, Duration::from_secs(10));
+    assert!(figures.fresh >= FRESH_SHARE, "{figures:?}");
+}
+
+#[test]
+fn bytes_with_more_regions() {
+    let sent = |regions: usize| {
+        let mut world = World::settled(SEED, 8 * regions, regions);
+        let groups = 30 * regions as u64;
+        steady(&mut world, regions, groups, Duration::from_secs(10)).bytes
+    };
+    let (two, four) = (sent(2), sent(4));
+    assert!(
+        four <= two * 1.02,
+        "{two} bytes with 2 regions, {four} with 4"
+    );
+}
--- a/crates/tanagerhub_membership/tests/support/world.rs
+++ b/crates/tanagerhub_membership/tests/nodes/world.rs
@@ -18,7 +18,7 @@
 #[path = "store.rs"]
 pub mod store;
 
-use store::{Mode, Store};
+use store::Store;
 
 /// Time between two ticks of a node.
 const TICK: Duration = Duration::from_millis(100);
@@ -75,7 +75,8 @@
 /// The address of the node at a place.
 pub fn address(place: usize) -> SocketAddr {
     let (high, low) = (place / 250, place % 250 + 1);
-    SocketAddr::from(([10, 0, high as u8, low as u8], 7400))
+    let byte = |value| u8::try_from(value).expect("below 250 * 250 nodes");
+    SocketAddr::from(([10, 0, byte(high), byte(low)], 7400))
 }
 
 impl World {
@@ -106,7 +107,7 @@
         for place in 0..count {
             world.start(place, place % regions);
         }
-        let limit = world.now + Duration::from_secs(120);
+        let limit = world.now + Duration::from_mins(2);
         while world.now < limit && !world.knows_all_slots() {
             world.run(Duration::from_secs(1));
         }
--- /dev/null
+++ b/crates/tanagerhub_membership/tests/shared_facts.rs
@@ -0,0 +1,158 @@
+//! Shared facts: the newest wins, ages add up, the size is bounded.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use tanagerhub_catalogue::{Epoch, GroupId};
+use tanagerhub_clock::Moment;
+use tanagerhub_membership::{AgedFact, Fact, SharedFacts, Short};
+
+fn attested(group: u64, epoch: u64) -> Fact {
+    Fact::Attested {
+        group: GroupId(group),
+        epoch: Epoch(epoch),
+    }
+}
+
+fn learn(facts: &mut SharedFacts, fact: Fact, age: u64, now: Moment) -> bool {
+    let age = Duration::from_millis(age);
+    facts.learn(AgedFact { fact, age }, now)
+}
+
+/// Passes what `from` knows on to `to`, over a link that takes `transit` there and back.
+fn pass(from: &mut SharedFacts, to: &mut SharedFacts, transit: u64, now: Moment) {
+    let batch = from.batch(&to.digest(), now);
+    to.merge(&batch, Duration::from_millis(transit), now);
+}
+
+#[test]
+fn learn_newer_epoch_wins() {
+    let mut facts = SharedFacts::default();
+    let now = Moment::from_millis(10_000);
+    assert!(learn(&mut facts, attested(1, 2), 500, now));
+    assert!(!learn(&mut facts, attested(1, 1), 0, now));
+    assert!(learn(&mut facts, attested(1, 3), 900, now));
+    assert_eq!(
+        facts.aged(now).next().map(|it| it.fact),
+        Some(attested(1, 3))
+    );
+}
+
+#[test]
+fn learn_too_old() {
+    let mut facts = SharedFacts::default();
+    let now = Moment::from_millis(60_000);
+    assert!(!learn(&mut facts, attested(1, 1), 4_000, now));
+    assert!(facts.is_empty());
+}
+
+#[test]
+fn learn_beyond_size() {
+    let mut facts = SharedFacts::default();
+    for fingerprint in 0..10_000 {
+        let fact = Fact::Crashed {
+            fingerprint,
+            count: 1,
+        };
+        learn(&mut facts, fact, 0, Moment::ZERO);
+    }
+    assert_eq!(facts.len(), 4_096);
+}
+
+#[test]
+fn expire_by_kind() {
+    let mut facts = SharedFacts::default();
+    let crashed = Fact::Crashed {
+        fingerprint: 7,
+        count: 2,
+    };
+    learn(&mut facts, crashed, 0, Moment::ZERO);
+    learn(&mut facts, attested(1, 1), 0, Moment::ZERO);
+    let later = Moment::from_millis(5_000);
+    facts.expire(later);
+    let left: Vec<_> = facts.aged(later).map(|it| it.fact).collect();
+    assert_eq!(left, [crashed]);
+}
+
+#[test]
+fn merge_rounds_ages_up() {
+    let (mut one, mut two) = (SharedFacts::default(), SharedFacts::default());
+    let start = Moment::from_millis(10_000);
+    learn(&mut one, attested(9, 1), 0, start);
+    let now = start + Duration::from_millis(101);
+    pass(&mut one, &mut two, 20, now);
+    let age = two.aged(now).next().map(|it| it.age);
+    assert_eq!(age, Some(Duration::from_millis(7 * 16 + 20)));
+}
+
+#[test]
+fn merge_by_ages_alone() {
+    let (mut one, mut two) = (SharedFacts::default(), SharedFacts::default());
+    let now = Moment::from_millis(10_000);
+    for group in 0..50 {
+        learn(&mut one, attested(group << 57, 1), 0, now);
+        learn(&mut two, attested(group << 57, 1), 3_000, now);
+    }
+    pass(&mut one, &mut two, 0, now);
+    assert!(two.aged(now).all(|it| it.age == Duration::ZERO));
+}
+
+#[test]
+fn merge_after_directory_changed() {
+    let (mut one, mut two) = (SharedFacts::default(), SharedFacts::default());
+    let now = Moment::from_millis(10_000);
+    for group in [1, 2] {
+        learn(&mut one, attested(group, 1), 0, now);
+        learn(&mut two, attested(group, 1), 3_000, now);
+    }
+    let batch = one.batch(&two.digest(), now);
+    // Between probe and answer another group came to be known; the ages no longer fit.
+    learn(&mut two, attested(0, 1), 3_000, now);
+    two.merge(&batch, Duration::ZERO, now);
+    assert!(two.aged(now).all(|it| it.age == Duration::from_secs(3)));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 64, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn short_never_younger(millis in 0_u64..10_000) {
+        let age = Duration::from_millis(millis);
+        if let Some(rounded) = Short::of(age).span() {
+            prop_assert!(rounded >= age);
+            prop_assert!(rounded < age + Duration::from_millis(16));
+        } else {
+            prop_assert!(age > Duration::from_secs(4));
+        }
+    }
+
+    #[test]
+    fn merge_never_younger(
+        seen in prop::collection::vec((0_u64..20, 1_u64..4, 0_u64..3_000), 1..60),
+        transits in prop::collection::vec(0_u64..200, 1..8),
+    ) {
+        let mut nodes: Vec<SharedFacts> = (0..3).map(|_| SharedFacts::default()).collect();
+        let start = Moment::from_millis(10_000);
+        for (group, epoch, age) in &seen {
+            learn(&mut nodes[0], attested(group << 60, *epoch), *age, start);
+        }
+        let mut now = start;
+        for (place, transit) in transits.iter().enumerate() {
+            now = now + Duration::from_millis(*transit);
+            let (from, to) = (place % 3, (place + 1) % 3);
+            let mut source = std::mem::take(&mut nodes[from]);
+            pass(&mut source, &mut nodes[to], *transit, now);
+            nodes[from] = source;
+        }
+        let true_age = |fact: &Fact| {
+            let same = seen.iter().filter(|it| attested(it.0 << 60, it.1) == *fact);
+            same.map(|it| Duration::from_millis(it.2) + now.since(start)).min()
+        };
+        for node in &nodes {
+            for known in node.aged(now) {
+                let truth = true_age(&known.fact);
+                prop_assert!(truth.is_some_and(|truth| known.age >= truth), "{known:?}");
+            }
+        }
+    }
+}
