Test slow links, a missing document and a woken node's answers

Each fails when its rule is taken out: ages without the time on the way, a node that works although it knows of a newer version, an unnoticed pause.

--- a/crates/tanagerhub_membership/tests/nodes/failures.rs
+++ b/crates/tanagerhub_membership/tests/nodes/failures.rs
@@ -1,10 +1,13 @@
 //! Nodes that are replaced, paused, cut off, or start without the store.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
+use tanagerhub_catalogue::{CatalogueVersion, Epoch, GroupId, NodeId};
 use tanagerhub_clock::Moment;
 use tanagerhub_membership::{
-    Confirmer, Freshness, MembershipEvent, StaleReason, Standing, StoreState,
+    AgedFact, Beacon, BeaconBody, Confirmer, DirectoryDigest, Fact, Freshness, MembershipAction,
+    MembershipEvent, Probe, StaleReason, Standing, StoreState,
 };
 use yare::parameterized;
 
@@ -292,3 +295,82 @@
         assert!(leaving, "node {node}");
     }
 }
+
+#[test]
+fn newer_version_without_document() {
+    let mut world = at_version_one(8);
+    world.documentless.insert(5);
+    world.apply(0, 2, 1);
+    world.run(SECOND * 2);
+    let reason = freshness(&world, 5);
+    assert!(
+        matches!(
+            reason,
+            Freshness::Stale {
+                reason: StaleReason::NewerVersion,
+                ..
+            }
+        ),
+        "{reason:?}"
+    );
+    world.documentless.clear();
+    world.run(SECOND * 4);
+    assert!(world.is_fresh(5));
+    assert_eq!(world.version(5), 2);
+}
+
+#[test]
+fn wake_and_answer_uncounted() {
+    let mut world = at_version_one(3);
+    world.store.mode = Mode::Down;
+    world.run(SECOND * 10);
+    let probe = Probe {
+        nonce: 1,
+        region: 0,
+        version: CatalogueVersion(1),
+        digest: DirectoryDigest::default(),
+        slots: 0,
+    };
+    let event = MembershipEvent::Beacon {
+        from: world.nodes[0].address,
+        beacon: Beacon {
+            node: NodeId::of(&world.nodes[0].address.to_string()),
+            identity: world.nodes[0].membership.identity(),
+            body: BeaconBody::Probe(probe),
+        },
+    };
+    let wake = world.now + SECOND * 30;
+    let actions = world.nodes[1].membership.on_event(wake, event);
+    let standing = actions.iter().find_map(|action| match action {
+        MembershipAction::SendBeacon { beacon, .. } => match &beacon.body {
+            BeaconBody::Answer(answer) => Some(answer.standing),
+            _ => None,
+        },
+        _ => None,
+    });
+    assert_eq!(standing, Some(Standing::Paused));
+}
+
+#[test]
+fn facts_never_younger_on_slow_links() {
+    let mut world = at_version_one(8);
+    world.delay = Duration::from_millis(400);
+    let seen = world.now;
+    let fact = Fact::Attested {
+        group: GroupId(77),
+        epoch: Epoch(1),
+    };
+    let age = Duration::ZERO;
+    let event = MembershipEvent::LocalFacts(vec![AgedFact { fact, age }]);
+    world.event(0, event);
+    let mut reached = BTreeSet::new();
+    world.run_with(SECOND * 4, |world| {
+        for node in 0..8 {
+            for known in world.nodes[node].membership.facts(world.now) {
+                reached.insert(node);
+                assert!(known.age >= world.now.since(seen), "node {node}: {known:?}");
+            }
+        }
+    });
+    assert_eq!(reached.len(), 8);
+}
--- a/crates/tanagerhub_membership/tests/nodes/world.rs
+++ b/crates/tanagerhub_membership/tests/nodes/world.rs
@@ -12,7 +12,7 @@
 use tanagerhub_clock::Moment;
 use tanagerhub_membership::{
     AgedFact, ApplyOutcome, AskId, Beacon, Membership, MembershipAction, MembershipEvent,
-    MembershipSettings, OperationId, PeerReply,
+    MembershipSettings, OperationId, PeerReply, PeerRequest,
 };
 
 #[path = "store.rs"]
@@ -62,6 +62,8 @@
     pub cuts: BTreeSet<(usize, usize)>,
     /// Nodes that can't reach the store.
     pub storeless: BTreeSet<usize>,
+    /// Nodes that get no document from anywhere.
+    pub documentless: BTreeSet<usize>,
     pub answers: Vec<(Moment, OperationId, ApplyOutcome)>,
     routes: BTreeMap<SocketAddr, usize>,
     queue: BinaryHeap<Reverse<(Moment, u64)>>,
@@ -90,6 +92,7 @@
             store_delay: Duration::from_millis(10),
             cuts: BTreeSet::new(),
             storeless: BTreeSet::new(),
+            documentless: BTreeSet::new(),
             answers: Vec::new(),
             routes: BTreeMap::new(),
             queue: BinaryHeap::new(),
@@ -277,7 +280,9 @@
         match action {
             MembershipAction::SendBeacon { to, beacon } => self.send(node, to, beacon),
             MembershipAction::Ask { ask, to, request } => {
-                let target = self.routes.get(&to).copied();
+                let refused = matches!(request, PeerRequest::Document(_))
+                    && self.documentless.contains(&node);
+                let target = self.routes.get(&to).copied().filter(|_| !refused);
                 let open = target.filter(|it| self.is_open(node, *it) && self.nodes[*it].alive);
                 let Some(target) = open else {
                     let event = MembershipEvent::Replied { ask, reply: None };
@@ -319,7 +324,7 @@
                 self.later(node, self.store_delay, event);
             }
             MembershipAction::Fetch(hash) => {
-                let cut = self.storeless.contains(&node);
+                let cut = self.storeless.contains(&node) || self.documentless.contains(&node);
                 let body = self.store.get(hash).filter(|_| !cut);
                 self.later(
                     node,
