--- /dev/null
+++ b/crates/tanagerhub/src/node_settings.rs
@@ -0,0 +1,174 @@
+//! What a node is told at its start.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tanagerhub_catalogue::{DataCentreId, KeyHash, NodeId};
+
+/// Fewest bytes of a key that peers share.
+const PEER_KEY_MIN: usize = 16;
+
+/// The settings of a node, checked by [`check`](Self::check).
+#[derive(Debug, Clone)]
+pub struct NodeSettings {
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where operators and the platform's balancer connect.
+    pub operators: SocketAddr,
+    /// Where peers send to; also names the node's slot.
+    pub peers: SocketAddr,
+    /// Peers to speak to first.
+    pub seeds: Vec<SocketAddr>,
+    /// The node's data centre.
+    pub data_centre: String,
+    /// The node's region.
+    pub region: String,
+    /// The key that peers share.
+    pub peer_key: PeerKey,
+    /// The hash of the operators' token.
+    pub operator_token: KeyHash,
+    /// How long a stopping node keeps accepting, so that the balancer notices first.
+    pub drain_grace: Duration,
+    /// How long a stopping node waits for requests in flight.
+    pub drain_limit: Duration,
+    /// Connections that callers may hold open.
+    pub connections: usize,
+    /// The longest request body, in bytes.
+    pub body_limit: usize,
+    /// The seed of the node's random choices; `None` draws one.
+    pub seed: Option<u64>,
+}
+
+impl NodeSettings {
+    /// Settings with the usual limits.
+    #[must_use]
+    pub fn new(callers: SocketAddr, operators: SocketAddr, peers: SocketAddr) -> Self {
+        Self {
+            callers,
+            operators,
+            peers,
+            seeds: Vec::new(),
+            data_centre: String::new(),
+            region: String::new(),
+            peer_key: PeerKey::default(),
+            operator_token: KeyHash::of(""),
+            drain_grace: Duration::from_secs(5),
+            drain_limit: Duration::from_secs(60),
+            connections: 4_096,
+            body_limit: 4 << 20,
+            seed: None,
+        }
+    }
+
+    /// Places the node.
+    #[must_use]
+    pub fn place(mut self, region: impl Into<String>, data_centre: impl Into<String>) -> Self {
+        self.region = region.into();
+        self.data_centre = data_centre.into();
+        self
+    }
+
+    /// Names the peers to speak to first.
+    #[must_use]
+    pub fn seeds(mut self, seeds: Vec<SocketAddr>) -> Self {
+        self.seeds = seeds;
+        self
+    }
+
+    /// Sets the key that peers share and the token that operators send.
+    #[must_use]
+    pub fn secrets(mut self, peer_key: PeerKey, operator_token: &str) -> Self {
+        self.peer_key = peer_key;
+        self.operator_token = KeyHash::of(operator_token);
+        self
+    }
+
+    /// Sets how long a stopping node keeps accepting.
+    #[must_use]
+    pub const fn drain_grace(mut self, grace: Duration) -> Self {
+        self.drain_grace = grace;
+        self
+    }
+
+    /// Sets the seed of the node's random choices.
+    #[must_use]
+    pub const fn seed(mut self, seed: u64) -> Self {
+        self.seed = Some(seed);
+        self
+    }
+
+    /// The node's slot.
+    #[must_use]
+    pub fn node(&self) -> NodeId {
+        NodeId::of(&self.peers.to_string())
+    }
+
+    /// The id of the node's data centre.
+    #[must_use]
+    pub fn data_centre_id(&self) -> DataCentreId {
+        DataCentreId::of(&self.data_centre)
+    }
+
+    /// Checks what no single field can show.
+    ///
+    /// # Errors
+    ///
+    /// Names the first setting that can't be used.
+    pub fn check(&self) -> Result<(), SettingsError> {
+        if self.data_centre.is_empty() {
+            return Err(SettingsError::Empty {
+                setting: "data-centre",
+            });
+        }
+        if self.region.is_empty() {
+            return Err(SettingsError::Empty { setting: "region" });
+        }
+        if self.peer_key.0.len() < PEER_KEY_MIN {
+            return Err(SettingsError::ShortKey {
+                length: self.peer_key.0.len(),
+                min: PEER_KEY_MIN,
+            });
+        }
+        if self.operator_token.matches(&KeyHash::of("")) {
+            return Err(SettingsError::Empty {
+                setting: "operator-token",
+            });
+        }
+        if self.connections == 0 {
+            return Err(SettingsError::Empty {
+                setting: "connections",
+            });
+        }
+        Ok(())
+    }
+}
+
+/// A key that all nodes share and that signs what they send each other.
+#[derive(Clone, PartialEq, Eq, Default)]
+pub struct PeerKey(pub Vec<u8>);
+
+impl fmt::Debug for PeerKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("PeerKey(..)")
+    }
+}
+
+/// A setting that can't be used.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum SettingsError {
+    /// A setting that must have a value has none.
+    #[error("setting \"{setting}\" must not be empty")]
+    Empty {
+        /// The setting.
+        setting: &'static str,
+    },
+    /// The key that peers share is too short to protect anything.
+    #[error("setting \"peer-key\" has {length} bytes; at least {min} are needed")]
+    ShortKey {
+        /// Bytes given.
+        length: usize,
+        /// Fewest bytes allowed.
+        min: usize,
+    },
+}
