--- a/crates/tanagerhub/src/node_settings.rs
+++ b/crates/tanagerhub/src/node_settings.rs
@@ -54,7 +54,7 @@
             peer_key: PeerKey::default(),
             operator_token: KeyHash::of(""),
             drain_grace: Duration::from_secs(5),
-            drain_limit: Duration::from_secs(60),
+            drain_limit: Duration::from_mins(1),
             connections: 4_096,
             body_limit: 4 << 20,
             seed: None,
