--- /dev/null
+++ b/crates/tanagerhub_traffic/src/crash_table.rs
@@ -0,0 +1,238 @@
+//! Requests that crash the back ends that run them.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
+use tanagerhub_catalogue::{Epoch, GroupId, IdHex};
+use tanagerhub_clock::Moment;
+
+/// Crashes after which a request is refused.
+const STRIKES: u32 = 2;
+/// How long a break waits for control to confirm that the group crashed.
+const CONFIRMATION: Duration = Duration::from_secs(15);
+/// Fingerprints held at most.
+const CAPACITY: usize = 4_096;
+
+/// Counts crashes by the fingerprint of the requests that ran.
+///
+/// A break is a suspicion until control withdraws the group; then it is a strike. Two requests
+/// under suspicion never share a group, so that a second crash has one culprit. A whole answer
+/// clears a request.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use tanagerhub_catalogue::{Epoch, GroupId};
+/// use tanagerhub_clock::Moment;
+/// use tanagerhub_traffic::CrashTable;
+///
+/// let mut table = CrashTable::new(Duration::from_secs(600));
+/// let now = Moment::from_millis(1);
+/// for group in [GroupId(1), GroupId(2)] {
+///     table.suspect(now, 7, group, Epoch(1));
+///     table.confirm(now, group, Epoch(1));
+/// }
+/// assert!(table.refused(now, 7).is_some());
+/// ```
+#[derive(Debug)]
+pub struct CrashTable {
+    quarantine: Duration,
+    records: HashMap<u64, Record>,
+}
+
+#[derive(Debug, Default)]
+struct Record {
+    strikes: u32,
+    struck: Moment,
+    pending: Vec<Suspicion>,
+}
+
+/// A break that control has yet to confirm as a crash.
+#[derive(Debug)]
+struct Suspicion {
+    group: GroupId,
+    epoch: Epoch,
+    since: Moment,
+}
+
+/// What a node tells others of a crashing request.
+#[serde_as]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashFact {
+    /// The request's fingerprint.
+    #[serde_as(as = "IdHex")]
+    pub fingerprint: u64,
+    /// Crashes that followed it.
+    pub strikes: u32,
+    /// Time since the last of them.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "age_ms")]
+    pub age: Duration,
+}
+
+impl CrashTable {
+    /// Starts an empty table that refuses a crashing request for `quarantine`.
+    #[must_use]
+    pub fn new(quarantine: Duration) -> Self {
+        Self {
+            quarantine,
+            records: HashMap::new(),
+        }
+    }
+
+    /// Notes that a group broke off while it ran a request.
+    pub fn suspect(&mut self, now: Moment, fingerprint: u64, group: GroupId, epoch: Epoch) {
+        self.make_room(now, fingerprint);
+        let record = self.records.entry(fingerprint).or_default();
+        if record.pending.len() < STRIKES as usize {
+            record.pending.push(Suspicion {
+                group,
+                epoch,
+                since: now,
+            });
+        }
+    }
+
+    /// Takes in that a group is not whole any more: what broke off there crashed with it.
+    pub fn confirm(&mut self, now: Moment, group: GroupId, epoch: Epoch) {
+        for record in self.records.values_mut() {
+            record.confirm(now, group, epoch);
+        }
+    }
+
+    /// Clears a request that got a whole answer.
+    pub fn acquit(&mut self, fingerprint: u64) {
+        self.records.remove(&fingerprint);
+    }
+
+    /// Time for which a request is still refused, if it is.
+    #[must_use]
+    pub fn refused(&self, now: Moment, fingerprint: u64) -> Option<Duration> {
+        self.records
+            .get(&fingerprint)?
+            .refused(now, self.quarantine)
+    }
+
+    /// Whether a break or crash has followed this request.
+    #[must_use]
+    pub fn is_suspect(&self, now: Moment, fingerprint: u64) -> bool {
+        self.records
+            .get(&fingerprint)
+            .is_some_and(|record| record.count(now, self.quarantine) > 0)
+    }
+
+    /// What other nodes should know; newest first, at most `limit`.
+    #[must_use]
+    pub fn facts(&self, now: Moment, limit: usize) -> Vec<CrashFact> {
+        let mut facts: Vec<CrashFact> = self
+            .records
+            .iter()
+            .filter(|(_, record)| record.live_strikes(now, self.quarantine) > 0)
+            .map(|(fingerprint, record)| CrashFact {
+                fingerprint: *fingerprint,
+                strikes: record.strikes,
+                age: now.since(record.struck),
+            })
+            .collect();
+        facts.sort_unstable_by_key(|fact| (fact.age, fact.fingerprint));
+        facts.truncate(limit);
+        facts
+    }
+
+    /// Takes in what another node saw; counts are merged by the higher one.
+    pub fn learn(&mut self, now: Moment, fact: CrashFact) {
+        if fact.age >= self.quarantine {
+            return;
+        }
+        self.make_room(now, fact.fingerprint);
+        let record = self.records.entry(fact.fingerprint).or_default();
+        record.strikes = record.strikes.max(fact.strikes);
+        record.struck = record.struck.max(now.before(fact.age));
+    }
+
+    /// Clears one request, on an operator's word; says whether it was held.
+    pub fn clear(&mut self, fingerprint: u64) -> bool {
+        self.records.remove(&fingerprint).is_some()
+    }
+
+    /// Drops what has expired.
+    pub fn expire(&mut self, now: Moment) {
+        let quarantine = self.quarantine;
+        self.records
+            .retain(|_, record| record.count(now, quarantine) > 0);
+    }
+
+    /// Fingerprints held.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Whether no fingerprint is held.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Makes room for a new fingerprint; the least recently struck gives way.
+    fn make_room(&mut self, now: Moment, fingerprint: u64) {
+        if self.records.len() < CAPACITY || self.records.contains_key(&fingerprint) {
+            return;
+        }
+        self.expire(now);
+        if self.records.len() < CAPACITY {
+            return;
+        }
+        let weakest = self
+            .records
+            .iter()
+            .min_by_key(|(id, record)| (record.strikes, record.struck, **id))
+            .map(|(id, _)| *id);
+        if let Some(weakest) = weakest {
+            self.records.remove(&weakest);
+        }
+    }
+}
+
+impl Record {
+    fn confirm(&mut self, now: Moment, group: GroupId, epoch: Epoch) {
+        let fits = |it: &Suspicion| it.group == group && it.epoch == epoch;
+        let live = |it: &Suspicion| now.since(it.since) < CONFIRMATION;
+        if self.pending.iter().any(|it| fits(it) && live(it)) {
+            self.strikes += 1;
+            self.struck = now;
+        }
+        self.pending.retain(|it| !fits(it) && live(it));
+    }
+
+    fn live_strikes(&self, now: Moment, quarantine: Duration) -> u32 {
+        if now.since(self.struck) < quarantine {
+            self.strikes
+        } else {
+            0
+        }
+    }
+
+    fn pending(&self, now: Moment) -> u32 {
+        let live = |it: &&Suspicion| now.since(it.since) < CONFIRMATION;
+        u32::try_from(self.pending.iter().filter(live).count()).unwrap_or(u32::MAX)
+    }
+
+    fn count(&self, now: Moment, quarantine: Duration) -> u32 {
+        self.live_strikes(now, quarantine) + self.pending(now)
+    }
+
+    fn refused(&self, now: Moment, quarantine: Duration) -> Option<Duration> {
+        if self.live_strikes(now, quarantine) >= STRIKES {
+            return Some(quarantine.saturating_sub(now.since(self.struck)));
+        }
+        if self.count(now, quarantine) < STRIKES {
+            return None;
+        }
+        let newest = self.pending.iter().map(|it| it.since).max()?;
+        Some(CONFIRMATION.saturating_sub(now.since(newest)))
+    }
+}
--- /dev/null
+++ b/crates/tanagerhub_traffic/src/entry_state.rs
@@ -0,0 +1,72 @@
+//! One catalogue entry as this node serves it.
+
+use std::time::Duration;
+
+use tanagerhub_catalogue::{Class, Entry, Limits};
+use tanagerhub_clock::Moment;
+
+use crate::average::Average;
+use crate::in_flight::RequestKey;
+use crate::{FairQueue, RetryBudget, TrafficSettings};
+
+/// One entry's queue, budget and averages.
+#[derive(Debug)]
+pub(crate) struct EntryState {
+    pub(crate) limits: Limits,
+    pub(crate) class: Class,
+    pub(crate) queue: FairQueue<RequestKey>,
+    pub(crate) budget: RetryBudget,
+    /// Seconds from dispatch to first byte.
+    pub(crate) first_byte: Average,
+    /// Seconds from dispatch to the end.
+    pub(crate) service: Average,
+    /// Requests dispatched and not ended.
+    pub(crate) running: u32,
+}
+
+/// How many usual waits for a first byte pass before a hedge.
+const HEDGE_FACTOR: f64 = 3.0;
+
+impl EntryState {
+    pub(crate) fn new(entry: &Entry, settings: &TrafficSettings) -> Self {
+        Self {
+            limits: entry.limits.clone(),
+            class: entry.class,
+            queue: FairQueue::default(),
+            budget: RetryBudget::new(settings.retry_ratio, settings.retry_burst),
+            first_byte: Average::default(),
+            service: Average::default(),
+            running: 0,
+        }
+    }
+
+    /// How long a request would wait behind this many others.
+    pub(crate) fn expected_wait(&self, ahead: f64) -> Duration {
+        let Some(service) = self.service.get() else {
+            return Duration::ZERO;
+        };
+        let seconds = (ahead + 1.0) * service / f64::from(self.running.max(1));
+        Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+    }
+
+    /// The usual time from dispatch to the end of an answer.
+    pub(crate) fn service_time(&self) -> Duration {
+        let seconds = self.service.get().unwrap_or(0.0);
+        Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+    }
+
+    /// When a waiting request could no longer be answered in time.
+    pub(crate) fn give_up_at(&self, now: Moment, deadline: Moment) -> Moment {
+        let left = deadline.since(now);
+        deadline.before(self.service_time().min(left / 2))
+    }
+
+    /// How long after dispatch a hedge is worth its cost.
+    pub(crate) fn hedge_delay(&self, floor: Duration) -> Duration {
+        let usual = self.first_byte.get().unwrap_or(0.0) * HEDGE_FACTOR;
+        Duration::try_from_secs_f64(usual)
+            .unwrap_or(Duration::MAX)
+            .max(floor)
+            .min(self.limits.first_byte)
+    }
+}
--- /dev/null
+++ b/crates/tanagerhub_traffic/src/in_flight.rs
@@ -0,0 +1,71 @@
+//! Requests and attempts that this node holds.
+
+use slotmap::new_key_type;
+use smallvec::SmallVec;
+use tanagerhub_clock::Moment;
+
+use crate::groups::GroupKey;
+use crate::{AttemptKey, Outcome, Place, RequestInfo};
+
+new_key_type! {
+    /// A request in the arena.
+    pub(crate) struct RequestKey;
+}
+
+/// An accepted request.
+#[derive(Debug)]
+pub(crate) struct Request {
+    pub(crate) info: RequestInfo,
+    pub(crate) place: Place,
+    /// Attempts that still run: one, or two with a hedge.
+    pub(crate) attempts: SmallVec<[AttemptKey; 2]>,
+    /// Groups that failed it.
+    pub(crate) tried: SmallVec<[GroupKey; 4]>,
+    /// Its number in the queue while it waits.
+    pub(crate) queued: Option<u64>,
+    /// The worst that is known of its failed attempts.
+    pub(crate) outcome: Outcome,
+    /// Attempts sent so far.
+    pub(crate) sent: u32,
+    /// Tokens that the caller has.
+    pub(crate) tokens: u32,
+    /// Whether the next attempt needs a connection that nobody used before.
+    pub(crate) fresh: bool,
+}
+
+impl Request {
+    pub(crate) fn new(info: RequestInfo, place: Place) -> Self {
+        Self {
+            info,
+            place,
+            attempts: SmallVec::new(),
+            tried: SmallVec::new(),
+            queued: None,
+            outcome: Outcome::NotRun,
+            sent: 0,
+            tokens: 0,
+            fresh: false,
+        }
+    }
+
+    /// Takes in what is known of one more failed attempt.
+    pub(crate) fn worsen(&mut self, outcome: Outcome) {
+        self.outcome = match (self.outcome, outcome) {
+            (Outcome::Ran, _) | (_, Outcome::Ran) => Outcome::Ran,
+            (Outcome::Unknown, _) | (_, Outcome::Unknown) => Outcome::Unknown,
+            (Outcome::NotRun, Outcome::NotRun) => Outcome::NotRun,
+        };
+    }
+}
+
+/// One try of a request at one group.
+#[derive(Debug)]
+pub(crate) struct Attempt {
+    pub(crate) request: RequestKey,
+    pub(crate) group: GroupKey,
+    pub(crate) started: Moment,
+    pub(crate) answered: bool,
+    /// Whether it counts among the group's suspects.
+    pub(crate) suspect: bool,
+    pub(crate) hedge: bool,
+}
--- a/crates/tanagerhub_traffic/src/lib.rs
+++ b/crates/tanagerhub_traffic/src/lib.rs
@@ -1,1 +1,37 @@
 //! Traffic decisions: admission, routing, retries and claims.
+//!
+//! Everything here is a state machine without I/O. [`Traffic`] decides on each request of a node;
+//! the edge submits requests, carries out [`Decision`]s and reports what became of attempts.
+
+mod average;
+mod counters;
+mod crash_table;
+mod decision;
+mod drain;
+mod entry_state;
+mod fair_queue;
+mod group;
+mod groups;
+mod in_flight;
+mod organisation_meter;
+mod prefix_index;
+mod rate_limit;
+mod request;
+mod retry_budget;
+mod route_table;
+mod settings;
+mod share;
+mod traffic;
+
+pub use counters::Counters;
+pub use crash_table::{CrashFact, CrashTable};
+pub use decision::{AttemptEvent, AttemptKey, Decision, Dispatch, Next, Outcome, Reason, Refusal};
+pub use drain::{Drain, DrainState};
+pub use fair_queue::{FairQueue, Place, Queued};
+pub use rate_limit::RateLimit;
+pub use request::{Prefixes, Repeat, RequestInfo};
+pub use retry_budget::RetryBudget;
+pub use route_table::{LoadReport, Route, RouteTable};
+pub use settings::TrafficSettings;
+pub use share::{Freshness, Share};
+pub use traffic::{EntryStatus, Fact, GroupStatus, OrganisationStatus, Traffic, TrafficStatus};
--- /dev/null
+++ b/crates/tanagerhub_traffic/src/rate_limit.rs
@@ -0,0 +1,93 @@
+//! A rate limit that may run into debt once.
+
+use std::time::Duration;
+
+use tanagerhub_clock::Moment;
+
+/// The longest time for which unused rate is kept.
+const BURST: Duration = Duration::from_secs(1);
+
+/// A token bucket that admits while it is not in debt.
+///
+/// The last admission may exceed what is left, so that work larger than the burst is possible;
+/// the debt is then paid off before the next one.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use tanagerhub_clock::Moment;
+/// use tanagerhub_traffic::RateLimit;
+///
+/// let mut limit = RateLimit::new(Moment::ZERO, 10.0);
+/// assert!(limit.take(Moment::ZERO, 30.0).is_ok());
+/// let wait = limit.take(Moment::ZERO, 1.0).unwrap_err();
+/// assert_eq!(wait, Duration::from_secs(2));
+/// ```
+#[derive(Debug, Clone)]
+pub struct RateLimit {
+    rate: f64,
+    level: f64,
+    filled: Moment,
+}
+
+impl RateLimit {
+    /// Starts with a full burst at `rate` units a second.
+    #[must_use]
+    pub fn new(now: Moment, rate: f64) -> Self {
+        Self {
+            rate,
+            level: burst(rate),
+            filled: now,
+        }
+    }
+
+    /// Changes the rate.
+    pub fn set_rate(&mut self, now: Moment, rate: f64) {
+        self.fill(now);
+        self.rate = rate;
+        self.level = self.level.min(burst(rate));
+    }
+
+    /// Says whether anything would be admitted.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time until the debt is paid off.
+    pub fn check(&mut self, now: Moment) -> Result<(), Duration> {
+        self.fill(now);
+        if self.level > 0.0 {
+            return Ok(());
+        }
+        if self.rate <= 0.0 {
+            return Err(Duration::MAX);
+        }
+        Err(Duration::try_from_secs_f64(-self.level / self.rate).unwrap_or(Duration::MAX))
+    }
+
+    /// Admits `cost` units.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time until the debt is paid off.
+    pub fn take(&mut self, now: Moment, cost: f64) -> Result<(), Duration> {
+        self.check(now)?;
+        self.level -= cost;
+        Ok(())
+    }
+
+    /// Gives back units that were admitted and not used.
+    pub fn give_back(&mut self, cost: f64) {
+        self.level = (self.level + cost).min(burst(self.rate));
+    }
+
+    fn fill(&mut self, now: Moment) {
+        let gained = now.since(self.filled).as_secs_f64() * self.rate;
+        self.level = (self.level + gained).min(burst(self.rate));
+        self.filled = self.filled.max(now);
+    }
+}
+
+fn burst(rate: f64) -> f64 {
+    rate * BURST.as_secs_f64()
+}
--- /dev/null
+++ b/crates/tanagerhub_traffic/src/share.rs
@@ -0,0 +1,111 @@
+//! This node's share of limits that hold over all nodes.
+
+use std::time::Duration;
+
+use serde::Serialize;
+use tanagerhub_clock::Moment;
+
+/// How long fewer live nodes must be seen before a share grows.
+const GROWTH_DELAY: Duration = Duration::from_secs(10);
+
+/// This node's share of a limit.
+///
+/// # Examples
+///
+/// ```
+/// use tanagerhub_traffic::Share;
+///
+/// let shares: Vec<Share> = (0..3).map(|place| Share { nodes: 3, place }).collect();
+/// let counts: u32 = shares.iter().map(|share| share.count(10)).sum();
+/// assert_eq!(counts, 10);
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub struct Share {
+    /// Nodes that share.
+    pub nodes: u32,
+    /// This node's place among them, from zero.
+    pub place: u32,
+}
+
+impl Share {
+    /// The share of a rate.
+    #[must_use]
+    pub fn rate(self, limit: f64) -> f64 {
+        limit / f64::from(self.nodes.max(1))
+    }
+
+    /// The share of a count; the shares of all places add up to the limit.
+    #[must_use]
+    pub const fn count(self, limit: u32) -> u32 {
+        let nodes = if self.nodes == 0 { 1 } else { self.nodes };
+        let extra = if self.place < limit % nodes { 1 } else { 0 };
+        limit / nodes + extra
+    }
+}
+
+/// What membership says of this node's view.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub struct Freshness {
+    /// Whether the view is fresh enough to take new work.
+    pub takes_work: bool,
+    /// Nodes that take work, this one included.
+    pub live_nodes: u32,
+    /// This node's place among them in the order of ids, from zero.
+    pub place: u32,
+}
+
+/// Turns the live view into a share that shrinks at once and grows late.
+#[derive(Debug, Clone)]
+pub(crate) struct ShareView {
+    slots: u32,
+    share: Share,
+    wanted: Option<(Share, Moment)>,
+}
+
+impl ShareView {
+    /// Starts with the share among all slots.
+    pub(crate) fn new(slots: u32) -> Self {
+        let slots = slots.max(1);
+        Self {
+            slots,
+            share: Share {
+                nodes: slots,
+                place: slots - 1,
+            },
+            wanted: None,
+        }
+    }
+
+    /// Takes in the live view; says whether the share changed.
+    ///
+    /// A minority counts as a majority, so that the two sides of a partition together never use
+    /// more than twice a limit.
+    pub(crate) fn observe(&mut self, now: Moment, view: &Freshness) -> bool {
+        let nodes = view.live_nodes.max(self.slots / 2 + 1);
+        let wanted = Share {
+            nodes,
+            place: view.place.min(nodes - 1),
+        };
+        if wanted == self.share {
+            self.wanted = None;
+            return false;
+        }
+        let since = match self.wanted {
+            Some((share, since)) if share == wanted => since,
+            _ => now,
+        };
+        self.wanted = Some((wanted, since));
+        let grows = wanted.nodes <= self.share.nodes;
+        if grows && now.since(since) < GROWTH_DELAY {
+            return false;
+        }
+        self.share = wanted;
+        self.wanted = None;
+        true
+    }
+
+    /// The share in force.
+    pub(crate) const fn share(&self) -> Share {
+        self.share
+    }
+}
--- /dev/null
+++ b/crates/tanagerhub_traffic/src/traffic.rs
@@ -0,0 +1,283 @@
+//! The traffic decisions of one node.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use slotmap::SlotMap;
+use tanagerhub_catalogue::{Catalogue, EntryId, Epoch, GroupId, OrganisationId, RequestId};
+use tanagerhub_clock::Moment;
+
+use crate::entry_state::EntryState;
+use crate::groups::Groups;
+use crate::in_flight::{Attempt, Request, RequestKey};
+use crate::organisation_meter::OrganisationMeter;
+use crate::share::ShareView;
+use crate::{
+    AttemptKey, Counters, CrashTable, Decision, Drain, DrainState, Freshness, RouteTable,
+    TrafficSettings,
+};
+
+mod admission;
+mod dispatch;
+mod queueing;
+mod reports;
+mod status;
+
+pub use status::{EntryStatus, GroupStatus, OrganisationStatus, TrafficStatus};
+
+/// The traffic decisions of one node: admission, routing, waiting and retries.
+///
+/// Everything is driven by the edge. After each call that may free a group or change the view
+/// ([`report`](Self::report), [`routes`](Self::routes), [`leave`](Self::leave)), and at
+/// [`next_wakeup`](Self::next_wakeup), the edge calls [`poll`](Self::poll).
+///
+/// # Examples
+///
+/// ```
+/// use std::sync::Arc;
+/// use tanagerhub_catalogue::{
+///     Catalogue, Class, Entry, EntryId, EntryKind, Epoch, GroupId, Limits, OrganisationId,
+///     RequestId, ServiceEntry,
+/// };
+/// use tanagerhub_clock::Moment;
+/// use tanagerhub_traffic::{
+///     AttemptEvent, Decision, Freshness, Next, RequestInfo, Route, RouteTable, Traffic,
+///     TrafficSettings,
+/// };
+///
+/// let now = Moment::from_millis(1);
+/// let advisor = Entry {
+///     name: "advisor".to_owned(),
+///     owner: "fit".to_owned(),
+///     class: Class::Interactive,
+///     limits: Limits::default(),
+///     kind: EntryKind::Service(ServiceEntry { routes: Vec::new(), deduplicates: false }),
+/// };
+/// let catalogue = Catalogue { entries: vec![advisor], ..Catalogue::default() };
+/// let entry = EntryId::of("advisor");
+/// let mut traffic = Traffic::new(TrafficSettings::default(), 7);
+/// traffic.catalogue(now, &Arc::new(catalogue));
+/// traffic.freshness(now, Freshness { takes_work: true, live_nodes: 1, place: 0 });
+/// let address = "127.0.0.1:9000".parse()?;
+/// let route = Route::new(GroupId(1), Epoch(1), entry, address);
+/// traffic.routes(now, RouteTable { routes: vec![route] });
+///
+/// let info = RequestInfo::new(RequestId(5), OrganisationId::of("shop"), entry)
+///     .deadline(Moment::from_millis(30_000));
+/// let Decision::Dispatch(dispatch) = traffic.submit(now, info) else {
+///     panic!("an idle group takes the request");
+/// };
+/// assert_eq!(dispatch.group, GroupId(1));
+/// let next = traffic.report(now, dispatch.attempt, AttemptEvent::Finished { tokens: 9 });
+/// assert_eq!(next, Next::Done);
+/// # Ok::<(), Box<dyn std::error::Error>>(())
+/// ```
+#[derive(Debug)]
+pub struct Traffic {
+    settings: TrafficSettings,
+    random: ChaCha8Rng,
+    catalogue: Arc<Catalogue>,
+    entries: HashMap<EntryId, EntryState>,
+    organisations: HashMap<OrganisationId, OrganisationMeter>,
+    weights: HashMap<OrganisationId, u32>,
+    groups: Groups,
+    requests: SlotMap<RequestKey, Request>,
+    attempts: SlotMap<AttemptKey, Attempt>,
+    waiting: HashMap<RequestId, RequestKey>,
+    timers: BinaryHeap<Reverse<(Moment, Timer)>>,
+    ready: Vec<(RequestId, Decision)>,
+    facts: Vec<Fact>,
+    crashes: CrashTable,
+    takes_work: bool,
+    share: ShareView,
+    drain: Drain,
+    counters: Counters,
+}
+
+/// Facts kept for control at most.
+const FACTS_LIMIT: usize = 4_096;
+
+/// Something due at a moment; it is void when what it names has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Timer {
+    GiveUp(RequestKey, u64),
+    Hedge(AttemptKey),
+}
+
+/// What traffic saw of a group, for control.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fact {
+    /// The group is in cold start, though control showed it warm.
+    Cold {
+        /// The group.
+        group: GroupId,
+        /// Its epoch.
+        epoch: Epoch,
+    },
+    /// A connection to the group failed or broke off.
+    Failed {
+        /// The group.
+        group: GroupId,
+        /// Its epoch.
+        epoch: Epoch,
+    },
+    /// The group sent a token, so every member took part in a step.
+    Answered {
+        /// The group.
+        group: GroupId,
+        /// Its epoch.
+        epoch: Epoch,
+    },
+}
+
+impl Traffic {
+    /// Starts with an empty view, which takes no work.
+    #[must_use]
+    pub fn new(settings: TrafficSettings, seed: u64) -> Self {
+        Self {
+            random: ChaCha8Rng::seed_from_u64(seed),
+            catalogue: Arc::default(),
+            entries: HashMap::new(),
+            organisations: HashMap::new(),
+            weights: HashMap::new(),
+            groups: Groups::new(&settings),
+            requests: SlotMap::with_key(),
+            attempts: SlotMap::with_key(),
+            waiting: HashMap::new(),
+            timers: BinaryHeap::new(),
+            ready: Vec::new(),
+            facts: Vec::new(),
+            crashes: CrashTable::new(settings.quarantine),
+            takes_work: false,
+            share: ShareView::new(settings.nodes),
+            drain: Drain::default(),
+            counters: Counters::default(),
+            settings,
+        }
+    }
+
+    /// Takes in a newer catalogue.
+    pub fn catalogue(&mut self, now: Moment, catalogue: &Arc<Catalogue>) {
+        self.catalogue = Arc::clone(catalogue);
+        for entry in &catalogue.entries {
+            let state = self
+                .entries
+                .entry(entry.id())
+                .or_insert_with(|| EntryState::new(entry, &self.settings));
+            state.limits.clone_from(&entry.limits);
+            state.class = entry.class;
+        }
+        self.weights = catalogue
+            .organisations
+            .iter()
+            .map(|organisation| (organisation.id(), organisation.weight))
+            .collect();
+        self.drop_entries(catalogue);
+        self.configure_meters(now);
+    }
+
+    /// Takes in control's view of the groups.
+    pub fn routes(&mut self, now: Moment, table: RouteTable) {
+        let before: Vec<(GroupId, Epoch)> = self.whole_groups().collect();
+        self.groups.update(now, table);
+        for (group, epoch) in before {
+            if !self.is_whole(group, epoch) {
+                self.crashes.confirm(now, group, epoch);
+            }
+        }
+    }
+
+    /// Takes in whether the node's view is fresh, and how many nodes share the limits.
+    pub fn freshness(&mut self, now: Moment, view: Freshness) {
+        self.takes_work = view.takes_work;
+        if self.share.observe(now, &view) {
+            self.configure_meters(now);
+        }
+    }
+
+    /// Begins a graceful shutdown; new requests are still accepted for `grace`.
+    pub fn begin_drain(&mut self, now: Moment, grace: Duration) {
+        self.drain.begin(now, grace);
+    }
+
+    /// How far a graceful shutdown has come.
+    #[must_use]
+    pub fn drain_state(&self, now: Moment) -> DrainState {
+        self.drain.state(now, self.requests.len())
+    }
+
+    /// The table of requests that crash back ends.
+    pub const fn crashes(&mut self) -> &mut CrashTable {
+        &mut self.crashes
+    }
+
+    /// Takes what was seen of groups since the last call.
+    pub fn take_facts(&mut self) -> Vec<Fact> {
+        std::mem::take(&mut self.facts)
+    }
+
+    /// Takes in an engine's cache event; late and lost ones do no harm.
+    pub fn cache_event(&mut self, group: GroupId, prefix: u64, held: bool) {
+        let Some(key) = self.groups.key(group) else {
+            return;
+        };
+        if held {
+            self.groups.prefixes.insert(prefix, key);
+        } else {
+            self.groups.prefixes.remove(prefix, key);
+        }
+    }
+
+    /// What was counted since the start.
+    #[must_use]
+    pub const fn counters(&self) -> &Counters {
+        &self.counters
+    }
+
+    /// Drops entries that the catalogue no longer has, once nothing waits or runs there.
+    fn drop_entries(&mut self, catalogue: &Catalogue) {
+        self.entries.retain(|id, state| {
+            catalogue.entry(*id).is_some() || state.running > 0 || !state.queue.is_empty()
+        });
+    }
+
+    fn configure_meters(&mut self, now: Moment) {
+        let share = self.share.share();
+        for organisation in &self.catalogue.organisations {
+            self.organisations
+                .entry(organisation.id())
+                .or_default()
+                .configure(now, &organisation.limits, share);
+        }
+        let catalogue = Arc::clone(&self.catalogue);
+        self.organisations
+            .retain(|id, meter| meter.active() > 0 || catalogue.organisation(*id).is_some());
+    }
+
+    /// Keeps a fact for control; the oldest give way when nobody takes them.
+    fn tell(&mut self, fact: Fact) {
+        if self.facts.len() >= FACTS_LIMIT {
+            self.facts.drain(..FACTS_LIMIT / 2);
+        }
+        self.facts.push(fact);
+    }
+
+    fn whole_groups(&self) -> impl Iterator<Item = (GroupId, Epoch)> {
+        self.groups
+            .arena
+            .values()
+            .filter(|group| group.route.eligible)
+            .map(|group| (group.route.group, group.route.epoch))
+    }
+
+    fn is_whole(&self, group: GroupId, epoch: Epoch) -> bool {
+        self.groups
+            .key(group)
+            .and_then(|key| self.groups.arena.get(key))
+            .is_some_and(|group| group.route.eligible && group.route.epoch == epoch)
+    }
+}
--- /dev/null
+++ b/crates/tanagerhub_traffic/src/traffic/admission.rs
@@ -0,0 +1,157 @@
+//! Whether a request is accepted.
+
+use std::time::Duration;
+
+use tanagerhub_clock::Moment;
+
+use super::Traffic;
+use crate::in_flight::{Request, RequestKey};
+use crate::{Decision, Outcome, Place, Reason, Refusal, RequestInfo};
+
+/// The shortest time that a caller is told to stay away.
+pub(super) const RETRY_FLOOR: Duration = Duration::from_secs(1);
+/// The longest time that a busy entry's caller is told to stay away.
+const RETRY_CEILING: Duration = Duration::from_mins(1);
+
+impl Traffic {
+    /// Decides on a caller's request.
+    ///
+    /// A request that waits is named by a later [`poll`](Self::poll), with a dispatch or a
+    /// refusal. A refused request needs no further call.
+    pub fn submit(&mut self, now: Moment, info: RequestInfo) -> Decision {
+        self.counters.requests += 1;
+        match self.admit(now, &info) {
+            Ok(place) => self.accept(now, info, place),
+            Err(refusal) => self.refuse(refusal),
+        }
+    }
+
+    /// Checks everything that does not depend on the queue, and charges the organisation.
+    fn admit(&mut self, now: Moment, info: &RequestInfo) -> Result<Place, Refusal> {
+        if !self.drain.accepts(now) {
+            return Err(refusal(Reason::ShuttingDown, Some(RETRY_FLOOR)));
+        }
+        if !self.takes_work {
+            return Err(refusal(Reason::Stale, Some(RETRY_FLOOR)));
+        }
+        let Some(entry) = self.entries.get(&info.entry) else {
+            return Err(refusal(Reason::UnknownEntry, None));
+        };
+        if info.deadline <= now {
+            return Err(refusal(Reason::DeadlinePassed, None));
+        }
+        if let Some(wait) = self.crashes.refused(now, info.fingerprint) {
+            return Err(refusal(Reason::Crashes, Some(wait)));
+        }
+        let class = info
+            .class
+            .map_or(entry.class, |class| class.max(entry.class));
+        let place = Place::new(class, info.organisation, info.deadline);
+        self.check_wait(now, info, place)?;
+        self.organisations
+            .entry(info.organisation)
+            .or_default()
+            .admit(now, tokens_of(info))
+            .map_err(|(reason, wait)| refusal(reason, Some(wait.max(RETRY_FLOOR))))?;
+        Ok(place)
+    }
+
+    /// Refuses a request that would wait until it is too late.
+    fn check_wait(&self, now: Moment, info: &RequestInfo, place: Place) -> Result<(), Refusal> {
+        let entry = &self.entries[&info.entry];
+        if entry.queue.is_empty() {
+            return Ok(());
+        }
+        let weight = |id| self.weights.get(&id).copied().unwrap_or(1);
+        let ahead = entry.queue.ahead(place.class, place.organisation, weight);
+        let wait = entry.expected_wait(ahead);
+        let latest = entry.give_up_at(now, info.deadline);
+        if now + wait <= latest {
+            return Ok(());
+        }
+        let excess = wait.saturating_sub(latest.since(now));
+        let retry = excess.clamp(RETRY_FLOOR, RETRY_CEILING);
+        Err(refusal(Reason::Overloaded, Some(retry)))
+    }
+
+    fn accept(&mut self, now: Moment, info: RequestInfo, place: Place) -> Decision {
+        let entry_id = info.entry;
+        let work = info.cost();
+        let weight = self.weight(place.organisation);
+        let key = self.requests.insert(Request::new(info, place));
+        let Some(entry) = self.entries.get_mut(&entry_id) else {
+            return Decision::Wait(now);
+        };
+        entry.budget.deposit();
+        if entry.queue.is_empty()
+            && let Some(dispatch) = self.try_dispatch(now, key, false)
+        {
+            if let Some(entry) = self.entries.get_mut(&entry_id) {
+                entry.queue.charge(place, weight, work);
+            }
+            return Decision::Dispatch(dispatch);
+        }
+        self.enqueue_new(now, key, weight, work)
+    }
+
+    pub(super) fn weight(&self, organisation: tanagerhub_catalogue::OrganisationId) -> u32 {
+        self.weights.get(&organisation).copied().unwrap_or(1)
+    }
+
+    pub(super) fn refuse(&mut self, refusal: Refusal) -> Decision {
+        self.count_refusal(refusal.reason);
+        Decision::Refuse(refusal)
+    }
+
+    const fn count_refusal(&mut self, reason: Reason) {
+        match reason {
+            Reason::RequestRate | Reason::TokenRate | Reason::Concurrency => {
+                self.counters.over_limit += 1;
+            }
+            Reason::Overloaded | Reason::QueueFull | Reason::DeadlinePassed => {
+                self.counters.overloaded += 1;
+            }
+            _ => self.counters.refused += 1,
+        }
+    }
+
+    /// Ends a request: its organisation gets back what was not used.
+    pub(super) fn end_request(&mut self, key: RequestKey, used: Option<u32>) -> Option<Request> {
+        let request = self.requests.remove(key)?;
+        let unused = match (used, request.sent) {
+            (Some(tokens), _) => f64::from(request.info.max_tokens.saturating_sub(tokens)),
+            (None, 0) => tokens_of(&request.info),
+            (None, _) => f64::from(request.info.max_tokens.saturating_sub(request.tokens)),
+        };
+        if let Some(meter) = self.organisations.get_mut(&request.info.organisation) {
+            meter.release(unused);
+        }
+        Some(request)
+    }
+}
+
+/// A refusal of a request of which nothing ran.
+pub(super) const fn refusal(reason: Reason, retry_after: Option<Duration>) -> Refusal {
+    Refusal {
+        reason,
+        retry_after,
+        outcome: Outcome::NotRun,
+        status: status_of(reason, Outcome::NotRun),
+    }
+}
+
+/// The HTTP status of an error.
+pub(super) const fn status_of(reason: Reason, outcome: Outcome) -> u16 {
+    match (reason, outcome) {
+        (Reason::UnknownEntry, _) => 404,
+        (Reason::RequestRate | Reason::TokenRate | Reason::Concurrency, _) => 429,
+        (Reason::Crashes, _) => 422,
+        (Reason::DeadlinePassed, _) => 504,
+        (_, Outcome::NotRun) => 503,
+        (_, Outcome::Ran | Outcome::Unknown) => 502,
+    }
+}
+
+fn tokens_of(info: &RequestInfo) -> f64 {
+    f64::from(info.prompt_tokens) + f64::from(info.max_tokens)
+}
--- /dev/null
+++ b/crates/tanagerhub_traffic/src/traffic/dispatch.rs
@@ -0,0 +1,120 @@
+//! Sending a request to a group.
+
+use std::cmp::Reverse;
+
+use tanagerhub_catalogue::Class;
+use tanagerhub_clock::Moment;
+
+use super::{Timer, Traffic};
+use crate::groups::{Choice, Wish};
+use crate::in_flight::{Attempt, RequestKey};
+use crate::{AttemptKey, Dispatch, Repeat};
+
+impl Traffic {
+    /// Sends a request if a group has room.
+    pub(super) fn try_dispatch(
+        &mut self,
+        now: Moment,
+        key: RequestKey,
+        hedge: bool,
+    ) -> Option<Dispatch> {
+        if !self.takes_work {
+            return None;
+        }
+        let request = self.requests.get(key)?;
+        let entry = self.entries.get(&request.info.entry)?;
+        let suspect = self.crashes.is_suspect(now, request.info.fingerprint);
+        let wish = Wish {
+            entry: request.info.entry,
+            limit: entry.limits.concurrency,
+            prefixes: &request.info.prefixes,
+            tried: &request.tried,
+            suspect,
+            usual: entry.first_byte.get(),
+        };
+        let live = self.share.share().nodes;
+        let choice = self.groups.pick(now, live, &wish, &mut self.random)?;
+        let dispatch = self.start(now, key, choice, suspect, hedge);
+        self.count_dispatch(key, choice);
+        self.arm_hedge(now, key, dispatch?.attempt);
+        dispatch
+    }
+
+    fn start(
+        &mut self,
+        now: Moment,
+        key: RequestKey,
+        choice: Choice,
+        suspect: bool,
+        hedge: bool,
+    ) -> Option<Dispatch> {
+        let request = self.requests.get_mut(key)?;
+        let entry = self.entries.get_mut(&request.info.entry)?;
+        let group = self.groups.arena.get_mut(choice.group)?;
+        group.start(suspect);
+        entry.running += 1;
+        let attempt = self.attempts.insert(Attempt {
+            request: key,
+            group: choice.group,
+            started: now,
+            answered: false,
+            suspect,
+            hedge,
+        });
+        request.attempts.push(attempt);
+        request.sent += 1;
+        Some(Dispatch {
+            attempt,
+            request: request.info.id,
+            group: group.route.group,
+            epoch: group.route.epoch,
+            address: group.route.address,
+            priority: priority(request.place.class),
+            first_byte_by: (now + entry.limits.first_byte).min(request.info.deadline),
+            stall: self.settings.stall,
+            fresh_connection: request.fresh || request.info.repeat == Repeat::Never,
+            resume_at: request.tokens,
+            hedge,
+        })
+    }
+
+    fn count_dispatch(&mut self, key: RequestKey, choice: Choice) {
+        self.counters.attempts += 1;
+        let Some(request) = self.requests.get(key) else {
+            return;
+        };
+        if !request.info.prefixes.is_empty() {
+            self.counters.prefix_lookups += 1;
+            self.counters.prefix_hits += u64::from(choice.blocks > 0);
+        }
+        if request.tokens > 0 {
+            self.counters.resumed += 1;
+        }
+    }
+
+    /// Sets a timer for a second attempt of short work that may be repeated.
+    fn arm_hedge(&mut self, now: Moment, key: RequestKey, attempt: AttemptKey) {
+        let Some(request) = self.requests.get(key) else {
+            return;
+        };
+        let first = request.attempts.len() == 1 && request.tokens == 0;
+        let short = request.info.max_tokens <= self.settings.hedge_tokens;
+        if !first || !short || request.info.repeat == Repeat::Never {
+            return;
+        }
+        let Some(entry) = self.entries.get(&request.info.entry) else {
+            return;
+        };
+        let at = now + entry.hedge_delay(self.settings.hedge_floor);
+        self.timers.push(Reverse((at, Timer::Hedge(attempt))));
+    }
+}
+
+/// The engines' priority of a class; 0 goes first.
+const fn priority(class: Class) -> u8 {
+    match class {
+        Class::Interactive => 0,
+        Class::Standard => 1,
+        Class::Batch => 2,
+    }
+}
--- /dev/null
+++ b/crates/tanagerhub_traffic/src/traffic/queueing.rs
@@ -0,0 +1,247 @@
+//! Requests that wait for a group.
+
+use std::cmp::Reverse;
+
+use tanagerhub_catalogue::{EntryId, RequestId};
+use tanagerhub_clock::Moment;
+
+use super::admission::{RETRY_FLOOR, refusal, status_of};
+use super::{Timer, Traffic};
+use crate::in_flight::RequestKey;
+use crate::{AttemptKey, Decision, Outcome, Reason, Refusal};
+
+/// Waiting requests that may be passed by others because no group fits just them.
+const PASSED_LIMIT: usize = 8;
+
+impl Traffic {
+    /// Decides on requests that wait, and on hedges.
+    ///
+    /// Names each request that can now be sent or is refused.
+    pub fn poll(&mut self, now: Moment) -> Vec<(RequestId, Decision)> {
+        self.fire_timers(now);
+        if !self.takes_work {
+            self.refuse_waiting();
+        }
+        let entries: Vec<EntryId> = self
+            .entries
+            .iter()
+            .filter(|(_, state)| !state.queue.is_empty())
+            .map(|(id, _)| *id)
+            .collect();
+        for entry in entries {
+            self.serve_queue(now, entry);
+        }
+        std::mem::take(&mut self.ready)
+    }
+
+    /// When [`poll`](Self::poll) has something to do at the latest, if nothing else happens.
+    #[must_use]
+    pub fn next_wakeup(&self) -> Option<Moment> {
+        if !self.ready.is_empty() {
+            return Some(Moment::ZERO);
+        }
+        self.timers.peek().map(|Reverse((at, _))| *at)
+    }
+
+    /// Takes out a request that waits, because its caller left; says whether it waited.
+    pub fn leave(&mut self, request: RequestId) -> bool {
+        let Some(key) = self.waiting.get(&request).copied() else {
+            return false;
+        };
+        self.unqueue(key);
+        self.end_request(key, None);
+        self.counters.left += 1;
+        true
+    }
+
+    pub(super) fn enqueue_new(
+        &mut self,
+        now: Moment,
+        key: RequestKey,
+        weight: u32,
+        work: f64,
+    ) -> Decision {
+        let share = self.share.share();
+        let request = &self.requests[key];
+        let (id, place) = (request.info.id, request.place);
+        let Some(entry) = self.entries.get_mut(&request.info.entry) else {
+            return Decision::Wait(now);
+        };
+        let limit = share.count(entry.limits.queue).max(1) as usize;
+        let number = entry.queue.push(place, weight, work, key);
+        let evicted = if entry.queue.len() > limit {
+            let weights = &self.weights;
+            let weight = |id| weights.get(&id).copied().unwrap_or(1);
+            entry.queue.evict(place.class, weight)
+        } else {
+            None
+        };
+        let until = entry.give_up_at(now, place.deadline);
+        let retry = entry.expected_wait(0.0).max(RETRY_FLOOR);
+        self.requests[key].queued = Some(number);
+        self.counters.queued += 1;
+        let full = refusal(Reason::QueueFull, Some(retry));
+        match evicted {
+            Some(evicted) if evicted == key => {
+                self.end_request(key, None);
+                return self.refuse(full);
+            }
+            Some(evicted) => self.refuse_waiter(evicted, full),
+            None => {}
+        }
+        self.waiting.insert(id, key);
+        self.timers
+            .push(Reverse((until, Timer::GiveUp(key, number))));
+        Decision::Wait(until)
+    }
+
+    /// Lets a request whose attempt failed wait for its next one; `None` when it is too late.
+    pub(super) fn enqueue_again(&mut self, now: Moment, key: RequestKey) -> Option<Moment> {
+        let request = self.requests.get_mut(key)?;
+        let entry = self.entries.get_mut(&request.info.entry)?;
+        let until = entry.give_up_at(now, request.info.deadline);
+        if until <= now {
+            return None;
+        }
+        let number = entry.queue.push_front(request.place, key);
+        request.queued = Some(number);
+        self.waiting.insert(request.info.id, key);
+        self.timers
+            .push(Reverse((until, Timer::GiveUp(key, number))));
+        Some(until)
+    }
+
+    fn fire_timers(&mut self, now: Moment) {
+        while let Some(Reverse((at, timer))) = self.timers.peek().copied() {
+            if at > now {
+                break;
+            }
+            self.timers.pop();
+            match timer {
+                Timer::GiveUp(key, number) => self.give_up(key, number),
+                Timer::Hedge(attempt) => self.hedge(now, attempt),
+            }
+        }
+    }
+
+    /// Refuses a request that still waits at its last moment.
+    fn give_up(&mut self, key: RequestKey, number: u64) {
+        let waits = self
+            .requests
+            .get(key)
+            .is_some_and(|it| it.queued == Some(number));
+        if !waits {
+            return;
+        }
+        self.unqueue(key);
+        self.refuse_waiter(key, refusal(Reason::DeadlinePassed, Some(RETRY_FLOOR)));
+    }
+
+    /// Sends a second attempt if the first still has no answer and the budget allows it.
+    fn hedge(&mut self, now: Moment, attempt: AttemptKey) {
+        let Some(running) = self.attempts.get(attempt) else {
+            return;
+        };
+        let (key, group) = (running.request, running.group);
+        if running.answered {
+            return;
+        }
+        let Some(request) = self.requests.get_mut(key) else {
+            return;
+        };
+        if request.attempts.len() != 1 {
+            return;
+        }
+        let id = request.info.id;
+        let Some(entry) = self.entries.get_mut(&request.info.entry) else {
+            return;
+        };
+        if !entry.queue.is_empty() || !entry.budget.withdraw_spare() {
+            return;
+        }
+        request.tried.push(group);
+        let dispatch = self.try_dispatch(now, key, true);
+        if let Some(request) = self.requests.get_mut(key) {
+            request.tried.pop();
+        }
+        if let Some(dispatch) = dispatch {
+            self.counters.hedges += 1;
+            self.ready.push((id, Decision::Dispatch(dispatch)));
+        }
+    }
+
+    fn refuse_waiting(&mut self) {
+        let keys: Vec<RequestKey> = self.waiting.values().copied().collect();
+        for key in keys {
+            self.unqueue(key);
+            self.refuse_waiter(key, refusal(Reason::Stale, Some(RETRY_FLOOR)));
+        }
+    }
+
+    /// Sends what can be sent, in the queue's order.
+    fn serve_queue(&mut self, now: Moment, entry: EntryId) {
+        let mut passed = Vec::new();
+        while passed.len() < PASSED_LIMIT {
+            let Some(queued) = self.entries.get_mut(&entry).and_then(|it| it.queue.pop()) else {
+                break;
+            };
+            let key = queued.item;
+            let Some(dispatch) = self.try_dispatch(now, key, false) else {
+                passed.push(queued);
+                if !self.is_particular(now, key) {
+                    break;
+                }
+                continue;
+            };
+            let request = &mut self.requests[key];
+            request.queued = None;
+            let id = request.info.id;
+            self.waiting.remove(&id);
+            self.ready.push((id, Decision::Dispatch(dispatch)));
+        }
+        for queued in passed.into_iter().rev() {
+            if let Some(state) = self.entries.get_mut(&entry) {
+                state.queue.put_back(queued);
+            }
+        }
+    }
+
+    /// Whether only some groups fit this request, so that others may pass it.
+    fn is_particular(&self, now: Moment, key: RequestKey) -> bool {
+        self.requests.get(key).is_some_and(|request| {
+            !request.tried.is_empty() || self.crashes.is_suspect(now, request.info.fingerprint)
+        })
+    }
+
+    /// Takes a request out of its queue.
+    fn unqueue(&mut self, key: RequestKey) {
+        let Some(request) = self.requests.get_mut(key) else {
+            return;
+        };
+        self.waiting.remove(&request.info.id);
+        let Some(number) = request.queued.take() else {
+            return;
+        };
+        if let Some(entry) = self.entries.get_mut(&request.info.entry) {
+            entry.queue.remove(request.place, number);
+        }
+    }
+
+    /// Ends a request that waited; its final answer is due now.
+    fn refuse_waiter(&mut self, key: RequestKey, refusal: Refusal) {
+        let Some(request) = self.end_request(key, None) else {
+            return;
+        };
+        self.waiting.remove(&request.info.id);
+        let outcome = request.outcome;
+        let decision = self.refuse(Refusal {
+            outcome,
+            status: status_of(refusal.reason, outcome),
+            ..refusal
+        });
+        if outcome != Outcome::NotRun {
+            self.count_failure(outcome);
+        }
+        self.ready.push((request.info.id, decision));
+    }
+}
--- /dev/null
+++ b/crates/tanagerhub_traffic/src/traffic/reports.rs
@@ -0,0 +1,316 @@
+//! What becomes of attempts.
+
+use std::time::Duration;
+
+use tanagerhub_clock::Moment;
+
+use super::admission::{RETRY_FLOOR, status_of};
+use super::{Fact, Traffic};
+use crate::in_flight::{Attempt, RequestKey};
+use crate::{AttemptEvent, AttemptKey, Next, Outcome, Reason, Refusal, Repeat};
+
+/// Attempts of one request at most, as long as it makes no progress.
+const ATTEMPTS_LIMIT: u32 = 5;
+/// Tokens beyond the break after which a resumed request is no longer under suspicion.
+const ACQUITTAL_TOKENS: u32 = 16;
+
+/// How an attempt failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Failure {
+    /// No byte of the request can have run.
+    NotRun,
+    /// The connection broke.
+    Broke,
+    /// Something was overdue.
+    TimedOut,
+}
+
+impl Traffic {
+    /// Takes in what became of an attempt, and decides how to go on.
+    ///
+    /// Reports on attempts that have ended are ignored with [`Next::Done`].
+    pub fn report(&mut self, now: Moment, attempt: AttemptKey, event: AttemptEvent) -> Next {
+        if !self.attempts.contains_key(attempt) {
+            return Next::Done;
+        }
+        match event {
+            AttemptEvent::ConnectFailed => self.connect_failed(now, attempt),
+            AttemptEvent::RefusedNotRun => self.refused_not_run(now, attempt),
+            AttemptEvent::Cold => self.cold(now, attempt),
+            AttemptEvent::FirstByte => self.first_byte(now, attempt),
+            AttemptEvent::Token(count) => self.token(now, attempt, count),
+            AttemptEvent::Broke => self.broke(now, attempt),
+            AttemptEvent::TimedOut => self.timed_out(now, attempt),
+            AttemptEvent::Finished { tokens } => self.finished(now, attempt, Some(tokens)),
+            AttemptEvent::Answered => self.finished(now, attempt, None),
+            AttemptEvent::CallerLeft => self.caller_left(attempt),
+        }
+    }
+
+    fn connect_failed(&mut self, now: Moment, key: AttemptKey) -> Next {
+        self.fail_group(now, key);
+        self.fail_attempt(now, key, Failure::NotRun)
+    }
+
+    fn refused_not_run(&mut self, now: Moment, key: AttemptKey) -> Next {
+        if let Some(group) = self.groups.arena.get_mut(self.attempts[key].group) {
+            group.refused();
+        }
+        self.fail_attempt(now, key, Failure::NotRun)
+    }
+
+    fn cold(&mut self, now: Moment, key: AttemptKey) -> Next {
+        if let Some(group) = self.groups.arena.get_mut(self.attempts[key].group)
+            && group.turn_cold(now)
+        {
+            self.counters.turned_cold += 1;
+            let (group, epoch) = (group.route.group, group.route.epoch);
+            self.tell(Fact::Cold { group, epoch });
+        }
+        Next::Continue
+    }
+
+    fn first_byte(&mut self, now: Moment, key: AttemptKey) -> Next {
+        let attempt = &mut self.attempts[key];
+        if attempt.answered {
+            return Next::Continue;
+        }
+        attempt.answered = true;
+        let wait = now.since(attempt.started);
+        let (request, hedge) = (attempt.request, attempt.hedge);
+        if let Some(group) = self.groups.arena.get_mut(attempt.group) {
+            group.first_byte(now, wait);
+        }
+        let Some(held) = self.requests.get(request) else {
+            return Next::Done;
+        };
+        if let Some(entry) = self.entries.get_mut(&held.info.entry) {
+            entry.first_byte.observe(wait.as_secs_f64());
+        }
+        let other = held.attempts.iter().copied().find(|it| *it != key);
+        let Some(other) = other else {
+            return Next::Continue;
+        };
+        if hedge {
+            self.counters.hedge_wins += 1;
+        }
+        self.end_attempt(other);
+        Next::CancelOther(other)
+    }
+
+    fn token(&mut self, now: Moment, key: AttemptKey, count: u32) -> Next {
+        let next = self.first_byte(now, key);
+        self.prove_whole(now, key);
+        let request = self.attempts[key].request;
+        let Some(held) = self.requests.get_mut(request) else {
+            return Next::Done;
+        };
+        let start = held.tokens;
+        held.tokens = held.tokens.max(count);
+        let resumed = held.sent > 1;
+        if resumed && count >= start.saturating_add(ACQUITTAL_TOKENS) {
+            let fingerprint = held.info.fingerprint;
+            self.crashes.acquit(fingerprint);
+        }
+        next
+    }
+
+    /// Tells control that a token proves the group whole.
+    fn prove_whole(&mut self, now: Moment, key: AttemptKey) {
+        if let Some(group) = self.groups.arena.get_mut(self.attempts[key].group)
+            && group.proves_whole(now)
+        {
+            let (group, epoch) = (group.route.group, group.route.epoch);
+            self.tell(Fact::Answered { group, epoch });
+        }
+    }
+
+    fn broke(&mut self, now: Moment, key: AttemptKey) -> Next {
+        self.fail_group(now, key);
+        let attempt = &self.attempts[key];
+        if let (Some(request), Some(group)) = (
+            self.requests.get(attempt.request),
+            self.groups.arena.get(attempt.group),
+        ) {
+            let fingerprint = request.info.fingerprint;
+            let (group, epoch) = (group.route.group, group.route.epoch);
+            self.crashes.suspect(now, fingerprint, group, epoch);
+        }
+        self.fail_attempt(now, key, Failure::Broke)
+    }
+
+    fn timed_out(&mut self, now: Moment, key: AttemptKey) -> Next {
+        let attempt = &self.attempts[key];
+        let wait = now.since(attempt.started);
+        if let Some(group) = self.groups.arena.get_mut(attempt.group) {
+            group.timed_out(now, wait);
+        }
+        self.fail_attempt(now, key, Failure::TimedOut)
+    }
+
+    fn finished(&mut self, now: Moment, key: AttemptKey, tokens: Option<u32>) -> Next {
+        let next = self.first_byte(now, key);
+        let Some(attempt) = self.end_attempt(key) else {
+            return Next::Done;
+        };
+        let took = now.since(attempt.started);
+        let Some(request) = self.end_request(attempt.request, tokens) else {
+            return Next::Done;
+        };
+        self.crashes.acquit(request.info.fingerprint);
+        self.counters.finished += 1;
+        if let Some(entry) = self.entries.get_mut(&request.info.entry) {
+            entry.service.observe(took.as_secs_f64());
+        }
+        match next {
+            Next::CancelOther(_) => next,
+            _ => Next::Done,
+        }
+    }
+
+    fn caller_left(&mut self, key: AttemptKey) -> Next {
+        let Some(attempt) = self.end_attempt(key) else {
+            return Next::Done;
+        };
+        let other = self
+            .requests
+            .get(attempt.request)
+            .and_then(|request| request.attempts.first().copied());
+        if let Some(other) = other {
+            self.end_attempt(other);
+        }
+        self.end_request(attempt.request, None);
+        self.counters.left += 1;
+        other.map_or(Next::Done, Next::CancelOther)
+    }
+
+    /// Withdraws a group at once and tells control.
+    fn fail_group(&mut self, now: Moment, key: AttemptKey) {
+        if let Some(group) = self.groups.arena.get_mut(self.attempts[key].group) {
+            group.fail(now);
+            let (group, epoch) = (group.route.group, group.route.epoch);
+            self.tell(Fact::Failed { group, epoch });
+        }
+    }
+
+    /// Ends an attempt and gives its place back.
+    fn end_attempt(&mut self, key: AttemptKey) -> Option<Attempt> {
+        let attempt = self.attempts.remove(key)?;
+        if let Some(group) = self.groups.arena.get_mut(attempt.group) {
+            group.end(attempt.answered, attempt.suspect);
+        }
+        if let Some(request) = self.requests.get_mut(attempt.request) {
+            request.attempts.retain(|it| *it != key);
+            if let Some(entry) = self.entries.get_mut(&request.info.entry) {
+                entry.running = entry.running.saturating_sub(1);
+            }
+        }
+        Some(attempt)
+    }
+
+    /// Ends a failed attempt, and retries the request where that is safe and affordable.
+    fn fail_attempt(&mut self, now: Moment, key: AttemptKey, failure: Failure) -> Next {
+        let Some(attempt) = self.end_attempt(key) else {
+            return Next::Done;
+        };
+        let Some(request) = self.requests.get_mut(attempt.request) else {
+            return Next::Done;
+        };
+        request.worsen(outcome_of(failure, attempt.answered));
+        request.tried.push(attempt.group);
+        request.fresh |= failure == Failure::TimedOut;
+        if !request.attempts.is_empty() {
+            return Next::Done;
+        }
+        match self.why_not_retry(now, attempt.request, failure) {
+            Some(reason) => self.give_up_request(attempt.request, reason),
+            None => self.retry(now, attempt.request),
+        }
+    }
+
+    /// The reason why a request may not be sent again, if there is one.
+    fn why_not_retry(&mut self, now: Moment, key: RequestKey, failure: Failure) -> Option<Reason> {
+        let request = &self.requests[key];
+        let repeat = request.info.repeat;
+        if failure != Failure::NotRun && repeat == Repeat::Never {
+            return Some(Reason::BackendFailed);
+        }
+        if request.tokens > 0 && repeat != Repeat::Resume {
+            return Some(Reason::BrokenAnswer);
+        }
+        if request.info.deadline <= now {
+            return Some(Reason::DeadlinePassed);
+        }
+        if self
+            .crashes
+            .refused(now, request.info.fingerprint)
+            .is_some()
+        {
+            return Some(Reason::Crashes);
+        }
+        if request.sent >= ATTEMPTS_LIMIT || !self.takes_work {
+            return Some(Reason::BackendFailed);
+        }
+        let granted = self
+            .entries
+            .get_mut(&request.info.entry)
+            .is_some_and(|entry| entry.budget.withdraw());
+        if granted {
+            return None;
+        }
+        self.counters.budget_empty += 1;
+        Some(Reason::BackendFailed)
+    }
+
+    fn retry(&mut self, now: Moment, key: RequestKey) -> Next {
+        self.counters.retries += 1;
+        if let Some(dispatch) = self.try_dispatch(now, key, false) {
+            return Next::Retry(dispatch);
+        }
+        if let Some(request) = self.requests.get_mut(key) {
+            request.tried.clear();
+        }
+        match self.enqueue_again(now, key) {
+            Some(until) => Next::Wait(until),
+            None => self.give_up_request(key, Reason::DeadlinePassed),
+        }
+    }
+
+    /// Ends a request that can't go on; its final answer is due now.
+    fn give_up_request(&mut self, key: RequestKey, reason: Reason) -> Next {
+        let Some(request) = self.end_request(key, None) else {
+            return Next::Done;
+        };
+        let outcome = request.outcome;
+        self.count_failure(outcome);
+        Next::Fail(Refusal {
+            reason,
+            retry_after: retry_after(reason, outcome, request.info.repeat),
+            outcome,
+            status: status_of(reason, outcome),
+        })
+    }
+
+    pub(super) const fn count_failure(&mut self, outcome: Outcome) {
+        match outcome {
+            Outcome::NotRun => self.counters.failed_not_run += 1,
+            Outcome::Ran => self.counters.failed_ran += 1,
+            Outcome::Unknown => self.counters.failed_unknown += 1,
+        }
+    }
+}
+
+/// What is known of an attempt that failed this way.
+const fn outcome_of(failure: Failure, answered: bool) -> Outcome {
+    match (failure, answered) {
+        (Failure::NotRun, _) => Outcome::NotRun,
+        (Failure::Broke | Failure::TimedOut, true) => Outcome::Ran,
+        (Failure::Broke | Failure::TimedOut, false) => Outcome::Unknown,
+    }
+}
+
+/// When the caller may ask again; never, where asking again could run the work twice.
+fn retry_after(reason: Reason, outcome: Outcome, repeat: Repeat) -> Option<Duration> {
+    let safe = outcome == Outcome::NotRun || repeat != Repeat::Never;
+    (safe && reason != Reason::Crashes).then_some(RETRY_FLOOR)
+}
