Traffic: claims on idempotency keys, event relay and body check

Cause: at-most-once and whole answers need pure rules that tests can drive. EventRelay numbers tokens by the id field.

--- /dev/null
+++ b/crates/tanagerhub_traffic/src/event_relay.rs
@@ -0,0 +1,205 @@
+//! Passing on a stream of server-sent events, one token each.
+
+use crate::RelayError;
+
+/// The largest event that is passed on, in bytes.
+const EVENT_LIMIT: usize = 256 * 1024;
+/// The data of the event that ends an answer.
+const FINAL_DATA: &[u8] = b"[DONE]";
+
+/// Passes whole events on, once each and in order, across resumed streams.
+///
+/// The `id:` field of an event holds the number of tokens so far. Events that the caller already
+/// has are left out; a gap is an error. Nothing of an incomplete event is passed on, so a stream
+/// that breaks can be resumed behind the last token.
+///
+/// # Examples
+///
+/// ```
+/// use tanagerhub_traffic::EventRelay;
+///
+/// let mut relay = EventRelay::default();
+/// let mut out = Vec::new();
+/// relay.push(b"id: 1\ndata: a\n\nid: 2\nda", &mut out)?;
+/// assert_eq!(out, b"id: 1\ndata: a\n\n");
+/// assert_eq!(relay.tokens(), 1);
+/// assert!(relay.end().is_err());
+///
+/// relay.resume();
+/// relay.push(b"id: 1\ndata: a\n\nid: 2\ndata: b\n\ndata: [DONE]\n\n", &mut out)?;
+/// assert_eq!(relay.tokens(), 2);
+/// assert!(relay.end().is_ok());
+/// # Ok::<(), tanagerhub_traffic::RelayError>(())
+/// ```
+#[derive(Debug, Default)]
+pub struct EventRelay {
+    /// The incomplete event at the end of what came.
+    partial: Vec<u8>,
+    tokens: u32,
+    resumed: bool,
+    done: bool,
+}
+
+/// What one event says.
+#[derive(Debug, Default)]
+struct Event {
+    id: Option<u32>,
+    has_data: bool,
+    is_final: bool,
+}
+
+impl EventRelay {
+    /// Takes in bytes of the stream, and appends what the caller gets to `out`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a token is missing, an id is no number, an event is too large, or something
+    /// follows the end. Nothing of the offending event is passed on.
+    pub fn push(&mut self, chunk: &[u8], out: &mut Vec<u8>) -> Result<(), RelayError> {
+        let mut rest = chunk;
+        if !self.partial.is_empty() {
+            rest = self.complete_partial(rest, out)?;
+        }
+        while let Some(end) = event_end(rest, 0) {
+            let (event, after) = rest.split_at(end);
+            self.pass(event, out)?;
+            rest = after;
+        }
+        self.keep(rest)
+    }
+
+    /// Takes in the end of the stream.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the final event has not come.
+    pub const fn end(&self) -> Result<(), RelayError> {
+        if self.done && self.partial.is_empty() {
+            return Ok(());
+        }
+        Err(RelayError::Cut {
+            tokens: self.tokens,
+        })
+    }
+
+    /// Drops an incomplete event; the next bytes come from a resumed stream.
+    pub fn resume(&mut self) {
+        self.partial.clear();
+        self.resumed = true;
+    }
+
+    /// Tokens that the caller has.
+    #[must_use]
+    pub const fn tokens(&self) -> u32 {
+        self.tokens
+    }
+
+    /// Whether the final event has been passed on.
+    #[must_use]
+    pub const fn is_done(&self) -> bool {
+        self.done
+    }
+
+    /// Completes the kept event with the start of `rest`; returns what follows it.
+    fn complete_partial<'a>(
+        &mut self,
+        rest: &'a [u8],
+        out: &mut Vec<u8>,
+    ) -> Result<&'a [u8], RelayError> {
+        let kept = self.partial.len();
+        let room = (EVENT_LIMIT + 1).saturating_sub(kept).min(rest.len());
+        self.partial.extend_from_slice(&rest[..room]);
+        // The blank line may have begun in what was kept.
+        let Some(end) = event_end(&self.partial, kept.saturating_sub(3)) else {
+            check_size(self.partial.len())?;
+            return Ok(&[]);
+        };
+        let event = std::mem::take(&mut self.partial);
+        self.pass(&event[..end], out)?;
+        Ok(&rest[end - kept..])
+    }
+
+    fn keep(&mut self, rest: &[u8]) -> Result<(), RelayError> {
+        check_size(rest.len())?;
+        self.partial.extend_from_slice(rest);
+        Ok(())
+    }
+
+    /// Passes one whole event on, unless the caller has it.
+    fn pass(&mut self, bytes: &[u8], out: &mut Vec<u8>) -> Result<(), RelayError> {
+        let event = Event::parse(bytes)?;
+        if !event.has_data {
+            out.extend_from_slice(bytes);
+            return Ok(());
+        }
+        if self.done {
+            return Err(RelayError::AfterEnd);
+        }
+        match event.id {
+            Some(id) if id <= self.tokens => return Ok(()),
+            Some(id) if id > self.tokens + 1 => {
+                return Err(RelayError::Gap {
+                    expected: self.tokens + 1,
+                    found: id,
+                });
+            }
+            Some(id) => self.tokens = id,
+            // What comes before the first token was passed on by the first stream.
+            None if self.resumed && !event.is_final => return Ok(()),
+            None => {}
+        }
+        self.done = event.is_final;
+        self.resumed = self.resumed && event.id.is_none();
+        out.extend_from_slice(bytes);
+        Ok(())
+    }
+}
+
+impl Event {
+    fn parse(bytes: &[u8]) -> Result<Self, RelayError> {
+        let mut event = Self::default();
+        for line in bytes.split(|byte| *byte == b'\n') {
+            let line = line.strip_suffix(b"\r").unwrap_or(line);
+            if let Some(data) = field(line, b"data") {
+                event.is_final = !event.has_data && data == FINAL_DATA;
+                event.has_data = true;
+            } else if let Some(id) = field(line, b"id") {
+                event.id = Some(number(id)?);
+            }
+        }
+        Ok(event)
+    }
+}
+
+const fn check_size(size: usize) -> Result<(), RelayError> {
+    if size <= EVENT_LIMIT {
+        return Ok(());
+    }
+    Err(RelayError::TooLarge { limit: EVENT_LIMIT })
+}
+
+/// The value of a line's field, without the one space that may follow the colon.
+fn field<'a>(line: &'a [u8], name: &[u8]) -> Option<&'a [u8]> {
+    let value = line.strip_prefix(name)?.strip_prefix(b":")?;
+    Some(value.strip_prefix(b" ").unwrap_or(value))
+}
+
+fn number(text: &[u8]) -> Result<u32, RelayError> {
+    std::str::from_utf8(text)
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .ok_or(RelayError::BadId)
+}
+
+/// The end of the first event, behind its blank line, when the blank line ends after `from`.
+fn event_end(bytes: &[u8], from: usize) -> Option<usize> {
+    let mut start = from;
+    loop {
+        let feed = start + bytes.get(start..)?.iter().position(|byte| *byte == b'\n')?;
+        match bytes.get(feed + 1) {
+            Some(b'\n') => return Some(feed + 2),
+            Some(b'\r') if bytes.get(feed + 2) == Some(&b'\n') => return Some(feed + 3),
+            _ => start = feed + 1,
+        }
+    }
+}
--- a/crates/tanagerhub_traffic/src/group.rs
+++ b/crates/tanagerhub_traffic/src/group.rs
@@ -121,12 +121,12 @@
             0 => live.max(1),
             sharers => sharers,
         };
-        let share = limit.div_ceil(sharers).max(1);
+        let part = limit.div_ceil(sharers).max(1);
         if self.route.load.is_none() || now.since(self.reported) > REPORT_LIFE {
-            return share;
+            return part;
         }
         let spare = limit.saturating_sub(self.others + self.own_reported);
-        share.max(self.own_reported + spare / sharers)
+        part.max(self.own_reported + spare / sharers)
     }
 
     /// Requests at the group from all nodes, as far as known.
--- a/crates/tanagerhub_traffic/src/lib.rs
+++ b/crates/tanagerhub_traffic/src/lib.rs
@@ -4,11 +4,14 @@
 //! the edge submits requests, carries out [`Decision`]s and reports what became of attempts.
 
 mod average;
+mod body_check;
+mod claims;
 mod counters;
 mod crash_table;
 mod decision;
 mod drain;
 mod entry_state;
+mod event_relay;
 mod fair_queue;
 mod group;
 mod groups;
@@ -16,6 +19,7 @@
 mod organisation_meter;
 mod prefix_index;
 mod rate_limit;
+mod relay_error;
 mod request;
 mod retry_budget;
 mod route_table;
@@ -23,12 +27,19 @@
 mod share;
 mod traffic;
 
+pub use body_check::{BodyCheck, Framing};
+pub use claims::{
+    CLAIM_PREFIX, ClaimAction, ClaimAnswer, ClaimCounters, ClaimRequest, ClaimResult, ClaimRow,
+    ClaimSettings, Claims, RecordedAnswer, claim_key,
+};
 pub use counters::Counters;
 pub use crash_table::{CrashFact, CrashTable};
 pub use decision::{AttemptEvent, AttemptKey, Decision, Dispatch, Next, Outcome, Reason, Refusal};
 pub use drain::{Drain, DrainState};
+pub use event_relay::EventRelay;
 pub use fair_queue::{FairQueue, Place, Queued};
 pub use rate_limit::RateLimit;
+pub use relay_error::RelayError;
 pub use request::{Prefixes, Repeat, RequestInfo};
 pub use retry_budget::RetryBudget;
 pub use route_table::{LoadReport, Route, RouteTable};
