--- a/crates/tanagerhub_catalogue/src/catalogue_error.rs
+++ b/crates/tanagerhub_catalogue/src/catalogue_error.rs
@@ -2,10 +2,10 @@
 
 use std::fmt;
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 /// One mistake, with its place in the document.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Mistake {
     /// The place, such as `entries.advisor.limits.replicas_max`.
     pub path: String,
--- /dev/null
+++ b/crates/tanagerhub_wire/src/backend.rs
@@ -0,0 +1,17 @@
+//! Calls of back ends: engines and plain services.
+//!
+//! An error says whether any byte of the request can have reached the back end. A body is checked
+//! against its length or its final chunk, so that a cut never passes for an end.
+
+mod backend_body;
+mod backend_client;
+mod backend_error;
+mod backend_request;
+mod link;
+mod pool;
+
+pub use backend_body::BackendBody;
+pub use backend_client::{BackendAnswer, BackendClient};
+pub use backend_error::{BackendError, BodyError};
+pub use backend_request::{BackendRequest, ConnectionRule, Timeouts};
+pub use pool::PoolLimits;
--- /dev/null
+++ b/crates/tanagerhub_wire/src/backend/link.rs
@@ -0,0 +1,191 @@
+//! One exchange on one connection.
+
+use std::io;
+use std::net::SocketAddr;
+
+use ::http::StatusCode;
+use async_h1::client::{Encoder, decode};
+use async_std::net::TcpStream;
+use futures_lite::io::{AsyncReadExt, AsyncWriteExt};
+use http_types::Url;
+
+use crate::backend::{BackendError, BackendRequest};
+use crate::http::head::{AnswerHead, Framing, head_length};
+use crate::http::{Replay, append_header, is_hop_by_hop};
+
+/// The most bytes read or written at once.
+const BLOCK: usize = 16 * 1_024;
+/// The longest head that `async-h1` reads, in bytes.
+const MAX_HEAD: usize = 8_191;
+
+/// A connection on which a request is sent.
+#[derive(Debug)]
+pub(crate) struct Link {
+    pub(crate) address: SocketAddr,
+    pub(crate) stream: TcpStream,
+}
+
+/// An answer whose head has been checked.
+#[derive(Debug)]
+pub(crate) struct Answered {
+    pub(crate) body: http_types::Body,
+    pub(crate) head: AnswerHead,
+    /// Whether bytes came that belong to no answer.
+    pub(crate) surplus: bool,
+}
+
+impl Link {
+    /// Writes the request.
+    pub(crate) async fn send(&mut self, request: &BackendRequest) -> Result<(), BackendError> {
+        let mut encoder = self
+            .encode(request)
+            .map_err(|error| self.not_sent(&error))?;
+        let mut block = vec![0; BLOCK];
+        let mut sent = false;
+        loop {
+            let count = encoder.read(&mut block).await;
+            let count = count.map_err(|error| self.failed(sent, &error))?;
+            if count == 0 {
+                return Ok(());
+            }
+            self.write(&block[..count], &mut sent).await?;
+        }
+    }
+
+    /// Reads the head of the answer, and lets `async-h1` read the rest.
+    pub(crate) async fn receive(&mut self, is_head: bool) -> Result<Answered, BackendError> {
+        let mut buffer = Vec::new();
+        loop {
+            let length = self.read_head(&mut buffer).await?;
+            let head = AnswerHead::check(&buffer[..length]);
+            let head = head.map_err(|fault| self.malformed(&fault))?;
+            if head.status.is_informational() && head.status != StatusCode::SWITCHING_PROTOCOLS {
+                buffer.drain(..length);
+                continue;
+            }
+            return self.decode(buffer, length, head, is_head).await;
+        }
+    }
+
+    fn encode(&self, request: &BackendRequest) -> io::Result<Encoder> {
+        let invalid = |error: String| io::Error::new(io::ErrorKind::InvalidInput, error);
+        let url = format!("http://{}{}", self.address, request.path);
+        let url = Url::parse(&url).map_err(|error| invalid(format!("the path: {error}")))?;
+        let method = request.method.as_str().parse();
+        let method = method.map_err(|_unknown| invalid("the method is unknown".to_owned()))?;
+        let mut message = http_types::Request::new(method, url);
+        for (name, value) in &request.headers {
+            if !is_hop_by_hop(name) {
+                append_header(&mut message, name, value)?;
+            }
+        }
+        let length = request.body.len();
+        let body = futures_lite::io::Cursor::new(request.body.clone());
+        message.set_body(http_types::Body::from_reader(body, Some(length)));
+        Ok(Encoder::new(message))
+    }
+
+    async fn write(&mut self, mut bytes: &[u8], sent: &mut bool) -> Result<(), BackendError> {
+        while !bytes.is_empty() {
+            let count = self.stream.write(bytes).await;
+            let count = count.map_err(|error| self.failed(*sent, &error))?;
+            if count == 0 {
+                let closed = io::Error::from(io::ErrorKind::WriteZero);
+                return Err(self.failed(*sent, &closed));
+            }
+            *sent = true;
+            bytes = &bytes[count..];
+        }
+        Ok(())
+    }
+
+    async fn read_head(&mut self, buffer: &mut Vec<u8>) -> Result<usize, BackendError> {
+        let mut searched = 0;
+        loop {
+            match head_length(buffer, searched) {
+                Some(length) if length <= MAX_HEAD => return Ok(length),
+                None if buffer.len() <= MAX_HEAD => searched = buffer.len(),
+                _ => return Err(self.malformed(&"its head is too long")),
+            }
+            let start = buffer.len();
+            buffer.resize(start + BLOCK, 0);
+            let read = self.stream.read(&mut buffer[start..]).await;
+            let count = read.map_err(|error| self.failed(true, &error))?;
+            buffer.truncate(start + count);
+            if count == 0 {
+                let closed = io::Error::from(io::ErrorKind::UnexpectedEof);
+                return Err(self.failed(true, &closed));
+            }
+        }
+    }
+
+    async fn decode(
+        &self,
+        mut buffer: Vec<u8>,
+        length: usize,
+        head: AnswerHead,
+        is_head: bool,
+    ) -> Result<Answered, BackendError> {
+        let framing = body_framing(&head, is_head).ok_or_else(|| {
+            // async-h1 would take such an answer for an empty one.
+            self.malformed(&"it has neither Content-Length nor chunks")
+        })?;
+        let arrived = buffer.len() as u64 - length as u64;
+        let (left, surplus) = match framing {
+            Framing::Chunked => (u64::MAX, false),
+            Framing::Length(body) => (body.saturating_sub(arrived), arrived > body),
+            Framing::None => (0, arrived > 0),
+        };
+        if let (true, Framing::Length(body)) = (surplus, framing) {
+            buffer.truncate(length + usize::try_from(body).unwrap_or(usize::MAX));
+        }
+        let replay = Replay::new(buffer, self.stream.clone(), left);
+        let answer = decode(replay).await;
+        let mut answer = answer.map_err(|error| self.malformed(&error))?;
+        let head = AnswerHead { framing, ..head };
+        Ok(Answered {
+            body: answer.take_body(),
+            head,
+            surplus,
+        })
+    }
+
+    fn failed(&self, sent: bool, error: &io::Error) -> BackendError {
+        if sent {
+            BackendError::Broken {
+                address: self.address,
+                reason: error.to_string(),
+            }
+        } else {
+            self.not_sent(error)
+        }
+    }
+
+    fn not_sent(&self, error: &io::Error) -> BackendError {
+        BackendError::NotSent {
+            address: self.address,
+            reason: error.to_string(),
+        }
+    }
+
+    fn malformed(&self, reason: &impl ToString) -> BackendError {
+        BackendError::Malformed {
+            address: self.address,
+            reason: reason.to_string(),
+        }
+    }
+}
+
+/// How the body is really framed; `None` when only the end of the connection would show its end.
+fn body_framing(head: &AnswerHead, is_head: bool) -> Option<Framing> {
+    let bodiless = is_head
+        || matches!(
+            head.status,
+            StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+        );
+    match head.framing {
+        _ if bodiless => Some(Framing::None),
+        Framing::None => None,
+        framing => Some(framing),
+    }
+}
--- /dev/null
+++ b/crates/tanagerhub_wire/src/backend/pool.rs
@@ -0,0 +1,125 @@
+//! Idle connections to back ends.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use async_std::net::TcpStream;
+use futures_lite::future;
+use tanagerhub_clock::Moment;
+
+use crate::backend::ConnectionRule;
+
+/// How many connections are kept, and for how long.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PoolLimits {
+    /// Idle connections to one address.
+    pub idle: usize,
+    /// How long a connection may be idle; shorter than what any middlebox forgets.
+    pub expiry: Duration,
+    /// How long after a whole answer a connection counts as proven.
+    pub proven: Duration,
+}
+
+impl Default for PoolLimits {
+    fn default() -> Self {
+        Self {
+            idle: 32,
+            expiry: Duration::from_secs(15),
+            proven: Duration::from_secs(1),
+        }
+    }
+}
+
+#[derive(Debug)]
+pub(crate) struct Pool {
+    limits: PoolLimits,
+    idle: Mutex<HashMap<SocketAddr, Vec<Idle>>>,
+}
+
+#[derive(Debug)]
+struct Idle {
+    stream: TcpStream,
+    since: Moment,
+}
+
+impl Pool {
+    pub(crate) fn new(limits: PoolLimits) -> Self {
+        Self {
+            limits,
+            idle: Mutex::default(),
+        }
+    }
+
+    /// Takes the connection that answered last, if one fits the rule.
+    pub(crate) async fn take(
+        &self,
+        address: SocketAddr,
+        rule: ConnectionRule,
+        now: Moment,
+    ) -> Option<TcpStream> {
+        let age = match rule {
+            ConnectionRule::Pooled => self.limits.expiry,
+            ConnectionRule::Proven => self.limits.proven,
+            ConnectionRule::Fresh => return None,
+        };
+        loop {
+            let idle = self.pop(address, now, age)?;
+            if is_quiet(&idle.stream).await {
+                return Some(idle.stream);
+            }
+        }
+    }
+
+    /// Keeps a connection whose last answer has been read whole.
+    pub(crate) fn put(&self, address: SocketAddr, stream: TcpStream, now: Moment) {
+        let mut idle = self.lock();
+        let streams = idle.entry(address).or_default();
+        streams.push(Idle { stream, since: now });
+        if streams.len() > self.limits.idle {
+            streams.remove(0);
+        }
+    }
+
+    /// Closes connections that have been idle too long.
+    pub(crate) fn expire(&self, now: Moment) {
+        let expiry = self.limits.expiry;
+        self.lock().retain(|_, streams| {
+            streams.retain(|idle| now.since(idle.since) < expiry);
+            !streams.is_empty()
+        });
+    }
+
+    /// Closes the idle connections to one address.
+    pub(crate) fn forget(&self, address: SocketAddr) {
+        self.lock().remove(&address);
+    }
+
+    /// The number of idle connections.
+    pub(crate) fn len(&self) -> usize {
+        self.lock().values().map(Vec::len).sum()
+    }
+
+    fn pop(&self, address: SocketAddr, now: Moment, age: Duration) -> Option<Idle> {
+        let mut idle = self.lock();
+        let streams = idle.get_mut(&address)?;
+        let youngest = streams.pop()?;
+        if now.since(youngest.since) < age {
+            return Some(youngest);
+        }
+        // The others are older still, but may serve another rule.
+        streams.push(youngest);
+        None
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<Idle>>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Whether the connection is open and nothing unasked has arrived on it.
+async fn is_quiet(stream: &TcpStream) -> bool {
+    let mut byte = [0];
+    future::poll_once(stream.peek(&mut byte)).await.is_none()
+}
--- /dev/null
+++ b/crates/tanagerhub_wire/src/callers.rs
@@ -0,0 +1,21 @@
+//! The public API: what callers send and the answers they get.
+//!
+//! `POST /v1/chat/completions`, `POST /v1/completions` and `GET /v1/models` follow the usual API of
+//! model servers. Plain services are below `/services/{entry}/`, with any method.
+
+mod call;
+mod caller_request;
+mod error_answer;
+mod idempotency_key;
+mod model_list;
+mod outcome;
+mod prompt;
+
+pub use call::{Call, Endpoint, ModelCall, ServiceCall};
+pub use caller_request::CallerRequest;
+pub(crate) use caller_request::bearer;
+pub use error_answer::{ErrorAnswer, ErrorKind};
+pub use idempotency_key::IdempotencyKey;
+pub use model_list::model_list;
+pub use outcome::{OUTCOME, Outcome};
+pub use prompt::{BLOCK_BYTES, MAX_BLOCKS, resume_body};
--- /dev/null
+++ b/crates/tanagerhub_wire/src/callers/caller_request.rs
@@ -0,0 +1,234 @@
+//! A caller's request, read from HTTP.
+
+use ::http::header::AUTHORIZATION;
+use ::http::{HeaderMap, Method};
+use bytes::Bytes;
+use tanagerhub_catalogue::{EntryId, KeyHash};
+use xxhash_rust::xxh3::{Xxh3, xxh3_64};
+
+use crate::callers::prompt::{CompletionBody, estimate_tokens, prefix_hashes};
+use crate::callers::{
+    Call, Endpoint, ErrorAnswer, ErrorKind, IdempotencyKey, ModelCall, Outcome, ServiceCall,
+};
+use crate::http::{Request, is_hop_by_hop};
+
+/// The start of all paths of plain services.
+const SERVICES: &str = "/services/";
+
+/// A caller's request.
+#[derive(Debug, Clone)]
+pub struct CallerRequest {
+    /// The hash of the bearer key.
+    pub key: KeyHash,
+    /// What the caller wants.
+    pub call: Call,
+    /// The name under which the caller may send it again.
+    pub idempotency: Option<IdempotencyKey>,
+    /// A hash of the call and the body; equal for a request that is sent again.
+    pub fingerprint: u64,
+    /// The headers that may be passed on; the bearer key isn't among them.
+    pub headers: HeaderMap,
+    /// The body as the caller sent it.
+    pub body: Bytes,
+}
+
+impl CallerRequest {
+    /// Reads a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error to answer with; no part of the request has been run.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use tanagerhub_wire::callers::{Call, CallerRequest};
+    ///
+    /// let request = http::Request::get("/services/shop-api/stock?sku=7")
+    ///     .header("authorization", "Bearer s3cret")
+    ///     .body(bytes::Bytes::new())?;
+    /// let request = CallerRequest::parse(request).unwrap();
+    /// let Call::Service(call) = &request.call else { panic!() };
+    /// assert_eq!(call.entry, "shop-api");
+    /// assert_eq!(call.target(), "/stock?sku=7");
+    /// # Ok::<(), http::Error>(())
+    /// ```
+    pub fn parse(request: Request) -> Result<Self, ErrorAnswer> {
+        let call = parse_call(&request)?;
+        let key = parse_key(request.headers())?;
+        let idempotency = parse_idempotency(request.headers())?;
+        let fingerprint = fingerprint(&call, request.body());
+        let (parts, body) = request.into_parts();
+        Ok(Self {
+            key,
+            call,
+            idempotency,
+            fingerprint,
+            headers: passed_on(&parts.headers),
+            body,
+        })
+    }
+
+    /// The name of the entry that is called; `None` for a list of models.
+    #[must_use]
+    pub fn entry(&self) -> Option<&str> {
+        match &self.call {
+            Call::ListModels => None,
+            Call::Model(call) => Some(&call.entry),
+            Call::Service(call) => Some(&call.entry),
+        }
+    }
+
+    /// The id of the entry that is called.
+    #[must_use]
+    pub fn entry_id(&self) -> Option<EntryId> {
+        self.entry().map(EntryId::of)
+    }
+}
+
+fn parse_call(request: &Request) -> Result<Call, ErrorAnswer> {
+    let path = request.uri().path();
+    if let Some(rest) = path.strip_prefix(SERVICES) {
+        return service_call(request, rest).map(Call::Service);
+    }
+    let (method, endpoint) = match path {
+        "/v1/models" => (Method::GET, None),
+        "/v1/chat/completions" => (Method::POST, Some(Endpoint::Chat)),
+        "/v1/completions" => (Method::POST, Some(Endpoint::Text)),
+        _ => return Err(refused(ErrorKind::UnknownPath, format!("no path {path}"))),
+    };
+    if *request.method() != method {
+        let text = format!("{path} takes {method}, not {}", request.method());
+        return Err(refused(ErrorKind::UnknownMethod, text));
+    }
+    match endpoint {
+        Some(endpoint) => model_call(endpoint, request.body()).map(Call::Model),
+        None => Ok(Call::ListModels),
+    }
+}
+
+fn service_call(request: &Request, rest: &str) -> Result<ServiceCall, ErrorAnswer> {
+    let (entry, path) = rest.split_once('/').unwrap_or((rest, ""));
+    if entry.is_empty() {
+        let text = "the path names no service: /services/{entry}/...";
+        return Err(refused(ErrorKind::UnknownPath, text));
+    }
+    Ok(ServiceCall {
+        entry: entry.to_owned(),
+        method: request.method().clone(),
+        path: format!("/{path}"),
+        query: request.uri().query().map(str::to_owned),
+    })
+}
+
+fn model_call(endpoint: Endpoint, body: &[u8]) -> Result<ModelCall, ErrorAnswer> {
+    let body: CompletionBody = serde_json::from_slice(body)
+        .map_err(|error| invalid(format!("the body is not a completion request: {error}")))?;
+    let complete = match endpoint {
+        Endpoint::Chat => body.has_messages(),
+        Endpoint::Text => body.has_prompt(),
+    };
+    if !complete {
+        let field = match endpoint {
+            Endpoint::Chat => "messages",
+            Endpoint::Text => "prompt",
+        };
+        return Err(invalid(format!(
+            "the field \"{field}\" is missing or empty"
+        )));
+    }
+    let prompt = body.prompt();
+    Ok(ModelCall {
+        endpoint,
+        stream: body.stream.unwrap_or(false),
+        max_tokens: body.max_completion_tokens.or(body.max_tokens),
+        prefix: prefix_hashes(&prompt),
+        prompt_tokens: estimate_tokens(&prompt),
+        entry: body.model,
+    })
+}
+
+fn parse_key(headers: &HeaderMap) -> Result<KeyHash, ErrorAnswer> {
+    let key = headers
+        .get(AUTHORIZATION)
+        .and_then(|value| bearer(value.as_bytes()));
+    key.map(KeyHash::of).ok_or_else(|| {
+        let text = "the header Authorization must be \"Bearer\" and a key";
+        refused(ErrorKind::Unauthorised, text)
+    })
+}
+
+/// The token of an `Authorization` header.
+pub(crate) fn bearer(value: &[u8]) -> Option<&str> {
+    let (scheme, token) = std::str::from_utf8(value).ok()?.split_once(' ')?;
+    let token = token.trim();
+    (scheme.eq_ignore_ascii_case("bearer") && !token.is_empty()).then_some(token)
+}
+
+fn parse_idempotency(headers: &HeaderMap) -> Result<Option<IdempotencyKey>, ErrorAnswer> {
+    let mut values = headers.get_all("idempotency-key").iter();
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    let key = value.to_str().ok().and_then(IdempotencyKey::new);
+    match (key, values.next()) {
+        (Some(key), None) => Ok(Some(key)),
+        _ => Err(invalid(
+            "the header Idempotency-Key must be one key of 1 to 255 visible characters",
+        )),
+    }
+}
+
+fn fingerprint(call: &Call, body: &[u8]) -> u64 {
+    match call {
+        Call::ListModels => 0,
+        Call::Model(_) => xxh3_64(body),
+        Call::Service(call) => {
+            let mut hash = Xxh3::new();
+            hash.update(call.method.as_str().as_bytes());
+            hash.update(b" ");
+            hash.update(call.target().as_bytes());
+            hash.update(b"\n");
+            hash.update(body);
+            hash.digest()
+        }
+    }
+}
+
+/// Leaves out what speaks of the caller's connection, its key, and names that only nodes may set.
+fn passed_on(headers: &HeaderMap) -> HeaderMap {
+    let mut kept = HeaderMap::with_capacity(headers.len());
+    let named: Vec<String> = connection_options(headers);
+    for (name, value) in headers {
+        let own = name.as_str().starts_with("x-tanagerhub-") || *name == "last-event-id";
+        let dropped = own
+            || *name == AUTHORIZATION
+            || is_hop_by_hop(name)
+            || named
+                .iter()
+                .any(|option| option.eq_ignore_ascii_case(name.as_str()));
+        if !dropped {
+            kept.append(name.clone(), value.clone());
+        }
+    }
+    kept
+}
+
+/// Headers that the caller names as its connection's own.
+fn connection_options(headers: &HeaderMap) -> Vec<String> {
+    headers
+        .get_all("connection")
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|option| option.trim().to_owned())
+        .collect()
+}
+
+fn invalid(text: impl Into<String>) -> ErrorAnswer {
+    refused(ErrorKind::InvalidRequest, text)
+}
+
+fn refused(kind: ErrorKind, text: impl Into<String>) -> ErrorAnswer {
+    ErrorAnswer::new(kind, Outcome::NotRun, text)
+}
--- a/crates/tanagerhub_wire/src/engine.rs
+++ b/crates/tanagerhub_wire/src/engine.rs
@@ -24,3 +24,7 @@
 pub const NOT_RUN: &str = "x-tanagerhub-not-run";
 /// Set to `cold` by an engine that answers while in cold start.
 pub const TEMPERATURE: &str = "x-tanagerhub-temperature";
+
+mod engine_client;
+
+pub use engine_client::{EngineClient, EngineError};
--- /dev/null
+++ b/crates/tanagerhub_wire/src/http/head.rs
@@ -0,0 +1,238 @@
+//! Strict checks of a message's head, before `async-h1` sees it.
+
+use ::http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
+use httparse::{EMPTY_HEADER, Header, Status};
+
+/// The most headers of a message.
+const MAX_HEADERS: usize = 100;
+
+/// How a message's body is framed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Framing {
+    /// By nothing.
+    None,
+    /// By `Content-Length`, in bytes.
+    Length(u64),
+    /// By chunks.
+    Chunked,
+}
+
+/// What is wrong with a head.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub(crate) enum HeadFault {
+    #[error("the head can't be read: {0}")]
+    Malformed(String),
+    #[error("the header Host is missing")]
+    NoHost,
+    #[error("there is more than one Host")]
+    ManyHosts,
+    #[error("HTTP/1.{0} is not supported, use HTTP/1.1")]
+    Version(u8),
+    #[error("the Content-Length headers differ")]
+    Lengths,
+    #[error("the Content-Length \"{0}\" is not a number")]
+    NoNumber(String),
+    #[error("Content-Length and Transfer-Encoding exclude each other")]
+    LengthAndEncoding,
+    #[error("the Transfer-Encoding \"{0}\" is not supported, use chunked")]
+    Encoding(String),
+    #[error("the header {0} has bytes outside ASCII")]
+    NotAscii(String),
+    #[error("the method {0} is not supported")]
+    Method(String),
+    #[error("the target \"{0}\" is not a path")]
+    Target(String),
+}
+
+impl HeadFault {
+    /// The status that a caller gets.
+    pub(crate) const fn status(&self) -> StatusCode {
+        match self {
+            Self::Version(_) => StatusCode::HTTP_VERSION_NOT_SUPPORTED,
+            Self::Method(_) => StatusCode::NOT_IMPLEMENTED,
+            _ => StatusCode::BAD_REQUEST,
+        }
+    }
+}
+
+/// What the server must know of a request before `async-h1` reads it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct RequestHead {
+    /// How the body is framed.
+    pub(crate) framing: Framing,
+    /// Whether the caller wants the connection closed afterwards.
+    pub(crate) close: bool,
+}
+
+impl RequestHead {
+    /// Checks a whole head.
+    pub(crate) fn check(head: &[u8]) -> Result<Self, HeadFault> {
+        let mut headers = [EMPTY_HEADER; MAX_HEADERS];
+        let mut request = httparse::Request::new(&mut headers);
+        let whole = request.parse(head).map_err(malformed)?;
+        check_whole(whole, head.len())?;
+        check_version(request.version)?;
+        check_method(request.method.unwrap_or_default())?;
+        check_target(request.path.unwrap_or_default())?;
+        check_ascii(request.headers)?;
+        check_host(request.headers)?;
+        Ok(Self {
+            framing: framing(request.headers)?,
+            close: asks_close(request.headers),
+        })
+    }
+}
+
+/// What the client must know of an answer before `async-h1` reads it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct AnswerHead {
+    /// The status.
+    pub(crate) status: StatusCode,
+    /// All headers.
+    pub(crate) headers: HeaderMap,
+    /// How the body is framed.
+    pub(crate) framing: Framing,
+    /// Whether the back end will close the connection afterwards.
+    pub(crate) close: bool,
+}
+
+impl AnswerHead {
+    /// Checks a whole head.
+    pub(crate) fn check(head: &[u8]) -> Result<Self, HeadFault> {
+        let mut headers = [EMPTY_HEADER; MAX_HEADERS];
+        let mut answer = httparse::Response::new(&mut headers);
+        let whole = answer.parse(head).map_err(malformed)?;
+        check_whole(whole, head.len())?;
+        check_version(answer.version)?;
+        check_ascii(answer.headers)?;
+        Ok(Self {
+            status: status(answer.code)?,
+            headers: header_map(answer.headers)?,
+            framing: framing(answer.headers)?,
+            close: asks_close(answer.headers),
+        })
+    }
+}
+
+/// The length of the head at the start of `bytes`, once all of it is there.
+///
+/// Searches from `from` on, so that a slowly arriving head isn't searched again and again.
+pub(crate) fn head_length(bytes: &[u8], from: usize) -> Option<usize> {
+    let start = from.saturating_sub(3);
+    bytes
+        .get(start..)?
+        .windows(4)
+        .position(|end| end == b"\r\n\r\n")
+        .map(|position| start + position + 4)
+}
+
+fn malformed(error: httparse::Error) -> HeadFault {
+    HeadFault::Malformed(error.to_string())
+}
+
+fn check_whole(status: Status<usize>, length: usize) -> Result<(), HeadFault> {
+    if status == Status::Complete(length) {
+        return Ok(());
+    }
+    Err(HeadFault::Malformed("it ends early".to_owned()))
+}
+
+const fn check_version(version: Option<u8>) -> Result<(), HeadFault> {
+    match version {
+        Some(1) => Ok(()),
+        Some(other) => Err(HeadFault::Version(other)),
+        None => Err(HeadFault::Version(0)),
+    }
+}
+
+fn check_method(method: &str) -> Result<(), HeadFault> {
+    match method.parse::<http_types::Method>() {
+        Ok(http_types::Method::Connect) | Err(_) => Err(HeadFault::Method(method.to_owned())),
+        Ok(_) => Ok(()),
+    }
+}
+
+fn check_target(target: &str) -> Result<(), HeadFault> {
+    if target.starts_with('/') && target.is_ascii() {
+        return Ok(());
+    }
+    Err(HeadFault::Target(target.escape_default().to_string()))
+}
+
+fn check_ascii(headers: &[Header<'_>]) -> Result<(), HeadFault> {
+    match headers.iter().find(|header| !header.value.is_ascii()) {
+        Some(header) => Err(HeadFault::NotAscii(header.name.to_owned())),
+        None => Ok(()),
+    }
+}
+
+fn check_host(headers: &[Header<'_>]) -> Result<(), HeadFault> {
+    match values(headers, "host").count() {
+        0 => Err(HeadFault::NoHost),
+        1 => Ok(()),
+        _ => Err(HeadFault::ManyHosts),
+    }
+}
+
+fn framing(headers: &[Header<'_>]) -> Result<Framing, HeadFault> {
+    let length = content_length(headers)?;
+    let mut encodings = values(headers, "transfer-encoding");
+    match (length, encodings.next(), encodings.next()) {
+        (None, None, _) => Ok(Framing::None),
+        (Some(length), None, _) => Ok(Framing::Length(length)),
+        (Some(_), Some(_), _) => Err(HeadFault::LengthAndEncoding),
+        (None, Some(one), None) if one.eq_ignore_ascii_case("chunked") => Ok(Framing::Chunked),
+        (None, Some(other), _) => Err(HeadFault::Encoding(other.to_owned())),
+    }
+}
+
+fn content_length(headers: &[Header<'_>]) -> Result<Option<u64>, HeadFault> {
+    let mut found = None;
+    for value in values(headers, "content-length") {
+        let length = number(value)?;
+        if found.is_some_and(|earlier| earlier != length) {
+            return Err(HeadFault::Lengths);
+        }
+        found = Some(length);
+    }
+    Ok(found)
+}
+
+/// Reads digits only: `u64::from_str` would let a plus sign pass.
+fn number(value: &str) -> Result<u64, HeadFault> {
+    let digits = !value.is_empty() && value.bytes().all(|byte| byte.is_ascii_digit());
+    digits
+        .then(|| value.parse().ok())
+        .flatten()
+        .ok_or_else(|| HeadFault::NoNumber(value.to_owned()))
+}
+
+fn status(code: Option<u16>) -> Result<StatusCode, HeadFault> {
+    let status = StatusCode::from_u16(code.unwrap_or_default());
+    status.map_err(|error| HeadFault::Malformed(error.to_string()))
+}
+
+fn header_map(headers: &[Header<'_>]) -> Result<HeaderMap, HeadFault> {
+    let mut map = HeaderMap::with_capacity(headers.len());
+    for header in headers {
+        let name = HeaderName::from_bytes(header.name.as_bytes());
+        let name = name.map_err(|error| HeadFault::Malformed(error.to_string()))?;
+        let value = HeaderValue::from_bytes(header.value);
+        let value = value.map_err(|error| HeadFault::Malformed(error.to_string()))?;
+        map.append(name, value);
+    }
+    Ok(map)
+}
+
+fn asks_close(headers: &[Header<'_>]) -> bool {
+    values(headers, "connection")
+        .flat_map(|value| value.split(','))
+        .any(|option| option.trim().eq_ignore_ascii_case("close"))
+}
+
+fn values<'a>(headers: &'a [Header<'a>], name: &'a str) -> impl Iterator<Item = &'a str> {
+    headers
+        .iter()
+        .filter(move |header| header.name.eq_ignore_ascii_case(name))
+        .map(|header| std::str::from_utf8(header.value).unwrap_or_default().trim())
+}
--- /dev/null
+++ b/crates/tanagerhub_wire/src/http/replay.rs
@@ -0,0 +1,111 @@
+//! A stream whose first bytes have been read already.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::task::{Context, Poll};
+
+use async_std::net::TcpStream;
+use futures_lite::io::{AsyncRead, AsyncWrite};
+
+/// Gives bytes that were read before, then at most `left` bytes of the socket.
+///
+/// Clones share their place, since `async-h1` clones the stream that it serves.
+#[derive(Debug, Clone)]
+pub(crate) struct Replay {
+    state: Arc<Mutex<State>>,
+    stream: TcpStream,
+}
+
+#[derive(Debug)]
+struct State {
+    prefix: Vec<u8>,
+    read: usize,
+    left: u64,
+    open_ended: bool,
+}
+
+impl Replay {
+    /// Starts with `prefix`, and goes on with `left` bytes of `stream`.
+    pub(crate) fn new(prefix: Vec<u8>, stream: TcpStream, left: u64) -> Self {
+        let state = State {
+            prefix,
+            read: 0,
+            left,
+            open_ended: left == u64::MAX,
+        };
+        Self {
+            state: Arc::new(Mutex::new(state)),
+            stream,
+        }
+    }
+}
+
+impl AsyncRead for Replay {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let this = &mut *self;
+        let mut state = this.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let polled = state.poll_read(&mut this.stream, context, buffer);
+        if state.open_ended && polled.is_ready() {
+            // The chunk decoder of async-h1 forgets to read on when the end comes in pieces.
+            context.waker().wake_by_ref();
+        }
+        polled
+    }
+}
+
+impl State {
+    fn poll_read(
+        &mut self,
+        stream: &mut TcpStream,
+        context: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        if self.read < self.prefix.len() {
+            return Poll::Ready(Ok(self.replay(buffer)));
+        }
+        let most = self.most(buffer.len());
+        if most == 0 {
+            return Poll::Ready(Ok(0));
+        }
+        let polled = Pin::new(stream).poll_read(context, &mut buffer[..most]);
+        if let Poll::Ready(Ok(count)) = polled {
+            self.left -= count as u64;
+        }
+        polled
+    }
+
+    fn replay(&mut self, buffer: &mut [u8]) -> usize {
+        let rest = &self.prefix[self.read..];
+        let count = rest.len().min(buffer.len());
+        buffer[..count].copy_from_slice(&rest[..count]);
+        self.read += count;
+        count
+    }
+
+    fn most(&self, wanted: usize) -> usize {
+        usize::try_from(self.left).unwrap_or(usize::MAX).min(wanted)
+    }
+}
+
+impl AsyncWrite for Replay {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_close(context)
+    }
+}
--- /dev/null
+++ b/crates/tanagerhub_wire/src/http/server.rs
@@ -0,0 +1,236 @@
+//! Accepts connections and stops gracefully.
+
+use std::fmt::Debug;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender};
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task::{self, JoinHandle};
+use futures_lite::future;
+use tanagerhub_clock::Clock;
+
+use crate::http::connection::Connection;
+use crate::http::{HttpLimits, Request, Response};
+
+/// The pause after a failed accept, such as when file descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// What a server counts.
+#[derive(Debug, Default)]
+pub struct HttpCounters {
+    /// Connections accepted.
+    pub connections: AtomicU64,
+    /// Connections refused because too many were open.
+    pub crowded: AtomicU64,
+    /// Requests handed to the handler.
+    pub requests: AtomicU64,
+    /// Requests refused for their head or size.
+    pub malformed: AtomicU64,
+    /// Callers that sent or read too slowly.
+    pub slow: AtomicU64,
+    /// Callers that closed before they had their answer.
+    pub gone: AtomicU64,
+}
+
+/// What all connections of a server share.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) limits: HttpLimits,
+    pub(crate) clock: Clock,
+    pub(crate) counters: Arc<HttpCounters>,
+    pub(crate) draining: AtomicBool,
+    open: AtomicUsize,
+}
+
+/// A running server.
+#[derive(Debug)]
+pub struct HttpServer {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+    stop: Sender<()>,
+    all_closed: Receiver<()>,
+    accepting: JoinHandle<()>,
+}
+
+/// Serves HTTP on a listener until [`HttpServer::stop`].
+///
+/// The handler's future is dropped when the caller closes its connection. A handler that must go
+/// on regardless spawns its work as a task.
+///
+/// # Errors
+///
+/// Fails when the listener has no local address.
+///
+/// # Examples
+///
+/// ```
+/// use async_std::net::TcpListener;
+/// use http::StatusCode;
+/// use tanagerhub_clock::Clock;
+/// use tanagerhub_wire::http::{HttpLimits, Request, Response, json, serve};
+///
+/// async fn hello(_: Request) -> Response {
+///     json(StatusCode::OK, &"hello")
+/// }
+///
+/// # async_std::task::block_on(async {
+/// let listener = TcpListener::bind("127.0.0.1:0").await?;
+/// let server = serve(listener, HttpLimits::default(), Clock::real(), hello)?;
+/// server.stop().await;
+/// # Ok::<(), std::io::Error>(())
+/// # }).unwrap();
+/// ```
+pub fn serve<H, F>(
+    listener: TcpListener,
+    limits: HttpLimits,
+    clock: Clock,
+    handler: H,
+) -> io::Result<HttpServer>
+where
+    H: Fn(Request) -> F + Send + Sync + 'static,
+    F: Future<Output = Response> + Send + 'static,
+{
+    let address = listener.local_addr()?;
+    let shared = Arc::new(Shared {
+        limits,
+        clock,
+        counters: Arc::default(),
+        draining: AtomicBool::new(false),
+        open: AtomicUsize::new(0),
+    });
+    let (stop, stopped) = async_channel::bounded(1);
+    let (closing, all_closed) = async_channel::bounded(1);
+    let accept = Accept {
+        listener,
+        shared: Arc::clone(&shared),
+        stopped,
+        closing,
+        handler: Arc::new(handler),
+    };
+    Ok(HttpServer {
+        address,
+        shared,
+        stop,
+        all_closed,
+        accepting: task::spawn(accept.run()),
+    })
+}
+
+impl HttpServer {
+    /// The address that the server listens on.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// What the server has counted.
+    #[must_use]
+    pub fn counters(&self) -> Arc<HttpCounters> {
+        Arc::clone(&self.shared.counters)
+    }
+
+    /// The connections that are open.
+    #[must_use]
+    pub fn open(&self) -> usize {
+        self.shared.open.load(Ordering::Relaxed)
+    }
+
+    /// Goes on serving, but closes each connection after its next answer.
+    pub fn drain(&self) {
+        self.shared.draining.store(true, Ordering::Relaxed);
+    }
+
+    /// Stops accepting, closes idle connections, and waits until the answers in flight are out.
+    pub async fn stop(self) {
+        self.drain();
+        drop(self.stop);
+        self.accepting.await;
+        // Each connection holds a sender, so this ends when the last of them has closed.
+        let closed = self.all_closed.recv().await;
+        debug_assert!(closed.is_err(), "nothing is sent on this channel");
+    }
+}
+
+struct Accept<H> {
+    listener: TcpListener,
+    shared: Arc<Shared>,
+    stopped: Receiver<()>,
+    closing: Sender<()>,
+    handler: Arc<H>,
+}
+
+impl<H, F> Accept<H>
+where
+    H: Fn(Request) -> F + Send + Sync + 'static,
+    F: Future<Output = Response> + Send + 'static,
+{
+    async fn run(self) {
+        while let Some(accepted) = self.next().await {
+            match accepted {
+                Ok(stream) => self.start(stream),
+                Err(error) => {
+                    log::warn!(error:%; "accept failed");
+                    self.shared.clock.sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// The next connection; `None` when the server stops.
+    async fn next(&self) -> Option<io::Result<TcpStream>> {
+        let accept = async {
+            let accepted = self.listener.accept().await;
+            Some(accepted.map(|(stream, _)| stream))
+        };
+        let stop = async {
+            let _: Result<(), _> = self.stopped.recv().await;
+            None
+        };
+        future::or(stop, accept).await
+    }
+
+    fn start(&self, stream: TcpStream) {
+        let counters = &self.shared.counters;
+        counters.connections.fetch_add(1, Ordering::Relaxed);
+        let crowded = self.shared.open.load(Ordering::Relaxed) >= self.shared.limits.connections;
+        let connection = Connection::new(stream, Arc::clone(&self.shared), self.stopped.clone());
+        if crowded {
+            counters.crowded.fetch_add(1, Ordering::Relaxed);
+            task::spawn(connection.turn_away());
+            return;
+        }
+        let place = Place::take(Arc::clone(&self.shared), self.closing.clone());
+        let handler = Arc::clone(&self.handler);
+        task::spawn(async move {
+            connection.run(&*handler).await;
+            drop(place);
+        });
+    }
+}
+
+/// One of the connections that may be open.
+#[derive(Debug)]
+struct Place {
+    shared: Arc<Shared>,
+    _closing: Sender<()>,
+}
+
+impl Place {
+    fn take(shared: Arc<Shared>, closing: Sender<()>) -> Self {
+        shared.open.fetch_add(1, Ordering::Relaxed);
+        Self {
+            shared,
+            _closing: closing,
+        }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.shared.open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/tanagerhub_wire/src/operators/token.rs
@@ -0,0 +1,41 @@
+//! The secret by which operators are known.
+
+use std::fmt;
+
+use tanagerhub_catalogue::KeyHash;
+
+use crate::callers::bearer;
+
+/// The operators' bearer token, kept as a hash.
+#[derive(Clone, Copy)]
+pub struct OperatorToken(KeyHash);
+
+impl OperatorToken {
+    /// Takes the token's text.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use tanagerhub_wire::operators::OperatorToken;
+    ///
+    /// let token = OperatorToken::new("s3cret");
+    /// assert!(token.admits(b"Bearer s3cret"));
+    /// assert!(!token.admits(b"Bearer guess"));
+    /// ```
+    #[must_use]
+    pub fn new(token: &str) -> Self {
+        Self(KeyHash::of(token))
+    }
+
+    /// Whether an `Authorization` header carries this token; compares in constant time.
+    #[must_use]
+    pub fn admits(&self, authorization: &[u8]) -> bool {
+        bearer(authorization).is_some_and(|token| KeyHash::of(token).matches(&self.0))
+    }
+}
+
+impl fmt::Debug for OperatorToken {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("OperatorToken(..)")
+    }
+}
--- /dev/null
+++ b/crates/tanagerhub_wire/tests/backend.rs
@@ -0,0 +1,248 @@
+//! The client's honesty towards faulty back ends, over real sockets.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_std::io::prelude::*;
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task;
+use http::Method;
+use tanagerhub_clock::Clock;
+use tanagerhub_wire::backend::{
+    BackendClient, BackendError, BackendRequest, BodyError, ConnectionRule, PoolLimits, Timeouts,
+};
+use yare::parameterized;
+
+/// A back end that answers each connection's requests with the given bytes, then closes.
+async fn backend(answers: Vec<&'static [u8]>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    task::spawn(async move {
+        loop {
+            let (stream, _) = listener.accept().await.unwrap();
+            task::spawn(answer(stream, answers.clone()));
+        }
+    });
+    address
+}
+
+async fn answer(mut stream: TcpStream, answers: Vec<&'static [u8]>) {
+    let mut buffer = [0; 4_096];
+    for answer in answers {
+        if stream.read(&mut buffer).await.unwrap_or(0) == 0 {
+            return;
+        }
+        for part in answer.split_inclusive(|byte| *byte == b'|') {
+            let part = part.strip_suffix(b"|").unwrap_or(part);
+            stream.write_all(part).await.unwrap();
+            // Lets the client see the parts one by one.
+            task::sleep(Duration::from_millis(5)).await;
+        }
+    }
+}
+
+fn client() -> BackendClient {
+    BackendClient::new(PoolLimits::default(), Clock::real())
+}
+
+fn get() -> BackendRequest {
+    BackendRequest::new(Method::GET, "/")
+}
+
+#[parameterized(
+    length = { b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc", "abc" },
+    length_in_parts = { b"HTTP/1.1 200 OK\r\nContent-|Length: 3\r\n\r|\na|bc", "abc" },
+    chunks = { b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", "abc" },
+    chunks_in_parts = { b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\na|bc\r\n0\r\n\r|\n", "abc" },
+    no_content = { b"HTTP/1.1 204 No Content\r\n\r\n", "" },
+    after_continue = { b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na", "a" },
+)]
+fn read_whole(bytes: &'static [u8], expected: &str) {
+    task::block_on(async {
+        let address = backend(vec![bytes, bytes]).await;
+        let client = client();
+        for _ in 0..2 {
+            let answer = client.send(address, get()).await.unwrap();
+            assert_eq!(answer.body.read(100).await.unwrap(), expected);
+            assert_eq!(client.idle(), 1);
+        }
+    });
+}
+
+#[parameterized(
+    length = { b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc" },
+    chunk = { b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabc" },
+    final_chunk = { b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n" },
+)]
+fn read_cut(bytes: &'static [u8]) {
+    task::block_on(async {
+        let address = backend(vec![bytes]).await;
+        let client = client();
+        let answer = client.send(address, get()).await.unwrap();
+        let error = answer.body.read(100).await.unwrap_err();
+        assert_eq!(error, BodyError::Truncated { address, got: 3 });
+        assert_eq!(client.idle(), 0);
+    });
+}
+
+#[parameterized(
+    no_framing = { b"HTTP/1.1 200 OK\r\n\r\nabc", "neither" },
+    differing_lengths = { b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nabc", "differ" },
+    length_and_chunks = { b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n", "exclude" },
+    garbage = { b"garbage\r\n\r\n", "can't be read" },
+    not_ascii = { b"HTTP/1.1 200 OK\r\nX-Name: \xe9\r\nContent-Length: 0\r\n\r\n", "ASCII" },
+)]
+fn refuse_answer(bytes: &'static [u8], text: &str) {
+    task::block_on(async {
+        let address = backend(vec![bytes]).await;
+        let error = client().send(address, get()).await.unwrap_err();
+        assert!(matches!(error, BackendError::Malformed { .. }), "{error}");
+        assert!(error.to_string().contains(text), "{error}");
+        assert!(error.may_have_run());
+    });
+}
+
+#[test]
+fn refuse_broken_chunks() {
+    task::block_on(async {
+        let bytes = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabcde\r\n";
+        let address = backend(vec![bytes]).await;
+        let answer = client().send(address, get()).await.unwrap();
+        let error = answer.body.read(100).await.unwrap_err();
+        assert!(matches!(error, BodyError::Malformed { .. }), "{error}");
+    });
+}
+
+#[test]
+fn drop_connection_after_surplus() {
+    task::block_on(async {
+        let bytes = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\naHTTP/1.1 200 OK\r\n\r\n";
+        let address = backend(vec![bytes]).await;
+        let client = client();
+        let answer = client.send(address, get()).await.unwrap();
+        assert_eq!(answer.body.read(100).await.unwrap(), "a");
+        assert_eq!(client.idle(), 0);
+    });
+}
+
+#[test]
+fn drop_connection_after_unread_body() {
+    task::block_on(async {
+        let address = backend(vec![b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na"]).await;
+        let client = client();
+        drop(client.send(address, get()).await.unwrap());
+        assert_eq!(client.idle(), 0);
+    });
+}
+
+#[test]
+fn send_refused() {
+    task::block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        drop(listener);
+        let error = client().send(address, get()).await.unwrap_err();
+        assert!(matches!(error, BackendError::NotSent { .. }), "{error}");
+        assert!(!error.may_have_run());
+    });
+}
+
+#[test]
+fn send_closed_unanswered() {
+    task::block_on(async {
+        let address = backend(vec![b""]).await;
+        let error = client().send(address, get()).await.unwrap_err();
+        assert!(matches!(error, BackendError::Broken { .. }), "{error}");
+        assert!(error.may_have_run());
+    });
+}
+
+#[test]
+fn send_silent() {
+    task::block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let timeouts = Timeouts {
+            first_byte: Duration::from_millis(50),
+            ..Timeouts::default()
+        };
+        let error = client()
+            .send(address, get().timeouts(timeouts))
+            .await
+            .unwrap_err();
+        assert!(matches!(error, BackendError::Silent { .. }), "{error}");
+        assert!(error.may_have_run());
+    });
+}
+
+#[test]
+fn read_silent() {
+    task::block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (done, wait) = async_channel::bounded::<()>(1);
+        task::spawn(async move {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let head = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\na";
+            stream.write_all(head).await.unwrap();
+            let _: Result<(), _> = wait.recv().await;
+        });
+        let timeouts = Timeouts {
+            between: Duration::from_millis(50),
+            ..Timeouts::default()
+        };
+        let answer = client()
+            .send(address, get().timeouts(timeouts))
+            .await
+            .unwrap();
+        let error = answer.body.read(100).await.unwrap_err();
+        assert!(matches!(error, BodyError::Silent { .. }), "{error}");
+        drop(done);
+    });
+}
+
+#[parameterized(
+    pooled = { ConnectionRule::Pooled, 2_000, 1 },
+    pooled_expired = { ConnectionRule::Pooled, 16_000, 2 },
+    proven = { ConnectionRule::Proven, 500, 1 },
+    proven_old = { ConnectionRule::Proven, 2_000, 2 },
+    fresh = { ConnectionRule::Fresh, 0, 2 },
+)]
+fn reuse_connection(rule: ConnectionRule, idle_ms: u64, connections: usize) {
+    task::block_on(async {
+        let whole: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na";
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (count, counted) = async_channel::unbounded();
+        task::spawn(async move {
+            loop {
+                let (stream, _) = listener.accept().await.unwrap();
+                count.send(()).await.unwrap();
+                task::spawn(answer(stream, vec![whole, whole]));
+            }
+        });
+        let (clock, hand) = Clock::manual();
+        let client = BackendClient::new(PoolLimits::default(), clock);
+        for _ in 0..2 {
+            let request = get().connection(rule);
+            let answer = client.send(address, request).await.unwrap();
+            assert_eq!(answer.body.read(100).await.unwrap(), "a");
+            hand.advance(Duration::from_millis(idle_ms));
+        }
+        assert_eq!(counted.len(), connections);
+    });
+}
+
+#[test]
+fn skip_closed_connection() {
+    task::block_on(async {
+        // The back end closes after its first answer.
+        let address = backend(vec![b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na"]).await;
+        let client = client();
+        for _ in 0..3 {
+            let answer = client.send(address, get()).await.unwrap();
+            assert_eq!(answer.body.read(100).await.unwrap(), "a");
+            task::sleep(Duration::from_millis(50)).await;
+        }
+    });
+}
--- /dev/null
+++ b/crates/tanagerhub_wire/tests/http_server.rs
@@ -0,0 +1,258 @@
+//! The server's strictness, over real sockets.
+
+use std::time::Duration;
+
+use async_std::io::prelude::*;
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task;
+use http::StatusCode;
+use tanagerhub_clock::Clock;
+use tanagerhub_wire::http::{AnswerBody, HttpLimits, HttpServer, Request, Response, json, serve};
+use yare::parameterized;
+
+/// Far beyond what a loopback call takes; only keeps a fault from hanging the run.
+const SAFETY: Duration = Duration::from_secs(20);
+
+async fn echo(request: Request) -> Response {
+    let text = format!(
+        "{} {} {}",
+        request.method(),
+        request.uri(),
+        request.body().len()
+    );
+    json(StatusCode::OK, &text)
+}
+
+async fn start(limits: HttpLimits) -> HttpServer {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    serve(listener, limits, Clock::real(), echo).unwrap()
+}
+
+/// Sends bytes, and reads until the server closes.
+async fn exchange(server: &HttpServer, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(server.address()).await.unwrap();
+    stream.write_all(bytes).await.unwrap();
+    read_to_end(&mut stream).await
+}
+
+async fn read_to_end(stream: &mut TcpStream) -> String {
+    let mut answer = Vec::new();
+    let read = stream.read_to_end(&mut answer);
+    async_std::future::timeout(SAFETY, read)
+        .await
+        .unwrap()
+        .unwrap();
+    String::from_utf8(answer).unwrap()
+}
+
+#[parameterized(
+    differing_lengths = { "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nabc", 400, "differ" },
+    length_and_chunks = { "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400, "exclude" },
+    signed_length = { "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: +2\r\n\r\nab", 400, "not a number" },
+    other_encoding = { "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip\r\n\r\n", 400, "chunked" },
+    no_host = { "GET / HTTP/1.1\r\n\r\n", 400, "Host" },
+    two_hosts = { "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", 400, "Host" },
+    no_request_line = { "nonsense\r\n\r\n", 400, "malformed_request" },
+    bad_header = { "GET / HTTP/1.1\r\nHost: a\r\nno colon\r\n\r\n", 400, "malformed_request" },
+    not_ascii = { "GET / HTTP/1.1\r\nHost: a\r\nX-Name: \u{e9}\r\n\r\n", 400, "ASCII" },
+    old_version = { "GET / HTTP/1.0\r\nHost: a\r\n\r\n", 505, "HTTP/1.0" },
+    strange_method = { "BREW / HTTP/1.1\r\nHost: a\r\n\r\n", 501, "BREW" },
+    absolute_target = { "GET http://a/ HTTP/1.1\r\nHost: a\r\n\r\n", 400, "path" },
+    broken_chunk = { "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 400, "chunks" },
+    long_body = { "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 101\r\n\r\n", 413, "100 bytes" },
+)]
+fn refuse_request(bytes: &str, status: u16, text: &str) {
+    task::block_on(async {
+        let limits = HttpLimits {
+            body_bytes: 100,
+            ..HttpLimits::default()
+        };
+        let server = start(limits).await;
+        let answer = exchange(&server, bytes.as_bytes()).await;
+        assert!(
+            answer.starts_with(&format!("HTTP/1.1 {status} ")),
+            "{answer}"
+        );
+        assert!(answer.contains("x-tanagerhub-outcome: not-run"), "{answer}");
+        assert!(answer.contains(text), "{answer}");
+        server.stop().await;
+    });
+}
+
+#[test]
+fn refuse_long_head() {
+    task::block_on(async {
+        let server = start(HttpLimits::default()).await;
+        let request = format!(
+            "GET / HTTP/1.1\r\nHost: a\r\nX-Long: {}\r\n\r\n",
+            "x".repeat(9_000)
+        );
+        let answer = exchange(&server, request.as_bytes()).await;
+        assert!(answer.starts_with("HTTP/1.1 431 "), "{answer}");
+        server.stop().await;
+    });
+}
+
+#[test]
+fn refuse_long_chunks() {
+    task::block_on(async {
+        let limits = HttpLimits {
+            body_bytes: 100,
+            ..HttpLimits::default()
+        };
+        let server = start(limits).await;
+        let request = format!(
+            "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nC8\r\n{}\r\n0\r\n\r\n",
+            "x".repeat(200)
+        );
+        let answer = exchange(&server, request.as_bytes()).await;
+        assert!(answer.starts_with("HTTP/1.1 413 "), "{answer}");
+        server.stop().await;
+    });
+}
+
+#[test]
+fn serve_pipelined() {
+    task::block_on(async {
+        let server = start(HttpLimits::default()).await;
+        let requests = "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nxyGET /b HTTP/1.1\r\nHost: a\r\n\r\n\
+            POST /c HTTP/1.1\r\nHost: a\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+        let answer = exchange(&server, requests.as_bytes()).await;
+        assert!(answer.contains("POST /a 2"), "{answer}");
+        assert!(answer.contains("GET /b 0"), "{answer}");
+        assert!(answer.contains("POST /c 3"), "{answer}");
+        server.stop().await;
+    });
+}
+
+#[parameterized(head = { "GET / HT" }, body = { "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nabc" })]
+fn time_out_slow_sender(bytes: &str) {
+    task::block_on(async {
+        let limits = HttpLimits {
+            head: Duration::from_millis(50),
+            body: Duration::from_millis(50),
+            ..HttpLimits::default()
+        };
+        let server = start(limits).await;
+        let answer = exchange(&server, bytes.as_bytes()).await;
+        assert!(answer.starts_with("HTTP/1.1 408 "), "{answer}");
+        server.stop().await;
+    });
+}
+
+#[test]
+fn turn_away_crowd() {
+    task::block_on(async {
+        let limits = HttpLimits {
+            connections: 1,
+            ..HttpLimits::default()
+        };
+        let server = start(limits).await;
+        let mut first = TcpStream::connect(server.address()).await.unwrap();
+        first
+            .write_all(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            .await
+            .unwrap();
+        let mut byte = [0];
+        first.read_exact(&mut byte).await.unwrap();
+        let answer = exchange(&server, b"GET / HTTP/1.1\r\nHost: a\r\n\r\n").await;
+        assert!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
+        assert!(answer.contains("retry-after: 1"), "{answer}");
+        server.stop().await;
+    });
+}
+
+#[test]
+fn stream_caller_gone() {
+    task::block_on(async {
+        let (tell, told) = async_channel::bounded(1);
+        let handler = move |_: Request| {
+            let tell = tell.clone();
+            async move {
+                let (sender, body) = AnswerBody::stream();
+                task::spawn(async move {
+                    sender.send("one".into()).await.unwrap();
+                    sender.gone().await;
+                    tell.send(()).await.unwrap();
+                });
+                Response::new(body)
+            }
+        };
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let server = serve(listener, HttpLimits::default(), Clock::real(), handler).unwrap();
+        let mut stream = TcpStream::connect(server.address()).await.unwrap();
+        stream
+            .write_all(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            .await
+            .unwrap();
+        let mut byte = [0];
+        stream.read_exact(&mut byte).await.unwrap();
+        drop(stream);
+        // Nothing more is written, so only the closed socket can tell.
+        async_std::future::timeout(SAFETY, told.recv())
+            .await
+            .unwrap()
+            .unwrap();
+        server.stop().await;
+    });
+}
+
+#[parameterized(finished = { true }, cut = { false })]
+fn stream_end(finished: bool) {
+    task::block_on(async {
+        let handler = move |_: Request| async move {
+            let (sender, body) = AnswerBody::stream();
+            task::spawn(async move {
+                sender.send("one".into()).await.unwrap();
+                if finished {
+                    sender.finish().await.unwrap();
+                }
+            });
+            Response::new(body)
+        };
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let server = serve(listener, HttpLimits::default(), Clock::real(), handler).unwrap();
+        let request = b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+        let answer = exchange(&server, request).await;
+        assert!(answer.contains("3\r\none\r\n"), "{answer}");
+        assert_eq!(answer.ends_with("0\r\n\r\n"), finished, "{answer}");
+        server.stop().await;
+    });
+}
+
+#[test]
+fn stop_finishes_stream() {
+    task::block_on(async {
+        let (go, gate) = async_channel::bounded::<()>(1);
+        let handler = move |_: Request| {
+            let gate = gate.clone();
+            async move {
+                let (sender, body) = AnswerBody::stream();
+                task::spawn(async move {
+                    sender.send("one".into()).await.unwrap();
+                    gate.recv().await.unwrap();
+                    sender.send("two".into()).await.unwrap();
+                    sender.finish().await.unwrap();
+                });
+                Response::new(body)
+            }
+        };
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let server = serve(listener, HttpLimits::default(), Clock::real(), handler).unwrap();
+        let mut idle = TcpStream::connect(server.address()).await.unwrap();
+        let mut busy = TcpStream::connect(server.address()).await.unwrap();
+        busy.write_all(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            .await
+            .unwrap();
+        let mut byte = [0];
+        busy.read_exact(&mut byte).await.unwrap();
+        let address = server.address();
+        let stopping = task::spawn(server.stop());
+        assert_eq!(read_to_end(&mut idle).await, "");
+        go.send(()).await.unwrap();
+        let rest = read_to_end(&mut busy).await;
+        assert!(rest.ends_with("3\r\ntwo\r\n0\r\n\r\n"), "{rest}");
+        async_std::future::timeout(SAFETY, stopping).await.unwrap();
+        TcpStream::connect(address).await.unwrap_err();
+    });
+}
