Report every mistake of a catalogue document at once

Serde stops at the first mistake and lets unknown fields pass in entries, since `kind` is flattened. Each table is now read field by field, so that one reading names every mistake with its path, and what nothing asked for is unknown.

`Catalogue::document` writes the document back, and `CatalogueDiff` shows what a new one changes.

--- /dev/null
+++ b/crates/tanagerhub_catalogue/src/diff.rs
@@ -0,0 +1,149 @@
+//! What a new catalogue changes.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use serde::Serialize;
+use serde_json::Value;
+
+use crate::Catalogue;
+
+/// The differences between two catalogues, without version and marks.
+///
+/// # Examples
+///
+/// ```
+/// use tanagerhub_catalogue::{Catalogue, CatalogueDiff};
+///
+/// let new = "[[data_centres]]\nname = \"tbs-a\"\nregion = \"tbilisi\"\n";
+/// let new = Catalogue::parse(new)?;
+/// let diff = CatalogueDiff::between(&Catalogue::default(), &new);
+/// assert_eq!(diff.to_string(), "+ data_centres.tbs-a\n");
+/// # Ok::<(), tanagerhub_catalogue::CatalogueError>(())
+/// ```
+#[derive(Debug, Clone, PartialEq, Default, Serialize)]
+pub struct CatalogueDiff {
+    /// The changes, section by section.
+    pub changes: Vec<Change>,
+}
+
+/// One difference.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+#[serde(tag = "change", rename_all = "snake_case")]
+pub enum Change {
+    /// A thing that is new.
+    Added {
+        /// Its place.
+        path: String,
+    },
+    /// A thing that goes.
+    Removed {
+        /// Its place.
+        path: String,
+    },
+    /// A field with another value.
+    Changed {
+        /// Its place.
+        path: String,
+        /// The value before.
+        old: Value,
+        /// The value after.
+        new: Value,
+    },
+}
+
+impl CatalogueDiff {
+    /// Compares two catalogues.
+    ///
+    /// # Panics
+    ///
+    /// Never: catalogues are plain data.
+    #[must_use]
+    pub fn between(old: &Catalogue, new: &Catalogue) -> Self {
+        let mut diff = Self::default();
+        let centre = |centre: &crate::DataCentre| centre.name.clone();
+        let organisation = |organisation: &crate::Organisation| organisation.name.clone();
+        let entry = |entry: &crate::Entry| entry.name.clone();
+        diff.section("data_centres", &old.data_centres, &new.data_centres, centre);
+        let (before, after) = (&old.organisations, &new.organisations);
+        diff.section("organisations", before, after, organisation);
+        diff.section("entries", &old.entries, &new.entries, entry);
+        diff
+    }
+
+    /// Whether nothing changes.
+    #[must_use]
+    pub const fn is_empty(&self) -> bool {
+        self.changes.is_empty()
+    }
+
+    fn section<T: Serialize>(
+        &mut self,
+        section: &str,
+        old: &[T],
+        new: &[T],
+        name: impl Fn(&T) -> String,
+    ) {
+        let old = by_name(old, &name);
+        let new = by_name(new, &name);
+        for (name, value) in &old {
+            let path = format!("{section}.{name}");
+            match new.get(name) {
+                Some(other) => self.value(path, value, other),
+                None => self.changes.push(Change::Removed { path }),
+            }
+        }
+        let added = new.keys().filter(|name| !old.contains_key(*name));
+        self.changes.extend(added.map(|name| Change::Added {
+            path: format!("{section}.{name}"),
+        }));
+    }
+
+    fn value(&mut self, path: String, old: &Value, new: &Value) {
+        match (old, new) {
+            (Value::Object(before), Value::Object(after)) => {
+                let none = Value::Null;
+                let mut fields: Vec<_> = before.keys().chain(after.keys()).collect();
+                fields.sort_unstable();
+                fields.dedup();
+                for field in fields {
+                    let old = before.get(field).unwrap_or(&none);
+                    let new = after.get(field).unwrap_or(&none);
+                    self.value(format!("{path}.{field}"), old, new);
+                }
+            }
+            _ if old == new => {}
+            _ => self.changes.push(Change::Changed {
+                path,
+                old: old.clone(),
+                new: new.clone(),
+            }),
+        }
+    }
+}
+
+fn by_name<T: Serialize>(things: &[T], name: impl Fn(&T) -> String) -> BTreeMap<String, Value> {
+    let value = |thing| serde_json::to_value(thing).expect("catalogues are plain data");
+    things
+        .iter()
+        .map(|thing| (name(thing), value(thing)))
+        .collect()
+}
+
+impl fmt::Display for CatalogueDiff {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.changes
+            .iter()
+            .try_for_each(|change| writeln!(f, "{change}"))
+    }
+}
+
+impl fmt::Display for Change {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Added { path } => write!(f, "+ {path}"),
+            Self::Removed { path } => write!(f, "- {path}"),
+            Self::Changed { path, old, new } => write!(f, "~ {path}: {old} -> {new}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/tanagerhub_catalogue/src/document/checks.rs
@@ -0,0 +1,36 @@
+//! Checks that need no table.
+
+use std::collections::HashMap;
+
+use crate::{KeyHash, Mistake, Organisation};
+
+/// The longest name, in characters.
+const MAX_NAME: usize = 64;
+
+/// What names may look like.
+pub(crate) const NAME_RULE: &str = "must be 1 to 64 letters, digits, hyphens, underscores or dots, and start with a letter or digit";
+
+/// Whether a name can stand in paths, logs and metrics.
+pub(crate) fn is_name(name: &str) -> bool {
+    let fits = (1..=MAX_NAME).contains(&name.len());
+    let plain = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
+    let starts = name
+        .bytes()
+        .next()
+        .is_some_and(|byte| byte.is_ascii_alphanumeric());
+    fits && starts && name.bytes().all(plain)
+}
+
+/// Refuses a key that would name two organisations.
+pub(crate) fn check_keys(organisations: &[Organisation], mistakes: &mut Vec<Mistake>) {
+    let mut owners: HashMap<KeyHash, &str> = HashMap::new();
+    for organisation in organisations {
+        for (index, key) in organisation.keys.iter().enumerate() {
+            let other = owners.insert(*key, &organisation.name);
+            mistakes.extend(other.map(|other| Mistake {
+                path: format!("organisations.{}.keys[{index}]", organisation.name),
+                message: format!("is also a key of \"{other}\""),
+            }));
+        }
+    }
+}
--- a/crates/tanagerhub_catalogue/src/lib.rs
+++ b/crates/tanagerhub_catalogue/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod catalogue;
 mod catalogue_error;
+mod diff;
 mod document;
 mod entry;
 mod ids;
@@ -15,6 +16,7 @@
 
 pub use catalogue::{Catalogue, CatalogueVersion, DataCentre, Region};
 pub use catalogue_error::{CatalogueError, Mistake};
+pub use diff::{CatalogueDiff, Change};
 pub use entry::{
     Class, ColdLimit, Entry, EntryKind, Fencing, Limits, ModelEntry, Route, ServiceEntry,
 };
--- a/crates/tanagerhub_catalogue/src/organisation.rs
+++ b/crates/tanagerhub_catalogue/src/organisation.rs
@@ -63,7 +63,7 @@
 /// assert!(!hash.matches(&KeyHash::of("guess")));
 /// ```
 #[serde_as]
-#[derive(Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct KeyHash(#[serde_as(as = "Hex")] [u8; 32]);
 
--- a/crates/tanagerhub_wire/src/operators/token.rs
+++ b/crates/tanagerhub_wire/src/operators/token.rs
@@ -34,6 +34,12 @@
     }
 }
 
+impl From<KeyHash> for OperatorToken {
+    fn from(hash: KeyHash) -> Self {
+        Self(hash)
+    }
+}
+
 impl fmt::Debug for OperatorToken {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str("OperatorToken(..)")
