Call the platform over HTTP; stand-ins for platform and engine

The lead needs a platform client and something to talk to before the whole path can run.

HttpPlatform opens a connection per call: what happens before the connection stands is not applied, all after it is unknown. The HTTP client library reads a short body as a clean end and an answer without framing as empty, so both are checked; ten broken answers are tested.

The stand-ins run as tasks in one process and listen on 127.0.0.2, so that no outgoing connection takes the port of one that is restarted. Faults: stopped, paused, slow, lost answers, rate limits, dead and restarted engines, cold, silent open connections, crash marker, fencing checked or ignored.

--- /dev/null
+++ b/crates/tanagerhub_standins/src/engine_standin/fabric.rs
@@ -0,0 +1,298 @@
+//! The engines of one site, as they know of each other.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use async_std::task;
+use tanagerhub_catalogue::{Epoch, GroupId};
+use tanagerhub_clock::{Clock, Moment};
+use tanagerhub_fleet::{MemberReport, Order, OrderAnswer};
+
+use super::engine::{Engine, Power};
+use crate::{EngineSettings, Fact, Recorder, Started, StopCause, WeightStore, Work};
+
+/// Connects the engines of one site, so that a step can ask for every member.
+#[derive(Debug, Clone)]
+pub struct Fabric(Arc<Inner>);
+
+#[derive(Debug)]
+struct Inner {
+    clock: Clock,
+    recorder: Recorder,
+    weights: WeightStore,
+    engines: Mutex<BTreeMap<SocketAddr, Engine>>,
+}
+
+/// What a step of a group came to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Step {
+    /// Every member took part; the step took this long.
+    Done(Duration),
+    /// A member is paused: the step waits for it.
+    Wait,
+    /// A member is missing for good.
+    Broken,
+}
+
+/// What a request is meant for, from its headers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Target {
+    pub(super) group: GroupId,
+    pub(super) epoch: Epoch,
+}
+
+/// What an engine said to a new request.
+#[derive(Debug)]
+pub(super) enum Admission {
+    /// It runs.
+    Runs(Run),
+    /// It was refused, and no part of it ran.
+    Refused,
+    /// The engine was in cold start, and it was one request too many.
+    FellOver,
+}
+
+impl Fabric {
+    /// An empty site.
+    #[must_use]
+    pub fn new(clock: Clock, recorder: Recorder, weights: WeightStore) -> Self {
+        Self(Arc::new(Inner {
+            clock,
+            recorder,
+            weights,
+            engines: Mutex::default(),
+        }))
+    }
+
+    /// The clock that all stand-ins of the site share.
+    #[must_use]
+    pub fn clock(&self) -> &Clock {
+        &self.0.clock
+    }
+
+    /// The log that all stand-ins of the site share.
+    #[must_use]
+    pub fn recorder(&self) -> &Recorder {
+        &self.0.recorder
+    }
+
+    pub(super) fn add(&self, address: SocketAddr, settings: EngineSettings) {
+        self.lock().insert(address, Engine::new(settings));
+    }
+
+    /// Changes one engine.
+    pub(super) fn with<T>(
+        &self,
+        address: SocketAddr,
+        change: impl FnOnce(&mut Engine) -> T,
+    ) -> Option<T> {
+        self.lock().get_mut(&address).map(change)
+    }
+
+    /// Changes one engine's power, and notes it.
+    pub(super) fn set_power(&self, address: SocketAddr, power: Power) {
+        let mut engines = self.lock();
+        let Some(engine) = engines.get_mut(&address) else {
+            return;
+        };
+        for fact in engine.set_power(power) {
+            self.0.recorder.note(fact);
+        }
+    }
+
+    pub(super) fn report(&self, address: SocketAddr) -> Option<MemberReport> {
+        let now = self.0.clock.now();
+        self.with(address, |engine| engine.report(now))
+    }
+
+    /// Obeys an order; `None` means that it is meant for another VM.
+    pub(super) fn obey(&self, address: SocketAddr, order: &Order) -> Option<OrderAnswer> {
+        let mut engines = self.lock();
+        let vms = engines
+            .iter()
+            .map(|(address, engine)| (*address, engine.vm()))
+            .collect();
+        let engine = engines.get_mut(&address)?;
+        if engine.vm() != order.vm {
+            return None;
+        }
+        let obeyed = engine.obey(order, &vms);
+        for fact in obeyed.facts {
+            self.0.recorder.note(fact);
+        }
+        if let Some(load) = obeyed.load {
+            task::spawn(self.clone().load(address, load));
+        }
+        if obeyed.release {
+            task::spawn(self.clone().release(address, order.group));
+        }
+        Some(obeyed.answer)
+    }
+
+    async fn load(self, address: SocketAddr, load: u64) {
+        self.0.weights.load().await;
+        let now = self.0.clock.now();
+        self.with(address, |engine| engine.loaded(load, now));
+    }
+
+    /// Drops the weights once the group's requests have ended.
+    async fn release(self, address: SocketAddr, group: GroupId) {
+        const POLL: Duration = Duration::from_millis(20);
+        while !self.try_release(address, group) {
+            self.0.clock.sleep(POLL).await;
+        }
+    }
+
+    fn try_release(&self, address: SocketAddr, group: GroupId) -> bool {
+        let mut engines = self.lock();
+        if engines.values().any(|engine| engine.runs(group)) {
+            return false;
+        }
+        if let Some(engine) = engines.get_mut(&address) {
+            engine.drop_released(group);
+        }
+        true
+    }
+
+    /// Takes a new request at rank 0, or refuses it.
+    pub(super) fn begin(
+        &self,
+        address: SocketAddr,
+        target: Option<Target>,
+        work: Work,
+    ) -> Admission {
+        let now = self.0.clock.now();
+        let mut engines = self.lock();
+        let Some(engine) = engines.get_mut(&address) else {
+            return Admission::Refused;
+        };
+        let Some(started) = engine.begin(target, work, now) else {
+            return Admission::Refused;
+        };
+        let fell_over = started.cold && started.running > started.cold_limit;
+        let vm = started.vm;
+        let run = Run::new(self.clone(), address, &started);
+        self.0.recorder.note(Fact::Started(started));
+        if !fell_over {
+            return Admission::Runs(run);
+        }
+        self.0.recorder.note(Fact::FellOver { vm });
+        drop(engines);
+        drop(run);
+        Admission::FellOver
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<SocketAddr, Engine>> {
+        self.0
+            .engines
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// One request that an engine runs; dropping it ends it.
+#[derive(Debug)]
+pub(super) struct Run {
+    fabric: Fabric,
+    address: SocketAddr,
+    started: Started,
+    cause: Option<StopCause>,
+}
+
+impl Run {
+    fn new(fabric: Fabric, address: SocketAddr, started: &Started) -> Self {
+        Self {
+            fabric,
+            address,
+            started: started.clone(),
+            cause: Some(StopCause::Cancelled),
+        }
+    }
+
+    pub(super) const fn is_cold(&self) -> bool {
+        self.started.cold
+    }
+
+    /// Whether and how fast the group makes its next token; the last one is noted.
+    pub(super) fn step(&mut self, last: bool) -> Step {
+        let engines = self.fabric.lock();
+        let step = self.judge(&engines);
+        match step {
+            Step::Broken => self.cause = Some(StopCause::Broken),
+            Step::Done(_) if last => {
+                self.cause = None;
+                self.fabric.0.recorder.note(Fact::Finished {
+                    work: self.started.work.clone(),
+                    vm: self.started.vm,
+                    group: self.started.group,
+                });
+            }
+            Step::Done(_) | Step::Wait => {}
+        }
+        drop(engines);
+        step
+    }
+
+    /// Notes that the request crashes its engine.
+    pub(super) const fn crash(&mut self) {
+        self.cause = Some(StopCause::Crashed);
+    }
+
+    fn judge(&self, engines: &BTreeMap<SocketAddr, Engine>) -> Step {
+        let Some(first) = engines.get(&self.address) else {
+            return Step::Broken;
+        };
+        if first.boot() != self.started.boot {
+            return Step::Broken;
+        }
+        let target = Target {
+            group: self.started.group,
+            epoch: self.started.epoch,
+        };
+        let Some(members) = first.members_of(target) else {
+            return Step::Broken;
+        };
+        let mut slowest = Duration::ZERO;
+        let mut waits = false;
+        for member in members {
+            let Some(engine) = engines.get(member) else {
+                return Step::Broken;
+            };
+            match engine.power() {
+                Power::Down => return Step::Broken,
+                Power::Paused => waits = true,
+                Power::Up => {}
+            }
+            if !engine.is_ready_for(target) {
+                return Step::Broken;
+            }
+            slowest = slowest.max(engine.step_time());
+        }
+        if waits {
+            Step::Wait
+        } else {
+            Step::Done(slowest)
+        }
+    }
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        let boot = self.started.boot;
+        self.fabric.with(self.address, |engine| engine.ended(boot));
+        if let Some(cause) = self.cause {
+            self.fabric.0.recorder.note(Fact::Stopped {
+                work: self.started.work.clone(),
+                vm: self.started.vm,
+                cause,
+            });
+        }
+    }
+}
+
+/// The time after which a group that became ready is warm.
+pub(super) fn is_warm(ready: Moment, span: Duration, now: Moment) -> bool {
+    now.since(ready) >= span
+}
--- /dev/null
+++ b/crates/tanagerhub_standins/src/gate.rs
@@ -0,0 +1,78 @@
+//! Faults of a server's connections.
+
+use std::collections::HashMap;
+use std::net::Shutdown;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Waker};
+
+use async_std::net::TcpStream;
+
+/// Stops and closes the connections of one server.
+#[derive(Debug, Default)]
+pub(crate) struct Gate {
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    paused: bool,
+    next: u64,
+    silent_below: u64,
+    open: HashMap<u64, TcpStream>,
+    wakers: Vec<Waker>,
+}
+
+impl Gate {
+    /// Notes a new connection and numbers it.
+    pub(crate) fn opened(&self, stream: TcpStream) -> u64 {
+        let mut state = self.lock();
+        let number = state.next;
+        state.next += 1;
+        state.open.insert(number, stream);
+        number
+    }
+
+    /// Forgets a connection.
+    pub(crate) fn closed(&self, number: u64) {
+        self.lock().open.remove(&number);
+    }
+
+    /// Stops all connections, or lets them go on.
+    pub(crate) fn pause(&self, paused: bool) {
+        let mut state = self.lock();
+        state.paused = paused;
+        let wakers = std::mem::take(&mut state.wakers);
+        drop(state);
+        wakers.into_iter().for_each(Waker::wake);
+    }
+
+    /// Stops the connections that are open now, for good; new ones work.
+    pub(crate) fn silence_open(&self) {
+        let mut state = self.lock();
+        state.silent_below = state.next;
+    }
+
+    /// Closes every open connection and ends a pause.
+    pub(crate) fn close_all(&self) {
+        let open = std::mem::take(&mut self.lock().open);
+        for stream in open.into_values() {
+            drop(stream.shutdown(Shutdown::Both));
+        }
+        self.lock().silent_below = 0;
+        self.pause(false);
+    }
+
+    /// Whether a connection must wait; it is woken when that changes.
+    pub(crate) fn is_blocked(&self, number: u64, context: &Context<'_>) -> bool {
+        let mut state = self.lock();
+        let blocked = state.paused || number < state.silent_below;
+        if blocked {
+            state.wakers.push(context.waker().clone());
+        }
+        blocked
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/tanagerhub_standins/src/platform_standin.rs
@@ -0,0 +1,308 @@
+//! A stand-in for the platform.
+
+mod rate;
+mod table;
+
+use std::collections::{HashMap, VecDeque};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use http_types::{Method, Request, Response, StatusCode};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tanagerhub_catalogue::{Vm, VmState};
+use tanagerhub_clock::{Clock, Moment};
+use tanagerhub_table::{CommitOutcome, Row, Transaction};
+use tanagerhub_wire::platform::ReadRows;
+
+use crate::server::{Handler, Server};
+
+pub use rate::RateLimits;
+use rate::Rates;
+use table::Table;
+
+/// The platform's table, object store and list of VMs, with faults.
+#[derive(Debug)]
+pub struct PlatformStandin {
+    server: Server,
+    shared: Arc<Shared>,
+}
+
+/// Calls that the platform has taken, by kind.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct PlatformCounts {
+    /// Transactions that were applied.
+    pub commits: u64,
+    /// Transactions whose conditions did not hold.
+    pub conflicts: u64,
+    /// Reads of rows.
+    pub row_reads: u64,
+    /// Objects stored.
+    pub object_writes: u64,
+    /// Objects fetched.
+    pub object_reads: u64,
+    /// Reads of the list of VMs.
+    pub vm_reads: u64,
+    /// Calls that the rate limits refused.
+    pub limited: u64,
+    /// Answers that were thrown away after the write.
+    pub lost: u64,
+}
+
+#[derive(Debug)]
+struct Shared {
+    clock: Clock,
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    table: Table,
+    objects: HashMap<String, Vec<u8>>,
+    vms: Vec<Vm>,
+    coming: VecDeque<(Moment, Vec<Vm>)>,
+    lag: Duration,
+    delay: Duration,
+    lose: u32,
+    rates: Rates,
+    counts: PlatformCounts,
+}
+
+impl PlatformStandin {
+    /// Starts an empty platform.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the system when no port can be had.
+    pub async fn start(clock: Clock) -> io::Result<Self> {
+        let shared = Arc::new(Shared {
+            clock,
+            state: Mutex::default(),
+        });
+        let inner = Arc::clone(&shared);
+        let handler: Handler = Arc::new(move |request, _| {
+            let shared = Arc::clone(&inner);
+            Box::pin(async move { shared.answer(request).await })
+        });
+        let server = Server::start(handler).await?;
+        Ok(Self { server, shared })
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Takes it down: connections are closed and refused.
+    pub async fn stop(&self) {
+        self.server.stop().await;
+    }
+
+    /// Brings it back with all that it held.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the system when the port was taken meanwhile.
+    pub async fn restart(&self) -> io::Result<()> {
+        self.server.restart().await
+    }
+
+    /// Stops or resumes answering; connections stay open.
+    pub fn pause(&self, paused: bool) {
+        self.server.gate().pause(paused);
+    }
+
+    /// Delays every answer.
+    pub fn slow(&self, delay: Duration) {
+        self.shared.lock().delay = delay;
+    }
+
+    /// Throws away the answers to the next `count` transactions after they took effect.
+    pub fn lose_answers(&self, count: u32) {
+        self.shared.lock().lose = count;
+    }
+
+    /// Sets how many calls a second it takes.
+    pub fn limit(&self, limits: RateLimits) {
+        self.shared.lock().rates = Rates::new(limits);
+    }
+
+    /// Sets how late the list of VMs is.
+    pub fn lag(&self, lag: Duration) {
+        self.shared.lock().lag = lag;
+    }
+
+    /// Replaces the list of VMs; callers see it after the lag.
+    pub fn list(&self, vms: Vec<Vm>) {
+        let now = self.shared.clock.now();
+        let mut state = self.shared.lock();
+        let due = now + state.lag;
+        state.coming.push_back((due, vms));
+    }
+
+    /// Marks one VM as leaving; callers see it after the lag.
+    pub fn announce_leaving(&self, name: &str) {
+        let mut vms = self.listed();
+        for vm in vms.iter_mut().filter(|vm| vm.name == name) {
+            vm.state = VmState::Leaving;
+        }
+        self.list(vms);
+    }
+
+    /// The newest list of VMs, as callers will see it.
+    #[must_use]
+    pub fn listed(&self) -> Vec<Vm> {
+        let state = self.shared.lock();
+        let newest = state.coming.back().map(|(_, vms)| vms);
+        newest.unwrap_or(&state.vms).clone()
+    }
+
+    /// The rows whose names start with `prefix`, in key order.
+    #[must_use]
+    pub fn rows(&self, prefix: &str) -> Vec<Row> {
+        self.shared.lock().table.read(&ReadRows::Prefix {
+            prefix: prefix.to_owned(),
+            after: None,
+            limit: u32::MAX,
+        })
+    }
+
+    /// The calls that it has taken.
+    #[must_use]
+    pub fn counts(&self) -> PlatformCounts {
+        self.shared.lock().counts
+    }
+}
+
+impl Shared {
+    async fn answer(&self, mut request: Request) -> http_types::Result<Response> {
+        let body = request.body_bytes().await?;
+        let delay = self.lock().delay;
+        if !delay.is_zero() {
+            self.clock.sleep(delay).await;
+        }
+        let path = request.url().path();
+        match (request.method(), path) {
+            (Method::Post, "/table/commit") => self.commit(&body),
+            (Method::Post, "/table/read") => self.read(&body),
+            (Method::Get, "/vms") => self.list_vms(),
+            (method, path) => match path.strip_prefix("/objects/") {
+                Some(name) if method == Method::Put => Ok(self.put(name, body)),
+                Some(name) if method == Method::Get => Ok(self.get(name)),
+                _ => Ok(Response::new(StatusCode::NotFound)),
+            },
+        }
+    }
+
+    fn commit(&self, body: &[u8]) -> http_types::Result<Response> {
+        let transaction: Transaction = parse(body)?;
+        let mut state = self.lock();
+        if !state.allow_write(self.clock.now()) {
+            return Ok(Response::new(StatusCode::TooManyRequests));
+        }
+        let outcome = state.table.commit(transaction);
+        match outcome {
+            CommitOutcome::Committed { .. } => state.counts.commits += 1,
+            _ => state.counts.conflicts += 1,
+        }
+        if state.lose > 0 {
+            state.lose -= 1;
+            state.counts.lost += 1;
+            return Err(http_types::format_err!("the answer is thrown away"));
+        }
+        drop(state);
+        json(&outcome)
+    }
+
+    fn read(&self, body: &[u8]) -> http_types::Result<Response> {
+        let rows: ReadRows = parse(body)?;
+        let mut state = self.lock();
+        if !state.allow_read(self.clock.now()) {
+            return Ok(Response::new(StatusCode::TooManyRequests));
+        }
+        state.counts.row_reads += 1;
+        let rows = state.table.read(&rows);
+        drop(state);
+        json(&rows)
+    }
+
+    fn list_vms(&self) -> http_types::Result<Response> {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        if !state.allow_read(now) {
+            return Ok(Response::new(StatusCode::TooManyRequests));
+        }
+        state.counts.vm_reads += 1;
+        state.publish(now);
+        json(&state.vms)
+    }
+
+    fn put(&self, name: &str, content: Vec<u8>) -> Response {
+        let mut state = self.lock();
+        if !state.allow_write(self.clock.now()) {
+            return Response::new(StatusCode::TooManyRequests);
+        }
+        state.counts.object_writes += 1;
+        state.objects.insert(name.to_owned(), content);
+        drop(state);
+        Response::new(StatusCode::NoContent)
+    }
+
+    fn get(&self, name: &str) -> Response {
+        let mut state = self.lock();
+        if !state.allow_read(self.clock.now()) {
+            return Response::new(StatusCode::TooManyRequests);
+        }
+        state.counts.object_reads += 1;
+        let Some(content) = state.objects.get(name).cloned() else {
+            return Response::new(StatusCode::NotFound);
+        };
+        drop(state);
+        let mut response = Response::new(StatusCode::Ok);
+        response.set_body(content);
+        response
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn allow_write(&mut self, now: Moment) -> bool {
+        let allowed = self.rates.allow_write(now);
+        self.counts.limited += u64::from(!allowed);
+        allowed
+    }
+
+    fn allow_read(&mut self, now: Moment) -> bool {
+        let allowed = self.rates.allow_read(now);
+        self.counts.limited += u64::from(!allowed);
+        allowed
+    }
+
+    fn publish(&mut self, now: Moment) {
+        while self.coming.front().is_some_and(|(due, _)| *due <= now) {
+            if let Some((_, vms)) = self.coming.pop_front() {
+                self.vms = vms;
+            }
+        }
+    }
+}
+
+/// Reads a JSON body; a mistake becomes a 400.
+pub(crate) fn parse<T: DeserializeOwned>(body: &[u8]) -> http_types::Result<T> {
+    serde_json::from_slice(body)
+        .map_err(|error| http_types::Error::new(StatusCode::BadRequest, error))
+}
+
+/// Answers with JSON.
+pub(crate) fn json<T: Serialize + ?Sized>(value: &T) -> http_types::Result<Response> {
+    let mut response = Response::new(StatusCode::Ok);
+    response.set_body(serde_json::to_vec(value)?);
+    response.insert_header("content-type", "application/json");
+    Ok(response)
+}
--- a/crates/tanagerhub_wire/src/platform.rs
+++ b/crates/tanagerhub_wire/src/platform.rs
@@ -8,6 +8,7 @@
 //! | `GET /objects/{name}` | | bytes, or 404 |
 //! | `GET /vms` | | [`Vm`]s as JSON |
 
+mod http_platform;
 mod object_name;
 mod platform_error;
 mod read_rows;
@@ -18,6 +19,7 @@
 use tanagerhub_catalogue::Vm;
 use tanagerhub_table::{CommitOutcome, Row, Transaction};
 
+pub use http_platform::{HttpPlatform, PlatformCalls};
 pub use object_name::ObjectName;
 pub use platform_error::PlatformError;
 pub use read_rows::ReadRows;
