--- /dev/null
+++ b/crates/tanagerhub_standins/src/checker/configuration.rs
@@ -0,0 +1,60 @@
+//! Accepted configurations.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tanagerhub_catalogue::CatalogueVersion;
+use tanagerhub_clock::Moment;
+
+use crate::{Fact, Violation};
+
+#[derive(Debug, Default)]
+pub(super) struct Configuration {
+    accepted: Vec<(CatalogueVersion, Moment)>,
+    in_force: HashMap<SocketAddr, CatalogueVersion>,
+}
+
+impl Configuration {
+    pub(super) fn take(
+        &mut self,
+        at: Moment,
+        fact: &Fact,
+        limit: Duration,
+        violations: &mut Vec<Violation>,
+    ) {
+        match fact {
+            Fact::Accepted { version } => self.accepted.push((*version, at)),
+            Fact::InForce { node, version } => {
+                violations.extend(self.late(at, *node, *version, limit));
+                violations.extend(self.reverted(*node, *version));
+                self.in_force.insert(*node, *version);
+            }
+            _ => {}
+        }
+    }
+
+    fn late(
+        &self,
+        at: Moment,
+        node: SocketAddr,
+        found: CatalogueVersion,
+        limit: Duration,
+    ) -> Option<Violation> {
+        let late = |(version, since): &&(CatalogueVersion, Moment)| {
+            *version > found && at.since(*since) > limit
+        };
+        let (accepted, since) = self.accepted.iter().find(late)?;
+        Some(Violation::NotInForce {
+            node,
+            found,
+            accepted: *accepted,
+            age: at.since(*since),
+        })
+    }
+
+    fn reverted(&self, node: SocketAddr, to: CatalogueVersion) -> Option<Violation> {
+        let from = *self.in_force.get(&node)?;
+        (to < from).then_some(Violation::Reverted { node, from, to })
+    }
+}
--- a/crates/tanagerhub_standins/src/record.rs
+++ b/crates/tanagerhub_standins/src/record.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use tanagerhub_catalogue::{BootId, CatalogueVersion, Epoch, GroupId, NodeId, Rank, VmId};
+use tanagerhub_catalogue::{BootId, CatalogueVersion, Epoch, GroupId, Rank, VmId};
 use tanagerhub_clock::Moment;
 
 /// One fact with its time.
@@ -157,7 +157,7 @@
     /// A node stated the version that is in force at it.
     InForce {
         /// The node.
-        node: NodeId,
+        node: SocketAddr,
         /// The version.
         version: CatalogueVersion,
     },
--- /dev/null
+++ b/crates/tanagerhub_standins/src/service_standin.rs
@@ -0,0 +1,208 @@
+//! A stand-in for a plain service.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, Weak};
+use std::time::Duration;
+
+use async_std::task;
+use http_types::{Method, Request, Response, StatusCode};
+use serde::Deserialize;
+use serde_json::json;
+use tanagerhub_catalogue::VmId;
+use tanagerhub_clock::Clock;
+
+use crate::platform_standin::{json as answer_json, parse};
+use crate::server::{Handler, Server};
+use crate::{Absence, Fact, Recorder, Work};
+
+/// A service that keeps bookings, with faults.
+///
+/// `POST /bookings` may not be repeated; `GET /items` may.
+#[derive(Debug, Clone)]
+pub struct ServiceStandin(Arc<Inner>);
+
+#[derive(Debug)]
+struct Inner {
+    server: Server,
+    clock: Clock,
+    recorder: Recorder,
+    vm: VmId,
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    delay: Duration,
+    deaths: u32,
+    bookings: BTreeMap<Work, u32>,
+    keys: BTreeMap<String, u32>,
+}
+
+/// What a booking asks for.
+#[derive(Deserialize)]
+struct Booking {
+    id: String,
+}
+
+impl ServiceStandin {
+    /// The time that it stays dead after it died of its own accord.
+    const REBOOT: Duration = Duration::from_millis(200);
+
+    /// Starts a service on the VM with this name.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the system when no port can be had.
+    pub async fn start(clock: Clock, recorder: Recorder, name: &str) -> io::Result<Self> {
+        let link = Arc::new(OnceLock::<Weak<Inner>>::new());
+        let own = Arc::clone(&link);
+        let handler: Handler = Arc::new(move |request, _| {
+            let service = own.get().and_then(Weak::upgrade).map(Self);
+            Box::pin(async move {
+                match service {
+                    Some(service) => service.answer(request).await,
+                    None => Err(http_types::format_err!("the service is gone")),
+                }
+            })
+        });
+        let inner = Arc::new(Inner {
+            server: Server::start(handler).await?,
+            clock,
+            recorder,
+            vm: VmId::of(name),
+            state: Mutex::default(),
+        });
+        drop(link.set(Arc::downgrade(&inner)));
+        Ok(Self(inner))
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.0.server.address()
+    }
+
+    /// The VM that it runs on.
+    #[must_use]
+    pub fn vm(&self) -> VmId {
+        self.0.vm
+    }
+
+    /// Kills its process: connections close and new ones are refused.
+    pub async fn kill(&self) {
+        self.0.recorder.note(Fact::Missing {
+            vm: self.0.vm,
+            absence: Absence::Dead,
+        });
+        self.0.server.stop().await;
+    }
+
+    /// Starts its process again.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the system when the port was taken meanwhile.
+    pub async fn restart(&self) -> io::Result<()> {
+        self.0.server.restart().await?;
+        self.0.recorder.note(Fact::Present { vm: self.0.vm });
+        Ok(())
+    }
+
+    /// Stops or resumes answering; connections stay open.
+    pub fn pause(&self, paused: bool) {
+        self.0.server.gate().pause(paused);
+    }
+
+    /// Silences the connections that are open now, for good; new ones work.
+    pub fn silence_open(&self) {
+        self.0.server.gate().silence_open();
+    }
+
+    /// Delays every call before it runs.
+    pub fn slow(&self, delay: Duration) {
+        self.lock().delay = delay;
+    }
+
+    /// Lets the next `count` bookings run and then kills the process before it answers.
+    pub fn die_after_running(&self, count: u32) {
+        self.lock().deaths = count;
+    }
+
+    /// How often each booking ran, by the id in its body.
+    #[must_use]
+    pub fn bookings(&self) -> BTreeMap<Work, u32> {
+        self.lock().bookings.clone()
+    }
+
+    /// How often bookings ran, by `Idempotency-Key`.
+    #[must_use]
+    pub fn keys(&self) -> BTreeMap<String, u32> {
+        self.lock().keys.clone()
+    }
+
+    async fn answer(&self, mut request: Request) -> http_types::Result<Response> {
+        let delay = self.lock().delay;
+        if !delay.is_zero() {
+            self.0.clock.sleep(delay).await;
+        }
+        let path = request.url().path().to_owned();
+        match (request.method(), path.as_str()) {
+            (Method::Post, "/bookings") => {
+                let booking: Booking = parse(&request.body_bytes().await?)?;
+                let key = request
+                    .header("idempotency-key")
+                    .map(|key| key.as_str().to_owned());
+                self.book(booking, key)
+            }
+            (Method::Get, "/items") => answer_json(&json!({"items": ["base station", "rover"]})),
+            (Method::Get, "/health") => answer_json(&json!({"state": "serving"})),
+            _ => Ok(Response::new(StatusCode::NotFound)),
+        }
+    }
+
+    fn book(&self, booking: Booking, key: Option<String>) -> http_types::Result<Response> {
+        let work = Work(booking.id);
+        let dies = self.run(&work, key);
+        if dies {
+            self.die();
+            return Err(http_types::format_err!("the service died"));
+        }
+        let mut response = answer_json(&json!({"id": work.0, "state": "booked"}))?;
+        response.set_status(StatusCode::Created);
+        Ok(response)
+    }
+
+    /// Keeps the booking, and says whether the process dies of it.
+    fn run(&self, work: &Work, key: Option<String>) -> bool {
+        let mut state = self.lock();
+        *state.bookings.entry(work.clone()).or_default() += 1;
+        if let Some(key) = key {
+            *state.keys.entry(key).or_default() += 1;
+        }
+        self.0.recorder.note(Fact::Ran {
+            work: work.clone(),
+            vm: self.0.vm,
+            repeatable: false,
+        });
+        let dies = state.deaths > 0;
+        state.deaths = state.deaths.saturating_sub(1);
+        dies
+    }
+
+    fn die(&self) {
+        let service = self.clone();
+        task::spawn(async move {
+            service.kill().await;
+            service.0.clock.sleep(Self::REBOOT).await;
+            if let Err(error) = service.restart().await {
+                log::warn!("service {} can't restart: {error}", service.vm());
+            }
+        });
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.0.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
