--- /dev/null
+++ b/crates/tanagerhub/src/claim_handle.rs
@@ -0,0 +1,151 @@
+//! Shares one [`Claims`] among the tasks that carry requests.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use async_channel::Sender;
+use serde_json::{Value, json};
+use tanagerhub_catalogue::{BootId, RequestId};
+use tanagerhub_clock::{Clock, Moment};
+use tanagerhub_table::TransactionId;
+use tanagerhub_traffic::{ClaimAction, ClaimAnswer, ClaimRequest, Claims, Outcome, RecordedAnswer};
+use tanagerhub_wire::platform::{Platform, ReadRows};
+
+use crate::wake::Wake;
+
+/// The longest time between two looks at what is due.
+const POLL_PERIOD: Duration = Duration::from_millis(100);
+
+/// The claims of a node, with their way to the table.
+#[derive(Debug)]
+pub(crate) struct ClaimHandle {
+    clock: Clock,
+    platform: Arc<dyn Platform>,
+    inner: Mutex<Inner>,
+    wake: Wake,
+}
+
+#[derive(Debug)]
+struct Inner {
+    claims: Claims,
+    mailboxes: HashMap<RequestId, Sender<ClaimAnswer>>,
+}
+
+impl ClaimHandle {
+    pub(crate) fn new(clock: Clock, platform: Arc<dyn Platform>, claims: Claims) -> Self {
+        let inner = Mutex::new(Inner {
+            claims,
+            mailboxes: HashMap::new(),
+        });
+        Self {
+            clock,
+            platform,
+            inner,
+            wake: Wake::default(),
+        }
+    }
+
+    /// Asks for a claim and waits for the answer.
+    pub(crate) async fn claim(self: &Arc<Self>, request: ClaimRequest) -> ClaimAnswer {
+        let (sender, mailbox) = async_channel::bounded(1);
+        let id = request.request;
+        self.act(|inner, now| {
+            inner.mailboxes.insert(id, sender);
+            inner.claims.claim(now, request);
+        });
+        // The mailbox is dropped without an answer only when the node ends.
+        mailbox.recv().await.unwrap_or(ClaimAnswer::NotRun)
+    }
+
+    /// Notes the end of a request that holds a claim.
+    pub(crate) fn finish(
+        self: &Arc<Self>,
+        request: RequestId,
+        outcome: Outcome,
+        answer: Option<RecordedAnswer>,
+    ) {
+        self.act(|inner, now| inner.claims.finish(now, request, outcome, answer));
+    }
+
+    /// Takes in which nodes live.
+    pub(crate) fn live(self: &Arc<Self>, boots: Vec<BootId>) {
+        self.act(|inner, _| inner.claims.live(boots));
+    }
+
+    /// Claims whose end is not yet recorded.
+    pub(crate) fn open(&self) -> usize {
+        self.lock().claims.open()
+    }
+
+    /// The state for a dump.
+    pub(crate) fn dump(&self) -> Value {
+        let inner = self.lock();
+        json!({ "open": inner.claims.open(), "counters": inner.claims.counters() })
+    }
+
+    /// Sends what is due until the node ends.
+    pub(crate) async fn run(self: Arc<Self>) {
+        loop {
+            self.act(|_, _| {});
+            self.wake.wait(&self.clock, self.pause()).await;
+        }
+    }
+
+    fn pause(&self) -> Duration {
+        let next = self.lock().claims.next_wakeup();
+        let now = self.clock.now();
+        next.map_or(POLL_PERIOD, |at| at.since(now).min(POLL_PERIOD))
+    }
+
+    fn act(self: &Arc<Self>, act: impl FnOnce(&mut Inner, Moment)) {
+        let now = self.clock.now();
+        let mut inner = self.lock();
+        act(&mut inner, now);
+        inner.claims.poll(now, wall_seconds());
+        let actions = inner.claims.take_actions();
+        for action in actions {
+            self.perform(&mut inner, action);
+        }
+    }
+
+    fn perform(self: &Arc<Self>, inner: &mut Inner, action: ClaimAction) {
+        let handle = Arc::clone(self);
+        match action {
+            ClaimAction::Answer { request, answer } => {
+                if let Some(mailbox) = inner.mailboxes.remove(&request) {
+                    drop(mailbox.try_send(answer));
+                }
+            }
+            ClaimAction::Commit(transaction) => {
+                async_std::task::spawn(async move {
+                    let id = transaction.id;
+                    let outcome = handle.platform.commit(transaction).await;
+                    handle.act(|inner, now| inner.claims.committed(now, id, outcome));
+                    handle.wake.signal();
+                });
+            }
+            ClaimAction::Read { read, keys } => {
+                async_std::task::spawn(
+                    async move { handle.read(read, ReadRows::Keys(keys)).await },
+                );
+            }
+        }
+    }
+
+    async fn read(self: Arc<Self>, read: TransactionId, rows: ReadRows) {
+        let rows = self.platform.read(rows).await.ok();
+        self.act(|inner, now| inner.claims.read(now, read, rows));
+        self.wake.signal();
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Seconds of wall time; used only for the age of old rows.
+fn wall_seconds() -> u64 {
+    let age = SystemTime::now().duration_since(UNIX_EPOCH);
+    age.map_or(0, |age| age.as_secs())
+}
--- /dev/null
+++ b/crates/tanagerhub/src/control/edges.rs
@@ -0,0 +1,326 @@
+//! Carries out the actions of control, and turns their results into events.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender};
+use async_std::task;
+use http::{Method, StatusCode};
+use tanagerhub_catalogue::{BootId, DataCentreId, Epoch, Rank, VmId};
+use tanagerhub_clock::{Clock, Moment};
+use tanagerhub_fleet::{
+    EngineState, FleetEvent, MemberReport, Order, OrderFailure, ProbeFailure, RowQuery,
+    StoreFailure, Temperature,
+};
+use tanagerhub_membership::{
+    AskId, Beacon, ContentHash, MembershipEvent, PeerReply, PeerRequest, TableRead,
+};
+use tanagerhub_table::{Row, RowKey, Transaction};
+use tanagerhub_wire::backend::{BackendClient, BackendError, BackendRequest, Timeouts};
+use tanagerhub_wire::engine::{EngineClient, EngineError};
+use tanagerhub_wire::peers::{PeerEvent, PeerSender};
+use tanagerhub_wire::platform::{ObjectName, Platform, PlatformError, ReadRows};
+
+use crate::control_event::ControlEvent;
+
+/// Rows of one page when all rows with a prefix are read.
+const PAGE_ROWS: u32 = 1_000;
+/// How long a probe of a plain service may take.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long a request to a peer may take.
+const ASK_LIMIT: Duration = Duration::from_secs(3);
+/// The path that plain services are probed at; any answer shows that they live.
+const HEALTH_PATH: &str = "/health";
+
+/// The ways out of the control thread.
+#[derive(Debug)]
+pub(crate) struct Edges {
+    pub(crate) data_centre: DataCentreId,
+    pub(crate) platform: Arc<dyn Platform>,
+    pub(crate) engines: EngineClient,
+    pub(crate) backends: BackendClient,
+    pub(crate) peers: PeerSender,
+    pub(crate) clock: Clock,
+    pub(crate) events: Sender<ControlEvent>,
+    /// Peers' requests that wait for an answer.
+    pub(crate) asked: Arc<AskedPeers>,
+}
+
+/// Requests of peers that wait for this node's answer.
+#[derive(Debug, Default)]
+pub(crate) struct AskedPeers {
+    waiting: std::sync::Mutex<Waiting>,
+}
+
+#[derive(Debug, Default)]
+struct Waiting {
+    next: u64,
+    replies: HashMap<AskId, Sender<PeerReply>>,
+}
+
+impl AskedPeers {
+    fn add(&self, reply: Sender<PeerReply>) -> AskId {
+        let mut waiting = self.lock();
+        waiting.next += 1;
+        let ask = AskId(waiting.next);
+        waiting.replies.insert(ask, reply);
+        ask
+    }
+
+    fn take(&self, ask: AskId) -> Option<Sender<PeerReply>> {
+        self.lock().replies.remove(&ask)
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Waiting> {
+        self.waiting
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+}
+
+/// Passes what peers send on to the control thread.
+pub(crate) async fn receive_peers(
+    peers: Receiver<PeerEvent>,
+    asked: Arc<AskedPeers>,
+    events: Sender<ControlEvent>,
+) {
+    while let Ok(event) = peers.recv().await {
+        let event = match event {
+            PeerEvent::Beacon { from, beacon } => MembershipEvent::Beacon { from, beacon },
+            PeerEvent::Asked { request, reply } => MembershipEvent::Asked {
+                ask: asked.add(reply),
+                request,
+            },
+        };
+        if events.send(ControlEvent::Membership(event)).await.is_err() {
+            return;
+        }
+    }
+}
+
+impl Edges {
+    pub(crate) fn commit_fleet(&self, transaction: Transaction) {
+        let platform = Arc::clone(&self.platform);
+        let id = transaction.id;
+        self.spawn(async move {
+            let outcome = platform.commit(transaction).await;
+            ControlEvent::Fleet(FleetEvent::Committed {
+                transaction: id,
+                outcome,
+            })
+        });
+    }
+
+    pub(crate) fn commit_membership(&self, transaction: Transaction) {
+        let platform = Arc::clone(&self.platform);
+        let id = transaction.id;
+        self.spawn(async move {
+            let outcome = platform.commit(transaction).await;
+            ControlEvent::Membership(MembershipEvent::Committed {
+                transaction: id,
+                outcome,
+            })
+        });
+    }
+
+    pub(crate) fn read_fleet(&self, read: tanagerhub_fleet::ReadId, query: RowQuery) {
+        let platform = Arc::clone(&self.platform);
+        self.spawn(async move {
+            let rows = match query {
+                RowQuery::Keys(keys) => platform.read(ReadRows::Keys(keys)).await,
+                RowQuery::Prefix(prefix) => read_prefix(&*platform, prefix).await,
+            };
+            let result = rows.map_err(|error| store_failure(&error));
+            ControlEvent::Fleet(FleetEvent::Rows { read, result })
+        });
+    }
+
+    pub(crate) fn read_membership(&self, read: tanagerhub_membership::ReadId, rows: TableRead) {
+        let platform = Arc::clone(&self.platform);
+        self.spawn(async move {
+            let rows = match rows {
+                TableRead::Keys(keys) => platform.read(ReadRows::Keys(keys)).await,
+                TableRead::Prefix(prefix) => read_prefix(&*platform, &prefix).await,
+            };
+            ControlEvent::Membership(match rows {
+                Ok(rows) => MembershipEvent::Rows { read, rows },
+                Err(_unavailable) => MembershipEvent::ReadFailed { read },
+            })
+        });
+    }
+
+    pub(crate) fn read_vms(&self) {
+        let platform = Arc::clone(&self.platform);
+        self.spawn(async move {
+            let vms = platform.vms().await;
+            vms.map_or(ControlEvent::VmsFailed, ControlEvent::Vms)
+        });
+    }
+
+    pub(crate) fn probe(&self, vm: VmId, address: SocketAddr, is_service: bool, sent: Moment) {
+        let engines = self.engines.clone();
+        let backends = self.backends.clone();
+        self.spawn(async move {
+            let result = if is_service {
+                probe_service(&backends, vm, address).await
+            } else {
+                engines
+                    .report(address)
+                    .await
+                    .map_err(|error| probe_failure(&error))
+            };
+            ControlEvent::Fleet(FleetEvent::Probed { vm, sent, result })
+        });
+    }
+
+    pub(crate) fn order(&self, address: SocketAddr, order: Order, until: Moment) {
+        let engines = self.engines.clone();
+        let clock = self.clock.clone();
+        self.spawn(async move {
+            let result = if clock.now() >= until {
+                Err(OrderFailure::Expired)
+            } else {
+                let answer = engines.order(address, &order).await;
+                answer.map_err(|_unanswered| OrderFailure::Lost)
+            };
+            let Order {
+                vm, group, epoch, ..
+            } = order;
+            ControlEvent::Fleet(FleetEvent::Ordered {
+                vm,
+                group,
+                epoch,
+                result,
+            })
+        });
+    }
+
+    pub(crate) fn send_beacon(&self, to: SocketAddr, beacon: Beacon) {
+        let peers = self.peers.clone();
+        task::spawn(async move {
+            // A datagram that the system refuses is as good as lost.
+            drop(peers.send_beacon(to, &beacon).await);
+        });
+    }
+
+    pub(crate) fn ask_peer(&self, ask: AskId, to: SocketAddr, request: PeerRequest) {
+        let peers = self.peers.clone();
+        self.spawn(async move {
+            let reply = peers.ask(to, &request, ASK_LIMIT).await.ok();
+            ControlEvent::Membership(MembershipEvent::Replied { ask, reply })
+        });
+    }
+
+    pub(crate) fn reply_peer(&self, ask: AskId, reply: PeerReply) {
+        if let Some(waiting) = self.asked.take(ask) {
+            drop(waiting.try_send(reply));
+        }
+    }
+
+    pub(crate) fn fetch(&self, hash: ContentHash) {
+        let platform = Arc::clone(&self.platform);
+        self.spawn(async move {
+            let body = platform.get_object(ObjectName::from(hash.0)).await;
+            let body = body.ok().map(Arc::from);
+            ControlEvent::Membership(MembershipEvent::Fetched { hash, body })
+        });
+    }
+
+    pub(crate) fn store(&self, hash: ContentHash, body: Arc<[u8]>) {
+        let platform = Arc::clone(&self.platform);
+        self.spawn(async move {
+            let kept = platform.put_object(body.to_vec()).await.is_ok();
+            ControlEvent::Membership(MembershipEvent::Stored { hash, kept })
+        });
+    }
+
+    fn spawn(&self, work: impl Future<Output = ControlEvent> + Send + 'static) {
+        let events = self.events.clone();
+        task::spawn(async move {
+            let event = work.await;
+            drop(events.send(event).await);
+        });
+    }
+}
+
+/// Reads all rows with a prefix, page by page.
+async fn read_prefix(platform: &dyn Platform, prefix: &str) -> Result<Vec<Row>, PlatformError> {
+    let mut rows: Vec<Row> = Vec::new();
+    loop {
+        let after: Option<RowKey> = rows.last().map(|row| row.key.clone());
+        let page = ReadRows::Prefix {
+            prefix: prefix.to_owned(),
+            after,
+            limit: PAGE_ROWS,
+        };
+        let page = platform.read(page).await?;
+        let is_last = page.len() < PAGE_ROWS as usize;
+        rows.extend(page);
+        if is_last {
+            return Ok(rows);
+        }
+    }
+}
+
+/// Shows whether a plain service answers at all; it has no boot id that it could report.
+async fn probe_service(
+    backends: &BackendClient,
+    vm: VmId,
+    address: SocketAddr,
+) -> Result<MemberReport, ProbeFailure> {
+    let timeouts = Timeouts {
+        connect: PROBE_TIMEOUT,
+        first_byte: PROBE_TIMEOUT,
+        between: PROBE_TIMEOUT,
+    };
+    let request = BackendRequest::new(Method::GET, HEALTH_PATH).timeouts(timeouts);
+    let answer = backends
+        .send(address, request)
+        .await
+        .map_err(|error| failure_of(&error))?;
+    // The body is read so that the connection can be used again.
+    let status = answer.status;
+    drop(answer.body.read(PAGE_ROWS as usize).await);
+    if status == StatusCode::SERVICE_UNAVAILABLE {
+        return Err(ProbeFailure::Refused);
+    }
+    Ok(MemberReport {
+        vm,
+        boot: BootId::default(),
+        group: None,
+        epoch: Epoch::default(),
+        rank: Rank::default(),
+        state: EngineState::Ready,
+        temperature: Temperature::Warm,
+        leaving: false,
+        running: 0,
+        waiting: 0,
+    })
+}
+
+const fn probe_failure(error: &EngineError) -> ProbeFailure {
+    match error {
+        EngineError::Backend(error) => failure_of(error),
+        EngineError::Body(_) => ProbeFailure::Timeout,
+        EngineError::Status { .. } | EngineError::Malformed { .. } => ProbeFailure::Malformed,
+    }
+}
+
+const fn failure_of(error: &BackendError) -> ProbeFailure {
+    match error {
+        BackendError::NotSent { .. } => ProbeFailure::Refused,
+        BackendError::Malformed { .. } => ProbeFailure::Malformed,
+        BackendError::Broken { .. } | BackendError::Silent { .. } => ProbeFailure::Timeout,
+    }
+}
+
+const fn store_failure(error: &PlatformError) -> StoreFailure {
+    match error {
+        PlatformError::RateLimited => StoreFailure::RateLimited,
+        PlatformError::Unavailable { .. }
+        | PlatformError::NoObject { .. }
+        | PlatformError::Malformed { .. } => StoreFailure::Unavailable,
+    }
+}
--- /dev/null
+++ b/crates/tanagerhub/src/control/operations.rs
@@ -0,0 +1,259 @@
+//! Operators' calls.
+
+use std::collections::HashMap;
+
+use async_channel::Sender;
+use tanagerhub_catalogue::{Catalogue, CatalogueVersion, NodeId};
+use tanagerhub_clock::Moment;
+use tanagerhub_membership::{ApplyOutcome, MembershipEvent, OperationId};
+use tanagerhub_wire::operators::{
+    Applied, Apply, CatalogueView, Cleared, Crash, CrashList, MarkCall, MarkTarget, OperatorAnswer,
+    OperatorCall, OperatorError, Readiness,
+};
+
+use crate::control::Control;
+use crate::control_event::OperatorReply;
+
+/// Changes of operators that are under way.
+#[derive(Debug, Default)]
+pub(super) struct Operations {
+    next: u64,
+    waiting: HashMap<OperationId, Waiting>,
+}
+
+#[derive(Debug)]
+struct Waiting {
+    expected: CatalogueVersion,
+    reply: Sender<OperatorReply>,
+}
+
+impl Control {
+    /// Answers an operator's call, at once or when its change has come to an end.
+    pub(super) fn operator_call(
+        &mut self,
+        now: Moment,
+        call: OperatorCall,
+        reply: &Sender<OperatorReply>,
+    ) {
+        let answer = match call {
+            OperatorCall::Ready => Ok(OperatorAnswer::Ready(self.readiness(now))),
+            OperatorCall::State => Ok(OperatorAnswer::State(self.state(now))),
+            OperatorCall::Catalogue => Ok(self.catalogue_view(now)),
+            OperatorCall::Status => Ok(OperatorAnswer::Status(Box::new(self.status_view(now)))),
+            OperatorCall::Explain(subject) => self.explain(now, &subject),
+            OperatorCall::Crashes => Ok(OperatorAnswer::Crashes(self.crash_list())),
+            OperatorCall::ClearCrashes => Ok(self.clear_crashes()),
+            OperatorCall::Apply(apply) => match self.prepare(&apply) {
+                Ok(change) => return self.change(now, change, apply.dry_run, reply),
+                Err(error) => Err(error),
+            },
+            OperatorCall::Mark(mark) => match self.prepare_mark(&mark) {
+                Ok(change) => return self.change(now, change, false, reply),
+                Err(error) => Err(error),
+            },
+        };
+        drop(reply.try_send(answer));
+    }
+
+    /// Takes in the end of a change.
+    pub(super) fn apply_answered(&mut self, operation: OperationId, outcome: ApplyOutcome) {
+        let Some(Waiting { expected, reply }) = self.view.operations.waiting.remove(&operation)
+        else {
+            return;
+        };
+        let answer = match outcome {
+            ApplyOutcome::InForce { version, stopped } => Ok(self.applied(version, true, &stopped)),
+            ApplyOutcome::Committed { version, missing } => {
+                Ok(self.applied(version, false, &missing))
+            }
+            ApplyOutcome::LostRace { winner } => Err(OperatorError::Conflict {
+                expected,
+                current: winner,
+            }),
+            ApplyOutcome::NotCommitted { reason } => Err(OperatorError::Unavailable { reason }),
+            ApplyOutcome::Unknown { version } => {
+                let reason = format!("the answer to the write of version {version} was lost");
+                Err(OperatorError::Unknown { reason })
+            }
+        };
+        drop(reply.try_send(answer));
+    }
+
+    fn applied(
+        &self,
+        version: CatalogueVersion,
+        in_force: bool,
+        missing: &[NodeId],
+    ) -> OperatorAnswer {
+        let missing = missing.iter().map(|node| self.node_name(*node)).collect();
+        OperatorAnswer::Applied(Applied {
+            version,
+            committed: true,
+            in_force,
+            missing,
+        })
+    }
+
+    fn prepare(&self, apply: &Apply) -> Result<Change, OperatorError> {
+        let mut catalogue =
+            Catalogue::parse(&apply.document).map_err(|error| OperatorError::Mistakes {
+                mistakes: error.mistakes,
+            })?;
+        catalogue.marks = self.view.catalogue.marks.clone();
+        self.check_expected(apply.expected)?;
+        Ok(Change {
+            catalogue,
+            expected: self.view.catalogue.version,
+        })
+    }
+
+    fn prepare_mark(&self, call: &MarkCall) -> Result<Change, OperatorError> {
+        self.check_expected(call.expected)?;
+        let mut catalogue = (*self.view.catalogue).clone();
+        match call.target {
+            MarkTarget::Vm => {
+                let known = self.view.vms.iter().any(|vm| vm.name == call.name);
+                let marked = catalogue.marks.vms_out.contains(&call.name);
+                found(known || marked, "VM", &call.name)?;
+                catalogue.marks.mark_vm(&call.name, call.mark);
+            }
+            MarkTarget::DataCentre => {
+                let named = |centre: &tanagerhub_catalogue::DataCentre| centre.name == call.name;
+                let known = catalogue.data_centres.iter().any(named);
+                found(known, "data centre", &call.name)?;
+                catalogue.marks.mark_data_centre(&call.name, call.mark);
+            }
+        }
+        Ok(Change {
+            catalogue,
+            expected: self.view.catalogue.version,
+        })
+    }
+
+    fn check_expected(&self, expected: Option<CatalogueVersion>) -> Result<(), OperatorError> {
+        let current = self.view.catalogue.version;
+        match expected {
+            Some(expected) if expected != current => {
+                Err(OperatorError::Conflict { expected, current })
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn change(
+        &mut self,
+        now: Moment,
+        change: Change,
+        dry_run: bool,
+        reply: &Sender<OperatorReply>,
+    ) {
+        let Change {
+            mut catalogue,
+            expected,
+        } = change;
+        catalogue.version = expected;
+        if dry_run || catalogue == *self.view.catalogue {
+            let same = catalogue == *self.view.catalogue;
+            let version = if same { expected } else { expected.next() };
+            let in_force = same && self.membership.freshness(now).is_fresh();
+            let applied = Applied {
+                version,
+                committed: false,
+                in_force,
+                missing: Vec::new(),
+            };
+            drop(reply.try_send(Ok(OperatorAnswer::Applied(applied))));
+            return;
+        }
+        let operations = &mut self.view.operations;
+        operations.next += 1;
+        let operation = OperationId(operations.next);
+        operations.waiting.insert(
+            operation,
+            Waiting {
+                expected,
+                reply: reply.clone(),
+            },
+        );
+        log::info!(version = expected.next().0; "an operator changes the catalogue");
+        self.membership_event(
+            now,
+            MembershipEvent::Apply {
+                operation,
+                catalogue,
+                expected,
+            },
+        );
+    }
+
+    fn readiness(&self, now: Moment) -> Readiness {
+        let freshness = self.membership.freshness(now);
+        let reason = if self.view.draining {
+            "the node shuts down".to_owned()
+        } else if !freshness.is_fresh() {
+            format!("the node's view is not fresh: {freshness:?}")
+        } else {
+            String::new()
+        };
+        Readiness {
+            ready: reason.is_empty(),
+            reason,
+        }
+    }
+
+    fn catalogue_view(&self, now: Moment) -> OperatorAnswer {
+        OperatorAnswer::Catalogue(Box::new(CatalogueView {
+            version: self.view.catalogue.version,
+            fresh: self.membership.freshness(now).is_fresh(),
+            catalogue: (*self.view.catalogue).clone(),
+        }))
+    }
+
+    fn crash_list(&self) -> CrashList {
+        let facts = self
+            .traffic
+            .with(|traffic, now| traffic.crashes().facts(now, usize::MAX));
+        let crash = |fact: &tanagerhub_traffic::CrashFact| {
+            let expires = self
+                .traffic
+                .with(|traffic, now| traffic.crashes().refused(now, fact.fingerprint));
+            Crash {
+                fingerprint: fact.fingerprint,
+                organisation: String::new(),
+                entry: String::new(),
+                strikes: fact.strikes,
+                refused: expires.is_some(),
+                expires: expires.unwrap_or_default(),
+            }
+        };
+        CrashList {
+            crashes: facts.iter().map(crash).collect(),
+        }
+    }
+
+    fn clear_crashes(&self) -> OperatorAnswer {
+        let cleared = self.traffic.with(|traffic, now| {
+            let facts = traffic.crashes().facts(now, usize::MAX);
+            let clear =
+                |fact: &&tanagerhub_traffic::CrashFact| traffic.crashes().clear(fact.fingerprint);
+            facts.iter().filter(clear).count()
+        });
+        OperatorAnswer::Cleared(Cleared { cleared })
+    }
+}
+
+/// A catalogue that is to follow a version.
+#[derive(Debug)]
+struct Change {
+    catalogue: Catalogue,
+    expected: CatalogueVersion,
+}
+
+fn found(known: bool, kind: &str, name: &str) -> Result<(), OperatorError> {
+    if known {
+        return Ok(());
+    }
+    Err(OperatorError::NotFound {
+        name: format!("{kind} \"{name}\""),
+    })
+}
--- /dev/null
+++ b/crates/tanagerhub/src/control/status.rs
@@ -0,0 +1,289 @@
+//! What operators are shown.
+
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use tanagerhub_catalogue::{DataCentreId, EntryId, GroupId, Mark, NodeId, VmId, VmState};
+use tanagerhub_clock::Moment;
+use tanagerhub_fleet::{Decision, GroupView, Health, Reason, Subject as FleetSubject};
+use tanagerhub_wire::operators::{
+    DataCentreStatus, EntryStatus, Explanation, GroupStatus, NodeStatus, OperatorAnswer,
+    OperatorError, StatusView, Subject, VmStatus,
+};
+
+use crate::control::Control;
+use crate::control::names::Names;
+
+impl Control {
+    /// The node's whole state, for the dump.
+    pub(super) fn state(&self, now: Moment) -> Value {
+        json!({
+            "node": self.edges.peers.address(),
+            "boot": self.boot,
+            "uptime_ms": now.as_millis(),
+            "draining": self.view.draining,
+            "catalogue_version": self.view.catalogue.version,
+            "membership": self.membership.status(now),
+            "fleet": self.fleet.status(now),
+            "traffic": self.traffic.with(|traffic, now| traffic.status(now)),
+            "claims": self.claims.dump(),
+            "peers": self.edges.peers.counters(),
+        })
+    }
+
+    /// What serves and what doesn't, by names.
+    pub(super) fn status_view(&self, now: Moment) -> StatusView {
+        let groups: Vec<GroupView> = self.fleet.groups(now).collect();
+        StatusView {
+            node: self.node_name(self.node),
+            version: self.view.catalogue.version,
+            fresh: self.membership.freshness(now).is_fresh(),
+            entries: self.entry_statuses(&groups),
+            groups: groups
+                .iter()
+                .map(|group| self.group_status(group))
+                .collect(),
+            vms: self.vm_statuses(&groups),
+            data_centres: self.data_centre_statuses(&groups),
+            nodes: self.node_statuses(now),
+        }
+    }
+
+    /// The last decisions on one thing.
+    pub(super) fn explain(
+        &self,
+        now: Moment,
+        subject: &Subject,
+    ) -> Result<OperatorAnswer, OperatorError> {
+        let missing = || OperatorError::NotFound {
+            name: subject.to_string(),
+        };
+        let (wanted, state) = match subject {
+            Subject::Group(id) => {
+                let id = u64::from_str_radix(id, 16)
+                    .ok()
+                    .map(GroupId)
+                    .ok_or_else(missing)?;
+                let group = self.fleet.group(now, id);
+                let state =
+                    group.map_or_else(|| "unknown to this node".to_owned(), |it| state_of(&it));
+                (FleetSubject::Group(id), state)
+            }
+            Subject::Model(name) => {
+                let id = EntryId::of(name);
+                let entry = self.view.catalogue.entry(id).ok_or_else(missing)?;
+                let serving = self
+                    .fleet
+                    .groups(now)
+                    .filter(|it| it.entry == id && it.eligible);
+                let state = format!(
+                    "{} of {} replicas serve",
+                    serving.count(),
+                    entry.limits.replicas_min
+                );
+                (FleetSubject::Entry(id), state)
+            }
+            Subject::Vm(name) => {
+                let id = VmId::of(name);
+                let vm = self
+                    .view
+                    .vms
+                    .iter()
+                    .find(|vm| vm.id() == id)
+                    .ok_or_else(missing)?;
+                let state = if self.view.catalogue.is_vm_in(vm) {
+                    "in service"
+                } else {
+                    "out of service"
+                };
+                (FleetSubject::Vm(id), state.to_owned())
+            }
+        };
+        let decisions = self.fleet.explain(wanted);
+        let decisions = decisions
+            .iter()
+            .rev()
+            .map(|decision| self.decision(now, decision));
+        Ok(OperatorAnswer::Explained(Explanation {
+            subject: subject.to_string(),
+            state,
+            decisions: decisions.collect(),
+        }))
+    }
+
+    /// The address of a node, or its id when it is not known.
+    pub(super) fn node_name(&self, node: NodeId) -> String {
+        if node == self.node {
+            return self.edges.peers.address().to_string();
+        }
+        let peers = self.membership.peers(self.clock.now());
+        let peer = peers.iter().find(|peer| peer.node == node);
+        peer.map_or_else(|| node.to_string(), |peer| peer.address.to_string())
+    }
+
+    fn names(&self) -> Names<'_> {
+        Names {
+            catalogue: &self.view.catalogue,
+            vms: &self.view.vms,
+        }
+    }
+
+    fn decision(&self, now: Moment, decision: &Decision) -> tanagerhub_wire::operators::Decision {
+        let names = self.names();
+        let about = [
+            decision.entry.map(|id| names.entry(id)),
+            decision.group.map(|id| format!("group {id}")),
+            decision.vm.map(|id| names.vm(id)),
+        ];
+        let about: Vec<String> = about.into_iter().flatten().collect();
+        tanagerhub_wire::operators::Decision {
+            age: now.since(decision.at),
+            node: self.node_name(self.node),
+            decision: about.join(", "),
+            cause: cause_of(&decision.reason),
+        }
+    }
+
+    fn entry_statuses(&self, groups: &[GroupView]) -> Vec<EntryStatus> {
+        let status = |entry: &tanagerhub_catalogue::Entry| {
+            let held: Vec<&GroupView> = groups.iter().filter(|it| it.entry == entry.id()).collect();
+            let serving = held.iter().filter(|group| group.eligible);
+            let cold = held
+                .iter()
+                .filter(|group| group.eligible && group.health == Health::Cold);
+            let serving = count(serving.count());
+            let why = held.iter().find_map(|group| group.why_not);
+            let short = serving < entry.limits.replicas_min;
+            EntryStatus {
+                name: entry.name.clone(),
+                class: entry.class,
+                serving,
+                cold: count(cold.count()),
+                held: count(held.len()),
+                replicas_min: entry.limits.replicas_min,
+                replicas_max: entry.limits.replicas_max,
+                reason: match why {
+                    Some(why) if short => why.to_string(),
+                    None if short => "too few replicas are held".to_owned(),
+                    _ => String::new(),
+                },
+            }
+        };
+        self.view.catalogue.entries.iter().map(status).collect()
+    }
+
+    fn group_status(&self, group: &GroupView) -> GroupStatus {
+        let names = self.names();
+        GroupStatus {
+            group: group.id,
+            epoch: group.epoch,
+            entry: names.entry(group.entry),
+            data_centre: names.data_centre(group.data_centre),
+            state: format!("{:?}", group.phase).to_lowercase(),
+            serving: group.eligible,
+            reason: group
+                .why_not
+                .map_or_else(String::new, |why| why.to_string()),
+            members: group
+                .members
+                .iter()
+                .map(|member| names.vm(member.vm))
+                .collect(),
+        }
+    }
+
+    fn vm_statuses(&self, groups: &[GroupView]) -> Vec<VmStatus> {
+        let status = |vm: &tanagerhub_catalogue::Vm| VmStatus {
+            name: vm.name.clone(),
+            data_centre: vm.data_centre.clone(),
+            domain: vm.domain.clone(),
+            mark: mark(self.view.catalogue.is_vm_in(vm)),
+            leaving: vm.state == VmState::Leaving,
+            group: groups
+                .iter()
+                .find(|group| group.members.iter().any(|member| member.vm == vm.id()))
+                .map(|group| group.id),
+        };
+        self.view.vms.iter().map(status).collect()
+    }
+
+    fn data_centre_statuses(&self, groups: &[GroupView]) -> Vec<DataCentreStatus> {
+        let status = |centre: &tanagerhub_catalogue::DataCentre| {
+            let id = DataCentreId::of(&centre.name);
+            let vms = self
+                .view
+                .vms
+                .iter()
+                .filter(|vm| vm.data_centre == centre.name);
+            let serving = groups
+                .iter()
+                .filter(|it| it.data_centre == id && it.eligible);
+            DataCentreStatus {
+                name: centre.name.clone(),
+                region: centre.region.clone(),
+                mark: mark(self.view.catalogue.is_data_centre_in(id)),
+                vms: count(vms.count()),
+                serving: count(serving.count()),
+            }
+        };
+        self.view
+            .catalogue
+            .data_centres
+            .iter()
+            .map(status)
+            .collect()
+    }
+
+    fn node_statuses(&self, now: Moment) -> Vec<NodeStatus> {
+        let names = self.names();
+        let own = NodeStatus {
+            name: self.edges.peers.address().to_string(),
+            data_centre: names.data_centre(self.edges.data_centre),
+            version: self.membership.version(),
+            fresh: self.membership.freshness(now).is_fresh(),
+            age: Duration::ZERO,
+        };
+        let peers = self.membership.peers(now);
+        let peers = peers.iter().map(|peer| NodeStatus {
+            name: peer.address.to_string(),
+            data_centre: names.data_centre(peer.data_centre),
+            version: peer.version,
+            fresh: !peer.leaving,
+            age: Duration::ZERO,
+        });
+        std::iter::once(own).chain(peers).collect()
+    }
+}
+
+/// A group's state in a few words.
+fn state_of(group: &GroupView) -> String {
+    let phase = format!("{:?}", group.phase).to_lowercase();
+    match group.why_not {
+        Some(why) => format!("{phase}: {why}"),
+        None => phase,
+    }
+}
+
+/// A reason as text: its name, then its fields.
+fn cause_of(reason: &Reason) -> String {
+    let Ok(Value::Object(mut fields)) = serde_json::to_value(reason) else {
+        return String::new();
+    };
+    let name = fields.remove("what").unwrap_or_default();
+    let name = name.as_str().unwrap_or_default().replace('_', " ");
+    let fields = fields
+        .iter()
+        .map(|(field, value)| format!("{field}={value}"));
+    std::iter::once(name)
+        .chain(fields)
+        .collect::<Vec<_>>()
+        .join(" ")
+}
+
+const fn mark(is_in: bool) -> Mark {
+    if is_in { Mark::In } else { Mark::Out }
+}
+
+fn count(items: usize) -> u32 {
+    u32::try_from(items).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/tanagerhub/src/control_event.rs
@@ -0,0 +1,37 @@
+//! What reaches the control thread.
+
+use async_channel::Sender;
+use tanagerhub_catalogue::Vm;
+use tanagerhub_fleet::FleetEvent;
+use tanagerhub_membership::MembershipEvent;
+use tanagerhub_traffic::Fact;
+use tanagerhub_wire::operators::{OperatorAnswer, OperatorCall, OperatorError};
+
+/// The answer to an operator's call.
+pub(crate) type OperatorReply = Result<OperatorAnswer, OperatorError>;
+
+/// Something that the control thread takes in.
+#[derive(Debug)]
+pub(crate) enum ControlEvent {
+    /// For the decisions on groups.
+    Fleet(FleetEvent),
+    /// For the decisions on nodes.
+    Membership(MembershipEvent),
+    /// The platform's list of VMs.
+    Vms(Vec<Vm>),
+    /// The platform's list of VMs could not be read.
+    VmsFailed,
+    /// Facts that traffic noticed.
+    TrafficFacts(Vec<Fact>),
+    /// A call of an operator.
+    Operator {
+        /// The call.
+        call: OperatorCall,
+        /// Where the answer goes.
+        reply: Sender<OperatorReply>,
+    },
+    /// The node begins to shut down.
+    Drain,
+    /// The node ends.
+    Stop,
+}
--- /dev/null
+++ b/crates/tanagerhub/src/export.rs
@@ -0,0 +1,45 @@
+//! Sends a node's counters to its metrics.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde_json::Value;
+use tanagerhub_clock::Clock;
+use tanagerhub_wire::peers::PeerSender;
+
+use crate::Metrics;
+use crate::claim_handle::ClaimHandle;
+use crate::traffic_handle::TrafficHandle;
+
+/// Time between two exports.
+const EXPORT_PERIOD: Duration = Duration::from_secs(10);
+
+/// Exports counters until the node ends.
+pub(crate) async fn run(
+    metrics: Metrics,
+    clock: Clock,
+    traffic: Arc<TrafficHandle>,
+    claims: Arc<ClaimHandle>,
+    peers: PeerSender,
+) {
+    loop {
+        clock.sleep(EXPORT_PERIOD).await;
+        let status = traffic.with(|traffic, now| traffic.status(now));
+        metrics.gauge("traffic.open", status.open as u64);
+        send(&metrics, "traffic", &status.counters);
+        send(&metrics, "peers", &peers.counters());
+        metrics.gauge("claims.open", claims.open() as u64);
+    }
+}
+
+/// Sends each number of a flat structure of counters.
+fn send(metrics: &Metrics, group: &str, counters: &impl serde::Serialize) {
+    let Ok(Value::Object(fields)) = serde_json::to_value(counters) else {
+        return;
+    };
+    for (name, value) in fields {
+        if let Some(value) = value.as_u64() {
+            metrics.gauge(&format!("{group}.{name}"), value);
+        }
+    }
+}
--- a/crates/tanagerhub/src/lib.rs
+++ b/crates/tanagerhub/src/lib.rs
@@ -3,8 +3,22 @@
 //! [`Node::start`] joins the decision crates with the edges: one control thread owns groups and
 //! membership, tasks on the runtime's threads carry traffic.
 
+mod callers;
+mod claim_handle;
+mod control;
+mod control_event;
+mod export;
 mod metrics;
+mod node;
 mod node_settings;
+mod refusal;
+mod run;
+mod snapshot;
+mod ticket;
+mod traffic_handle;
+mod wake;
 
 pub use metrics::Metrics;
-pub use node_settings::{NodeSettings, PeerKey, SettingsError};
+pub use node::{Node, NodeError};
+pub use node_settings::{Addresses, NodeSettings, SettingsError};
+pub use tanagerhub_wire::peers::PeerKey;
--- a/crates/tanagerhub/src/node_settings.rs
+++ b/crates/tanagerhub/src/node_settings.rs
@@ -1,13 +1,23 @@
 //! What a node is told at its start.
 
-use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use tanagerhub_catalogue::{DataCentreId, KeyHash, NodeId};
+use tanagerhub_catalogue::{DataCentreId, NodeId};
+use tanagerhub_fleet::FleetSettings;
+use tanagerhub_wire::operators::OperatorToken;
+use tanagerhub_wire::peers::PeerKey;
 
-/// Fewest bytes of a key that peers share.
-const PEER_KEY_MIN: usize = 16;
+/// Where a node listens.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Addresses {
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where operators and the platform's balancer connect.
+    pub operators: SocketAddr,
+    /// Where peers send to; also names the node's slot, so its port can't be 0.
+    pub peers: SocketAddr,
+}
 
 /// The settings of a node, checked by [`check`](Self::check).
 #[derive(Debug, Clone)]
@@ -26,8 +36,10 @@
     pub region: String,
     /// The key that peers share.
     pub peer_key: PeerKey,
-    /// The hash of the operators' token.
-    pub operator_token: KeyHash,
+    /// The operators' token, as a hash.
+    pub operator_token: OperatorToken,
+    /// Timings of the decisions on groups.
+    pub fleet: FleetSettings,
     /// How long a stopping node keeps accepting, so that the balancer notices first.
     pub drain_grace: Duration,
     /// How long a stopping node waits for requests in flight.
@@ -43,7 +55,12 @@
 impl NodeSettings {
     /// Settings with the usual limits.
     #[must_use]
-    pub fn new(callers: SocketAddr, operators: SocketAddr, peers: SocketAddr) -> Self {
+    pub fn new(addresses: Addresses, peer_key: PeerKey, operator_token: OperatorToken) -> Self {
+        let Addresses {
+            callers,
+            operators,
+            peers,
+        } = addresses;
         Self {
             callers,
             operators,
@@ -51,8 +68,9 @@
             seeds: Vec::new(),
             data_centre: String::new(),
             region: String::new(),
-            peer_key: PeerKey::default(),
-            operator_token: KeyHash::of(""),
+            peer_key,
+            operator_token,
+            fleet: FleetSettings::default(),
             drain_grace: Duration::from_secs(5),
             drain_limit: Duration::from_mins(1),
             connections: 4_096,
@@ -76,11 +94,10 @@
         self
     }
 
-    /// Sets the key that peers share and the token that operators send.
+    /// Sets the timings of the decisions on groups.
     #[must_use]
-    pub fn secrets(mut self, peer_key: PeerKey, operator_token: &str) -> Self {
-        self.peer_key = peer_key;
-        self.operator_token = KeyHash::of(operator_token);
+    pub fn fleet(mut self, fleet: FleetSettings) -> Self {
+        self.fleet = fleet;
         self
     }
 
@@ -124,17 +141,6 @@
         if self.region.is_empty() {
             return Err(SettingsError::Empty { setting: "region" });
         }
-        if self.peer_key.0.len() < PEER_KEY_MIN {
-            return Err(SettingsError::ShortKey {
-                length: self.peer_key.0.len(),
-                min: PEER_KEY_MIN,
-            });
-        }
-        if self.operator_token.matches(&KeyHash::of("")) {
-            return Err(SettingsError::Empty {
-                setting: "operator-token",
-            });
-        }
         if self.connections == 0 {
             return Err(SettingsError::Empty {
                 setting: "connections",
@@ -144,16 +150,6 @@
     }
 }
 
-/// A key that all nodes share and that signs what they send each other.
-#[derive(Clone, PartialEq, Eq, Default)]
-pub struct PeerKey(pub Vec<u8>);
-
-impl fmt::Debug for PeerKey {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("PeerKey(..)")
-    }
-}
-
 /// A setting that can't be used.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum SettingsError {
@@ -163,12 +159,10 @@
         /// The setting.
         setting: &'static str,
     },
-    /// The key that peers share is too short to protect anything.
-    #[error("setting \"peer-key\" has {length} bytes; at least {min} are needed")]
-    ShortKey {
-        /// Bytes given.
-        length: usize,
-        /// Fewest bytes allowed.
-        min: usize,
+    /// A number that must be above zero is zero.
+    #[error("setting \"{setting}\" must be above zero")]
+    Zero {
+        /// The setting.
+        setting: &'static str,
     },
 }
--- /dev/null
+++ b/crates/tanagerhub/src/snapshot.rs
@@ -0,0 +1,57 @@
+//! What control shows to traffic.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tanagerhub_catalogue::Catalogue;
+use tanagerhub_clock::Moment;
+use tanagerhub_traffic::{Freshness, RouteTable};
+
+/// The age from which a snapshot is no longer trusted: the control thread stands still.
+const SNAPSHOT_LIMIT: Duration = Duration::from_millis(500);
+
+/// The catalogue, the routes and the freshness at one moment; it never changes.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Snapshot {
+    /// Rises with each snapshot.
+    pub(crate) generation: u64,
+    /// When it was made.
+    pub(crate) made: Moment,
+    /// The catalogue in force.
+    pub(crate) catalogue: Arc<Catalogue>,
+    /// Where requests may go.
+    pub(crate) routes: RouteTable,
+    /// Until when new work may be taken; `None` means not at all.
+    pub(crate) fresh_until: Option<Moment>,
+    /// Nodes that take work, this one included.
+    pub(crate) nodes: u32,
+    /// This node's place among them, from zero.
+    pub(crate) place: u32,
+}
+
+impl Snapshot {
+    /// Whether new work may be sent at `now`.
+    pub(crate) fn takes_work(&self, now: Moment) -> bool {
+        let fresh = self.fresh_until.is_some_and(|until| now < until);
+        fresh && now.since(self.made) < SNAPSHOT_LIMIT
+    }
+
+    /// The view that traffic decides by.
+    pub(crate) fn freshness(&self, now: Moment) -> Freshness {
+        Freshness {
+            takes_work: self.takes_work(now),
+            live_nodes: self.nodes,
+            place: self.place,
+        }
+    }
+
+    /// The routes with the ages that they have at `now`.
+    pub(crate) fn routes_at(&self, now: Moment) -> RouteTable {
+        let mut table = self.routes.clone();
+        let lag = now.since(self.made);
+        for route in &mut table.routes {
+            route.attested += lag;
+        }
+        table
+    }
+}
--- /dev/null
+++ b/crates/tanagerhub/src/ticket.rs
@@ -0,0 +1,68 @@
+//! One request's place among the traffic decisions.
+
+use std::sync::Arc;
+
+use async_channel::Receiver;
+use tanagerhub_catalogue::RequestId;
+use tanagerhub_traffic::{AttemptEvent, AttemptKey, Decision, Next};
+
+use crate::traffic_handle::TrafficHandle;
+
+/// A submitted request; dropping it means that the caller left.
+#[derive(Debug)]
+pub(crate) struct Ticket {
+    traffic: Arc<TrafficHandle>,
+    id: RequestId,
+    mailbox: Receiver<Decision>,
+    attempts: Vec<AttemptKey>,
+}
+
+impl Ticket {
+    pub(crate) const fn new(
+        traffic: Arc<TrafficHandle>,
+        id: RequestId,
+        mailbox: Receiver<Decision>,
+    ) -> Self {
+        Self {
+            traffic,
+            id,
+            mailbox,
+            attempts: Vec::new(),
+        }
+    }
+
+    /// Notes that an attempt is under way.
+    pub(crate) fn begin(&mut self, attempt: AttemptKey) {
+        self.attempts.push(attempt);
+    }
+
+    /// Reports what became of an attempt.
+    pub(crate) fn report(&mut self, attempt: AttemptKey, event: AttemptEvent) -> Next {
+        let next = self
+            .traffic
+            .with(|traffic, now| traffic.report(now, attempt, event));
+        match &next {
+            Next::Continue => {}
+            Next::CancelOther(other) => self.attempts.retain(|key| key != other),
+            Next::Done | Next::Retry(_) | Next::Wait(_) | Next::Fail(_) => {
+                self.attempts.retain(|key| *key != attempt);
+            }
+        }
+        next
+    }
+
+    /// Waits for the next decision on this request.
+    pub(crate) async fn decision(&self) -> Option<Decision> {
+        self.mailbox.recv().await.ok()
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        for attempt in std::mem::take(&mut self.attempts) {
+            self.traffic
+                .with(|traffic, now| traffic.report(now, attempt, AttemptEvent::CallerLeft));
+        }
+        self.traffic.forget(self.id);
+    }
+}
--- /dev/null
+++ b/crates/tanagerhub/src/traffic_handle.rs
@@ -0,0 +1,161 @@
+//! Shares one [`Traffic`] among the tasks that carry requests.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use async_channel::Sender;
+use tanagerhub_catalogue::{Catalogue, RequestId};
+use tanagerhub_clock::{Clock, Moment};
+use tanagerhub_traffic::{Decision, RequestInfo, Traffic};
+
+use crate::control_event::ControlEvent;
+use crate::snapshot::Snapshot;
+use crate::ticket::Ticket;
+use crate::wake::Wake;
+
+/// The longest time between two looks at the queues.
+const POLL_PERIOD: Duration = Duration::from_millis(100);
+/// Decisions that may wait for one request's task.
+const MAILBOX_SIZE: usize = 8;
+
+/// The traffic decisions of a node.
+///
+/// Calls are short and hold the lock for microseconds; no task waits while it holds it.
+#[derive(Debug)]
+pub(crate) struct TrafficHandle {
+    clock: Clock,
+    inner: Mutex<Inner>,
+    snapshot: ArcSwap<Snapshot>,
+    control: Sender<ControlEvent>,
+    wake: Wake,
+}
+
+#[derive(Debug)]
+struct Inner {
+    traffic: Traffic,
+    generation: u64,
+    catalogue: Arc<Catalogue>,
+    mailboxes: HashMap<RequestId, Sender<Decision>>,
+}
+
+impl TrafficHandle {
+    pub(crate) fn new(clock: Clock, traffic: Traffic, control: Sender<ControlEvent>) -> Self {
+        let inner = Inner {
+            traffic,
+            generation: 0,
+            catalogue: Arc::default(),
+            mailboxes: HashMap::new(),
+        };
+        Self {
+            clock,
+            inner: Mutex::new(inner),
+            snapshot: ArcSwap::default(),
+            control,
+            wake: Wake::default(),
+        }
+    }
+
+    /// Replaces what control shows.
+    pub(crate) fn publish(&self, snapshot: Snapshot) {
+        self.snapshot.store(Arc::new(snapshot));
+        self.wake.signal();
+    }
+
+    /// What control showed last.
+    pub(crate) fn snapshot(&self) -> Arc<Snapshot> {
+        self.snapshot.load_full()
+    }
+
+    /// Whether a request may be sent right now.
+    ///
+    /// A process that was paused between the decision and the send finds out here.
+    pub(crate) fn may_send(&self) -> bool {
+        self.snapshot.load().takes_work(self.clock.now())
+    }
+
+    /// Lets `act` decide something, by the newest snapshot.
+    pub(crate) fn with<T>(&self, act: impl FnOnce(&mut Traffic, Moment) -> T) -> T {
+        let result = self.act(|inner, now| act(&mut inner.traffic, now));
+        self.wake.signal();
+        result
+    }
+
+    /// Submits a request.
+    pub(crate) fn submit(self: &Arc<Self>, info: RequestInfo) -> (Ticket, Decision) {
+        let (sender, mailbox) = async_channel::bounded(MAILBOX_SIZE);
+        let id = info.id;
+        let decision = self.act(|inner, now| {
+            inner.mailboxes.insert(id, sender);
+            inner.traffic.submit(now, info)
+        });
+        self.wake.signal();
+        (Ticket::new(Arc::clone(self), id, mailbox), decision)
+    }
+
+    /// Drops a request's mailbox, and the request if it still waits.
+    pub(crate) fn forget(&self, id: RequestId) {
+        self.act(|inner, _| {
+            inner.mailboxes.remove(&id);
+            inner.traffic.leave(id);
+        });
+    }
+
+    /// Polls the queues until the node ends.
+    pub(crate) async fn run(self: Arc<Self>) {
+        loop {
+            let wait = self.poll();
+            self.wake.wait(&self.clock, wait).await;
+        }
+    }
+
+    /// Delivers due decisions; gives the time until the next look.
+    fn poll(&self) -> Duration {
+        self.act(|inner, now| {
+            for (id, decision) in inner.traffic.poll(now) {
+                inner.deliver(id, decision);
+            }
+            let next = inner.traffic.next_wakeup();
+            next.map_or(POLL_PERIOD, |at| at.since(now).min(POLL_PERIOD))
+        })
+    }
+
+    fn act<T>(&self, act: impl FnOnce(&mut Inner, Moment) -> T) -> T {
+        let now = self.clock.now();
+        let mut inner = self.lock();
+        inner.follow(now, &self.snapshot.load());
+        let result = act(&mut inner, now);
+        let facts = inner.traffic.take_facts();
+        drop(inner);
+        if !facts.is_empty() {
+            drop(self.control.try_send(ControlEvent::TrafficFacts(facts)));
+        }
+        result
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Inner {
+    /// Takes in a newer snapshot, and the freshness that it has by now.
+    fn follow(&mut self, now: Moment, snapshot: &Snapshot) {
+        if snapshot.generation != self.generation {
+            self.generation = snapshot.generation;
+            if !Arc::ptr_eq(&self.catalogue, &snapshot.catalogue) {
+                self.catalogue = Arc::clone(&snapshot.catalogue);
+                self.traffic.catalogue(now, &snapshot.catalogue);
+            }
+            self.traffic.routes(now, snapshot.routes_at(now));
+        }
+        self.traffic.freshness(now, snapshot.freshness(now));
+    }
+
+    fn deliver(&mut self, id: RequestId, decision: Decision) {
+        if let Some(mailbox) = self.mailboxes.get(&id) {
+            drop(mailbox.try_send(decision));
+        }
+    }
+}
--- /dev/null
+++ b/crates/tanagerhub/src/wake.rs
@@ -0,0 +1,36 @@
+//! Wakes a task that looks at what is due.
+
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender};
+use futures_lite::future;
+use tanagerhub_clock::Clock;
+
+/// A signal that is kept until it is waited for.
+#[derive(Debug)]
+pub(crate) struct Wake {
+    sender: Sender<()>,
+    receiver: Receiver<()>,
+}
+
+impl Default for Wake {
+    fn default() -> Self {
+        let (sender, receiver) = async_channel::bounded(1);
+        Self { sender, receiver }
+    }
+}
+
+impl Wake {
+    /// Gives the signal; one that is already given is enough.
+    pub(crate) fn signal(&self) {
+        let _: Result<(), _> = self.sender.try_send(());
+    }
+
+    /// Waits for the signal, at most for `limit`.
+    pub(crate) async fn wait(&self, clock: &Clock, limit: Duration) {
+        let signal = async {
+            let _: Result<(), _> = self.receiver.recv().await;
+        };
+        future::or(signal, clock.sleep(limit)).await;
+    }
+}
--- a/crates/tanagerhub_catalogue/src/lib.rs
+++ b/crates/tanagerhub_catalogue/src/lib.rs
@@ -8,6 +8,7 @@
 mod diff;
 mod document;
 mod entry;
+mod health;
 mod ids;
 mod marks;
 mod organisation;
@@ -20,6 +21,7 @@
 pub use entry::{
     Class, ColdLimit, Entry, EntryKind, Fencing, Limits, ModelEntry, Route, ServiceEntry,
 };
+pub use health::Health;
 pub use ids::{
     BootId, DataCentreId, DomainId, EntryId, Epoch, GroupId, IdHex, NodeId, OrganisationId, Rank,
     RequestId, VmId,
--- a/crates/tanagerhub_membership/src/fact.rs
+++ b/crates/tanagerhub_membership/src/fact.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use tanagerhub_catalogue::{Epoch, GroupId};
+use tanagerhub_catalogue::{Epoch, GroupId, Health};
 
 /// Something that one node has seen and that others may rely on for a while.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -15,6 +15,8 @@
         group: GroupId,
         /// Its epoch.
         epoch: Epoch,
+        /// What it can bear.
+        health: Health,
     },
     /// The group's backend turned cold, or was seen with a member missing.
     Cold {
--- a/crates/tanagerhub_membership/src/fact_batch.rs
+++ b/crates/tanagerhub_membership/src/fact_batch.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use tanagerhub_catalogue::{Epoch, GroupId};
+use tanagerhub_catalogue::{Epoch, GroupId, Health};
 
 use crate::{AgedFact, Fact};
 
@@ -36,6 +36,57 @@
     }
 }
 
+/// The age and health of an attestation in one byte, the age rounded up.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use tanagerhub_catalogue::Health;
+/// use tanagerhub_membership::Attestation;
+///
+/// let sent = Attestation::of(Duration::from_millis(90), Health::Cold);
+/// assert_eq!(sent.open(), Some((Duration::from_millis(120), Health::Cold)));
+/// assert_eq!(Attestation::of(Duration::from_secs(9), Health::Warm).open(), None);
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Attestation(u8);
+
+/// The unit of an attestation's age.
+const ATTESTED_MILLIS: u64 = 40;
+/// The age, in units, that stands for "too old".
+const ATTESTED_TOO_OLD: u8 = 63;
+
+impl Attestation {
+    /// Packs an age, rounded up, and a health.
+    #[must_use]
+    pub fn of(age: Duration, health: Health) -> Self {
+        let unit = u128::from(ATTESTED_MILLIS) * 1_000_000;
+        let units = u8::try_from(age.as_nanos().div_ceil(unit)).unwrap_or(u8::MAX);
+        let health = match health {
+            Health::Warm => 0,
+            Health::Cold => 1,
+            Health::Leaving => 2,
+        };
+        Self(units.min(ATTESTED_TOO_OLD) << 2 | health)
+    }
+
+    /// The age and health, unless the attestation is too old or malformed.
+    #[must_use]
+    pub fn open(self) -> Option<(Duration, Health)> {
+        let units = self.0 >> 2;
+        let health = match self.0 & 3 {
+            0 => Health::Warm,
+            1 => Health::Cold,
+            2 => Health::Leaving,
+            _ => return None,
+        };
+        let age = Duration::from_millis(u64::from(units) * ATTESTED_MILLIS);
+        (units < ATTESTED_TOO_OLD).then_some((age, health))
+    }
+}
+
 /// Attestations in a batch.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum AttestedPart {
@@ -43,11 +94,11 @@
     Ages {
         /// The hash of the directory.
         directory: u64,
-        /// One age per group.
-        ages: Vec<Short>,
+        /// One for each group.
+        ages: Vec<Attestation>,
     },
     /// A part of the groups in full.
-    Listed(Vec<(GroupId, Epoch, Short)>),
+    Listed(Vec<(GroupId, Epoch, Attestation)>),
 }
 
 impl Default for AttestedPart {
--- a/crates/tanagerhub_membership/src/lib.rs
+++ b/crates/tanagerhub_membership/src/lib.rs
@@ -38,7 +38,7 @@
 pub use confirmations::{Confirmation, Confirmations, is_recent};
 pub use document::{CatalogueHead, ContentHash, Document, HEAD_KEY};
 pub use fact::{AgedFact, Fact, FactKey};
-pub use fact_batch::{AttestedPart, FactBatch, Short, WireFact};
+pub use fact_batch::{Attestation, AttestedPart, FactBatch, Short, WireFact};
 pub use freshness::{Confirmer, Freshness, StaleReason};
 pub use identity::Identity;
 pub use membership::Membership;
--- a/crates/tanagerhub_membership/src/shared_facts.rs
+++ b/crates/tanagerhub_membership/src/shared_facts.rs
@@ -4,11 +4,11 @@
 use std::ops::Bound;
 use std::time::Duration;
 
-use tanagerhub_catalogue::{Epoch, GroupId};
+use tanagerhub_catalogue::{Epoch, GroupId, Health};
 use tanagerhub_clock::Moment;
 use xxhash_rust::xxh3::Xxh3;
 
-use crate::fact_batch::{AttestedPart, FactBatch, Short, WireFact};
+use crate::fact_batch::{Attestation, AttestedPart, FactBatch, WireFact};
 use crate::{AgedFact, Fact, FactKey};
 
 /// The most facts that are kept; the oldest of a kind go first.
@@ -33,12 +33,12 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// use tanagerhub_catalogue::{Epoch, GroupId};
+/// use tanagerhub_catalogue::{Epoch, GroupId, Health};
 /// use tanagerhub_clock::Moment;
 /// use tanagerhub_membership::{AgedFact, Fact, SharedFacts};
 ///
 /// let mut facts = SharedFacts::default();
-/// let fact = Fact::Attested { group: GroupId(5), epoch: Epoch(1) };
+/// let fact = Fact::Attested { group: GroupId(5), epoch: Epoch(1), health: Health::Warm };
 /// facts.learn(AgedFact { fact, age: Duration::ZERO }, Moment::ZERO);
 /// let later = Moment::from_millis(300);
 /// let known: Vec<_> = facts.aged(later).collect();
@@ -107,7 +107,7 @@
     #[must_use]
     pub fn directory(&self) -> u64 {
         let mut hasher = Xxh3::new();
-        for (group, epoch, _) in self.attested() {
+        for (group, epoch, ..) in self.attested() {
             hasher.update(&group.0.to_le_bytes());
             hasher.update(&epoch.0.to_le_bytes());
         }
@@ -118,7 +118,9 @@
     pub fn batch(&mut self, directory: u64, now: Moment) -> FactBatch {
         let own = self.directory();
         let attested = if own == directory {
-            let ages = self.attested().map(|(_, _, at)| Short::of(now.since(at)));
+            let ages = self
+                .attested()
+                .map(|(_, _, health, at)| Attestation::of(now.since(at), health));
             AttestedPart::Ages {
                 directory: own,
                 ages: ages.collect(),
@@ -147,7 +149,7 @@
             AttestedPart::Ages { directory, ages } if *directory == self.directory() => {
                 let groups: Vec<_> = self.attested().collect();
                 let pairs = groups.into_iter().zip(ages);
-                let facts = pairs.map(|((group, epoch, _), age)| aged(group, epoch, *age));
+                let facts = pairs.map(|((group, epoch, ..), age)| aged(group, epoch, *age));
                 heard.extend(facts.flatten());
             }
             AttestedPart::Ages { .. } => {}
@@ -163,22 +165,30 @@
         heard
     }
 
-    fn attested(&self) -> impl Iterator<Item = (GroupId, Epoch, Moment)> + '_ {
+    fn attested(&self) -> impl Iterator<Item = (GroupId, Epoch, Health, Moment)> + '_ {
         let range = FactKey::Attested(GroupId(0))..=FactKey::Attested(GroupId(u64::MAX));
         let known = self.known.range(range).map(|(_, known)| known);
         known.filter_map(|known| match known.fact {
-            Fact::Attested { group, epoch } => Some((group, epoch, known.at)),
+            Fact::Attested {
+                group,
+                epoch,
+                health,
+            } => Some((group, epoch, health, known.at)),
             _ => None,
         })
     }
 
     /// Attestations in full, from where the last list ended.
-    fn listed(&mut self, now: Moment) -> Vec<(GroupId, Epoch, Short)> {
+    fn listed(&mut self, now: Moment) -> Vec<(GroupId, Epoch, Attestation)> {
         let is_attested = |fact: &Fact| matches!(fact, Fact::Attested { .. });
         let window = self.window(self.explicit_cursor, MAX_EXPLICIT, is_attested);
         self.explicit_cursor = window.last().map(|known| known.fact.key());
         let item = |known: &Known| match known.fact {
-            Fact::Attested { group, epoch } => Some((group, epoch, Short::of(now.since(known.at)))),
+            Fact::Attested {
+                group,
+                epoch,
+                health,
+            } => Some((group, epoch, Attestation::of(now.since(known.at), health))),
             _ => None,
         };
         window.iter().filter_map(item).collect()
@@ -214,9 +224,14 @@
     }
 }
 
-fn aged(group: GroupId, epoch: Epoch, age: Short) -> Option<AgedFact> {
-    age.span().map(|age| AgedFact {
-        fact: Fact::Attested { group, epoch },
+fn aged(group: GroupId, epoch: Epoch, attested: Attestation) -> Option<AgedFact> {
+    let (age, health) = attested.open()?;
+    Some(AgedFact {
+        fact: Fact::Attested {
+            group,
+            epoch,
+            health,
+        },
         age,
     })
 }
--- a/crates/tanagerhub_traffic/src/traffic.rs
+++ b/crates/tanagerhub_traffic/src/traffic.rs
@@ -210,6 +210,12 @@
         self.drain.state(now, self.requests.len())
     }
 
+    /// Requests that wait or run.
+    #[must_use]
+    pub fn open(&self) -> usize {
+        self.requests.len()
+    }
+
     /// The table of requests that crash back ends.
     pub const fn crashes(&mut self) -> &mut CrashTable {
         &mut self.crashes
--- a/crates/tanagerhub_wire/src/http/server.rs
+++ b/crates/tanagerhub_wire/src/http/server.rs
@@ -52,6 +52,7 @@
     address: SocketAddr,
     shared: Arc<Shared>,
     stop: Sender<()>,
+    kill: Sender<()>,
     all_closed: Receiver<()>,
     accepting: JoinHandle<()>,
 }
@@ -103,11 +104,13 @@
         open: AtomicUsize::new(0),
     });
     let (stop, stopped) = async_channel::bounded(1);
+    let (kill, killed) = async_channel::bounded(1);
     let (closing, all_closed) = async_channel::bounded(1);
     let accept = Accept {
         listener,
         shared: Arc::clone(&shared),
         stopped,
+        killed,
         closing,
         handler: Arc::new(handler),
     };
@@ -115,6 +118,7 @@
         address,
         shared,
         stop,
+        kill,
         all_closed,
         accepting: task::spawn(accept.run()),
     })
@@ -153,12 +157,22 @@
         let closed = self.all_closed.recv().await;
         debug_assert!(closed.is_err(), "nothing is sent on this channel");
     }
+
+    /// Stops at once, as a crash would: connections are closed, whatever they are doing.
+    pub async fn kill(self) {
+        drop(self.kill);
+        drop(self.stop);
+        self.accepting.await;
+        let closed = self.all_closed.recv().await;
+        debug_assert!(closed.is_err(), "nothing is sent on this channel");
+    }
 }
 
 struct Accept<H> {
     listener: TcpListener,
     shared: Arc<Shared>,
     stopped: Receiver<()>,
+    killed: Receiver<()>,
     closing: Sender<()>,
     handler: Arc<H>,
 }
@@ -205,8 +219,12 @@
         }
         let place = Place::take(Arc::clone(&self.shared), self.closing.clone());
         let handler = Arc::clone(&self.handler);
+        let killed = self.killed.clone();
         task::spawn(async move {
-            connection.run(&*handler).await;
+            let killed = async {
+                let _: Result<(), _> = killed.recv().await;
+            };
+            future::or(killed, connection.run(&*handler)).await;
             drop(place);
         });
     }
--- a/crates/tanagerhub_wire/src/platform/object_name.rs
+++ b/crates/tanagerhub_wire/src/platform/object_name.rs
@@ -26,3 +26,10 @@
         self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
     }
 }
+
+impl From<[u8; 32]> for ObjectName {
+    /// Takes a hash that was computed elsewhere.
+    fn from(hash: [u8; 32]) -> Self {
+        Self(hash)
+    }
+}
