--- /dev/null
+++ b/crates/tanagerhub_fleet/src/fleet.rs
@@ -0,0 +1,244 @@
+//! The state machine.
+
+mod group;
+mod jobs;
+mod members;
+mod orders;
+mod plan;
+mod repair;
+mod slots;
+mod store;
+mod transactions;
+mod view;
+mod vms;
+mod watch;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use tanagerhub_catalogue::{Catalogue, EntryId, GroupId, NodeId, VmId};
+use tanagerhub_clock::Moment;
+
+use crate::decision::{Decision, Decisions, Reason, Subject};
+use crate::{FleetAction, FleetCounters, FleetEvent, FleetSettings, FleetStatus, GroupView, Peer};
+
+use group::Group;
+use jobs::Jobs;
+use store::Store;
+use vms::Vms;
+
+/// How long it is remembered when a node left.
+const LEFT_MEMORY: Duration = Duration::from_hours(1);
+
+/// The control decisions of one node on all groups.
+///
+/// It reads no clock and does no I/O: each event comes with the present moment, and the answer is
+/// what shall be done. Moments must not run backwards.
+///
+/// # Examples
+///
+/// ```
+/// use tanagerhub_catalogue::{DataCentreId, NodeId};
+/// use tanagerhub_clock::Moment;
+/// use tanagerhub_fleet::{Fleet, FleetAction, FleetEvent, FleetSettings, Peer, RowQuery};
+///
+/// let (node, data_centre) = (NodeId::of("10.0.0.1:7100"), DataCentreId::of("tbs-a"));
+/// let mut fleet = Fleet::new(FleetSettings::default().node(node, data_centre), 1);
+/// fleet.on_event(Moment::ZERO, FleetEvent::Peers(vec![Peer { node, data_centre }]));
+/// let actions = fleet.on_event(Moment::from_millis(100), FleetEvent::Tick);
+/// assert!(matches!(
+///     actions.as_slice(),
+///     [FleetAction::Read { query: RowQuery::Prefix("group/"), .. }]
+/// ));
+/// ```
+#[derive(Debug)]
+pub struct Fleet {
+    settings: FleetSettings,
+    rng: ChaCha8Rng,
+    catalogue: Arc<Catalogue>,
+    vms: Vms,
+    peers: Vec<Peer>,
+    /// When each node that left was last seen live.
+    last_live: BTreeMap<NodeId, Moment>,
+    groups: BTreeMap<GroupId, Group>,
+    jobs: Jobs,
+    store: Store,
+    planner: plan::Planner,
+    last_event: Moment,
+    decisions: Decisions,
+    counters: FleetCounters,
+    out: Vec<FleetAction>,
+}
+
+impl Fleet {
+    /// Starts without any knowledge; `seed` makes its random choices repeatable.
+    #[must_use]
+    pub fn new(settings: FleetSettings, seed: u64) -> Self {
+        let decisions = Decisions::new(settings.decisions);
+        Self {
+            settings,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            catalogue: Arc::default(),
+            vms: Vms::default(),
+            peers: Vec::new(),
+            last_live: BTreeMap::new(),
+            groups: BTreeMap::new(),
+            jobs: Jobs::default(),
+            store: Store::default(),
+            planner: plan::Planner::default(),
+            last_event: Moment::ZERO,
+            decisions,
+            counters: FleetCounters::default(),
+            out: Vec::new(),
+        }
+    }
+
+    /// Takes in an event at the moment `now`, and returns what shall be done.
+    pub fn on_event(&mut self, now: Moment, event: FleetEvent) -> Vec<FleetAction> {
+        self.notice_pause(now);
+        match event {
+            FleetEvent::Tick => self.tick(now),
+            FleetEvent::Catalogue(catalogue) => self.set_catalogue(catalogue),
+            FleetEvent::Vms(list) => self.set_vms(now, &list),
+            FleetEvent::Peers(peers) => self.set_peers(now, peers),
+            FleetEvent::Rows { read, result } => self.rows_read(now, read, result),
+            FleetEvent::PeerRows(rows) => self.rows_heard(now, &rows),
+            FleetEvent::Committed {
+                transaction,
+                outcome,
+            } => self.committed(now, transaction, &outcome),
+            FleetEvent::Probed { vm, sent, result } => self.probed(now, vm, sent, result),
+            FleetEvent::Attested {
+                group,
+                epoch,
+                age,
+                health,
+                ..
+            } => self.attested(now, group, epoch, age, health),
+            FleetEvent::Ordered {
+                vm,
+                group,
+                epoch,
+                result,
+            } => self.ordered(now, vm, (group, epoch), result),
+            FleetEvent::BackendFailed { group, epoch } => self.backend_failed(now, group, epoch),
+            FleetEvent::TurnedCold { group, epoch } => self.turned_cold(now, group, epoch),
+            FleetEvent::TokenStreamed { group, epoch, at } => {
+                self.token_streamed(now, group, epoch, at);
+            }
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    /// All groups, as this node sees them at `now`.
+    ///
+    /// A caller that was paused asks again with the present moment before it sends work.
+    pub fn groups(&self, now: Moment) -> impl Iterator<Item = GroupView> {
+        self.groups.values().map(move |group| self.view(now, group))
+    }
+
+    /// One group, as this node sees it at `now`.
+    #[must_use]
+    pub fn group(&self, now: Moment, id: GroupId) -> Option<GroupView> {
+        self.groups.get(&id).map(|group| self.view(now, group))
+    }
+
+    /// The last decisions on a subject, oldest first.
+    #[must_use]
+    pub fn explain(&self, subject: Subject) -> Vec<Decision> {
+        self.decisions.about(subject)
+    }
+
+    /// Counts since the start of the process.
+    #[must_use]
+    pub const fn counters(&self) -> &FleetCounters {
+        &self.counters
+    }
+
+    /// The state of all groups at `now`, for the dump and for operators.
+    #[must_use]
+    pub fn status(&self, now: Moment) -> FleetStatus {
+        self.make_status(now)
+    }
+
+    fn tick(&mut self, now: Moment) {
+        self.read_groups(now);
+        self.watch(now);
+        self.advance_jobs(now);
+        self.plan(now);
+    }
+
+    /// After a pause, the rows must be read again before this node attests or orders anything.
+    fn notice_pause(&mut self, now: Moment) {
+        let silence = now.since(self.last_event);
+        self.last_event = now;
+        if silence >= self.settings.pause_limit && self.store.confirmed.is_some() {
+            self.counters.pauses += 1;
+            self.store.confirmed = None;
+            self.store.read_at = Moment::ZERO;
+            self.forget_probes();
+        }
+    }
+
+    fn set_catalogue(&mut self, catalogue: Arc<Catalogue>) {
+        if catalogue.version < self.catalogue.version {
+            return;
+        }
+        self.vms.set_marks(&catalogue);
+        self.catalogue = catalogue;
+    }
+
+    fn set_peers(&mut self, now: Moment, mut peers: Vec<Peer>) {
+        peers.sort_unstable();
+        peers.dedup();
+        if peers == self.peers {
+            return;
+        }
+        for peer in &self.peers {
+            self.last_live.insert(peer.node, now);
+        }
+        self.last_live
+            .retain(|_, seen| now.since(*seen) < LEFT_MEMORY);
+        self.peers = peers;
+        for group in self.groups.values_mut() {
+            group.assign(&self.settings, &self.peers);
+        }
+        self.rank_planner();
+    }
+
+    fn note(
+        &mut self,
+        now: Moment,
+        entry: Option<EntryId>,
+        group: Option<GroupId>,
+        vm: Option<VmId>,
+        reason: Reason,
+    ) {
+        self.decisions.note(Decision {
+            at: now,
+            entry,
+            group,
+            vm,
+            reason,
+        });
+    }
+
+    /// Notes a reason that concerns a group as a whole.
+    fn note_group(&mut self, now: Moment, id: GroupId, reason: Reason) {
+        let entry = self.groups.get(&id).map(|group| group.row.entry);
+        self.note(now, entry, Some(id), None, reason);
+    }
+
+    /// The time between two reads of all group rows; it grows with their number.
+    fn read_interval(&self) -> Duration {
+        let rows = self.groups.values().filter(|group| group.has_row()).count();
+        let share = self
+            .settings
+            .read_share
+            .saturating_mul(u32::try_from(rows).unwrap_or(u32::MAX));
+        self.settings.read_every.max(share)
+    }
+}
--- /dev/null
+++ b/crates/tanagerhub_fleet/src/fleet/orders.rs
@@ -0,0 +1,205 @@
+//! Orders to engines, and their reading back.
+
+use std::time::Duration;
+
+use tanagerhub_catalogue::{Epoch, GroupId, Rank, VmId};
+use tanagerhub_clock::Moment;
+
+use crate::decision::Reason;
+use crate::{EngineState, FleetAction, Order, OrderAnswer, OrderFailure, OrderKind};
+
+use super::Fleet;
+use super::group::{Group, Member};
+
+/// The time after which an order that shows no effect is sent again.
+const ORDER_RETRY: Duration = Duration::from_secs(2);
+/// How long each further watcher waits for those before it to send an order.
+const ORDER_STEP: Duration = Duration::from_secs(3);
+
+impl Fleet {
+    /// Orders members that are not in their place, the most starved entries first.
+    ///
+    /// Restarted members load from the weight store again, so each node lets only its share of
+    /// them load at once. New groups are not held back here: the planner admitted them.
+    pub(super) fn send_orders(&mut self, now: Moment) {
+        if self.store.confirmed.is_none() {
+            return;
+        }
+        let mut wanting: Vec<(u32, GroupId)> = self
+            .groups
+            .values()
+            .filter(|group| wants_order(group, now))
+            .map(|group| (self.whole_groups(group.row.entry), group.id))
+            .collect();
+        if wanting.is_empty() {
+            return;
+        }
+        wanting.sort_unstable();
+        let mut room = self.reload_room(now);
+        for (_, id) in wanting {
+            self.order_group(now, id, &mut room);
+        }
+    }
+
+    fn order_group(&mut self, now: Moment, id: GroupId, room: &mut usize) {
+        let Some(group) = self.groups.get(&id) else {
+            return;
+        };
+        let due: Vec<(usize, VmId)> = group
+            .members
+            .iter()
+            .enumerate()
+            .filter(|(_, member)| is_order_due(member, group.rank, now))
+            .map(|(rank, member)| (rank, member.vm))
+            .collect();
+        let admitted = self.is_admitted(group, now);
+        if !admitted && *room == 0 {
+            return;
+        }
+        if !admitted {
+            *room = room.saturating_sub(due.len());
+        }
+        let Some(joins) = self.join_orders(id, &due) else {
+            return;
+        };
+        let until = now + self.settings.order_limit;
+        for (address, order) in joins {
+            let (vm, epoch) = (order.vm, order.epoch);
+            self.counters.orders += 1;
+            self.out.push(FleetAction::Order {
+                address,
+                order,
+                until,
+            });
+            self.note_member(now, id, vm, Reason::Ordered { epoch });
+        }
+        let Some(group) = self.groups.get_mut(&id) else {
+            return;
+        };
+        for (rank, _) in due {
+            group.members[rank].ordered = Some(now);
+        }
+    }
+
+    /// The orders for some members; `None` when a member's address is not known.
+    fn join_orders(
+        &self,
+        id: GroupId,
+        due: &[(usize, VmId)],
+    ) -> Option<Vec<(std::net::SocketAddr, Order)>> {
+        let group = self.groups.get(&id)?;
+        let weights = &self.catalogue.entry(group.row.entry)?.model()?.weights;
+        let members = group
+            .row
+            .members
+            .iter()
+            .map(|vm| self.vms.address(*vm))
+            .collect::<Option<Vec<_>>>()?;
+        let join = |(rank, vm): &(usize, VmId)| {
+            let order = Order {
+                vm: *vm,
+                group: id,
+                epoch: group.row.epoch,
+                kind: OrderKind::Join {
+                    rank: Rank(u16::try_from(*rank).unwrap_or(u16::MAX)),
+                    weights: weights.clone(),
+                    members: members.clone(),
+                },
+            };
+            (members[*rank], order)
+        };
+        Some(due.iter().map(join).collect())
+    }
+
+    /// Orders VMs to drop what they hold; `epoch` is the one now in their rows.
+    pub(super) fn release(&mut self, now: Moment, group: GroupId, vms: &[VmId], epoch: Epoch) {
+        for vm in vms {
+            let Some(address) = self.vms.address(*vm) else {
+                continue;
+            };
+            self.counters.orders += 1;
+            self.out.push(FleetAction::Order {
+                address,
+                order: Order {
+                    vm: *vm,
+                    group,
+                    epoch,
+                    kind: OrderKind::Release,
+                },
+                until: now + self.settings.order_limit,
+            });
+        }
+    }
+
+    /// Takes in the answer to an order; an answer that was lost is found out by the next probe.
+    pub(super) fn ordered(
+        &mut self,
+        now: Moment,
+        vm: VmId,
+        order: (GroupId, Epoch),
+        result: Result<OrderAnswer, OrderFailure>,
+    ) {
+        let (id, epoch) = order;
+        let Some(group) = self.groups.get_mut(&id) else {
+            return;
+        };
+        let current = group.row.epoch == epoch;
+        let Some(member) = group.members.iter_mut().find(|member| member.vm == vm) else {
+            return;
+        };
+        match result {
+            Ok(OrderAnswer::Accepted) if current => {
+                member.must_join = false;
+                member.ended = None;
+            }
+            Ok(OrderAnswer::Stale { epoch: seen }) if seen > group.row.epoch => {
+                member.needs = None;
+                self.hint(id);
+                self.note_member(now, id, vm, Reason::Overtaken { epoch: seen });
+            }
+            Err(OrderFailure::Expired) if current => member.ordered = None,
+            _ => {}
+        }
+    }
+
+    /// How many restarted members may begin to load now.
+    fn reload_room(&self, now: Moment) -> usize {
+        let share = (self.settings.loads_max / self.peers.len().max(1)).max(1);
+        let loading = self
+            .groups
+            .values()
+            .filter(|group| group.rank == Some(0) && !self.is_admitted(group, now))
+            .flat_map(|group| &group.members)
+            .filter(|member| is_loading(member))
+            .count();
+        share.saturating_sub(loading)
+    }
+
+    /// Whether the planner counts the group's loads already.
+    fn is_admitted(&self, group: &Group, now: Moment) -> bool {
+        group.attested.is_none() && now.since(group.formed) < self.settings.load_time * 2
+    }
+}
+
+/// Whether the member loads weights.
+pub(super) fn is_loading(member: &Member) -> bool {
+    let loads = |report: crate::MemberReport| report.state == EngineState::Loading;
+    member.report.is_some_and(loads)
+}
+
+fn wants_order(group: &Group, now: Moment) -> bool {
+    let due = |member: &Member| is_order_due(member, group.rank, now);
+    group.has_row() && !group.row.draining && group.members.iter().any(due)
+}
+
+fn is_order_due(member: &Member, rank: Option<usize>, now: Moment) -> bool {
+    let Some((rank, needs)) = rank.zip(member.needs) else {
+        return false;
+    };
+    let step = u32::try_from(rank).unwrap_or(u32::MAX);
+    let turn = now.since(needs) >= ORDER_STEP.saturating_mul(step);
+    let waited = member
+        .ordered
+        .is_none_or(|ordered| now.since(ordered) >= ORDER_RETRY);
+    turn && waited && member.failing.is_none()
+}
--- /dev/null
+++ b/crates/tanagerhub_fleet/src/fleet/plan.rs
@@ -0,0 +1,357 @@
+//! Planning: which groups to form, drain and dissolve, and who does it.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use tanagerhub_catalogue::{Class, DataCentreId, Entry, EntryId, GroupId, NodeId, VmId};
+use tanagerhub_clock::Moment;
+
+use crate::decision::{DrainCause, Reason};
+use crate::place::{self, FreeDomain, FreeVms};
+use crate::rendezvous::rank_of;
+use crate::{Health, Peer};
+
+use super::Fleet;
+use super::group::Group;
+use super::jobs::JobKind;
+
+/// The key under which the planner is chosen.
+const PLANNER_KEY: u64 = 0x706c_616e;
+/// Nodes that are ready to plan when those before them don't act.
+const PLANNERS: usize = 3;
+/// The time between two plans.
+const PLAN_EVERY: Duration = Duration::from_secs(1);
+/// Changes that may be on their way at once.
+const JOBS_MAX: usize = 32;
+/// How long nodes may still send work to a group after its row says that it drains.
+const DRAIN_MARGIN: Duration = Duration::from_secs(5);
+
+/// Something that has to be done, by whichever planner comes first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Need {
+    /// Another replica of an entry that holds so many.
+    Form(EntryId, u32),
+    /// A repair of a broken group.
+    Repair(GroupId),
+    /// A group that shall take no new work.
+    Drain(GroupId),
+    /// A drained group.
+    Dissolve(GroupId),
+    /// Cold slots of a node that left.
+    Slots(GroupId),
+}
+
+/// This node's place among the planners, and since when each need is seen.
+#[derive(Debug, Default)]
+pub(super) struct Planner {
+    pub(super) rank: Option<usize>,
+    last: Moment,
+    since: BTreeMap<Need, Moment>,
+    seen: BTreeSet<Need>,
+}
+
+impl Planner {
+    /// Plans again at the next tick.
+    pub(super) const fn hurry(&mut self) {
+        self.last = Moment::ZERO;
+    }
+}
+
+impl Fleet {
+    pub(super) fn rank_planner(&mut self) {
+        let node: NodeId = self.settings.node;
+        let peers: &[Peer] = &self.peers;
+        self.planner.rank = rank_of(PLANNER_KEY, peers, node).filter(|rank| *rank < PLANNERS);
+    }
+
+    /// Whether this node is the first planner or the next.
+    pub(super) fn is_planning(&self) -> bool {
+        self.planner.rank.is_some_and(|rank| rank <= 1)
+    }
+
+    /// Decides what shall change, once a second.
+    pub(super) fn plan(&mut self, now: Moment) {
+        let planner = &self.planner;
+        let due = planner.last == Moment::ZERO || now.since(planner.last) >= PLAN_EVERY;
+        if planner.rank.is_none() || !due {
+            return;
+        }
+        let known = self.store.confirmed.is_some() && !self.vms.list.is_empty();
+        if !known || self.store.is_down() || !self.store.may_call(now) {
+            return;
+        }
+        self.planner.last = now;
+        self.planner.seen.clear();
+        self.vms.forgive(now, &self.settings);
+        self.plan_groups(now);
+        self.plan_formations(now);
+        let planner = &mut self.planner;
+        planner.since.retain(|need, _| planner.seen.contains(need));
+    }
+
+    /// Whether it is this node's turn to act on a need.
+    pub(super) fn is_turn(&mut self, now: Moment, need: Need) -> bool {
+        let planner = &mut self.planner;
+        planner.seen.insert(need);
+        let since = *planner.since.entry(need).or_insert(now);
+        let rank = planner.rank.and_then(|rank| u32::try_from(rank).ok());
+        let Some(rank) = rank else {
+            return false;
+        };
+        let turn = now.since(since) >= self.settings.takeover.saturating_mul(rank);
+        turn && self.jobs.len() < JOBS_MAX
+    }
+
+    fn plan_groups(&mut self, now: Moment) {
+        let free = self.free_vms(now);
+        let ids: Vec<GroupId> = self
+            .groups
+            .values()
+            .filter(|group| group.has_row())
+            .map(|group| group.id)
+            .collect();
+        let mut spares = free;
+        for id in ids {
+            if !self.jobs.concerns(id) {
+                self.plan_group(now, id, &mut spares);
+            }
+        }
+    }
+
+    fn plan_group(&mut self, now: Moment, id: GroupId, spares: &mut FreeVms) {
+        let Some(group) = self.groups.get(&id) else {
+            return;
+        };
+        if group.row.draining {
+            if self.has_drained(now, group) && self.is_turn(now, Need::Dissolve(id)) {
+                self.note_group(now, id, Reason::Drained);
+                self.start_job(now, JobKind::Dissolve { group: id });
+            }
+            return;
+        }
+        if let Some(cause) = self.drain_cause(group) {
+            if self.is_turn(now, Need::Drain(id)) {
+                self.note_group(now, id, Reason::Drain { cause });
+                self.start_job(now, JobKind::Drain { group: id });
+            }
+            return;
+        }
+        if let Some(from) = self.idle_holder(now, group)
+            && group.health == Health::Cold
+            && self.is_turn(now, Need::Slots(id))
+        {
+            self.note_group(now, id, Reason::MoveSlots { from });
+            self.start_job(now, JobKind::Slots { group: id });
+            return;
+        }
+        self.repair(now, id, spares);
+    }
+
+    /// Why the group shall take no new work.
+    pub(super) fn drain_cause(&self, group: &Group) -> Option<DrainCause> {
+        let span = |entry: &Entry| entry.model().map(|model| usize::from(model.span));
+        let entry = self.catalogue.entry(group.row.entry);
+        if entry.and_then(span) != Some(group.row.members.len()) {
+            return Some(DrainCause::Entry);
+        }
+        let members = &group.row.members;
+        let home = group.row.data_centre;
+        if members.iter().any(|vm| self.vms.is_out(*vm, home)) {
+            return Some(DrainCause::MarkedOut);
+        }
+        let leaving = members
+            .iter()
+            .any(|vm| self.vms.is_leaving(*vm) && !self.vms.is_gone(*vm));
+        if leaving || group.health == Health::Leaving {
+            return Some(DrainCause::Leaving);
+        }
+        (self.excess(group.row.entry) == Some(group.id)).then_some(DrainCause::Excess)
+    }
+
+    /// The group to give up when an entry holds more than its limit: a broken or young one first.
+    fn excess(&self, entry: EntryId) -> Option<GroupId> {
+        let max = self.catalogue.entry(entry)?.limits.replicas_max;
+        let held = || self.held_groups(entry);
+        let over = held().count() > usize::try_from(max).unwrap_or(usize::MAX);
+        let last = || held().max_by_key(|group| (!group.whole, group.formed, group.id));
+        over.then(last).flatten().map(|group| group.id)
+    }
+
+    /// Groups of an entry that don't drain.
+    pub(super) fn held_groups(&self, entry: EntryId) -> impl Iterator<Item = &Group> {
+        self.groups
+            .values()
+            .filter(move |group| group.row.entry == entry && !group.row.draining)
+    }
+
+    /// Whether nothing runs on a draining group any more, or its time is over.
+    fn has_drained(&self, now: Moment, group: &Group) -> bool {
+        let Some(since) = group.drains else {
+            return false;
+        };
+        let spread = self.read_interval() + DRAIN_MARGIN;
+        let gone = !group.is_whole(now, self.settings.age_limit);
+        let waited = now.since(since);
+        if waited < spread && !gone {
+            return false;
+        }
+        let deadline = self
+            .catalogue
+            .entry(group.row.entry)
+            .map_or(DRAIN_MARGIN, |entry| entry.limits.deadline);
+        let idle = group.members.first().and_then(|member| member.report);
+        let is_idle = idle.is_some_and(|report| report.running + report.waiting == 0);
+        gone || is_idle || waited >= spread + deadline
+    }
+
+    /// Free VMs by fabric domain; those that failed lately or are about to be enlisted are left out.
+    pub(super) fn free_vms(&self, now: Moment) -> FreeVms {
+        let enlisted = self.jobs.enlisted();
+        let mut free = FreeVms::new();
+        for (vm, info) in self.vms.usable(now) {
+            if self.store.homes.contains_key(&vm) || enlisted.contains(&vm) {
+                continue;
+            }
+            free.entry(info.domain)
+                .or_insert_with(|| FreeDomain {
+                    data_centre: info.data_centre,
+                    vms: Vec::new(),
+                })
+                .vms
+                .push(vm);
+        }
+        free
+    }
+
+    /// Members that load now, or are about to.
+    pub(super) fn loading(&self) -> usize {
+        let limit = self.settings.load_limit;
+        let now = self.last_event;
+        let formed: usize = self
+            .groups
+            .values()
+            .filter(|group| group.has_row() && group.attested.is_none())
+            .filter(|group| now.since(group.formed) < limit)
+            .map(|group| group.members.len())
+            .sum();
+        let starting: usize = self.jobs.kinds().map(|kind| kind.enlists().len()).sum();
+        formed + starting
+    }
+
+    /// Starts formations: entries below their minimum first, then by class and shortfall.
+    fn plan_formations(&mut self, now: Moment) {
+        let mut free = self.free_vms(now);
+        let mut loading = self.loading();
+        let mut wishes = self.wishes();
+        let mut placeless: BTreeSet<EntryId> = BTreeSet::new();
+        loop {
+            let best = wishes
+                .iter()
+                .filter(|wish| wish.held < wish.max && !placeless.contains(&wish.entry))
+                .min_by_key(|wish| wish.urgency());
+            let Some(wish) = best.cloned() else {
+                return;
+            };
+            let id = wish.entry;
+            if loading > 0 && loading + wish.span > self.settings.loads_max {
+                self.note(now, Some(id), None, None, Reason::LoadsBusy { loading });
+                return;
+            }
+            if !place::fits(&free, wish.span) {
+                let span = u16::try_from(wish.span).unwrap_or(u16::MAX);
+                self.note(now, Some(id), None, None, Reason::NoPlace { span });
+                placeless.insert(id);
+                continue;
+            }
+            if !self.is_turn(now, Need::Form(id, wish.held)) {
+                return;
+            }
+            let Some(place) = place::take(&mut free, wish.span, &wish.spread) else {
+                return;
+            };
+            let reason = Reason::Form {
+                held: wish.held,
+                wanted: wish.max,
+            };
+            self.note(now, Some(id), None, None, reason);
+            loading += wish.span;
+            if let Some(wish) = wishes.iter_mut().find(|wish| wish.entry == id) {
+                wish.held += 1;
+                *wish.spread.entry(place.data_centre).or_default() += 1;
+            }
+            self.start_job(now, JobKind::Form { entry: id, place });
+        }
+    }
+
+    fn wishes(&self) -> Vec<Wish> {
+        let mut wishes: Vec<Wish> = self.catalogue.entries.iter().filter_map(Wish::of).collect();
+        let index: BTreeMap<EntryId, usize> = wishes
+            .iter()
+            .enumerate()
+            .map(|(place, wish)| (wish.entry, place))
+            .collect();
+        let held = self
+            .groups
+            .values()
+            .filter(|group| group.has_row() && !group.row.draining)
+            .map(|group| (group.row.entry, group.row.data_centre));
+        let forming = self.jobs.kinds().filter_map(|kind| match kind {
+            JobKind::Form { entry, place } => Some((*entry, place.data_centre)),
+            _ => None,
+        });
+        for (entry, data_centre) in held.chain(forming) {
+            if let Some(place) = index.get(&entry) {
+                wishes[*place].held += 1;
+                *wishes[*place].spread.entry(data_centre).or_default() += 1;
+            }
+        }
+        wishes
+    }
+
+    /// How many groups of an entry are whole.
+    pub(super) fn whole_groups(&self, entry: EntryId) -> u32 {
+        let whole = self.held_groups(entry).filter(|group| group.whole).count();
+        u32::try_from(whole).unwrap_or(u32::MAX)
+    }
+
+    /// Whether a VM belongs to no group that this node knows.
+    pub(super) fn is_free(&self, vm: VmId) -> bool {
+        !self.store.homes.contains_key(&vm)
+    }
+}
+
+/// The replicas that an entry holds and wants.
+#[derive(Debug, Clone)]
+struct Wish {
+    entry: EntryId,
+    class: Class,
+    span: usize,
+    min: u32,
+    max: u32,
+    held: u32,
+    /// Replicas by data centre.
+    spread: BTreeMap<DataCentreId, u32>,
+}
+
+impl Wish {
+    fn of(entry: &Entry) -> Option<Self> {
+        Some(Self {
+            entry: entry.id(),
+            class: entry.class,
+            span: usize::from(entry.model()?.span),
+            min: entry.limits.replicas_min,
+            max: entry.limits.replicas_max,
+            held: 0,
+            spread: BTreeMap::new(),
+        })
+    }
+
+    /// What comes first: below the minimum, class, the smallest part held, the larger span.
+    fn urgency(&self) -> (bool, Class, u64, Reverse<usize>, EntryId) {
+        let enough = self.held >= self.min;
+        let wanted = if enough { self.max } else { self.min };
+        let part = u64::from(self.held) * 1_000_000 / u64::from(wanted.max(1));
+        (enough, self.class, part, Reverse(self.span), self.entry)
+    }
+}
--- /dev/null
+++ b/crates/tanagerhub_fleet/src/fleet/slots.rs
@@ -0,0 +1,128 @@
+//! Cold slots: how a group's cold limit is divided among nodes.
+
+use std::time::Duration;
+
+use tanagerhub_catalogue::{DataCentreId, GroupId, NodeId};
+use tanagerhub_clock::Moment;
+
+use crate::rendezvous::ranked;
+use crate::rows::ColdSlots;
+
+use super::Fleet;
+use super::group::Group;
+
+/// Read intervals during which a holder may go on using its slots without reading the rows.
+const HOLD_READS: u32 = 2;
+/// Read intervals that a new holder waits, so that the old one has stopped by then.
+const MOVE_READS: u32 = 4;
+/// Read intervals after which a holder that left loses its slots.
+const IDLE_READS: u32 = 2;
+
+impl Fleet {
+    /// Divides a cold limit among the live nodes, those in the group's data centre first.
+    pub(super) fn divide_slots(
+        &self,
+        id: GroupId,
+        home: DataCentreId,
+        limit: u32,
+    ) -> Vec<ColdSlots> {
+        let mut nodes = ranked(id.0, &self.peers);
+        nodes.sort_by_key(|peer| peer.data_centre != home);
+        let count = u32::try_from(nodes.len()).unwrap_or(u32::MAX).min(limit);
+        if count == 0 {
+            return Vec::new();
+        }
+        let (each, over) = (limit / count, limit % count);
+        nodes
+            .into_iter()
+            .zip(0..count)
+            .map(|(peer, place)| ColdSlots {
+                node: peer.node,
+                count: each + u32::from(place < over),
+            })
+            .collect()
+    }
+
+    /// The slots that this node may use on a cold group now.
+    pub(super) fn own_slots(&self, now: Moment, group: &Group) -> u32 {
+        let Some(entry) = self.catalogue.entry(group.row.entry) else {
+            return 0;
+        };
+        let limit = entry.limits.cold.concurrency;
+        let node = self.settings.node;
+        if group.has_row() {
+            let deadline = entry.limits.deadline;
+            let usable = self.holds_slots(now) && self.is_settled(now, group, deadline);
+            return if usable {
+                group.slots_of(node, limit)
+            } else {
+                0
+            };
+        }
+        self.divide_slots(group.id, group.row.data_centre, limit)
+            .iter()
+            .find(|slots| slots.node == node)
+            .map_or(0, |slots| slots.count)
+    }
+
+    /// Whether the rows were read lately enough to use slots that they give.
+    pub(super) fn holds_slots(&self, now: Moment) -> bool {
+        let bound = self.read_interval().saturating_mul(HOLD_READS);
+        self.store
+            .confirmed
+            .is_some_and(|read| now.since(read) < bound)
+    }
+
+    /// Whether the holders before the last move must have stopped by now.
+    ///
+    /// An old holder stops when its last read is [`HOLD_READS`] intervals old; what it had in
+    /// flight ends by the entry's deadline.
+    fn is_settled(&self, now: Moment, group: &Group, deadline: Duration) -> bool {
+        let wait = self.read_interval().saturating_mul(MOVE_READS) + deadline;
+        group.row.moves == 0 || now.since(group.divided) >= wait
+    }
+
+    /// A node whose slots can be given to others, if there is one.
+    pub(super) fn idle_holder(&self, now: Moment, group: &Group) -> Option<NodeId> {
+        group
+            .row
+            .slots
+            .iter()
+            .map(|slots| slots.node)
+            .find(|node| self.is_idle(now, group, *node))
+    }
+
+    /// Whether a node left long enough ago.
+    fn is_idle(&self, now: Moment, group: &Group, node: NodeId) -> bool {
+        if self.peers.iter().any(|peer| peer.node == node) {
+            return false;
+        }
+        let wait = self.read_interval().saturating_mul(IDLE_READS);
+        let seen = self.last_live.get(&node).copied();
+        now.since(seen.unwrap_or(group.formed)) >= wait
+    }
+
+    /// The division that takes idle holders' slots away and keeps the others'.
+    pub(super) fn slots_wanted(&self, id: GroupId) -> Option<Vec<ColdSlots>> {
+        let group = self.groups.get(&id)?;
+        let entry = self.catalogue.entry(group.row.entry)?;
+        let now = self.last_event;
+        let mut free = entry.limits.cold.concurrency;
+        let mut kept: Vec<ColdSlots> = Vec::new();
+        for slots in &group.row.slots {
+            let count = slots.count.min(free);
+            if count == 0 || self.is_idle(now, group, slots.node) {
+                continue;
+            }
+            free -= count;
+            kept.push(ColdSlots { count, ..*slots });
+        }
+        for slots in self.divide_slots(id, group.row.data_centre, free) {
+            match kept.iter_mut().find(|one| one.node == slots.node) {
+                Some(one) => one.count += slots.count,
+                None => kept.push(slots),
+            }
+        }
+        Some(kept)
+    }
+}
--- /dev/null
+++ b/crates/tanagerhub_fleet/src/fleet/store.rs
@@ -0,0 +1,334 @@
+//! What this node knows of the table's rows.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use rand::RngExt;
+use tanagerhub_catalogue::{Epoch, GroupId, Vm, VmId};
+use tanagerhub_clock::Moment;
+use tanagerhub_table::{Row, RowKey};
+
+use crate::rows::{GROUP_PREFIX, GroupRow, decode, encode, group_key, group_of};
+use crate::{FleetAction, ReadId, RowQuery, StoreFailure};
+
+use super::Fleet;
+use super::group::{Group, RowStamp, service_id};
+use super::jobs::JobId;
+
+/// The pause after the first call that the table did not answer.
+const RETRY_MIN: Duration = Duration::from_secs(1);
+/// The longest pause between calls while the table is down.
+const RETRY_MAX: Duration = Duration::from_secs(30);
+/// The time after which a read without an answer is given up.
+const READ_LIMIT: Duration = Duration::from_secs(30);
+/// The shortest time between two reads of single group rows.
+const HINT_PAUSE: Duration = Duration::from_secs(1);
+/// How long a dissolved group is remembered.
+const TOMBSTONE: Duration = Duration::from_mins(10);
+
+/// What a read is for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Purpose {
+    AllGroups,
+    Hints(Vec<GroupId>),
+    Job(JobId),
+}
+
+#[derive(Debug)]
+struct Reading {
+    sent: Moment,
+    purpose: Purpose,
+}
+
+/// Reads of the table, and how old this node's knowledge is.
+#[derive(Debug, Default)]
+pub(super) struct Store {
+    /// When the last answered read of all group rows was sent; `None` since a pause or the start.
+    pub(super) confirmed: Option<Moment>,
+    /// When all group rows are read next.
+    pub(super) read_at: Moment,
+    /// Reads sent before this moment don't confirm anything.
+    pub(super) valid_from: Moment,
+    /// Groups whose rows have changed, as peers or engines let on.
+    pub(super) hints: BTreeSet<GroupId>,
+    hinted: Moment,
+    /// Groups that were dissolved, and when that was known.
+    pub(super) tombstones: BTreeMap<GroupId, Moment>,
+    /// Groups by member.
+    pub(super) homes: BTreeMap<VmId, Vec<GroupId>>,
+    reading: BTreeMap<ReadId, Reading>,
+    reads: u64,
+    failures: u32,
+    retry_at: Moment,
+}
+
+impl Store {
+    /// Whether the last call failed.
+    pub(super) const fn is_down(&self) -> bool {
+        self.failures > 0
+    }
+
+    /// Whether the table may be called now.
+    pub(super) fn may_call(&self, now: Moment) -> bool {
+        now >= self.retry_at
+    }
+
+    fn is_reading(&self, now: Moment, fits: impl Fn(&Purpose) -> bool) -> bool {
+        self.reading
+            .values()
+            .any(|one| fits(&one.purpose) && now.since(one.sent) < READ_LIMIT)
+    }
+}
+
+impl Fleet {
+    /// Reads all group rows when it is time, and changed ones at once.
+    pub(super) fn read_groups(&mut self, now: Moment) {
+        if !self.store.may_call(now) {
+            return;
+        }
+        let store = &mut self.store;
+        store
+            .tombstones
+            .retain(|_, since| now.since(*since) < TOMBSTONE);
+        store
+            .reading
+            .retain(|_, one| now.since(one.sent) < READ_LIMIT);
+        if now >= store.read_at && !store.is_reading(now, |one| *one == Purpose::AllGroups) {
+            let interval = self.read_interval();
+            let jitter = interval.mul_f64(self.rng.random_range(0.0..0.125));
+            self.store.read_at = now + interval + jitter;
+            self.store.hints.clear();
+            self.read(now, Purpose::AllGroups, RowQuery::Prefix(GROUP_PREFIX));
+        }
+        let store = &mut self.store;
+        if store.hints.is_empty() || now.since(store.hinted) < HINT_PAUSE {
+            return;
+        }
+        store.hinted = now;
+        let groups: Vec<GroupId> = std::mem::take(&mut store.hints).into_iter().collect();
+        let keys = groups.iter().map(|id| group_key(*id)).collect();
+        self.read(now, Purpose::Hints(groups), RowQuery::Keys(keys));
+    }
+
+    /// Reads rows for a job.
+    pub(super) fn read_for(&mut self, now: Moment, job: JobId, keys: Vec<RowKey>) {
+        self.read(now, Purpose::Job(job), RowQuery::Keys(keys));
+    }
+
+    fn read(&mut self, now: Moment, purpose: Purpose, query: RowQuery) {
+        self.store.reads += 1;
+        let read = ReadId(self.store.reads);
+        self.store
+            .reading
+            .insert(read, Reading { sent: now, purpose });
+        self.counters.reads += 1;
+        self.out.push(FleetAction::Read { read, query });
+    }
+
+    /// Takes in the answer to a read.
+    pub(super) fn rows_read(
+        &mut self,
+        now: Moment,
+        read: ReadId,
+        result: Result<Vec<Row>, StoreFailure>,
+    ) {
+        let Some(reading) = self.store.reading.remove(&read) else {
+            return;
+        };
+        if result.is_ok() {
+            self.store_answered();
+        } else {
+            self.counters.failed_reads += 1;
+            self.store_failed(now);
+        }
+        match (reading.purpose, result) {
+            (Purpose::Job(job), result) => self.job_rows(now, job, result),
+            (Purpose::AllGroups, Ok(rows)) => self.take_all(now, reading.sent, &rows),
+            (Purpose::Hints(groups), Ok(rows)) => {
+                self.take_rows(now, &rows);
+                self.drop_missing(reading.sent, groups, &rows);
+            }
+            (Purpose::AllGroups, Err(_)) => self.store.read_at = self.store.retry_at,
+            (Purpose::Hints(_), Err(_)) => {}
+        }
+    }
+
+    /// Takes in rows that a peer holds.
+    pub(super) fn rows_heard(&mut self, now: Moment, rows: &[Row]) {
+        self.take_rows(now, rows);
+    }
+
+    /// The group rows that this node holds, for a peer that can't reach the table.
+    #[must_use]
+    pub fn rows(&self) -> Vec<Row> {
+        let row = |group: &Group| {
+            group.stamp.map(|stamp| Row {
+                key: group_key(group.id),
+                version: stamp.version,
+                transaction: stamp.transaction,
+                value: encode(&group.row),
+            })
+        };
+        self.groups.values().filter_map(row).collect()
+    }
+
+    /// Notes that the table did not serve a call, and waits longer before the next.
+    pub(super) fn store_failed(&mut self, now: Moment) {
+        let store = &mut self.store;
+        let factor = 1_u32 << store.failures.min(8);
+        let pause = RETRY_MIN.saturating_mul(factor).min(RETRY_MAX);
+        let jitter = pause.mul_f64(self.rng.random_range(0.0..0.5));
+        store.failures += 1;
+        store.retry_at = now + pause + jitter;
+    }
+
+    pub(super) const fn store_answered(&mut self) {
+        self.store.failures = 0;
+        self.store.retry_at = Moment::ZERO;
+    }
+
+    fn take_all(&mut self, now: Moment, sent: Moment, rows: &[Row]) {
+        self.take_rows(now, rows);
+        let held: Vec<GroupId> = self
+            .groups
+            .values()
+            .filter(|group| group.has_row())
+            .map(|group| group.id)
+            .collect();
+        self.drop_missing(sent, held, rows);
+        if sent >= self.store.valid_from {
+            self.store.confirmed = self.store.confirmed.max(Some(sent));
+        }
+    }
+
+    fn take_rows(&mut self, now: Moment, rows: &[Row]) {
+        for row in rows {
+            let Some(id) = group_of(&row.key) else {
+                continue;
+            };
+            let stamp = RowStamp {
+                version: row.version,
+                transaction: row.transaction,
+            };
+            match decode(row) {
+                Ok(content) => self.put_group(now, id, content, stamp),
+                Err(error) => {
+                    self.counters.bad_rows += 1;
+                    log::warn!("{error}");
+                }
+            }
+        }
+    }
+
+    /// Drops groups that a read did not find, unless they are newer than the read.
+    fn drop_missing(&mut self, sent: Moment, groups: Vec<GroupId>, rows: &[Row]) {
+        let found: BTreeSet<GroupId> = rows.iter().filter_map(|row| group_of(&row.key)).collect();
+        for id in groups {
+            let known = self.groups.get(&id).is_some_and(|group| group.known < sent);
+            if known && !found.contains(&id) {
+                self.drop_group(sent, id);
+            }
+        }
+    }
+
+    /// Takes a version of a group's row, unless it is older than the one at hand.
+    pub(super) fn put_group(&mut self, now: Moment, id: GroupId, row: GroupRow, stamp: RowStamp) {
+        if self.store.tombstones.contains_key(&id) {
+            return;
+        }
+        match self.groups.get(&id).map(|group| group.stamp) {
+            Some(Some(old)) if old.version >= stamp.version => return,
+            Some(None) => return,
+            _ => {}
+        }
+        self.unlink(id);
+        for vm in &row.members {
+            self.store.homes.entry(*vm).or_default().push(id);
+        }
+        if let Some(group) = self.groups.get_mut(&id) {
+            group.renew(now, row, stamp, &self.settings, &self.peers);
+            return;
+        }
+        let group = Group::new(now, id, row, Some(stamp), &self.settings, &self.peers);
+        self.groups.insert(id, group);
+    }
+
+    /// Forgets a group for good.
+    pub(super) fn drop_group(&mut self, now: Moment, id: GroupId) {
+        self.unlink(id);
+        if self.groups.remove(&id).is_some_and(|group| group.has_row()) {
+            self.store.tombstones.insert(id, now);
+        }
+    }
+
+    fn unlink(&mut self, id: GroupId) {
+        let Some(group) = self.groups.get(&id) else {
+            return;
+        };
+        for vm in &group.row.members {
+            let Some(homes) = self.store.homes.get_mut(vm) else {
+                continue;
+            };
+            homes.retain(|home| *home != id);
+            if homes.is_empty() {
+                self.store.homes.remove(vm);
+            }
+        }
+    }
+
+    /// Takes the platform's list, and keeps one group for each plain service's VM.
+    pub(super) fn set_vms(&mut self, now: Moment, list: &[Vm]) {
+        if !self.vms.set_list(list) {
+            return;
+        }
+        let gone: Vec<GroupId> = self
+            .groups
+            .values()
+            .filter(|group| !group.has_row() && !self.is_served(group))
+            .map(|group| group.id)
+            .collect();
+        for id in gone {
+            self.drop_group(now, id);
+        }
+        for (vm, info) in &self.vms.list {
+            let Some(entry) = info.service else {
+                continue;
+            };
+            let id = service_id(*vm);
+            if self.groups.contains_key(&id) {
+                continue;
+            }
+            let group = Group::service(now, *vm, info, entry, &self.settings, &self.peers);
+            self.groups.insert(id, group);
+            self.store.homes.entry(*vm).or_default().push(id);
+        }
+    }
+
+    /// Whether the platform still lists a plain service as it was.
+    fn is_served(&self, group: &Group) -> bool {
+        group.row.members.iter().all(|vm| {
+            self.vms.list.get(vm).is_some_and(|info| {
+                info.service == Some(group.row.entry) && info.domain == group.row.domain
+            })
+        })
+    }
+
+    /// Reads a group's row soon, because somebody knows a newer one.
+    pub(super) fn hint(&mut self, id: GroupId) {
+        if !self.store.tombstones.contains_key(&id) {
+            self.store.hints.insert(id);
+        }
+    }
+
+    /// Whether the group is known at this epoch; a higher one is looked up.
+    pub(super) fn knows(&mut self, id: GroupId, epoch: Epoch) -> bool {
+        match self.groups.get(&id).map(|group| group.row.epoch) {
+            Some(known) if known == epoch => true,
+            Some(known) if known > epoch => false,
+            _ => {
+                self.hint(id);
+                false
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/tanagerhub_fleet/src/fleet/transactions.rs
@@ -0,0 +1,287 @@
+//! The conditional transactions of group changes.
+
+use rand::Rng;
+use serde::de::DeserializeOwned;
+use tanagerhub_catalogue::{EntryId, Epoch, GroupId, VmId};
+use tanagerhub_clock::Moment;
+use tanagerhub_table::{Attempt, Row, RowKey, Transaction, TransactionId};
+
+use crate::decision::Reason;
+use crate::place::Place;
+use crate::rows::{EntryRow, GroupRow, VmRow, decode, encode, entry_key, group_key, vm_key};
+
+use super::Fleet;
+use super::jobs::{Change, JobKind, Prepared};
+
+impl Prepared {
+    /// A row's content; `None` when it can't be decoded, the default when there is no row.
+    fn get<T: DeserializeOwned + Default>(&self, key: &RowKey) -> Option<T> {
+        match self.rows.get(key) {
+            Some(row) => decode(row).ok(),
+            None => Some(T::default()),
+        }
+    }
+
+    /// The present row of a group.
+    fn group(&self, id: GroupId) -> Option<GroupRow> {
+        self.rows
+            .get(&group_key(id))
+            .and_then(|row| decode(row).ok())
+    }
+
+    fn vm(&self, vm: VmId) -> Option<VmRow> {
+        self.get(&vm_key(vm))
+    }
+
+    /// Requires that a row still is as it was read.
+    fn pin(&self, transaction: Transaction, key: RowKey) -> Transaction {
+        match self.rows.get(&key).map(|row: &Row| row.version) {
+            Some(version) => transaction.at(key, version),
+            None => transaction.absent(key),
+        }
+    }
+
+    /// Replaces a row, provided that it still is as it was read.
+    fn replace(&self, transaction: Transaction, key: RowKey, value: Vec<u8>) -> Transaction {
+        self.pin(transaction, key.clone()).put(key, value)
+    }
+
+    fn put_vm(&self, transaction: Transaction, vm: VmId, row: VmRow) -> Transaction {
+        self.replace(transaction, vm_key(vm), encode(&row))
+    }
+
+    /// An epoch above all that the VMs have seen.
+    fn next_epoch(&self, vms: &[VmId]) -> Option<Epoch> {
+        let mut highest = Epoch::default();
+        for vm in vms {
+            highest = highest.max(self.vm(*vm)?.epoch);
+            let reported = self.reports.get(vm).map(|report| report.epoch);
+            highest = highest.max(reported.unwrap_or_default());
+        }
+        Some(highest.next())
+    }
+
+    /// Changes the number of groups that an entry holds.
+    fn hold(&self, transaction: Transaction, entry: EntryId, held: u32) -> Transaction {
+        self.replace(transaction, entry_key(entry), encode(&EntryRow { held }))
+    }
+
+    fn held(&self, entry: EntryId) -> Option<u32> {
+        let row: EntryRow = self.get(&entry_key(entry))?;
+        Some(row.held)
+    }
+}
+
+impl Fleet {
+    /// Makes the transaction of a job; `None` when the rows no longer allow it.
+    pub(super) fn make_change(
+        &mut self,
+        now: Moment,
+        kind: &JobKind,
+        prepared: &Prepared,
+    ) -> Option<Change> {
+        match kind {
+            JobKind::Form { entry, place } => self.form(now, *entry, place, prepared),
+            JobKind::Swap {
+                group,
+                lost,
+                spares,
+            } => self.swap(now, *group, lost, spares, prepared),
+            JobKind::Dissolve { group } => self.dissolve(*group, prepared),
+            JobKind::Drain { group } => self.drain(*group, prepared),
+            JobKind::Slots { group } => self.redivide(*group, prepared),
+        }
+    }
+
+    fn form(
+        &mut self,
+        now: Moment,
+        entry: EntryId,
+        place: &Place,
+        prepared: &Prepared,
+    ) -> Option<Change> {
+        let limits = &self.catalogue.entry(entry)?.limits;
+        let held = prepared.held(entry)?;
+        let free = |vm: &VmId| prepared.vm(*vm).is_some_and(|row| row.group.is_none());
+        if held >= limits.replicas_max || !self.may_enlist(now, &place.vms) {
+            return None;
+        }
+        if !place.vms.iter().all(free) {
+            return None;
+        }
+        let epoch = prepared.next_epoch(&place.vms)?;
+        let limit = limits.cold.concurrency;
+        let id = GroupId(self.rng.next_u64());
+        let row = GroupRow {
+            entry,
+            epoch,
+            data_centre: place.data_centre,
+            domain: place.domain,
+            members: place.vms.clone(),
+            draining: false,
+            slots: self.divide_slots(id, place.data_centre, limit),
+            moves: 0,
+        };
+        let key = group_key(id);
+        let mut transaction = self
+            .transaction()
+            .absent(key.clone())
+            .put(key, encode(&row));
+        transaction = prepared.hold(transaction, entry, held + 1);
+        transaction = enlist(transaction, prepared, &row.members, id, epoch);
+        Some(Change {
+            attempt: Attempt::new(transaction),
+            group: id,
+            row: Some(row),
+            freed: Vec::new(),
+            fence: epoch,
+            done: Reason::Formed { epoch },
+        })
+    }
+
+    fn swap(
+        &mut self,
+        now: Moment,
+        id: GroupId,
+        lost: &[VmId],
+        spares: &[VmId],
+        prepared: &Prepared,
+    ) -> Option<Change> {
+        let mut row = prepared.group(id)?;
+        let free = |vm: &VmId| prepared.vm(*vm).is_some_and(|row| row.group.is_none());
+        if row.draining || !self.may_enlist(now, spares) || !spares.iter().all(free) {
+            return None;
+        }
+        let known = self.groups.get(&id)?;
+        if row.epoch != known.row.epoch {
+            return None;
+        }
+        let all: Vec<VmId> = row.members.iter().chain(spares).copied().collect();
+        let epoch = prepared.next_epoch(&all)?;
+        for (old, new) in lost.iter().zip(spares) {
+            let place = row.members.iter().position(|vm| vm == old)?;
+            row.members[place] = *new;
+        }
+        row.epoch = epoch;
+        let mut transaction = prepared.replace(self.transaction(), group_key(id), encode(&row));
+        transaction = enlist(transaction, prepared, &row.members, id, epoch);
+        transaction = discharge(transaction, prepared, lost, epoch);
+        for vm in lost {
+            self.strike(now, *vm);
+        }
+        Some(Change {
+            attempt: Attempt::new(transaction),
+            group: id,
+            row: Some(row),
+            freed: lost.to_vec(),
+            fence: epoch,
+            done: Reason::Swapped { epoch },
+        })
+    }
+
+    /// Frees the members; their epoch rises, so that late orders to join are refused.
+    fn dissolve(&mut self, id: GroupId, prepared: &Prepared) -> Option<Change> {
+        let row = prepared.group(id)?;
+        let epoch = prepared.next_epoch(&row.members)?;
+        let mut transaction = self.transaction();
+        transaction = discharge(transaction, prepared, &row.members, epoch);
+        if !row.draining {
+            let held = prepared.held(row.entry)?;
+            transaction = prepared.hold(transaction, row.entry, held.saturating_sub(1));
+        }
+        let key = group_key(id);
+        transaction = prepared.pin(transaction, key.clone()).delete(key);
+        Some(Change {
+            attempt: Attempt::new(transaction),
+            group: id,
+            row: None,
+            freed: row.members,
+            fence: epoch,
+            done: Reason::Dissolved,
+        })
+    }
+
+    fn drain(&mut self, id: GroupId, prepared: &Prepared) -> Option<Change> {
+        let mut row = prepared.group(id)?;
+        if std::mem::replace(&mut row.draining, true) {
+            return None;
+        }
+        let held = prepared.held(row.entry)?;
+        let mut transaction = prepared.replace(self.transaction(), group_key(id), encode(&row));
+        transaction = prepared.hold(transaction, row.entry, held.saturating_sub(1));
+        Some(Change {
+            attempt: Attempt::new(transaction),
+            group: id,
+            fence: row.epoch,
+            row: Some(row),
+            freed: Vec::new(),
+            done: Reason::Drained,
+        })
+    }
+
+    fn redivide(&mut self, id: GroupId, prepared: &Prepared) -> Option<Change> {
+        let mut row = prepared.group(id)?;
+        if row != self.groups.get(&id)?.row {
+            return None;
+        }
+        row.slots = self.slots_wanted(id)?;
+        row.moves += 1;
+        let transaction = prepared.replace(self.transaction(), group_key(id), encode(&row));
+        Some(Change {
+            attempt: Attempt::new(transaction),
+            group: id,
+            fence: row.epoch,
+            row: Some(row),
+            freed: Vec::new(),
+            done: Reason::SlotsMoved,
+        })
+    }
+
+    /// Whether all of these VMs may still be enlisted, as marks and the platform say.
+    fn may_enlist(&self, now: Moment, vms: &[VmId]) -> bool {
+        vms.iter().all(|vm| {
+            self.vms.list.get(vm).is_some_and(|info| {
+                !info.leaving
+                    && !self.vms.is_out(*vm, info.data_centre)
+                    && !self.vms.is_left_out(now, *vm)
+            })
+        })
+    }
+
+    fn transaction(&mut self) -> Transaction {
+        let high = u128::from(self.rng.next_u64());
+        let low = u128::from(self.rng.next_u64());
+        Transaction::new(TransactionId(high << 64 | low))
+    }
+}
+
+/// Writes the rows of a group's members.
+fn enlist(
+    mut transaction: Transaction,
+    prepared: &Prepared,
+    members: &[VmId],
+    id: GroupId,
+    epoch: Epoch,
+) -> Transaction {
+    for vm in members {
+        let row = VmRow {
+            epoch,
+            group: Some(id),
+        };
+        transaction = prepared.put_vm(transaction, *vm, row);
+    }
+    transaction
+}
+
+/// Writes the rows of VMs that leave a group.
+fn discharge(
+    mut transaction: Transaction,
+    prepared: &Prepared,
+    members: &[VmId],
+    epoch: Epoch,
+) -> Transaction {
+    for vm in members {
+        transaction = prepared.put_vm(transaction, *vm, VmRow { epoch, group: None });
+    }
+    transaction
+}
--- /dev/null
+++ b/crates/tanagerhub_fleet/src/fleet/view.rs
@@ -0,0 +1,138 @@
+//! What this node says of its groups.
+
+use tanagerhub_clock::Moment;
+
+use crate::{EntryStatus, FleetStatus, GroupView, Health, MemberView, NotServing, Phase};
+
+use super::Fleet;
+use super::group::Group;
+
+impl Fleet {
+    pub(super) fn view(&self, now: Moment, group: &Group) -> GroupView {
+        let health = self.health(group);
+        let cold_slots = if health == Health::Cold {
+            self.own_slots(now, group)
+        } else {
+            0
+        };
+        let why_not = self.why_not(now, group, health, cold_slots);
+        let member = |vm: &tanagerhub_catalogue::VmId| MemberView {
+            vm: *vm,
+            address: self.vms.address(*vm),
+        };
+        GroupView {
+            id: group.id,
+            epoch: group.row.epoch,
+            entry: group.row.entry,
+            members: group.row.members.iter().map(member).collect(),
+            data_centre: group.row.data_centre,
+            phase: self.phase(now, group, health),
+            age: group.counted().map(|at| now.since(at)),
+            eligible: why_not.is_none(),
+            health,
+            cold_slots,
+            why_not,
+        }
+    }
+
+    fn health(&self, group: &Group) -> Health {
+        let leaving = |vm: &tanagerhub_catalogue::VmId| self.vms.is_leaving(*vm);
+        if group.row.members.iter().any(leaving) {
+            return Health::Leaving;
+        }
+        group.health
+    }
+
+    fn phase(&self, now: Moment, group: &Group, health: Health) -> Phase {
+        let whole = group.is_whole(now, self.settings.age_limit);
+        match health {
+            _ if group.row.draining => Phase::Draining,
+            _ if !whole && group.attested.is_none() => Phase::Loading,
+            _ if !whole => Phase::Broken,
+            Health::Leaving => Phase::Draining,
+            Health::Cold => Phase::Warming,
+            Health::Warm => Phase::Serving,
+        }
+    }
+
+    /// Why the group gets no new work from this node; checked anew for each moment.
+    fn why_not(
+        &self,
+        now: Moment,
+        group: &Group,
+        health: Health,
+        cold_slots: u32,
+    ) -> Option<NotServing> {
+        let home = group.row.data_centre;
+        let members = &group.row.members;
+        if self.catalogue.entry(group.row.entry).is_none() {
+            return Some(NotServing::NoEntry);
+        }
+        if group.row.draining {
+            return Some(NotServing::Draining);
+        }
+        if members.iter().any(|vm| self.vms.is_out(*vm, home)) {
+            return Some(NotServing::MarkedOut);
+        }
+        if health == Health::Leaving {
+            return Some(NotServing::Leaving);
+        }
+        if !group.is_whole(now, self.settings.age_limit) {
+            return Some(match group.attested {
+                Some(_) => NotServing::Unattested,
+                None => NotServing::Loading,
+            });
+        }
+        if now < group.suspected.until {
+            return Some(NotServing::Suspected);
+        }
+        if health == Health::Cold && cold_slots == 0 {
+            return Some(if !group.has_row() || self.holds_slots(now) {
+                NotServing::NoColdSlots
+            } else {
+                NotServing::StaleSlots
+            });
+        }
+        None
+    }
+
+    pub(super) fn make_status(&self, now: Moment) -> FleetStatus {
+        let groups: Vec<GroupView> = self.groups(now).collect();
+        let eligible = |id| {
+            let serves = |group: &&GroupView| group.entry == id && group.eligible;
+            count(groups.iter().filter(serves).count())
+        };
+        let entries = self
+            .catalogue
+            .entries
+            .iter()
+            .map(|entry| EntryStatus {
+                id: entry.id(),
+                name: entry.name.clone(),
+                min: entry.limits.replicas_min,
+                max: entry.limits.replicas_max,
+                held: count(self.held_groups(entry.id()).count()),
+                eligible: eligible(entry.id()),
+            })
+            .collect();
+        let engines = || {
+            let list = self.vms.list.iter();
+            list.filter(|(_, info)| info.service.is_none())
+        };
+        FleetStatus {
+            entries,
+            vms: engines().count(),
+            free_vms: engines().filter(|(vm, _)| self.is_free(**vm)).count(),
+            left_out: self.vms.left_out(now),
+            store_down: self.store.is_down(),
+            planner: self.planner.rank,
+            peers: self.peers.clone(),
+            counters: self.counters,
+            groups,
+        }
+    }
+}
+
+fn count(number: usize) -> u32 {
+    u32::try_from(number).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/tanagerhub_fleet/src/rendezvous.rs
@@ -0,0 +1,53 @@
+//! Rendezvous hashing: who looks after what, without an agreement.
+
+use tanagerhub_catalogue::{DataCentreId, NodeId};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::Peer;
+
+/// Watchers of a group that are taken from its own data centre first.
+const LOCAL_WATCHERS: usize = 2;
+
+/// The weight of a node for a key; the highest weight goes first.
+fn weight(key: u64, node: NodeId) -> u64 {
+    xxh3_64_with_seed(&node.0.to_le_bytes(), key)
+}
+
+/// The peers by falling weight for a key.
+pub(crate) fn ranked(key: u64, peers: &[Peer]) -> Vec<Peer> {
+    let mut peers = peers.to_vec();
+    peers.sort_by_key(|peer| std::cmp::Reverse(weight(key, peer.node)));
+    peers
+}
+
+/// This node's place in the order for a key; `None` when it is not among the peers.
+pub(crate) fn rank_of(key: u64, peers: &[Peer], node: NodeId) -> Option<usize> {
+    let own = weight(key, node);
+    let live = peers.iter().any(|peer| peer.node == node);
+    let ahead = |peer: &&Peer| weight(key, peer.node) > own;
+    live.then(|| peers.iter().filter(ahead).count())
+}
+
+/// This node's place among the watchers of a group; `None` when it does not watch it.
+pub(crate) fn watcher_rank(
+    key: u64,
+    home: DataCentreId,
+    peers: &[Peer],
+    node: NodeId,
+    count: usize,
+) -> Option<usize> {
+    let (local, remote): (Vec<Peer>, Vec<Peer>) =
+        peers.iter().partition(|peer| peer.data_centre == home);
+    let first = LOCAL_WATCHERS.min(local.len()).min(count);
+    let others = remote.len().min(count - first);
+    if let Some(place) = rank_of(key, &local, node) {
+        if place < first {
+            return Some(place);
+        }
+        // Too few nodes elsewhere: more of this data centre's nodes watch.
+        let place = place + others;
+        return (place < count).then_some(place);
+    }
+    let place = rank_of(key, &remote, node)?;
+    (place < others).then_some(first + place)
+}
