Traffic: tests of claims, relays and the crash table

The wall time is now set when the write is sent. Ruled out: the lost-answer rule and the owner check.

--- a/crates/tanagerhub_traffic/src/claims/writes.rs
+++ b/crates/tanagerhub_traffic/src/claims/writes.rs
@@ -108,13 +108,16 @@
         if keys.is_empty() {
             return;
         }
+        self.mark_sent(&keys);
         let mut transaction = Transaction::new(self.draw_id());
         for key in &keys {
-            if let Some(claim) = self.held.get(key) {
+            if let Some(claim) = self.held.get_mut(key) {
+                if claim.phase == Phase::Claiming {
+                    claim.row.wall_s = self.wall_s;
+                }
                 transaction = add_write(transaction, key, claim);
             }
         }
-        self.mark_sent(&keys);
         self.counters.commits += 1;
         self.batches.insert(transaction.id, Batch { keys });
         self.actions.push(ClaimAction::Commit(transaction));
--- /dev/null
+++ b/crates/tanagerhub_traffic/tests/event_relay.rs
@@ -0,0 +1,164 @@
+//! Relays pass on whole answers, once, whatever the chunks are.
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use tanagerhub_traffic::{BodyCheck, EventRelay, Framing, RelayError};
+use yare::parameterized;
+
+fn event(token: u32, end: &str) -> String {
+    format!("id: {token}{end}data: {{\"text\":\"t{token}\"}}{end}{end}")
+}
+
+/// A stream of the tokens in a range, with the role first and the final event last.
+fn stream(tokens: std::ops::RangeInclusive<u32>, end: &str) -> String {
+    let role = format!("data: {{\"role\":\"assistant\"}}{end}{end}");
+    let events: String = tokens.map(|token| event(token, end)).collect();
+    format!("{role}{events}data: [DONE]{end}{end}")
+}
+
+fn push_all(relay: &mut EventRelay, bytes: &[u8], cuts: &[usize]) -> Result<Vec<u8>, RelayError> {
+    let mut out = Vec::new();
+    let mut start = 0;
+    for cut in cuts {
+        let cut = (*cut).clamp(start, bytes.len());
+        relay.push(&bytes[start..cut], &mut out)?;
+        start = cut;
+    }
+    relay.push(&bytes[start..], &mut out)?;
+    Ok(out)
+}
+
+#[parameterized(
+    gap = { "id: 1\ndata: a\n\nid: 3\ndata: c\n\n", RelayError::Gap { expected: 2, found: 3 } },
+    bad_id = { "id: one\ndata: a\n\n", RelayError::BadId },
+    negative_id = { "id: -1\ndata: a\n\n", RelayError::BadId },
+    after_end = { "data: [DONE]\n\nid: 1\ndata: a\n\n", RelayError::AfterEnd },
+    second_end = { "data: [DONE]\n\ndata: [DONE]\n\n", RelayError::AfterEnd },
+)]
+fn push_refused(text: &str, error: RelayError) {
+    let mut relay = EventRelay::default();
+    assert_eq!(relay.push(text.as_bytes(), &mut Vec::new()), Err(error));
+}
+
+#[test]
+fn push_endless_line() {
+    let mut relay = EventRelay::default();
+    let garbage = vec![b'x'; 64 * 1024];
+    let mut out = Vec::new();
+    let failed = (0..5).find_map(|_| relay.push(&garbage, &mut out).err());
+    assert_eq!(failed, Some(RelayError::TooLarge { limit: 256 * 1024 }));
+    assert!(out.is_empty());
+}
+
+#[test]
+fn push_keep_alive_comment() {
+    let mut relay = EventRelay::default();
+    let mut out = Vec::new();
+    relay.push(b": still there\n\n", &mut out).unwrap();
+    assert_eq!(out, b": still there\n\n");
+    assert_eq!(relay.tokens(), 0);
+}
+
+#[test]
+fn end_without_final_event() {
+    let mut relay = EventRelay::default();
+    relay
+        .push(event(1, "\n").as_bytes(), &mut Vec::new())
+        .unwrap();
+    assert_eq!(relay.end(), Err(RelayError::Cut { tokens: 1 }));
+}
+
+#[test]
+fn end_inside_event() {
+    let mut relay = EventRelay::default();
+    let text = stream(1..=2, "\n") + "id: 3";
+    relay.push(text.as_bytes(), &mut Vec::new()).unwrap();
+    assert_eq!(relay.end(), Err(RelayError::Cut { tokens: 2 }));
+}
+
+#[parameterized(
+    missing = { None, false, Err(RelayError::NoFraming) },
+    length = { Some(4), false, Ok(Framing::Length(4)) },
+    chunked = { None, true, Ok(Framing::Chunked) },
+)]
+fn framing_of(length: Option<u64>, chunked: bool, expected: Result<Framing, RelayError>) {
+    assert_eq!(Framing::of(length, chunked), expected);
+}
+
+#[parameterized(
+    short = { 5, &[2, 2], false },
+    exact = { 4, &[2, 2], true },
+    long = { 3, &[2, 2], false },
+)]
+fn body_check_length(length: u64, chunks: &[usize], whole: bool) {
+    let mut check = BodyCheck::new(Framing::Length(length));
+    let pushed = chunks.iter().try_for_each(|bytes| check.push(*bytes));
+    assert_eq!(pushed.is_ok() && check.end().is_ok(), whole);
+}
+
+fn config(seed: u64) -> ProptestConfig {
+    ProptestConfig {
+        cases: 300,
+        rng_seed: RngSeed::Fixed(seed),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config(0x5eed_0001))]
+
+    /// Any chunks give the same bytes.
+    #[test]
+    fn push_any_chunks(mut cuts in prop::collection::vec(0_usize..600, 0..12), crlf: bool) {
+        let text = stream(1..=8, if crlf { "\r\n" } else { "\n" });
+        cuts.sort_unstable();
+        let mut relay = EventRelay::default();
+        let out = push_all(&mut relay, text.as_bytes(), &cuts).unwrap();
+        prop_assert_eq!(out, text.as_bytes());
+        prop_assert_eq!(relay.end(), Ok(()));
+        prop_assert_eq!(relay.tokens(), 8);
+    }
+
+    /// However often a stream is cut and wherever it is resumed, the caller gets it once.
+    #[test]
+    fn push_resumed_streams(
+        breaks in prop::collection::vec((0_usize..600, 0_u32..3), 0..5),
+        mut cuts in prop::collection::vec(0_usize..600, 0..6),
+    ) {
+        cuts.sort_unstable();
+        let mut relay = EventRelay::default();
+        let mut out = Vec::new();
+        let mut from = 1;
+        for (length, repeated) in breaks {
+            let text = stream(from..=8, "\n");
+            let cut = length.min(text.len() - 1);
+            out.extend(push_all(&mut relay, &text.as_bytes()[..cut], &cuts).unwrap());
+            if relay.is_done() {
+                break;
+            }
+            relay.resume();
+            from = (relay.tokens() + 1).saturating_sub(repeated).max(1);
+        }
+        if !relay.is_done() {
+            out.extend(push_all(&mut relay, stream(from..=8, "\n").as_bytes(), &cuts).unwrap());
+        }
+        let whole = stream(1..=8, "\n");
+        let role = whole.find("id: 1").unwrap();
+        let text = String::from_utf8(out).unwrap();
+        prop_assert_eq!(relay.end(), Ok(()));
+        prop_assert!(text.ends_with(&whole[role..]), "{}", text);
+    }
+
+    /// Garbage never counts as a whole answer, and is not held without bound.
+    #[test]
+    fn push_garbage(chunks in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..200), 0..20)) {
+        let mut relay = EventRelay::default();
+        let mut out = Vec::new();
+        let passed = chunks.iter().try_for_each(|chunk| relay.push(chunk, &mut out));
+        let bytes: usize = chunks.iter().map(Vec::len).sum();
+        prop_assert!(out.len() <= bytes);
+        let text = String::from_utf8_lossy(&out).into_owned();
+        prop_assert!(passed.is_err() || relay.end().is_err() || text.contains("[DONE]"));
+    }
+}
--- /dev/null
+++ b/crates/tanagerhub_traffic/tests/support/fake_table.rs
@@ -0,0 +1,130 @@
+//! A table in memory that loses answers on request.
+
+use std::collections::BTreeMap;
+
+use tanagerhub_table::{CommitOutcome, Condition, Row, RowKey, RowVersion, Transaction, Write};
+
+/// What the table does wrong.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    None,
+    /// Refuses everything, reads too.
+    Refused,
+    /// Applies writes and loses every answer, reads too.
+    LostAnswer,
+    /// Applies the next write and loses its answer.
+    LostAnswerOnce,
+    /// Loses the next write.
+    LostRequestOnce,
+    /// Loses the next write's answer, and applies the write only when told to.
+    DelayedOnce,
+    /// Gives no answer to anything, and applies writes only when told to.
+    Silent,
+}
+
+/// A table in memory.
+#[derive(Debug)]
+pub struct FakeTable {
+    pub rows: BTreeMap<RowKey, Row>,
+    pub fault: Fault,
+    /// Transactions applied.
+    pub applied: u32,
+    pub delayed: Vec<Transaction>,
+    version: u64,
+}
+
+impl Default for FakeTable {
+    fn default() -> Self {
+        Self {
+            rows: BTreeMap::new(),
+            fault: Fault::None,
+            applied: 0,
+            delayed: Vec::new(),
+            version: 0,
+        }
+    }
+}
+
+impl FakeTable {
+    /// Commits; `None` means that no answer comes at all.
+    pub fn commit(&mut self, transaction: Transaction) -> Option<CommitOutcome> {
+        let fault = self.fault;
+        if matches!(
+            fault,
+            Fault::LostAnswerOnce | Fault::LostRequestOnce | Fault::DelayedOnce
+        ) {
+            self.fault = Fault::None;
+        }
+        match fault {
+            Fault::None => Some(self.apply(&transaction)),
+            Fault::Refused => Some(CommitOutcome::NotApplied),
+            Fault::LostAnswer | Fault::LostAnswerOnce => {
+                self.apply(&transaction);
+                Some(CommitOutcome::Unknown)
+            }
+            Fault::LostRequestOnce => Some(CommitOutcome::Unknown),
+            Fault::DelayedOnce => {
+                self.delayed.push(transaction);
+                Some(CommitOutcome::Unknown)
+            }
+            Fault::Silent => {
+                self.delayed.push(transaction);
+                None
+            }
+        }
+    }
+
+    /// Reads; `None` means that the read failed.
+    pub fn read(&self, keys: &[RowKey]) -> Option<Vec<Row>> {
+        let fails = matches!(
+            self.fault,
+            Fault::Refused | Fault::LostAnswer | Fault::Silent
+        );
+        (!fails).then(|| {
+            keys.iter()
+                .filter_map(|key| self.rows.get(key))
+                .cloned()
+                .collect()
+        })
+    }
+
+    /// Applies a transaction if its conditions hold.
+    pub fn apply(&mut self, transaction: &Transaction) -> CommitOutcome {
+        if let Some(failed) = transaction.conditions.iter().find(|it| !self.holds(it)) {
+            return CommitOutcome::Conflict {
+                key: failed.key().clone(),
+            };
+        }
+        self.applied += 1;
+        self.version += 1;
+        let mut written = Vec::new();
+        for write in &transaction.writes {
+            match write {
+                Write::Put { key, value } => {
+                    let row = Row {
+                        key: key.clone(),
+                        version: RowVersion(self.version),
+                        transaction: transaction.id,
+                        value: value.clone(),
+                    };
+                    self.rows.insert(key.clone(), row.clone());
+                    written.push(row);
+                }
+                Write::Delete { key } => {
+                    self.rows.remove(key);
+                }
+            }
+        }
+        CommitOutcome::Committed { rows: written }
+    }
+
+    fn holds(&self, condition: &Condition) -> bool {
+        match condition {
+            Condition::Absent { key } => !self.rows.contains_key(key),
+            Condition::Version { key, version } => self
+                .rows
+                .get(key)
+                .is_some_and(|row| row.version == *version),
+        }
+    }
+}
--- /dev/null
+++ b/crates/tanagerhub_traffic/tests/support/parts.rs
@@ -0,0 +1,5 @@
+//! Helpers of the tests.
+#![expect(dead_code, reason = "each test binary uses a part")]
+
+pub mod claim_world;
+pub mod fake_table;
