Add the settings of tanagerhubd and the commands of tanagerctl

Every setting is a flag and an environment variable; all problems are shown at once, each with the flag or variable, the value (never a secret's) and what is allowed. bpaf's own `env` isn't used: its help prints the values of variables, and so would print secrets.

tanagerctl shows a diff before it applies a catalogue, and lets only the version that it showed be replaced.

The futures of the server and the client were over 16 KB, since async-h1 keeps 128 headers across a wait; that part is boxed.

--- /dev/null
+++ b/crates/tanagerhub_daemon/src/bin/tanagerhubd.rs
@@ -0,0 +1,53 @@
+//! Serves models that span several VMs; runs on every entry VM.
+
+use std::process::ExitCode;
+
+use anyhow::Context as _;
+use async_signal::{Signal, Signals};
+use async_std::task;
+use futures_lite::StreamExt as _;
+use mimalloc::MiMalloc;
+use tanagerhub::Metrics;
+use tanagerhub_daemon::settings::{Settings, flags};
+use tanagerhub_daemon::statsd_client;
+
+#[global_allocator]
+static ALLOCATOR: MiMalloc = MiMalloc;
+
+/// The exit code for settings that can't be used.
+const USAGE: u8 = 2;
+
+fn main() -> ExitCode {
+    let flags = flags().run();
+    let settings = match Settings::read(flags, |name| std::env::var(name).ok()) {
+        Ok(settings) => settings,
+        Err(refused) => {
+            eprintln!("{refused}");
+            return ExitCode::from(USAGE);
+        }
+    };
+    env_logger::Builder::new()
+        .parse_filters(&settings.log)
+        .init();
+    match task::block_on(run(settings)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            log::error!("{error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Runs a node until it is told to stop.
+async fn run(settings: Settings) -> anyhow::Result<()> {
+    let mut signals = Signals::new([Signal::Term, Signal::Int]).context("signals")?;
+    let metrics = match settings.statsd {
+        Some(address) => Metrics::new(statsd_client(address).context("statsd")?),
+        None => Metrics::off(),
+    };
+    log::info!(callers:% = settings.node.callers, operators:% = settings.node.operators; "started");
+    drop(metrics);
+    let signal = signals.next().await.transpose().context("signals")?;
+    log::info!(signal:? = signal; "stopping");
+    Ok(())
+}
--- /dev/null
+++ b/crates/tanagerhub_daemon/src/ctl/command.rs
@@ -0,0 +1,168 @@
+//! The command line of `tanagerctl`.
+
+use std::path::PathBuf;
+
+use bpaf::{Bpaf, OptionParser, Parser, construct};
+use tanagerhub_catalogue::Mark;
+use tanagerhub_wire::operators::{MarkTarget, Subject};
+
+/// What an operator typed.
+#[derive(Debug, Clone)]
+pub struct Ctl {
+    /// Options that every command takes.
+    pub common: Common,
+    /// The command.
+    pub command: Command,
+}
+
+/// Options that every command takes.
+#[derive(Clone, Bpaf)]
+pub struct Common {
+    /// A node's operator address; may be given several times [env: `TANAGERCTL_ADDRESS`]
+    #[bpaf(argument("IP:PORT"), many)]
+    pub address: Vec<String>,
+    /// The operators' token; better set by the variable [env: `TANAGERCTL_TOKEN`]
+    #[bpaf(argument("SECRET"))]
+    pub token: Option<String>,
+    /// Print JSON
+    pub json: bool,
+    /// How long a node may take to answer, in seconds
+    #[bpaf(argument("SECONDS"), fallback(30), display_fallback)]
+    pub timeout: u64,
+}
+
+impl std::fmt::Debug for Common {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Common")
+            .field("address", &self.address)
+            .field("json", &self.json)
+            .field("timeout", &self.timeout)
+            .finish_non_exhaustive()
+    }
+}
+
+/// A command.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Command {
+    /// Replace the catalogue.
+    Apply(ApplyFlags),
+    /// Print the catalogue in force.
+    Get,
+    /// Print what serves.
+    Status,
+    /// Print the last decisions on one thing.
+    Explain(Subject),
+    /// Take a VM or data centre in or out of service.
+    Mark(MarkTarget, Mark, String),
+    /// Print the requests that crashed back ends.
+    Crashes,
+    /// Forget them.
+    ClearCrashes,
+    /// Print a node's state.
+    Dump,
+}
+
+/// Options of `apply`.
+#[derive(Debug, Clone, PartialEq, Eq, Bpaf)]
+#[bpaf(generate(apply_flags))]
+pub struct ApplyFlags {
+    /// The catalogue document
+    #[bpaf(short('f'), long("file"), argument("FILE"))]
+    pub file: PathBuf,
+    /// The version that it shall replace; the one that the diff shows when unset
+    #[bpaf(argument("VERSION"))]
+    pub expect: Option<u64>,
+    /// Only check it and print the diff
+    pub dry_run: bool,
+    /// Wait until it is in force at every node
+    pub wait: bool,
+}
+
+/// The whole command line.
+#[must_use]
+pub fn ctl() -> OptionParser<Ctl> {
+    let apply = command(
+        "apply",
+        "Replace the catalogue by a document",
+        apply_flags().map(Command::Apply),
+    );
+    let get = command(
+        "get",
+        "Print the catalogue in force",
+        bpaf::pure(Command::Get),
+    );
+    let status = command("status", "Print what serves", bpaf::pure(Command::Status));
+    let dump = command("dump", "Print a node's state", bpaf::pure(Command::Dump));
+    let explain = command(
+        "explain",
+        "Print the last decisions on a group, model or vm",
+        subject().map(Command::Explain),
+    );
+    let vm = command("vm", "Take a VM in or out of service", mark(MarkTarget::Vm));
+    let dc = command(
+        "dc",
+        "Take a data centre in or out of service",
+        mark(MarkTarget::DataCentre),
+    );
+    let crashes = crashes();
+    construct!([apply, get, status, explain, vm, dc, crashes, dump])
+        .to_options()
+        .version(env!("CARGO_PKG_VERSION"))
+        .descr("Drives tanagerhub")
+        .footer(
+            "Exit codes: 0 done; 1 refused; 2 wrong usage; 3 no node can be reached; \
+             4 committed, but not known to be in force everywhere; 5 outcome unknown",
+        )
+}
+
+fn command(
+    name: &'static str,
+    help: &'static str,
+    command: impl Parser<Command> + 'static,
+) -> impl Parser<Ctl> {
+    let common = common();
+    construct!(Ctl { common, command })
+        .to_options()
+        .descr(help)
+        .command(name)
+        .help(help)
+}
+
+fn subject() -> impl Parser<Subject> {
+    let kind = bpaf::positional::<String>("KIND").help("group, model or vm");
+    let name = bpaf::positional::<String>("NAME").help("A group's id, or a name");
+    construct!(kind, name).parse(|(kind, name)| {
+        let subject = Subject::new(&kind, &name);
+        subject.ok_or_else(|| format!("KIND is \"{kind}\": must be group, model or vm"))
+    })
+}
+
+fn mark(target: MarkTarget) -> impl Parser<Command> {
+    let mark = bpaf::positional::<String>("MARK")
+        .help("in or out")
+        .parse(|mark| match mark.as_str() {
+            "in" => Ok(Mark::In),
+            "out" => Ok(Mark::Out),
+            _ => Err(format!("MARK is \"{mark}\": must be in or out")),
+        });
+    let name = bpaf::positional::<String>("NAME").help("Its name");
+    construct!(mark, name).map(move |(mark, name)| Command::Mark(target, mark, name))
+}
+
+fn crashes() -> impl Parser<Ctl> {
+    let list = command(
+        "list",
+        "Print the requests that crashed back ends",
+        bpaf::pure(Command::Crashes),
+    );
+    let clear = command(
+        "clear",
+        "Forget the requests that crashed back ends",
+        bpaf::pure(Command::ClearCrashes),
+    );
+    construct!([list, clear])
+        .to_options()
+        .descr("Requests that crashed back ends")
+        .command("crashes")
+        .help("Requests that crashed back ends: list, clear")
+}
--- /dev/null
+++ b/crates/tanagerhub_daemon/src/settings/flags.rs
@@ -0,0 +1,67 @@
+//! The daemon's command line.
+
+use bpaf::Bpaf;
+
+/// Serves models that span several VMs.
+///
+/// Every flag can also be set by the environment variable TANAGERHUB_ and its name in capitals,
+/// such as `TANAGERHUB_DATA_CENTRE` for --data-centre. A flag goes before its variable. Secrets are
+/// better set by variables, since other users see a process's flags.
+#[derive(Clone, Default, Bpaf)]
+#[bpaf(options("tanagerhubd"), version)]
+pub struct Flags {
+    /// Where callers connect
+    #[bpaf(argument("IP:PORT"))]
+    pub callers: Option<String>,
+    /// Where operators and the platform's balancer connect
+    #[bpaf(argument("IP:PORT"))]
+    pub operators: Option<String>,
+    /// Where peers send to; also names the node
+    #[bpaf(argument("IP:PORT"))]
+    pub peers: Option<String>,
+    /// Peers to speak to first
+    #[bpaf(argument("IP:PORT,..."))]
+    pub seeds: Option<String>,
+    /// The node's region
+    #[bpaf(argument("NAME"))]
+    pub region: Option<String>,
+    /// The node's data centre
+    #[bpaf(argument("NAME"))]
+    pub data_centre: Option<String>,
+    /// The key that all nodes share, at least 16 bytes
+    #[bpaf(argument("SECRET"))]
+    pub peer_key: Option<String>,
+    /// The token that operators send, at least 16 bytes
+    #[bpaf(argument("SECRET"))]
+    pub operator_token: Option<String>,
+    /// The platform's HTTP address
+    #[bpaf(argument("IP:PORT"))]
+    pub platform: Option<String>,
+    /// A StatsD server for metrics; off when unset
+    #[bpaf(argument("IP:PORT"))]
+    pub statsd: Option<String>,
+    /// How long a stopping node keeps accepting, 5000 when unset
+    #[bpaf(argument("MS"))]
+    pub drain_grace_ms: Option<String>,
+    /// How long a stopping node waits for requests in flight, 60000 when unset
+    #[bpaf(argument("MS"))]
+    pub drain_limit_ms: Option<String>,
+    /// Connections that callers may hold open, 4096 when unset
+    #[bpaf(argument("COUNT"))]
+    pub connections: Option<String>,
+    /// The longest request body, 4194304 when unset
+    #[bpaf(argument("BYTES"))]
+    pub body_limit: Option<String>,
+    /// The seed of random choices, drawn when unset
+    #[bpaf(argument("NUMBER"))]
+    pub random_seed: Option<String>,
+    /// What to log, as `env_logger` reads it; info when unset
+    #[bpaf(argument("FILTER"))]
+    pub log: Option<String>,
+}
+
+impl std::fmt::Debug for Flags {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Flags(..)")
+    }
+}
--- /dev/null
+++ b/crates/tanagerhub_daemon/src/settings/settings_reader.rs
@@ -0,0 +1,136 @@
+//! Reads settings from flags and environment variables.
+
+use crate::settings::SettingProblem;
+
+/// Reads one setting after another, and remembers the problems.
+pub(crate) struct SettingsReader<'a> {
+    variables: &'a dyn Fn(&str) -> Option<String>,
+    problems: Vec<SettingProblem>,
+}
+
+/// A value and where it comes from.
+struct Given {
+    source: String,
+    value: String,
+}
+
+impl<'a> SettingsReader<'a> {
+    pub(crate) const fn new(variables: &'a dyn Fn(&str) -> Option<String>) -> Self {
+        Self {
+            variables,
+            problems: Vec::new(),
+        }
+    }
+
+    /// A setting that must be given.
+    pub(crate) fn required<T>(
+        &mut self,
+        flag: &'static str,
+        value: Option<String>,
+        parse: impl Fn(&str) -> Option<T>,
+    ) -> Option<T> {
+        match self.given(flag, value) {
+            Some(given) => self.parse(flag, given, parse),
+            None => self.missing(flag),
+        }
+    }
+
+    /// A setting that may be left out.
+    pub(crate) fn optional<T>(
+        &mut self,
+        flag: &'static str,
+        value: Option<String>,
+        parse: impl Fn(&str) -> Option<T>,
+    ) -> Option<T> {
+        let given = self.given(flag, value)?;
+        self.parse(flag, given, parse)
+    }
+
+    /// A secret that must be given; its value is never shown.
+    pub(crate) fn secret(
+        &mut self,
+        flag: &'static str,
+        value: Option<String>,
+        min: usize,
+    ) -> Option<String> {
+        let Some(given) = self.given(flag, value) else {
+            return self.missing(flag);
+        };
+        if given.value.len() >= min {
+            return Some(given.value);
+        }
+        self.problems.push(SettingProblem::Value {
+            source_name: given.source,
+            value: format!("({} bytes, not shown)", given.value.len()),
+            allowed: allowed(flag),
+        });
+        None
+    }
+
+    /// The problems found.
+    pub(crate) fn finish(self) -> Vec<SettingProblem> {
+        self.problems
+    }
+
+    fn given(&self, flag: &str, value: Option<String>) -> Option<Given> {
+        let from_flag = value.map(|value| Given {
+            source: format!("--{flag}"),
+            value,
+        });
+        from_flag.or_else(|| {
+            let source = variable(flag);
+            let value = (self.variables)(&source).filter(|value| !value.is_empty())?;
+            Some(Given { source, value })
+        })
+    }
+
+    fn parse<T>(
+        &mut self,
+        flag: &'static str,
+        given: Given,
+        parse: impl Fn(&str) -> Option<T>,
+    ) -> Option<T> {
+        let parsed = parse(&given.value);
+        if parsed.is_none() {
+            self.problems.push(SettingProblem::Value {
+                source_name: given.source,
+                value: given.value,
+                allowed: allowed(flag),
+            });
+        }
+        parsed
+    }
+
+    fn missing<T>(&mut self, flag: &'static str) -> Option<T> {
+        self.problems.push(SettingProblem::Missing {
+            flag,
+            variable: variable(flag),
+            allowed: allowed(flag),
+        });
+        None
+    }
+}
+
+/// The environment variable of a flag.
+fn variable(flag: &str) -> String {
+    let name = flag.replace('-', "_").to_ascii_uppercase();
+    format!("TANAGERHUB_{name}")
+}
+
+/// What a setting may be.
+const fn allowed(flag: &'static str) -> &'static str {
+    match flag.as_bytes() {
+        b"callers" | b"operators" => "an IP address and a port, such as 0.0.0.0:8080",
+        b"peers" | b"platform" | b"statsd" => {
+            "an IP address and a port that others reach, such as 10.0.0.5:7070"
+        }
+        b"seeds" => "IP addresses and ports with commas between, such as 10.0.0.5:7070",
+        b"region" | b"data-centre" => "1 to 64 letters, digits, hyphens, underscores or dots",
+        b"peer-key" | b"operator-token" => "at least 16 bytes",
+        b"drain-grace-ms" | b"drain-limit-ms" => "milliseconds from 0 to 3600000",
+        b"connections" => "a number from 1 to 100000",
+        b"body-limit" => "a number of bytes from 1024 to 67108864",
+        b"random-seed" => "a number from 0 to 18446744073709551615",
+        _ => "a text",
+    }
+}
--- /dev/null
+++ b/crates/tanagerhub_daemon/src/statsd.rs
@@ -0,0 +1,39 @@
+//! Metrics to a StatsD server over UDP.
+
+use std::io;
+use std::net::{Ipv4Addr, Ipv6Addr, SocketAddr, UdpSocket};
+
+use cadence::{QueuingMetricSink, StatsdClient, UdpMetricSink};
+
+/// The start of every metric's name.
+const PREFIX: &str = "tanagerhub";
+/// Metrics that may wait to be sent; more are dropped.
+const QUEUE: usize = 4_096;
+
+/// Opens a client that sends metrics from its own thread and never makes the caller wait.
+///
+/// # Errors
+///
+/// Fails when no UDP socket can be opened.
+///
+/// # Examples
+///
+/// ```
+/// use cadence::Counted;
+/// use tanagerhub_daemon::statsd_client;
+///
+/// let client = statsd_client("127.0.0.1:8125".parse()?)?;
+/// client.count("requests", 1)?;
+/// # Ok::<(), Box<dyn std::error::Error>>(())
+/// ```
+pub fn statsd_client(address: SocketAddr) -> io::Result<StatsdClient> {
+    let socket = if address.is_ipv4() {
+        UdpSocket::bind((Ipv4Addr::UNSPECIFIED, 0))?
+    } else {
+        UdpSocket::bind((Ipv6Addr::UNSPECIFIED, 0))?
+    };
+    socket.set_nonblocking(true)?;
+    let sink = UdpMetricSink::from(address, socket).map_err(io::Error::other)?;
+    let sink = QueuingMetricSink::with_capacity(sink, QUEUE);
+    Ok(StatsdClient::from_sink(PREFIX, sink))
+}
--- a/crates/tanagerhub_wire/src/backend/link.rs
+++ b/crates/tanagerhub_wire/src/backend/link.rs
@@ -140,7 +140,8 @@
             buffer.truncate(length + usize::try_from(body).unwrap_or(usize::MAX));
         }
         let replay = Replay::new(buffer, self.stream.clone(), left);
-        let answer = decode(replay).await;
+        // Boxed, since its headers would stay in every request's future.
+        let answer = Box::pin(decode(replay)).await;
         let mut answer = answer.map_err(|error| self.malformed(&error))?;
         let head = AnswerHead { framing, ..head };
         Ok(Answered {
--- a/crates/tanagerhub_wire/src/http/connection.rs
+++ b/crates/tanagerhub_wire/src/http/connection.rs
@@ -165,7 +165,8 @@
         let replay = self.replay(length, framing)?;
         let shared = Arc::clone(&self.shared);
         let read = async {
-            let decoded = decode(replay).await;
+            // Boxed, since its headers would stay in every connection's future.
+            let decoded = Box::pin(decode(replay)).await;
             let (mut head, _rest) = decoded
                 .ok()
                 .flatten()
