Add a site of stand-ins, a test caller and a test operator

End-to-end tests and the demo need one typed client that can tell a whole answer from a short, foreign or cut one, without the product's own code.

--- /dev/null
+++ b/crates/tanagerhub_standins/src/caller/judge.rs
@@ -0,0 +1,105 @@
+//! Whether an answer is the one to its request.
+
+use serde_json::Value;
+
+use crate::Verdict;
+
+/// What a caller expects of a successful answer.
+#[derive(Debug)]
+pub(super) enum Judge {
+    /// A chat answer with this text, as one document.
+    Chat(String),
+    /// A chat answer with this text, as server-sent events.
+    Events(String),
+    /// The booking with this id.
+    Booking(String),
+    /// A list of items.
+    Items,
+}
+
+impl Judge {
+    /// Judges a body that ended cleanly, or was cut.
+    pub(super) fn judge(&self, body: &[u8], whole: bool) -> (Verdict, String) {
+        let text = String::from_utf8_lossy(body);
+        match self {
+            Self::Events(expected) => Events::read(&text).judge(expected, whole),
+            _ if !whole => (Verdict::Cut, text.into_owned()),
+            Self::Chat(expected) => {
+                let field = field(&text, "/choices/0/message/content");
+                (verdict(field == *expected), field)
+            }
+            Self::Booking(id) => {
+                let field = field(&text, "/id");
+                (verdict(field == *id), field)
+            }
+            Self::Items => (verdict(text.contains("items")), text.into_owned()),
+        }
+    }
+}
+
+const fn verdict(right: bool) -> Verdict {
+    if right {
+        Verdict::Whole
+    } else {
+        Verdict::Wrong
+    }
+}
+
+fn field(text: &str, path: &str) -> String {
+    let value: Value = serde_json::from_str(text).unwrap_or_default();
+    let field = value.pointer(path).and_then(Value::as_str);
+    field.unwrap_or_default().to_owned()
+}
+
+/// What a stream of server-sent events held.
+#[derive(Debug, Default)]
+struct Events {
+    text: String,
+    done: bool,
+    error: Option<String>,
+}
+
+impl Events {
+    fn read(stream: &str) -> Self {
+        let mut events = Self::default();
+        let lines = stream.lines().filter_map(|line| line.strip_prefix("data:"));
+        for data in lines.map(str::trim) {
+            events.take(data);
+        }
+        events
+    }
+
+    fn take(&mut self, data: &str) {
+        if data == "[DONE]" {
+            self.done = true;
+            return;
+        }
+        // The last event of a cut stream may be cut too.
+        let Ok(event) = serde_json::from_str::<Value>(data) else {
+            return;
+        };
+        if let Some(error) = event.get("error") {
+            self.error = Some(error.to_string());
+        }
+        let content = event.pointer("/choices/0/delta/content");
+        if let Some(content) = content.and_then(Value::as_str) {
+            self.text += content;
+        }
+    }
+
+    /// A cut stream must still begin as the whole answer does.
+    fn judge(self, expected: &str, whole: bool) -> (Verdict, String) {
+        if !expected.starts_with(&self.text) {
+            return (Verdict::Wrong, self.text);
+        }
+        if let Some(error) = self.error {
+            return (Verdict::Cut, error);
+        }
+        let right = self.done && self.text == expected;
+        match (right, whole) {
+            (_, false) => (Verdict::Cut, self.text),
+            (true, true) => (Verdict::Whole, self.text),
+            (false, true) => (Verdict::Wrong, self.text),
+        }
+    }
+}
--- a/crates/tanagerhub_standins/src/lib.rs
+++ b/crates/tanagerhub_standins/src/lib.rs
@@ -3,22 +3,32 @@
 //! They run as tasks on loopback ports, with faults that tests switch on. What they see goes into
 //! one log, from which a checker judges the system's promises.
 
+mod caller;
 mod checker;
 mod engine_standin;
 mod gate;
+mod operator;
 mod platform_standin;
 mod record;
 mod recorder;
+mod sample;
 mod server;
 mod service_standin;
+mod site;
 mod violation;
 mod weight_store;
 
+pub use caller::{Caller, Question, Reply, Unreachable};
 pub use checker::{Checker, CheckerLimits};
 pub use engine_standin::{CRASH_MARKER, EngineSettings, EngineStandin, Fabric, ModelApi, Prompt};
+pub use operator::{Change, Operator, OperatorFailure};
 pub use platform_standin::{PlatformCounts, PlatformStandin, RateLimits};
 pub use record::{Absence, Fact, Outcome, Place, Record, Started, StopCause, Verdict, Work};
 pub use recorder::{Log, Recorder};
+pub use sample::{
+    ADVISOR, DATA_CENTRES, OTHER_KEY, REGION, SAMPLE_KEY, SHOP_API, SUMMARISER, sample_catalogue,
+};
 pub use service_standin::ServiceStandin;
+pub use site::{Backend, Site, SiteSettings};
 pub use violation::{Promise, Violation};
 pub use weight_store::WeightStore;
--- /dev/null
+++ b/crates/tanagerhub_standins/src/operator.rs
@@ -0,0 +1,230 @@
+//! An operator of the system, as tests and the demo need it.
+
+use std::net::SocketAddr;
+
+use async_std::net::TcpStream;
+use http_types::{Method, Request, StatusCode, Url};
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+use serde_json::{Value, json};
+use tanagerhub_catalogue::{CatalogueVersion, Mark, VmId};
+use tanagerhub_clock::Clock;
+
+use crate::{Fact, Place, Recorder};
+
+/// The time after which a call is given up.
+const PATIENCE: std::time::Duration = std::time::Duration::from_secs(30);
+
+/// Drives one node's operator port, and notes what it was told.
+#[derive(Debug, Clone)]
+pub struct Operator {
+    node: SocketAddr,
+    token: String,
+    clock: Clock,
+    recorder: Recorder,
+}
+
+/// What became of a change.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub struct Change {
+    /// The version that holds it.
+    pub version: CatalogueVersion,
+    /// Whether it is committed.
+    pub committed: bool,
+    /// Whether it is in force at every node.
+    pub in_force: bool,
+    /// The nodes at which it is not known to be in force.
+    pub missing: Vec<String>,
+}
+
+/// Why an operator's call did not succeed.
+#[derive(Debug, Clone, thiserror::Error)]
+pub enum OperatorFailure {
+    /// The node gave no answer.
+    #[error("node {node} gave no answer: {reason}")]
+    NoAnswer {
+        /// The node.
+        node: SocketAddr,
+        /// What happened.
+        reason: String,
+    },
+    /// The node refused the call.
+    #[error("node {node} answered {status}: {text}")]
+    Refused {
+        /// The node.
+        node: SocketAddr,
+        /// The status.
+        status: u16,
+        /// The answer.
+        text: String,
+    },
+}
+
+impl Operator {
+    /// An operator of the node at this address, with this token.
+    #[must_use]
+    pub fn new(node: SocketAddr, token: &str, recorder: Recorder, clock: Clock) -> Self {
+        Self {
+            node,
+            token: token.to_owned(),
+            clock,
+            recorder,
+        }
+    }
+
+    /// Whether the platform's balancer would send callers to the node.
+    pub async fn is_ready(&self) -> bool {
+        let answer = self.send(Method::Get, "/ready", String::new()).await;
+        answer.is_ok()
+    }
+
+    /// Applies a catalogue, and waits until it is in force.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the node said, or that it said nothing.
+    pub async fn apply(&self, document: &str) -> Result<Change, OperatorFailure> {
+        let path = "/v1/catalogue?wait=true";
+        let change: Change = self.call(Method::Put, path, document.to_owned()).await?;
+        self.accepted(&change);
+        Ok(change)
+    }
+
+    /// Marks a data centre in or out of service.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the node said, or that it said nothing.
+    pub async fn mark_data_centre(
+        &self,
+        name: &str,
+        mark: Mark,
+    ) -> Result<Change, OperatorFailure> {
+        let place = Place::DataCentre(name.to_owned());
+        self.mark("data_centre", name, place, mark).await
+    }
+
+    /// Marks a VM in or out of service.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the node said, or that it said nothing.
+    pub async fn mark_vm(&self, name: &str, mark: Mark) -> Result<Change, OperatorFailure> {
+        self.mark("vm", name, Place::Vm(VmId::of(name)), mark).await
+    }
+
+    /// The node's status, as JSON.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the node said, or that it said nothing.
+    pub async fn status(&self) -> Result<Value, OperatorFailure> {
+        self.call(Method::Get, "/v1/status", String::new()).await
+    }
+
+    /// Any other `GET` call, as JSON.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the node said, or that it said nothing.
+    pub async fn get(&self, path: &str) -> Result<Value, OperatorFailure> {
+        self.call(Method::Get, path, String::new()).await
+    }
+
+    /// Reads the version in force at the node, and notes it.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the node said, or that it said nothing.
+    pub async fn note_version(&self) -> Result<CatalogueVersion, OperatorFailure> {
+        #[derive(Deserialize)]
+        struct Status {
+            version: CatalogueVersion,
+        }
+        let status: Status = self.call(Method::Get, "/v1/status", String::new()).await?;
+        self.recorder.note(Fact::InForce {
+            node: self.node,
+            version: status.version,
+        });
+        Ok(status.version)
+    }
+
+    async fn mark(
+        &self,
+        target: &str,
+        name: &str,
+        place: Place,
+        mark: Mark,
+    ) -> Result<Change, OperatorFailure> {
+        if mark == Mark::In {
+            self.recorder.note(Fact::BroughtBack(place.clone()));
+        }
+        let body = json!({"target": target, "name": name, "mark": mark}).to_string();
+        let change: Change = self.call(Method::Post, "/v1/marks", body).await?;
+        if mark == Mark::Out && change.committed {
+            self.recorder.note(Fact::TakenOut(place));
+        }
+        self.accepted(&change);
+        Ok(change)
+    }
+
+    /// Only a change that is in force was told to be accepted.
+    fn accepted(&self, change: &Change) {
+        if change.committed && change.in_force {
+            self.recorder.note(Fact::Accepted {
+                version: change.version,
+            });
+        }
+    }
+
+    async fn call<T: DeserializeOwned>(
+        &self,
+        method: Method,
+        path: &str,
+        body: String,
+    ) -> Result<T, OperatorFailure> {
+        let answer = self.send(method, path, body).await?;
+        serde_json::from_slice(&answer).map_err(|error| self.no_answer(&error))
+    }
+
+    async fn send(
+        &self,
+        method: Method,
+        path: &str,
+        body: String,
+    ) -> Result<Vec<u8>, OperatorFailure> {
+        let url = Url::parse(&format!("http://{}{path}", self.node))
+            .map_err(|error| self.no_answer(&error))?;
+        let mut request = Request::new(method, url);
+        request.set_body(body);
+        request.insert_header("authorization", format!("Bearer {}", self.token));
+        let exchange = Box::pin(exchange(self.node, request));
+        let (status, answer) = match self.clock.timeout(PATIENCE, exchange).await {
+            Some(answer) => answer.map_err(|error| self.no_answer(&error))?,
+            None => return Err(self.no_answer(&"it took too long")),
+        };
+        if status.is_success() {
+            return Ok(answer);
+        }
+        Err(OperatorFailure::Refused {
+            node: self.node,
+            status: status.into(),
+            text: String::from_utf8_lossy(&answer).into_owned(),
+        })
+    }
+
+    fn no_answer(&self, reason: &dyn ToString) -> OperatorFailure {
+        OperatorFailure::NoAnswer {
+            node: self.node,
+            reason: reason.to_string(),
+        }
+    }
+}
+
+async fn exchange(node: SocketAddr, request: Request) -> http_types::Result<(StatusCode, Vec<u8>)> {
+    let stream = TcpStream::connect(node).await?;
+    stream.set_nodelay(true)?;
+    let mut response = async_h1::connect(stream, request).await?;
+    let body = response.body_bytes().await?;
+    Ok((response.status(), body))
+}
--- a/crates/tanagerhub_standins/src/record.rs
+++ b/crates/tanagerhub_standins/src/record.rs
@@ -53,6 +53,18 @@
     Unknown,
 }
 
+impl Outcome {
+    /// Reads the value of the outcome header; anything unclear is unknown.
+    #[must_use]
+    pub fn parse(value: &str) -> Self {
+        match value {
+            "not-run" => Self::NotRun,
+            "ran" => Self::Ran,
+            _ => Self::Unknown,
+        }
+    }
+}
+
 /// Something that can be taken out of service.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum Place {
--- /dev/null
+++ b/crates/tanagerhub_standins/src/site.rs
@@ -0,0 +1,254 @@
+//! A whole site of stand-ins.
+
+use std::io;
+use std::time::Duration;
+
+use tanagerhub_catalogue::{Vm, VmId, VmState};
+use tanagerhub_clock::Clock;
+
+use crate::{
+    DATA_CENTRES, EngineSettings, EngineStandin, Fabric, Fact, PlatformStandin, Recorder, SHOP_API,
+    ServiceStandin, WeightStore,
+};
+
+/// The shape of a site.
+///
+/// # Examples
+///
+/// ```
+/// use tanagerhub_clock::Clock;
+/// use tanagerhub_standins::SiteSettings;
+///
+/// # async_std::task::block_on(async {
+/// let settings = SiteSettings::default().domains(1).vms(2);
+/// let site = settings.start(Clock::real()).await.unwrap();
+/// assert_eq!(site.engines.len(), 6);
+/// # });
+/// ```
+#[derive(Debug, Clone)]
+pub struct SiteSettings {
+    /// The names of the data centres.
+    pub data_centres: Vec<String>,
+    /// Fabric domains in each data centre.
+    pub domains: u32,
+    /// VMs with engines in each fabric domain.
+    pub vms: u32,
+    /// The plain service that has one VM in each data centre.
+    pub service: String,
+    /// How the engines behave; each gets its own name.
+    pub engine: EngineSettings,
+    /// Engines that load weights at the same time.
+    pub loads: usize,
+    /// The time that weights take.
+    pub load: Duration,
+    /// How late the platform's list of VMs is.
+    pub lag: Duration,
+}
+
+impl Default for SiteSettings {
+    fn default() -> Self {
+        Self {
+            data_centres: DATA_CENTRES.map(str::to_owned).to_vec(),
+            domains: 2,
+            vms: 4,
+            service: SHOP_API.to_owned(),
+            engine: EngineSettings::default(),
+            loads: 8,
+            load: Duration::from_millis(200),
+            lag: Duration::from_millis(200),
+        }
+    }
+}
+
+impl SiteSettings {
+    /// Sets the number of fabric domains in each data centre.
+    #[must_use]
+    pub const fn domains(mut self, domains: u32) -> Self {
+        self.domains = domains;
+        self
+    }
+
+    /// Sets the number of VMs with engines in each fabric domain.
+    #[must_use]
+    pub const fn vms(mut self, vms: u32) -> Self {
+        self.vms = vms;
+        self
+    }
+
+    /// Sets how the engines behave.
+    #[must_use]
+    pub fn engine(mut self, engine: EngineSettings) -> Self {
+        self.engine = engine;
+        self
+    }
+
+    /// Sets how many engines load at the same time, and how long each takes.
+    #[must_use]
+    pub const fn loading(mut self, parallel: usize, span: Duration) -> Self {
+        self.loads = parallel;
+        self.load = span;
+        self
+    }
+
+    /// Starts all stand-ins and lists their VMs at the platform.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the system when no port can be had.
+    pub async fn start(&self, clock: Clock) -> io::Result<Site> {
+        let recorder = Recorder::new(clock.clone());
+        let weights = WeightStore::new(clock.clone(), self.loads, self.load);
+        let mut site = Site {
+            platform: PlatformStandin::start(clock.clone()).await?,
+            fabric: Fabric::new(clock.clone(), recorder.clone(), weights),
+            engines: Vec::new(),
+            services: Vec::new(),
+            recorder,
+            clock,
+        };
+        for data_centre in &self.data_centres {
+            self.fill(&mut site, data_centre).await?;
+        }
+        site.platform.list(site.vms());
+        site.platform.lag(self.lag);
+        Ok(site)
+    }
+
+    async fn fill(&self, site: &mut Site, data_centre: &str) -> io::Result<()> {
+        for domain in 0..self.domains {
+            let domain = format!("{data_centre}-f{domain}");
+            for vm in 0..self.vms {
+                let name = format!("{domain}-{vm}");
+                site.add_engine(&self.engine, &name, data_centre, &domain)
+                    .await?;
+            }
+        }
+        let name = format!("{data_centre}-{}", self.service);
+        site.add_service(&self.service, &name, data_centre).await
+    }
+}
+
+/// The stand-ins of a site, all running in this process.
+#[derive(Debug)]
+pub struct Site {
+    /// The platform.
+    pub platform: PlatformStandin,
+    /// What the engines know of each other.
+    pub fabric: Fabric,
+    /// The engines with their VMs, in order of name.
+    pub engines: Vec<Backend<EngineStandin>>,
+    /// The plain services with their VMs.
+    pub services: Vec<Backend<ServiceStandin>>,
+    /// The log that all of them share.
+    pub recorder: Recorder,
+    /// The clock that all of them share.
+    pub clock: Clock,
+}
+
+/// A stand-in with the VM that it runs on.
+#[derive(Debug)]
+pub struct Backend<T> {
+    /// The stand-in.
+    pub standin: T,
+    /// Its VM, as the platform lists it.
+    pub vm: Vm,
+}
+
+impl Site {
+    /// The VMs of all back ends.
+    #[must_use]
+    pub fn vms(&self) -> Vec<Vm> {
+        let engines = self.engines.iter().map(|backend| backend.vm.clone());
+        let services = self.services.iter().map(|backend| backend.vm.clone());
+        engines.chain(services).collect()
+    }
+
+    /// The engine on this VM.
+    #[must_use]
+    pub fn engine(&self, vm: VmId) -> Option<&EngineStandin> {
+        let backend = self.engines.iter().find(|backend| backend.vm.id() == vm)?;
+        Some(&backend.standin)
+    }
+
+    /// The engines of a fabric domain.
+    pub fn domain(&self, name: &str) -> impl Iterator<Item = &EngineStandin> {
+        self.engines
+            .iter()
+            .filter(move |backend| backend.vm.domain == name)
+            .map(|backend| &backend.standin)
+    }
+
+    /// The service on this VM.
+    #[must_use]
+    pub fn service(&self, vm: VmId) -> Option<&ServiceStandin> {
+        let backend = self.services.iter().find(|backend| backend.vm.id() == vm)?;
+        Some(&backend.standin)
+    }
+
+    /// Cuts a whole fabric domain off: its engines stand still and answer nothing.
+    pub fn darken(&self, domain: &str) {
+        self.domain(domain).for_each(EngineStandin::pause);
+    }
+
+    /// Ends what [`darken`](Self::darken) began.
+    pub fn lighten(&self, domain: &str) {
+        self.domain(domain).for_each(EngineStandin::resume);
+    }
+
+    /// Kills every engine and service.
+    pub async fn stop(&self) {
+        for backend in &self.engines {
+            backend.standin.kill().await;
+        }
+        for backend in &self.services {
+            backend.standin.kill().await;
+        }
+        self.platform.stop().await;
+    }
+
+    async fn add_engine(
+        &mut self,
+        engine: &EngineSettings,
+        name: &str,
+        data_centre: &str,
+        domain: &str,
+    ) -> io::Result<()> {
+        let mut engine = engine.clone();
+        name.clone_into(&mut engine.name);
+        let standin = EngineStandin::start(&self.fabric, engine).await?;
+        let vm = Vm {
+            name: name.to_owned(),
+            address: standin.address(),
+            data_centre: data_centre.to_owned(),
+            domain: domain.to_owned(),
+            service: None,
+            state: VmState::Live,
+        };
+        self.place(&vm);
+        self.engines.push(Backend { standin, vm });
+        Ok(())
+    }
+
+    async fn add_service(&mut self, entry: &str, name: &str, data_centre: &str) -> io::Result<()> {
+        let standin =
+            ServiceStandin::start(self.clock.clone(), self.recorder.clone(), name).await?;
+        let vm = Vm {
+            name: name.to_owned(),
+            address: standin.address(),
+            data_centre: data_centre.to_owned(),
+            domain: format!("{data_centre}-services"),
+            service: Some(entry.to_owned()),
+            state: VmState::Live,
+        };
+        self.place(&vm);
+        self.services.push(Backend { standin, vm });
+        Ok(())
+    }
+
+    fn place(&self, vm: &Vm) {
+        self.recorder.note(Fact::Placed {
+            vm: vm.id(),
+            data_centre: vm.data_centre.clone(),
+        });
+    }
+}
