--- a/crates/tanagerhub_fleet/src/action.rs
+++ b/crates/tanagerhub_fleet/src/action.rs
@@ -1,11 +1,10 @@
 //! What the control state wants done.
 
-use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
-use tanagerhub_catalogue::{Epoch, GroupId, VmId};
+use serde::Serialize;
+use tanagerhub_catalogue::{Epoch, GroupId, Health, VmId};
 use tanagerhub_clock::Moment;
 use tanagerhub_table::{RowKey, Transaction};
 
@@ -67,25 +66,3 @@
     /// All rows whose names start so, over as many pages as it takes.
     Prefix(&'static str),
 }
-
-/// What a whole group can bear.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Health {
-    /// Full load.
-    Warm,
-    /// Only its cold slots.
-    Cold,
-    /// No new work: a member is about to leave.
-    Leaving,
-}
-
-impl fmt::Display for Health {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Self::Warm => "warm",
-            Self::Cold => "cold",
-            Self::Leaving => "leaving",
-        })
-    }
-}
--- a/crates/tanagerhub_fleet/src/lib.rs
+++ b/crates/tanagerhub_fleet/src/lib.rs
@@ -18,7 +18,7 @@
 mod settings;
 mod status;
 
-pub use action::{FleetAction, Health, ReadId, RowQuery};
+pub use action::{FleetAction, ReadId, RowQuery};
 pub use counters::FleetCounters;
 pub use decision::{Decision, DrainCause, Reason, Subject};
 pub use event::{FleetEvent, OrderFailure, Peer, ProbeFailure, StoreFailure};
@@ -28,3 +28,4 @@
 pub use order::{Order, OrderAnswer, OrderKind};
 pub use settings::FleetSettings;
 pub use status::{EntryStatus, FleetStatus};
+pub use tanagerhub_catalogue::Health;
