--- a/crates/tanagerhub/src/node.rs
+++ b/crates/tanagerhub/src/node.rs
@@ -9,6 +9,7 @@
 use async_channel::Sender;
 use async_std::net::TcpListener;
 use async_std::task;
+use futures_lite::future;
 use tanagerhub_catalogue::BootId;
 use tanagerhub_clock::Clock;
 use tanagerhub_fleet::{Fleet, FleetSettings};
@@ -133,7 +134,7 @@
         };
         let thread = std::thread::Builder::new()
             .name("control".to_owned())
-            .spawn(move || task::block_on(state.run(events)))
+            .spawn(move || future::block_on(state.run(events)))
             .map_err(|source| NodeError::Thread { source })?;
 
         let edge = CallerEdge {
--- a/crates/tanagerhub/src/snapshot.rs
+++ b/crates/tanagerhub/src/snapshot.rs
@@ -50,7 +50,7 @@
         let mut table = self.routes.clone();
         let lag = now.since(self.made);
         for route in &mut table.routes {
-            route.attested += lag;
+            route.attested = route.attested.saturating_add(lag);
         }
         table
     }
