Pin down the edges' corner cases with tests

- An answer that comes before the whole request was read (a refused long body) is used, where the reset of the connection hid it before.
- A 204 or 304 never has a body: chunks after it would be read as an answer.
- At most 64 connections at once are turned away with a 503; more are closed.
- The key is checked for its form before the body is parsed.
- A handler is dropped when its caller leaves, `Expect: 100-continue` works, and a caller that stops reading is closed after `stall`.

--- a/crates/tanagerhub_daemon/src/ctl/command.rs
+++ b/crates/tanagerhub_daemon/src/ctl/command.rs
@@ -15,14 +15,21 @@
     pub command: Command,
 }
 
-/// Options that every command takes.
+/// Options that every command takes
 #[derive(Clone, Bpaf)]
 pub struct Common {
-    /// A node's operator address; may be given several times [env: `TANAGERCTL_ADDRESS`]
-    #[bpaf(argument("IP:PORT"), many)]
+    /// Operator addresses of nodes, tried in turn.
+    #[bpaf(
+        argument("IP:PORT"),
+        help("A node's operator address; several are tried in turn [env: TANAGERCTL_ADDRESS]"),
+        many
+    )]
     pub address: Vec<String>,
-    /// The operators' token; better set by the variable [env: `TANAGERCTL_TOKEN`]
-    #[bpaf(argument("SECRET"))]
+    /// The operators' token.
+    #[bpaf(
+        argument("SECRET"),
+        help("The operators' token; better set by the variable [env: TANAGERCTL_TOKEN]")
+    )]
     pub token: Option<String>,
     /// Print JSON
     pub json: bool,
@@ -62,7 +69,7 @@
     Dump,
 }
 
-/// Options of `apply`.
+/// Options of apply
 #[derive(Debug, Clone, PartialEq, Eq, Bpaf)]
 #[bpaf(generate(apply_flags))]
 pub struct ApplyFlags {
--- a/crates/tanagerhub_daemon/src/settings/flags.rs
+++ b/crates/tanagerhub_daemon/src/settings/flags.rs
@@ -2,13 +2,14 @@
 
 use bpaf::Bpaf;
 
-/// Serves models that span several VMs.
-///
-/// Every flag can also be set by the environment variable TANAGERHUB_ and its name in capitals,
-/// such as `TANAGERHUB_DATA_CENTRE` for --data-centre. A flag goes before its variable. Secrets are
-/// better set by variables, since other users see a process's flags.
+/// Where else a setting can come from.
+const FOOTER: &str = "Every flag can also be set by an environment variable: TANAGERHUB_ and its \
+    name in capitals, such as TANAGERHUB_DATA_CENTRE for --data-centre. A flag goes before its \
+    variable. Secrets are better set by variables, since other users see a process's flags.";
+
+/// Serves models that span several VMs
 #[derive(Clone, Default, Bpaf)]
-#[bpaf(options("tanagerhubd"), version)]
+#[bpaf(options("tanagerhubd"), version, footer(FOOTER))]
 pub struct Flags {
     /// Where callers connect
     #[bpaf(argument("IP:PORT"))]
@@ -55,8 +56,11 @@
     /// The seed of random choices, drawn when unset
     #[bpaf(argument("NUMBER"))]
     pub random_seed: Option<String>,
-    /// What to log, as `env_logger` reads it; info when unset
-    #[bpaf(argument("FILTER"))]
+    /// What to log.
+    #[bpaf(
+        argument("FILTER"),
+        help("What to log, as env_logger reads it; info when unset")
+    )]
     pub log: Option<String>,
 }
 
--- a/crates/tanagerhub_wire/src/backend/backend_client.rs
+++ b/crates/tanagerhub_wire/src/backend/backend_client.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use ::http::{HeaderMap, Method, StatusCode};
+use ::http::{HeaderMap, StatusCode};
 use async_std::net::TcpStream;
 use tanagerhub_clock::Clock;
 
@@ -71,14 +71,13 @@
         request: BackendRequest,
     ) -> Result<BackendAnswer, BackendError> {
         let stream = self.connection(address, &request).await?;
-        let mut link = Link { address, stream };
-        let is_head = request.method == Method::HEAD;
-        let exchange = async {
-            link.send(&request).await?;
-            link.receive(is_head).await
+        let mut link = Link {
+            address,
+            stream,
+            sent: false,
         };
         let limit = request.timeouts.first_byte;
-        let answered = self.clock.timeout(limit, exchange).await;
+        let answered = self.clock.timeout(limit, link.exchange(&request)).await;
         let answered = answered.ok_or(BackendError::Silent {
             address,
             after: limit,
@@ -130,7 +129,7 @@
             head,
             surplus,
         } = answered;
-        let keep = (!head.close && !surplus).then_some(link.stream);
+        let keep = (link.sent && !head.close && !surplus).then_some(link.stream);
         let body = BackendBody {
             address: link.address,
             body,
--- a/crates/tanagerhub_wire/src/backend/link.rs
+++ b/crates/tanagerhub_wire/src/backend/link.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 
-use ::http::StatusCode;
+use ::http::{Method, StatusCode};
 use async_h1::client::{Encoder, decode};
 use async_std::net::TcpStream;
 use futures_lite::io::{AsyncReadExt, AsyncWriteExt};
@@ -23,6 +23,8 @@
 pub(crate) struct Link {
     pub(crate) address: SocketAddr,
     pub(crate) stream: TcpStream,
+    /// Whether the whole request was written.
+    pub(crate) sent: bool,
 }
 
 /// An answer whose head has been checked.
@@ -35,8 +37,24 @@
 }
 
 impl Link {
+    /// Sends the request and reads the head of its answer.
+    pub(crate) async fn exchange(
+        &mut self,
+        request: &BackendRequest,
+    ) -> Result<Answered, BackendError> {
+        let is_head = request.method == Method::HEAD;
+        match self.send(request).await {
+            Ok(()) => self.receive(is_head).await,
+            Err(error @ BackendError::Broken { .. }) => {
+                // A back end may refuse a long body before it has read all of it.
+                self.receive(is_head).await.map_err(|_closed| error)
+            }
+            Err(error) => Err(error),
+        }
+    }
+
     /// Writes the request.
-    pub(crate) async fn send(&mut self, request: &BackendRequest) -> Result<(), BackendError> {
+    async fn send(&mut self, request: &BackendRequest) -> Result<(), BackendError> {
         let mut encoder = self
             .encode(request)
             .map_err(|error| self.not_sent(&error))?;
@@ -46,6 +64,7 @@
             let count = encoder.read(&mut block).await;
             let count = count.map_err(|error| self.failed(sent, &error))?;
             if count == 0 {
+                self.sent = true;
                 return Ok(());
             }
             self.write(&block[..count], &mut sent).await?;
@@ -53,7 +72,7 @@
     }
 
     /// Reads the head of the answer, and lets `async-h1` read the rest.
-    pub(crate) async fn receive(&mut self, is_head: bool) -> Result<Answered, BackendError> {
+    async fn receive(&mut self, is_head: bool) -> Result<Answered, BackendError> {
         let mut buffer = Vec::new();
         loop {
             let length = self.read_head(&mut buffer).await?;
--- a/crates/tanagerhub_wire/src/callers/caller_request.rs
+++ b/crates/tanagerhub_wire/src/callers/caller_request.rs
@@ -54,8 +54,8 @@
     /// # Ok::<(), http::Error>(())
     /// ```
     pub fn parse(request: Request) -> Result<Self, ErrorAnswer> {
-        let call = parse_call(&request)?;
         let key = parse_key(request.headers())?;
+        let call = parse_call(&request)?;
         let idempotency = parse_idempotency(request.headers())?;
         let fingerprint = fingerprint(&call, request.body());
         let (parts, body) = request.into_parts();
--- a/crates/tanagerhub_wire/src/http/convert.rs
+++ b/crates/tanagerhub_wire/src/http/convert.rs
@@ -64,7 +64,14 @@
     if close {
         answer.insert_header("connection", "close");
     }
-    answer.set_body(self::body(body));
+    // A chunked body would be taken for the next answer after these.
+    let bodiless = matches!(
+        parts.status,
+        StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+    );
+    if !bodiless {
+        answer.set_body(self::body(body));
+    }
     Ok(answer)
 }
 
--- a/crates/tanagerhub_wire/src/http/server.rs
+++ b/crates/tanagerhub_wire/src/http/server.rs
@@ -16,6 +16,8 @@
 use crate::http::connection::Connection;
 use crate::http::{HttpLimits, Request, Response};
 
+/// Connections that are being turned away; one more is closed without an answer.
+const MAX_TURNING: usize = 64;
 /// The pause after a failed accept, such as when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -44,6 +46,7 @@
     pub(crate) counters: Arc<HttpCounters>,
     pub(crate) draining: AtomicBool,
     open: AtomicUsize,
+    turning: AtomicUsize,
 }
 
 /// A running server.
@@ -101,6 +104,7 @@
         counters: Arc::default(),
         draining: AtomicBool::new(false),
         open: AtomicUsize::new(0),
+        turning: AtomicUsize::new(0),
     });
     let (stop, stopped) = async_channel::bounded(1);
     let (closing, all_closed) = async_channel::bounded(1);
@@ -200,7 +204,7 @@
         let connection = Connection::new(stream, Arc::clone(&self.shared), self.stopped.clone());
         if crowded {
             counters.crowded.fetch_add(1, Ordering::Relaxed);
-            task::spawn(connection.turn_away());
+            self.turn_away(connection);
             return;
         }
         let place = Place::take(Arc::clone(&self.shared), self.closing.clone());
@@ -212,6 +216,20 @@
     }
 }
 
+impl<H> Accept<H> {
+    fn turn_away(&self, connection: Connection) {
+        let shared = Arc::clone(&self.shared);
+        if shared.turning.fetch_add(1, Ordering::Relaxed) >= MAX_TURNING {
+            shared.turning.fetch_sub(1, Ordering::Relaxed);
+            return;
+        }
+        task::spawn(async move {
+            connection.turn_away().await;
+            shared.turning.fetch_sub(1, Ordering::Relaxed);
+        });
+    }
+}
+
 /// One of the connections that may be open.
 #[derive(Debug)]
 struct Place {
--- a/crates/tanagerhub_wire/src/lib.rs
+++ b/crates/tanagerhub_wire/src/lib.rs
@@ -3,7 +3,7 @@
 pub mod backend;
 pub mod callers;
 pub mod engine;
-pub mod peers;
 pub mod http;
 pub mod operators;
+pub mod peers;
 pub mod platform;
--- a/crates/tanagerhub_wire/tests/backend.rs
+++ b/crates/tanagerhub_wire/tests/backend.rs
@@ -246,3 +246,25 @@
         }
     });
 }
+
+#[test]
+fn answer_before_whole_request() {
+    task::block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        task::spawn(async move {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut buffer = [0; 4_096];
+            stream.read_exact(&mut buffer).await.unwrap();
+            let answer = b"HTTP/1.1 413 Payload Too Large\r\nContent-Length: 0\r\n\r\n";
+            stream.write_all(answer).await.unwrap();
+            // Closing with the rest of the body unread resets the connection.
+        });
+        let request = BackendRequest::new(Method::POST, "/").body(vec![0; 64 << 20]);
+        let client = client();
+        let answer = client.send(address, request).await.unwrap();
+        assert_eq!(answer.status, 413);
+        answer.body.read(10).await.unwrap();
+        assert_eq!(client.idle(), 0);
+    });
+}
--- a/crates/tanagerhub_wire/tests/http_server.rs
+++ b/crates/tanagerhub_wire/tests/http_server.rs
@@ -197,6 +197,98 @@
     });
 }
 
+#[test]
+fn handler_caller_gone() {
+    task::block_on(async {
+        let (alive, dropped) = async_channel::bounded::<()>(1);
+        let (start, started) = async_channel::bounded(1);
+        let handler = move |_: Request| {
+            let (alive, start) = (alive.clone(), start.clone());
+            async move {
+                start.send(()).await.unwrap();
+                std::future::pending::<()>().await;
+                drop(alive);
+                Response::default()
+            }
+        };
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let server = serve(listener, HttpLimits::default(), Clock::real(), handler).unwrap();
+        let counters = server.counters();
+        let mut stream = TcpStream::connect(server.address()).await.unwrap();
+        stream
+            .write_all(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            .await
+            .unwrap();
+        started.recv().await.unwrap();
+        drop(stream);
+        // Ends only once the pending handler and the server have been dropped.
+        async_std::future::timeout(SAFETY, server.stop())
+            .await
+            .unwrap();
+        dropped.recv().await.unwrap_err();
+        assert_eq!(counters.gone.load(std::sync::atomic::Ordering::Relaxed), 1);
+    });
+}
+
+#[test]
+fn continue_before_body() {
+    task::block_on(async {
+        let server = start(HttpLimits::default()).await;
+        let mut stream = TcpStream::connect(server.address()).await.unwrap();
+        let head = b"POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\n";
+        stream.write_all(head).await.unwrap();
+        let mut go = [0; 25];
+        stream.read_exact(&mut go).await.unwrap();
+        assert_eq!(&go, b"HTTP/1.1 100 Continue\r\n\r\n");
+        stream.write_all(b"abc").await.unwrap();
+        let answer = read_to_end(&mut stream).await;
+        assert!(answer.contains("POST / 3"), "{answer}");
+        server.stop().await;
+    });
+}
+
+#[test]
+fn stall_closes_stream() {
+    task::block_on(async {
+        let (tell, told) = async_channel::bounded(1);
+        let handler = move |_: Request| {
+            let tell = tell.clone();
+            async move {
+                let (sender, body) = AnswerBody::stream();
+                task::spawn(async move {
+                    // More than the sockets' buffers take.
+                    while sender.send(vec![0; 1 << 20].into()).await.is_ok() {}
+                    tell.send(()).await.unwrap();
+                });
+                Response::new(body)
+            }
+        };
+        let limits = HttpLimits {
+            stall: Duration::from_millis(100),
+            ..HttpLimits::default()
+        };
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let server = serve(listener, limits, Clock::real(), handler).unwrap();
+        let mut stream = TcpStream::connect(server.address()).await.unwrap();
+        stream
+            .write_all(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            .await
+            .unwrap();
+        async_std::future::timeout(SAFETY, told.recv())
+            .await
+            .unwrap()
+            .unwrap();
+        assert_eq!(
+            server
+                .counters()
+                .slow
+                .load(std::sync::atomic::Ordering::Relaxed),
+            1
+        );
+        server.stop().await;
+    });
+}
+
 #[parameterized(finished = { true }, cut = { false })]
 fn stream_end(finished: bool) {
     task::block_on(async {
