--- a/crates/tanagerhub_wire/tests/http_server.rs
+++ b/crates/tanagerhub_wire/tests/http_server.rs
@@ -35,6 +35,16 @@
     read_to_end(&mut stream).await
 }
 
+/// Reads until a text has arrived.
+async fn read_until(stream: &mut TcpStream, text: &str) {
+    let mut seen = String::new();
+    let mut byte = [0];
+    while !seen.ends_with(text) {
+        stream.read_exact(&mut byte).await.unwrap();
+        seen.push(byte[0].into());
+    }
+}
+
 async fn read_to_end(stream: &mut TcpStream) -> String {
     let mut answer = Vec::new();
     let read = stream.read_to_end(&mut answer);
@@ -185,8 +195,7 @@
             .write_all(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
             .await
             .unwrap();
-        let mut byte = [0];
-        stream.read_exact(&mut byte).await.unwrap();
+        read_until(&mut stream, "one").await;
         drop(stream);
         // Nothing more is written, so only the closed socket can tell.
         async_std::future::timeout(SAFETY, told.recv())
