--- a/crates/tanagerhub_daemon/src/bin/tanagerhubd.rs
+++ b/crates/tanagerhub_daemon/src/bin/tanagerhubd.rs
@@ -1,15 +1,18 @@
 //! Serves models that span several VMs; runs on every entry VM.
 
 use std::process::ExitCode;
+use std::sync::Arc;
 
 use anyhow::Context as _;
 use async_signal::{Signal, Signals};
 use async_std::task;
 use futures_lite::StreamExt as _;
 use mimalloc::MiMalloc;
-use tanagerhub::Metrics;
+use tanagerhub::{Metrics, Node};
+use tanagerhub_clock::Clock;
 use tanagerhub_daemon::settings::{Settings, flags};
 use tanagerhub_daemon::statsd_client;
+use tanagerhub_wire::platform::HttpPlatform;
 
 #[global_allocator]
 static ALLOCATOR: MiMalloc = MiMalloc;
@@ -45,9 +48,13 @@
         Some(address) => Metrics::new(statsd_client(address).context("statsd")?),
         None => Metrics::off(),
     };
-    log::info!(callers:% = settings.node.callers, operators:% = settings.node.operators; "started");
-    drop(metrics);
+    let clock = Clock::real();
+    let platform = Arc::new(HttpPlatform::new(settings.platform, clock.clone()));
+    let node = Node::start(settings.node, platform, clock, metrics).await?;
+    log::info!(callers:% = node.callers(), operators:% = node.operators(); "started");
     let signal = signals.next().await.transpose().context("signals")?;
     log::info!(signal:? = signal; "stopping");
+    node.stop().await;
+    log::info!("stopped");
     Ok(())
 }
--- a/crates/tanagerhub_daemon/src/settings.rs
+++ b/crates/tanagerhub_daemon/src/settings.rs
@@ -7,15 +7,16 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use tanagerhub::{NodeSettings, PeerKey};
+use tanagerhub::{Addresses, NodeSettings, PeerKey};
+use tanagerhub_wire::operators::OperatorToken;
 
 pub use flags::{Flags, flags};
 pub use setting_problem::{SettingProblem, SettingsRefused};
 
 use crate::settings::settings_reader::SettingsReader;
 
-/// Fewest bytes of a secret.
-const SECRET_MIN: usize = 16;
+/// Fewest bytes of the operators' token.
+const TOKEN_MIN: usize = 16;
 /// The longest time that a setting can name, in milliseconds (an hour).
 const MAX_MILLIS: u64 = 3_600_000;
 
@@ -77,8 +78,8 @@
     let seeds = reader.optional("seeds", flags.seeds.clone(), parse_seeds);
     let region = reader.required("region", flags.region.clone(), parse_name);
     let centre = reader.required("data-centre", flags.data_centre.clone(), parse_name);
-    let peer_key = reader.secret("peer-key", flags.peer_key.clone(), SECRET_MIN);
-    let token = reader.secret("operator-token", flags.operator_token.clone(), SECRET_MIN);
+    let peer_key = reader.secret("peer-key", flags.peer_key.clone(), parse_key);
+    let token = reader.secret("operator-token", flags.operator_token.clone(), parse_token);
     let grace = reader.optional("drain-grace-ms", flags.drain_grace_ms.clone(), parse_millis);
     let limit = reader.optional("drain-limit-ms", flags.drain_limit_ms.clone(), parse_millis);
     let connections = reader.optional("connections", flags.connections.clone(), parse_connections);
@@ -86,10 +87,14 @@
     let seed = reader.optional("random-seed", flags.random_seed.clone(), |text| {
         text.parse().ok()
     });
-    let mut node = NodeSettings::new(callers?, operators?, peers?)
+    let addresses = Addresses {
+        callers: callers?,
+        operators: operators?,
+        peers: peers?,
+    };
+    let mut node = NodeSettings::new(addresses, peer_key?, token?)
         .place(region?, centre?)
-        .seeds(seeds.unwrap_or_default())
-        .secrets(PeerKey(peer_key?.into_bytes()), &token?);
+        .seeds(seeds.unwrap_or_default());
     node.drain_grace = grace.unwrap_or(node.drain_grace);
     node.drain_limit = limit.unwrap_or(node.drain_limit);
     node.connections = connections.unwrap_or(node.connections);
@@ -118,6 +123,14 @@
         .collect()
 }
 
+fn parse_key(text: &str) -> Option<PeerKey> {
+    text.parse().ok()
+}
+
+fn parse_token(text: &str) -> Option<OperatorToken> {
+    (text.len() >= TOKEN_MIN).then(|| OperatorToken::new(text))
+}
+
 fn parse_name(text: &str) -> Option<String> {
     let plain = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
     let fits = (1..=64).contains(&text.len());
--- a/crates/tanagerhub_daemon/src/settings/settings_reader.rs
+++ b/crates/tanagerhub_daemon/src/settings/settings_reader.rs
@@ -47,24 +47,24 @@
     }
 
     /// A secret that must be given; its value is never shown.
-    pub(crate) fn secret(
+    pub(crate) fn secret<T>(
         &mut self,
         flag: &'static str,
         value: Option<String>,
-        min: usize,
-    ) -> Option<String> {
+        parse: impl Fn(&str) -> Option<T>,
+    ) -> Option<T> {
         let Some(given) = self.given(flag, value) else {
             return self.missing(flag);
         };
-        if given.value.len() >= min {
-            return Some(given.value);
+        let parsed = parse(&given.value);
+        if parsed.is_none() {
+            self.problems.push(SettingProblem::Value {
+                source_name: given.source,
+                value: format!("({} bytes, not shown)", given.value.len()),
+                allowed: allowed(flag),
+            });
         }
-        self.problems.push(SettingProblem::Value {
-            source_name: given.source,
-            value: format!("({} bytes, not shown)", given.value.len()),
-            allowed: allowed(flag),
-        });
-        None
+        parsed
     }
 
     /// The problems found.
