Let a catalogue with entries be read back from JSON

Cause: serde's deny_unknown_fields refuses the fields of a flattened enum, so any catalogue with an entry failed to read with `unknown field "kind"`; found when tanagerctl read the catalogue of a running daemon. Documents are read field by field and still refuse unknown fields; the attribute goes from Entry alone.

The document test now goes through JSON too (it failed before), and the two programs are run as processes against the platform stand-in: apply and wait, a wrong expected version, a mark, status, dump, SIGTERM with exit code 0.

--- a/crates/tanagerhub_catalogue/src/entry.rs
+++ b/crates/tanagerhub_catalogue/src/entry.rs
@@ -8,8 +8,8 @@
 use crate::EntryId;
 
 /// One thing that callers can call.
+// Unknown fields are refused by the reader of documents: serde can't do so beside a flattened one.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct Entry {
     /// The name that callers use.
     pub name: String,
--- a/crates/tanagerhub_catalogue/tests/document.rs
+++ b/crates/tanagerhub_catalogue/tests/document.rs
@@ -40,6 +40,8 @@
     assert_eq!(catalogue.entries.len(), entries);
     let again = Catalogue::parse(&catalogue.document().unwrap()).unwrap();
     assert_eq!(again, catalogue);
+    let json = serde_json::to_string(&catalogue).unwrap();
+    assert_eq!(serde_json::from_str::<Catalogue>(&json).unwrap(), catalogue);
 }
 
 #[test]
--- /dev/null
+++ b/crates/tanagerhub_daemon/tests/processes.rs
@@ -0,0 +1,137 @@
+//! The two programs as real processes, against a platform stand-in.
+
+use std::net::{SocketAddr, TcpListener};
+use std::process::{Child, Command, Output, Stdio};
+use std::time::{Duration, Instant};
+
+use async_std::task;
+use rustix::process::{Pid, Signal, kill_process};
+use tanagerhub_clock::Clock;
+use tanagerhub_standins::{PlatformStandin, sample_catalogue};
+
+const TOKEN: &str = "fedcba9876543210";
+/// Far beyond what a start takes; only keeps a fault from hanging the run.
+const SAFETY: Duration = Duration::from_secs(40);
+
+/// A daemon that is ended with the test.
+struct Daemon {
+    child: Child,
+    operators: SocketAddr,
+}
+
+impl Daemon {
+    fn start(platform: SocketAddr) -> Self {
+        let ports = [(); 3].map(|()| TcpListener::bind("127.0.0.1:0").unwrap());
+        let [callers, operators, peers] = ports.each_ref().map(|port| port.local_addr().unwrap());
+        drop(ports);
+        let child = Command::new(env!("CARGO_BIN_EXE_tanagerhubd"))
+            .env("TANAGERHUB_CALLERS", callers.to_string())
+            .env("TANAGERHUB_OPERATORS", operators.to_string())
+            .env("TANAGERHUB_PEERS", peers.to_string())
+            .env("TANAGERHUB_REGION", "tbilisi")
+            .env("TANAGERHUB_PEER_KEY", "0123456789abcdef")
+            .env("TANAGERHUB_OPERATOR_TOKEN", TOKEN)
+            .args(["--data-centre", "tbs-a", "--drain-grace-ms", "50"])
+            .args(["--platform", &platform.to_string()])
+            .spawn()
+            .unwrap();
+        Self { child, operators }
+    }
+
+    /// Runs `tanagerctl` against this daemon.
+    fn ctl(&self, args: &[&str]) -> Output {
+        Command::new(env!("CARGO_BIN_EXE_tanagerctl"))
+            .env("TANAGERCTL_ADDRESS", self.operators.to_string())
+            .env("TANAGERCTL_TOKEN", TOKEN)
+            .args(args)
+            .stdin(Stdio::null())
+            .output()
+            .unwrap()
+    }
+
+    /// Runs `tanagerctl` until it succeeds.
+    fn ctl_until_done(&self, args: &[&str]) -> Output {
+        let start = Instant::now();
+        loop {
+            let output = self.ctl(args);
+            if output.status.success() || start.elapsed() > SAFETY {
+                return output;
+            }
+            std::thread::sleep(Duration::from_millis(50));
+        }
+    }
+
+    /// Sends SIGTERM, and gives the exit code.
+    fn terminate(&mut self) -> Option<i32> {
+        kill_process(Pid::from_child(&self.child), Signal::TERM).unwrap();
+        let start = Instant::now();
+        while start.elapsed() < SAFETY {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status.code();
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        None
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        drop(self.child.kill());
+        drop(self.child.wait());
+    }
+}
+
+fn text(output: &Output) -> String {
+    let out = String::from_utf8_lossy(&output.stdout);
+    let err = String::from_utf8_lossy(&output.stderr);
+    format!("{}{out}{err}", output.status)
+}
+
+#[test]
+fn daemon_driven_by_ctl() {
+    let platform = task::block_on(PlatformStandin::start(Clock::real())).unwrap();
+    let mut daemon = Daemon::start(platform.address());
+    let file = std::env::temp_dir().join(format!("processes-{}.toml", std::process::id()));
+    std::fs::write(&file, sample_catalogue()).unwrap();
+    let file_name = file.to_str().unwrap();
+
+    let output = daemon.ctl_until_done(&["get"]);
+    assert!(output.status.success(), "{}", text(&output));
+
+    let output = daemon.ctl_until_done(&["apply", "-f", file_name, "--wait"]);
+    assert!(output.status.success(), "{}", text(&output));
+    let output = daemon.ctl(&["apply", "-f", file_name, "--expect", "99"]);
+    assert_eq!(output.status.code(), Some(1), "{}", text(&output));
+
+    let output = daemon.ctl(&["dc", "out", "tbs-a"]);
+    assert!(output.status.success(), "{}", text(&output));
+    let output = daemon.ctl_until_done(&["status", "--json"]);
+    let status: serde_json::Value = serde_json::from_slice(&output.stdout).unwrap();
+    assert!(
+        status["entries"]
+            .as_array()
+            .is_some_and(|entries| !entries.is_empty()),
+        "{status}"
+    );
+    let output = daemon.ctl(&["dump"]);
+    serde_json::from_slice::<serde_json::Value>(&output.stdout).unwrap();
+
+    assert_eq!(daemon.terminate(), Some(0));
+    let output = daemon.ctl(&["get"]);
+    assert_eq!(output.status.code(), Some(3), "{}", text(&output));
+    std::fs::remove_file(file).unwrap();
+    task::block_on(platform.stop());
+}
+
+#[test]
+fn daemon_wrong_settings() {
+    let output = Command::new(env!("CARGO_BIN_EXE_tanagerhubd"))
+        .env_clear()
+        .args(["--callers", "localhost:80"])
+        .output()
+        .unwrap();
+    assert_eq!(output.status.code(), Some(2));
+    let text = text(&output);
+    assert!(text.contains("--callers is \"localhost:80\""), "{text}");
+}
