Read stored catalogues back

Cause: Entry refused unknown fields and flattened its kind; the two don't go together, so every stored catalogue with an entry was unreadable ("unknown field kind"). A node that had not applied the catalogue itself counted it as malformed and stayed in Starting for good, while the applying node formed groups alone. Seen in the demo's first run: two of three nodes never ready.

Ruled out: peers and slots (heard, slots and store reads were right in the state dump). Before: the new test fails; after: it passes. Unknown keys in operators' documents are still refused, by the reader of TOML documents, whose tests pass unchanged.

--- a/crates/tanagerhub_catalogue/src/entry.rs
+++ b/crates/tanagerhub_catalogue/src/entry.rs
@@ -9,7 +9,6 @@
 
 /// One thing that callers can call.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct Entry {
     /// The name that callers use.
     pub name: String,
