Let a node that starts during a store outage learn groups and VMs from a peer

Before: such a node had neither the VMs' addresses nor the group rows, so rolling replacement in a long outage would have left no node that can route. It also was ready without a list of VMs.

--- a/crates/tanagerhub/src/control.rs
+++ b/crates/tanagerhub/src/control.rs
@@ -8,16 +8,19 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use async_channel::Receiver;
+use async_channel::{Receiver, Sender};
 use futures_lite::future;
 use tanagerhub_catalogue::{BootId, Catalogue, NodeId, Vm};
 use tanagerhub_clock::{Clock, Moment};
 use tanagerhub_fleet::{Fleet, FleetAction, FleetEvent, GroupView, Health, Peer};
-use tanagerhub_membership::{AgedFact, Fact, Membership, MembershipAction, MembershipEvent};
+use tanagerhub_membership::{
+    AgedFact, Fact, Membership, MembershipAction, MembershipEvent, PeerReply,
+};
 use tanagerhub_traffic::{CrashFact, Fact as TrafficFact, Route, RouteTable};
 
 use crate::claim_handle::ClaimHandle;
 use crate::control_event::ControlEvent;
+use crate::fleet_copy::FleetCopy;
 use crate::snapshot::Snapshot;
 use crate::traffic_handle::TrafficHandle;
 
@@ -28,6 +31,8 @@
 const TICK: Duration = Duration::from_millis(100);
 /// Time between two reads of the platform's list of VMs.
 const VMS_PERIOD: Duration = Duration::from_secs(2);
+/// Time between two requests for a peer's groups and VMs.
+const FLEET_PERIOD: Duration = Duration::from_secs(2);
 /// The most crashing requests told to peers at once.
 const CRASHES_TOLD: usize = 64;
 
@@ -54,6 +59,8 @@
     vms_asked: bool,
     generation: u64,
     peers: Vec<Peer>,
+    fleet_asked: Option<Moment>,
+    fleet_asks: usize,
     draining: bool,
     operations: Operations,
 }
@@ -89,6 +96,7 @@
         self.membership_event(now, MembershipEvent::Load(load));
         self.membership_event(now, MembershipEvent::Tick);
         self.follow_peers(now);
+        self.ask_fleet(now);
         self.fleet_event(now, FleetEvent::Tick);
         self.publish(now);
     }
@@ -100,6 +108,8 @@
             ControlEvent::Membership(event) => self.membership_event(now, event),
             ControlEvent::Vms(vms) => self.set_vms(now, vms),
             ControlEvent::VmsFailed => self.view.vms_asked = false,
+            ControlEvent::FleetAsked(reply) => self.tell_fleet(&reply),
+            ControlEvent::FleetHeard(copy) => self.learn_fleet(now, copy),
             ControlEvent::TrafficFacts(facts) => self.traffic_facts(now, facts),
             ControlEvent::Operator { call, reply } => self.operator_call(now, call, &reply),
             ControlEvent::Drain => {
@@ -207,6 +217,44 @@
         }
     }
 
+    /// Whether this node knows groups and VMs that it could route to.
+    fn knows_fleet(&self, now: Moment) -> bool {
+        !self.view.vms.is_empty() && self.fleet.groups(now).any(|group| group.epoch.0 > 0)
+    }
+
+    /// Asks a peer for groups and VMs while the platform has not told them.
+    fn ask_fleet(&mut self, now: Moment) {
+        let asked = self.view.fleet_asked;
+        let early = asked.is_some_and(|at| now.since(at) < FLEET_PERIOD);
+        if early || now < Moment::ZERO + FLEET_PERIOD || self.knows_fleet(now) {
+            return;
+        }
+        let peers = self.membership.peers(now);
+        self.view.fleet_asked = Some(now);
+        self.view.fleet_asks += 1;
+        if let Some(peer) = peers.get(self.view.fleet_asks % peers.len().max(1)) {
+            self.edges.ask_fleet(peer.address);
+        }
+    }
+
+    fn tell_fleet(&self, reply: &Sender<PeerReply>) {
+        let copy = FleetCopy {
+            rows: self.fleet.rows(),
+            vms: self.view.vms.clone(),
+        };
+        drop(reply.try_send(PeerReply::Fleet(copy.encode())));
+    }
+
+    fn learn_fleet(&mut self, now: Moment, copy: FleetCopy) {
+        if self.view.vms.is_empty() && !copy.vms.is_empty() {
+            self.view.vms.clone_from(&copy.vms);
+            self.fleet_event(now, FleetEvent::Vms(copy.vms));
+        }
+        if !copy.rows.is_empty() {
+            self.fleet_event(now, FleetEvent::PeerRows(copy.rows));
+        }
+    }
+
     fn is_service(&self, vm: tanagerhub_catalogue::VmId) -> bool {
         let listed = self.view.vms.iter().find(|listed| listed.id() == vm);
         listed.is_some_and(|listed| listed.service.is_some())
--- a/crates/tanagerhub/src/control/edges.rs
+++ b/crates/tanagerhub/src/control/edges.rs
@@ -24,6 +24,7 @@
 use tanagerhub_wire::platform::{ObjectName, Platform, PlatformError, ReadRows};
 
 use crate::control_event::ControlEvent;
+use crate::fleet_copy::FleetCopy;
 
 /// Rows of one page when all rows with a prefix are read.
 const PAGE_ROWS: u32 = 1_000;
@@ -88,13 +89,19 @@
 ) {
     while let Ok(event) = peers.recv().await {
         let event = match event {
-            PeerEvent::Beacon { from, beacon } => MembershipEvent::Beacon { from, beacon },
-            PeerEvent::Asked { request, reply } => MembershipEvent::Asked {
-                ask: asked.add(reply),
-                request,
-            },
+            PeerEvent::Beacon { from, beacon } => {
+                ControlEvent::Membership(MembershipEvent::Beacon { from, beacon })
+            }
+            PeerEvent::Asked {
+                request: PeerRequest::Fleet,
+                reply,
+            } => ControlEvent::FleetAsked(reply),
+            PeerEvent::Asked { request, reply } => {
+                let ask = asked.add(reply);
+                ControlEvent::Membership(MembershipEvent::Asked { ask, request })
+            }
         };
-        if events.send(ControlEvent::Membership(event)).await.is_err() {
+        if events.send(event).await.is_err() {
             return;
         }
     }
@@ -213,6 +220,18 @@
         });
     }
 
+    /// Asks a peer for the groups and VMs that it knows.
+    pub(crate) fn ask_fleet(&self, to: SocketAddr) {
+        let peers = self.peers.clone();
+        self.spawn(async move {
+            let copy = match peers.ask(to, &PeerRequest::Fleet, ASK_LIMIT).await {
+                Ok(PeerReply::Fleet(bytes)) => FleetCopy::decode(&bytes),
+                Ok(_) | Err(_) => None,
+            };
+            ControlEvent::FleetHeard(copy.unwrap_or_default())
+        });
+    }
+
     pub(crate) fn reply_peer(&self, ask: AskId, reply: PeerReply) {
         if let Some(waiting) = self.asked.take(ask) {
             drop(waiting.try_send(reply));
--- a/crates/tanagerhub/src/control/operations.rs
+++ b/crates/tanagerhub/src/control/operations.rs
@@ -192,6 +192,8 @@
             "the node shuts down".to_owned()
         } else if !freshness.is_fresh() {
             format!("the node's view is not fresh: {freshness:?}")
+        } else if self.view.vms.is_empty() {
+            "the node has no list of VMs yet".to_owned()
         } else {
             String::new()
         };
--- a/crates/tanagerhub/src/control_event.rs
+++ b/crates/tanagerhub/src/control_event.rs
@@ -3,10 +3,12 @@
 use async_channel::Sender;
 use tanagerhub_catalogue::Vm;
 use tanagerhub_fleet::FleetEvent;
-use tanagerhub_membership::MembershipEvent;
+use tanagerhub_membership::{MembershipEvent, PeerReply};
 use tanagerhub_traffic::Fact;
 use tanagerhub_wire::operators::{OperatorAnswer, OperatorCall, OperatorError};
 
+use crate::fleet_copy::FleetCopy;
+
 /// The answer to an operator's call.
 pub(crate) type OperatorReply = Result<OperatorAnswer, OperatorError>;
 
@@ -21,6 +23,10 @@
     Vms(Vec<Vm>),
     /// The platform's list of VMs could not be read.
     VmsFailed,
+    /// A peer that can't reach the platform asks for groups and VMs.
+    FleetAsked(Sender<PeerReply>),
+    /// A peer told the groups and VMs that it knows.
+    FleetHeard(FleetCopy),
     /// Facts that traffic noticed.
     TrafficFacts(Vec<Fact>),
     /// A call of an operator.
--- /dev/null
+++ b/crates/tanagerhub/src/fleet_copy.rs
@@ -0,0 +1,26 @@
+//! What a node tells a peer that can't reach the platform.
+
+use serde::{Deserialize, Serialize};
+use tanagerhub_catalogue::Vm;
+use tanagerhub_table::Row;
+
+/// The group rows and VMs that a node knows.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub(crate) struct FleetCopy {
+    /// Rows of groups.
+    pub(crate) rows: Vec<Row>,
+    /// The platform's list of VMs, as last read.
+    pub(crate) vms: Vec<Vm>,
+}
+
+impl FleetCopy {
+    /// Encodes the copy; empty when it can't be encoded.
+    pub(crate) fn encode(&self) -> Vec<u8> {
+        serde_json::to_vec(self).unwrap_or_default()
+    }
+
+    /// Decodes a peer's copy; `None` when it is malformed.
+    pub(crate) fn decode(bytes: &[u8]) -> Option<Self> {
+        serde_json::from_slice(bytes).ok()
+    }
+}
--- a/crates/tanagerhub/src/lib.rs
+++ b/crates/tanagerhub/src/lib.rs
@@ -8,6 +8,7 @@
 mod control;
 mod control_event;
 mod export;
+mod fleet_copy;
 mod metrics;
 mod node;
 mod node_settings;
--- a/crates/tanagerhub_membership/src/membership.rs
+++ b/crates/tanagerhub_membership/src/membership.rs
@@ -273,9 +273,7 @@
             }
             PeerRequest::Slots => PeerReply::Slots(self.slots.export()),
             PeerRequest::Ping(_) => PeerReply::Pong(self.identity.boot),
-            PeerRequest::Claims(_) | PeerRequest::Group(_) => {
-                PeerReply::Refused("not a request for membership".to_owned())
-            }
+            PeerRequest::Fleet => PeerReply::Refused("not a request for membership".to_owned()),
         };
         self.act(MembershipAction::Reply { ask, reply });
     }
--- a/crates/tanagerhub_membership/src/peer_message.rs
+++ b/crates/tanagerhub_membership/src/peer_message.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
-use tanagerhub_catalogue::{BootId, GroupId};
+use tanagerhub_catalogue::BootId;
 
 use crate::{ContentHash, SlotRow};
 
@@ -14,10 +14,8 @@
     Document(ContentHash),
     /// Asks for the node slots that the peer knows.
     Slots,
-    /// Claims of idempotency keys, encoded by the traffic side.
-    Claims(Vec<u8>),
-    /// Asks for the peer's view of a group, encoded by the fleet side.
-    Group(GroupId),
+    /// Asks for the groups and VMs that the peer knows, when the platform can't be reached.
+    Fleet,
     /// Asks whether the peer is there.
     Ping(BootId),
 }
@@ -29,10 +27,8 @@
     Document(Option<Arc<[u8]>>),
     /// The slots that the peer knows.
     Slots(Vec<SlotRow>),
-    /// Outcomes of claims, encoded by the traffic side.
-    Claims(Vec<u8>),
-    /// The view of a group, encoded by the fleet side.
-    Group(Vec<u8>),
+    /// The groups and VMs that the peer knows, encoded by the fleet side.
+    Fleet(Vec<u8>),
     /// The peer is there.
     Pong(BootId),
     /// The peer doesn't serve this request.
