--- a/crates/tanagerhub_wire/tests/peers.rs
+++ b/crates/tanagerhub_wire/tests/peers.rs
@@ -61,13 +61,18 @@
     assert!(done.is_some(), "{:?}", sender.counters());
 }
 
-/// Answers every request with its own content.
+/// A body of many frames.
+fn large() -> Vec<u8> {
+    vec![3; 1_000_000]
+}
+
+/// Answers requests for groups and VMs with a large body.
 fn echo(events: Receiver<PeerEvent>) {
     task::spawn(async move {
         while let Ok(event) = events.recv().await {
             if let PeerEvent::Asked { request, reply } = event {
                 let answer = match request {
-                    PeerRequest::Claims(body) => PeerReply::Claims(body),
+                    PeerRequest::Fleet => PeerReply::Fleet(large()),
                     _ => PeerReply::Pong(BootId(2)),
                 };
                 reply.send(answer).await.expect("the asker waits");
@@ -165,11 +170,9 @@
         let (one, _events) = node(1, KEY, Clock::real()).await;
         let (two, events) = node(2, KEY, Clock::real()).await;
         echo(events);
-        let body = vec![3; 1_000_000];
         for _ in 0..3 {
-            let request = PeerRequest::Claims(body.clone());
-            let reply = one.ask(two.address(), &request, WAIT).await;
-            assert_eq!(reply.expect("answered"), PeerReply::Claims(body.clone()));
+            let reply = one.ask(two.address(), &PeerRequest::Fleet, WAIT).await;
+            assert_eq!(reply.expect("answered"), PeerReply::Fleet(large()));
         }
         assert_eq!(one.counters().dials, 1);
     });
