--- a/crates/tanagerhub_daemon/src/bin/tanagerhubd.rs
+++ b/crates/tanagerhub_daemon/src/bin/tanagerhubd.rs
@@ -17,11 +17,20 @@
 #[global_allocator]
 static ALLOCATOR: MiMalloc = MiMalloc;
 
-/// The exit code for settings that can't be used.
+/// The exit code for flags and settings that can't be used.
 const USAGE: u8 = 2;
 
 fn main() -> ExitCode {
-    let flags = flags().run();
+    let flags = match flags().run_inner(bpaf::Args::current_args()) {
+        Ok(flags) => flags,
+        Err(failure) => {
+            failure.print_message(100);
+            return match failure {
+                bpaf::ParseFailure::Stderr(_) => ExitCode::from(USAGE),
+                _ => ExitCode::SUCCESS,
+            };
+        }
+    };
     let settings = match Settings::read(flags, |name| std::env::var(name).ok()) {
         Ok(settings) => settings,
         Err(refused) => {
--- a/crates/tanagerhub_daemon/tests/processes.rs
+++ b/crates/tanagerhub_daemon/tests/processes.rs
@@ -8,6 +8,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 use tanagerhub_clock::Clock;
 use tanagerhub_standins::{PlatformStandin, sample_catalogue};
+use yare::parameterized;
 
 const TOKEN: &str = "fedcba9876543210";
 /// Far beyond what a start takes; only keeps a fault from hanging the run.
@@ -124,14 +125,17 @@
     task::block_on(platform.stop());
 }
 
-#[test]
-fn daemon_wrong_settings() {
+#[parameterized(
+    setting = { &["--callers", "localhost:80"], "--callers is \"localhost:80\"" },
+    flag = { &["--caller", "10.0.0.5:80"], "--caller" },
+)]
+fn daemon_wrong_usage(args: &[&str], expected: &str) {
     let output = Command::new(env!("CARGO_BIN_EXE_tanagerhubd"))
         .env_clear()
-        .args(["--callers", "localhost:80"])
+        .args(args)
         .output()
         .unwrap();
     assert_eq!(output.status.code(), Some(2));
     let text = text(&output);
-    assert!(text.contains("--callers is \"localhost:80\""), "{text}");
+    assert!(text.contains(expected), "{text}");
 }
--- a/crates/tanagerhub_wire/src/backend/backend_client.rs
+++ b/crates/tanagerhub_wire/src/backend/backend_client.rs
@@ -69,8 +69,31 @@
         &self,
         address: SocketAddr,
         request: BackendRequest,
+    ) -> Result<BackendAnswer, BackendError> {
+        self.send_if(address, request, || true).await
+    }
+
+    /// Sends a request like [`Self::send`], if `may_send` holds once the connection is open.
+    ///
+    /// A process can be paused for long while it connects; what allowed the request may have
+    /// lapsed by then.
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`Self::send`], and with [`BackendError::NotSent`] when `may_send` does not hold.
+    pub async fn send_if(
+        &self,
+        address: SocketAddr,
+        request: BackendRequest,
+        may_send: impl Fn() -> bool,
     ) -> Result<BackendAnswer, BackendError> {
         let stream = self.connection(address, &request).await?;
+        if !may_send() {
+            return Err(BackendError::NotSent {
+                address,
+                reason: "it may no longer be sent".to_owned(),
+            });
+        }
         let mut link = Link {
             address,
             stream,
--- a/crates/tanagerhub_wire/tests/backend.rs
+++ b/crates/tanagerhub_wire/tests/backend.rs
@@ -268,3 +268,19 @@
         assert_eq!(client.idle(), 0);
     });
 }
+
+#[test]
+fn send_withdrawn_while_connecting() {
+    task::block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let error = client()
+            .send_if(address, get(), || false)
+            .await
+            .unwrap_err();
+        assert!(!error.may_have_run());
+        // The connection was open, and nothing was sent on it.
+        let (mut stream, _) = listener.accept().await.unwrap();
+        assert_eq!(stream.read(&mut [0]).await.unwrap(), 0);
+    });
+}
