--- /dev/null
+++ b/crates/tanagerhub_standins/src/bin/tanagerhub-demo.rs
@@ -0,0 +1,272 @@
+//! Shows the whole path on loopback, in one process.
+
+use std::process::ExitCode;
+use std::time::Duration;
+
+use anyhow::{Context as _, ensure};
+use async_std::task;
+use bpaf::Bpaf;
+use serde_json::Value;
+use tanagerhub_catalogue::Mark;
+use tanagerhub_clock::Clock;
+use tanagerhub_standins::{
+    ADVISOR, Checker, NodeSet, OPERATOR_TOKEN, Question, SAMPLE_KEY, SHOP_API, Site, SiteSettings,
+    Work, sample_catalogue, wait_until,
+};
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+/// The time after which a step has failed.
+const LIMIT: Duration = Duration::from_secs(30);
+/// The data centre that is taken out and brought back.
+const OUT: &str = "tbs-b";
+
+/// Runs stand-ins and several nodes in one process, and shows what the system does.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options, version)]
+struct Options {
+    /// Leave everything running, and print the addresses
+    keep: bool,
+    /// The number of nodes
+    #[bpaf(argument("NODES"), fallback(3), guard(|nodes| (3..=8).contains(nodes), "must be from 3 to 8"))]
+    nodes: usize,
+}
+
+fn main() -> ExitCode {
+    let options = options().run();
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("warn")).init();
+    match task::block_on(run(&options)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("the demo failed: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(options: &Options) -> anyhow::Result<()> {
+    let clock = Clock::real();
+    let site = SiteSettings::default().start(clock.clone()).await?;
+    println!(
+        "stand-ins: {} engines and {} services in 3 data centres",
+        site.engines.len(),
+        site.services.len()
+    );
+    let mut nodes = NodeSet::start(&site, options.nodes).await?;
+    println!("nodes:     {}", nodes.len());
+
+    let shown = show(&site, &nodes).await;
+    if shown.is_err() {
+        print_state(&nodes).await;
+    }
+    shown?;
+    if options.keep {
+        keep(&nodes).await;
+    }
+    nodes.kill_all().await;
+    Ok(())
+}
+
+async fn show(site: &Site, nodes: &NodeSet) -> anyhow::Result<()> {
+    apply(site, nodes).await?;
+    form_groups(site, nodes).await?;
+    stream(nodes).await?;
+    book_twice(site, nodes).await?;
+    take_out(site, nodes).await?;
+    bring_back(site, nodes).await?;
+    check(site)
+}
+
+/// Prints what each node says of itself, for one who looks for the fault.
+async fn print_state(nodes: &NodeSet) {
+    for operator in nodes.operators() {
+        let ready = operator.ready().await;
+        let state = operator.get("/debug/state").await.unwrap_or_default();
+        let node = operator.node();
+        eprintln!("node {node}: ready: {ready:?}, state: {state:#}");
+    }
+}
+
+async fn apply(site: &Site, nodes: &NodeSet) -> anyhow::Result<()> {
+    let operators = nodes.operators();
+    wait_until(&site.clock, "an operator is answered", LIMIT, async || {
+        operators[0].status().await.is_ok()
+    })
+    .await?;
+    let change = operators[0].apply(&sample_catalogue()).await?;
+    ensure!(
+        change.committed,
+        "the catalogue was not committed: {change:?}"
+    );
+    println!(
+        "catalogue: version {} applied, in force at every node: {}",
+        change.version, change.in_force
+    );
+    wait_until(&site.clock, "every node is ready", LIMIT, async || {
+        for operator in &operators {
+            if !operator.is_ready().await {
+                return false;
+            }
+        }
+        true
+    })
+    .await?;
+    Ok(())
+}
+
+async fn form_groups(site: &Site, nodes: &NodeSet) -> anyhow::Result<()> {
+    let operators = nodes.operators();
+    wait_until(
+        &site.clock,
+        "every model has its replicas at every node",
+        LIMIT,
+        async || {
+            for operator in &operators {
+                match operator.status().await {
+                    Ok(status) if all_served(&status) => {}
+                    _ => return false,
+                }
+            }
+            true
+        },
+    )
+    .await?;
+    let status = operators[0].status().await?;
+    for group in status["groups"].as_array().into_iter().flatten() {
+        println!(
+            "group:     {} {} in {}: {} {}",
+            text(&group["group"]),
+            text(&group["entry"]),
+            text(&group["data_centre"]),
+            text(&group["state"]),
+            group["members"],
+        );
+    }
+    Ok(())
+}
+
+/// Whether every entry has as many serving replicas as it must.
+fn all_served(status: &Value) -> bool {
+    let entries = status["entries"].as_array();
+    entries.is_some_and(|entries| {
+        !entries.is_empty()
+            && entries
+                .iter()
+                .all(|entry| entry["serving"].as_u64() >= entry["replicas_min"].as_u64())
+    })
+}
+
+fn text(value: &Value) -> &str {
+    value.as_str().unwrap_or("?")
+}
+
+async fn stream(nodes: &NodeSet) -> anyhow::Result<()> {
+    let question = Question::new("demo-chat", ADVISOR).tokens(24);
+    let reply = nodes.caller(1, SAMPLE_KEY).stream(&question).await?;
+    ensure!(reply.is_whole(), "the stream was not whole: {reply:?}");
+    println!(
+        "stream:    24 tokens through node 1, first after {:?}, all after {:?}",
+        reply.first, reply.total
+    );
+    Ok(())
+}
+
+async fn book_twice(site: &Site, nodes: &NodeSet) -> anyhow::Result<()> {
+    let key = Some("demo-booking-key");
+    for number in [1, 2] {
+        let caller = nodes.caller(number, SAMPLE_KEY);
+        let reply = caller.book(SHOP_API, "demo-booking", key).await?;
+        ensure!(reply.is_whole(), "the booking failed: {reply:?}");
+        println!(
+            "booking:   answered {} by node {number}",
+            reply.status.unwrap_or_default()
+        );
+    }
+    let work = Work("demo-booking".to_owned());
+    let runs = site
+        .services
+        .iter()
+        .map(|service| service.standin.bookings());
+    let runs: u32 = runs
+        .filter_map(|bookings| bookings.get(&work).copied())
+        .sum();
+    ensure!(runs == 1, "the booking ran {runs} times");
+    println!("booking:   sent twice with one key, ran once");
+    Ok(())
+}
+
+async fn take_out(site: &Site, nodes: &NodeSet) -> anyhow::Result<()> {
+    let change = nodes.operator(0).mark_data_centre(OUT, Mark::Out).await?;
+    println!(
+        "out:       {OUT} is out with version {}, in force: {}",
+        change.version, change.in_force
+    );
+    ask_everywhere(nodes, "out").await?;
+    wait_until(
+        &site.clock,
+        "no group serves in the data centre",
+        LIMIT,
+        async || matches!(serving_in(nodes, OUT).await, Ok(0)),
+    )
+    .await?;
+    println!("out:       no group serves in {OUT}; the others answer");
+    Ok(())
+}
+
+async fn bring_back(site: &Site, nodes: &NodeSet) -> anyhow::Result<()> {
+    let change = nodes.operator(2).mark_data_centre(OUT, Mark::In).await?;
+    println!(
+        "in:        {OUT} is back with version {}, in force: {}",
+        change.version, change.in_force
+    );
+    form_groups(site, nodes).await?;
+    ask_everywhere(nodes, "in").await
+}
+
+async fn ask_everywhere(nodes: &NodeSet, name: &str) -> anyhow::Result<()> {
+    for (number, caller) in nodes.callers(SAMPLE_KEY).into_iter().enumerate() {
+        let question = Question::new(format!("demo-{name}-{number}"), ADVISOR);
+        let reply = caller.chat(&question).await?;
+        ensure!(
+            reply.is_whole(),
+            "node {number} gave no whole answer: {reply:?}"
+        );
+    }
+    Ok(())
+}
+
+async fn serving_in(nodes: &NodeSet, name: &str) -> anyhow::Result<usize> {
+    let status = nodes.operator(0).status().await?;
+    let groups = status["groups"]
+        .as_array()
+        .context("the status lists no groups")?;
+    let serving = groups
+        .iter()
+        .filter(|group| group["data_centre"] == name && group["serving"] == true);
+    Ok(serving.count())
+}
+
+fn check(site: &Site) -> anyhow::Result<()> {
+    let log = site.recorder.log();
+    let violations = Checker::default().check(&log);
+    ensure!(
+        violations.is_empty(),
+        "promises were broken: {violations:?}"
+    );
+    println!("promises:  all ten hold over {} records", log.records.len());
+    Ok(())
+}
+
+async fn keep(nodes: &NodeSet) {
+    println!("keys:      callers \"{SAMPLE_KEY}\", operators \"{OPERATOR_TOKEN}\"");
+    for number in 0..nodes.len() {
+        println!(
+            "node {number}:    callers at {}, operators at {}",
+            nodes.address(number),
+            nodes.operator(number).node()
+        );
+    }
+    println!("running until it is interrupted");
+    futures_lite::future::pending::<()>().await;
+}
--- a/crates/tanagerhub_standins/src/engine_standin/engine.rs
+++ b/crates/tanagerhub_standins/src/engine_standin/engine.rs
@@ -338,6 +338,20 @@
         }
     }
 
+    /// Whether it takes requests as rank 0 of a group.
+    pub(super) fn serves(&self) -> bool {
+        let place = self.place.as_ref();
+        place.is_some_and(|place| place.rank == Rank(0) && place.ready.is_some() && !place.released)
+    }
+
+    /// The members of its group, by rank.
+    pub(super) fn members(&self) -> &[SocketAddr] {
+        self.place
+            .as_ref()
+            .map(|place| place.members.as_slice())
+            .unwrap_or_default()
+    }
+
     /// The members of the group, if this engine serves it.
     pub(super) fn members_of(&self, target: Target) -> Option<&[SocketAddr]> {
         let place = self.place.as_ref()?;
--- a/crates/tanagerhub_standins/src/engine_standin/fabric.rs
+++ b/crates/tanagerhub_standins/src/engine_standin/fabric.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use async_std::task;
-use tanagerhub_catalogue::{Epoch, GroupId};
+use tanagerhub_catalogue::{Epoch, GroupId, VmId};
 use tanagerhub_clock::{Clock, Moment};
 use tanagerhub_fleet::{MemberReport, Order, OrderAnswer};
 
@@ -78,6 +78,24 @@
         &self.0.recorder
     }
 
+    /// The VMs whose engines take requests now, in order of address.
+    #[must_use]
+    pub fn serving(&self) -> Vec<VmId> {
+        let engines = self.lock();
+        let serving = engines.values().filter(|engine| engine.serves());
+        serving.map(Engine::vm).collect()
+    }
+
+    /// The members of the group that this VM serves as rank 0, by rank.
+    #[must_use]
+    pub fn members(&self, first: VmId) -> Vec<VmId> {
+        let engines = self.lock();
+        let first = engines.values().find(|engine| engine.vm() == first);
+        let members = first.map(Engine::members).unwrap_or_default();
+        let vms = members.iter().filter_map(|member| engines.get(member));
+        vms.map(Engine::vm).collect()
+    }
+
     pub(super) fn add(&self, address: SocketAddr, settings: EngineSettings) {
         self.lock().insert(address, Engine::new(settings));
     }
--- a/crates/tanagerhub_standins/src/lib.rs
+++ b/crates/tanagerhub_standins/src/lib.rs
@@ -7,6 +7,7 @@
 mod checker;
 mod engine_standin;
 mod gate;
+mod node_set;
 mod operator;
 mod platform_standin;
 mod record;
@@ -16,11 +17,13 @@
 mod service_standin;
 mod site;
 mod violation;
+mod wait;
 mod weight_store;
 
 pub use caller::{Caller, Question, Reply, Unreachable};
 pub use checker::{Checker, CheckerLimits};
 pub use engine_standin::{CRASH_MARKER, EngineSettings, EngineStandin, Fabric, ModelApi, Prompt};
+pub use node_set::{NodeSet, NodeSetError, OPERATOR_TOKEN};
 pub use operator::{Change, Operator, OperatorFailure};
 pub use platform_standin::{PlatformCounts, PlatformStandin, RateLimits};
 pub use record::{Absence, Fact, Outcome, Place, Record, Started, StopCause, Verdict, Work};
@@ -31,4 +34,5 @@
 pub use service_standin::ServiceStandin;
 pub use site::{Backend, Site, SiteSettings};
 pub use violation::{Promise, Violation};
+pub use wait::{TooLate, wait_until};
 pub use weight_store::WeightStore;
--- /dev/null
+++ b/crates/tanagerhub_standins/src/node_set.rs
@@ -0,0 +1,223 @@
+//! Several nodes in one process, before a site of stand-ins.
+
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::net::{TcpListener, UdpSocket};
+use tanagerhub::{Addresses, Metrics, Node, NodeError, NodeSettings};
+use tanagerhub_clock::Clock;
+use tanagerhub_fleet::FleetSettings;
+use tanagerhub_wire::operators::OperatorToken;
+use tanagerhub_wire::peers::PeerKeyError;
+use tanagerhub_wire::platform::HttpPlatform;
+
+use crate::{Caller, DATA_CENTRES, Fact, Operator, REGION, Recorder, Site};
+
+/// Where nodes listen: apart from stand-ins and from outgoing connections.
+const LISTEN: Ipv4Addr = Ipv4Addr::new(127, 0, 0, 3);
+/// The key that the nodes share.
+const PEER_KEY: &str = "a peer key for loopback only";
+/// The token that the nodes' operators send.
+pub const OPERATOR_TOKEN: &str = "operator-token-for-loopback";
+
+/// Nodes of one region, each in a slot with fixed addresses.
+#[derive(Debug)]
+pub struct NodeSet {
+    slots: Vec<Slot>,
+    platform: SocketAddr,
+    recorder: Recorder,
+    clock: Clock,
+}
+
+/// One node's addresses, and the node while it runs.
+#[derive(Debug)]
+struct Slot {
+    settings: NodeSettings,
+    node: Option<Node>,
+}
+
+/// Why the nodes could not start.
+#[derive(Debug, thiserror::Error)]
+pub enum NodeSetError {
+    /// No port could be had.
+    #[error("no port can be had: {0}")]
+    Port(#[from] io::Error),
+    /// The shared key can't be used.
+    #[error(transparent)]
+    Key(#[from] PeerKeyError),
+    /// A node refused to start.
+    #[error(transparent)]
+    Node(#[from] NodeError),
+}
+
+impl NodeSet {
+    /// Starts `count` nodes, in turn in each of the data centres.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the first node that failed did not start.
+    pub async fn start(site: &Site, count: usize) -> Result<Self, NodeSetError> {
+        let mut slots = Vec::new();
+        for number in 0..count {
+            let data_centre = DATA_CENTRES[number % DATA_CENTRES.len()];
+            let settings = settings(data_centre).await?;
+            slots.push(Slot {
+                settings,
+                node: None,
+            });
+        }
+        let seeds: Vec<_> = slots.iter().map(|slot| slot.settings.peers).collect();
+        for slot in &mut slots {
+            slot.settings.seeds.clone_from(&seeds);
+        }
+        let mut set = Self {
+            slots,
+            platform: site.platform.address(),
+            recorder: site.recorder.clone(),
+            clock: site.clock.clone(),
+        };
+        for number in 0..count {
+            set.revive(number).await?;
+        }
+        Ok(set)
+    }
+
+    /// The number of slots.
+    #[must_use]
+    pub const fn len(&self) -> usize {
+        self.slots.len()
+    }
+
+    /// Whether there is no slot.
+    #[must_use]
+    pub const fn is_empty(&self) -> bool {
+        self.slots.is_empty()
+    }
+
+    /// Starts the node of a slot, unless it runs; it knows nothing of the one before.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it did not start.
+    pub async fn revive(&mut self, number: usize) -> Result<(), NodeSetError> {
+        let slot = &mut self.slots[number];
+        if slot.node.is_some() {
+            return Ok(());
+        }
+        let platform = HttpPlatform::new(self.platform, self.clock.clone());
+        let settings = slot.settings.clone();
+        let clock = self.clock.clone();
+        let node = Node::start(settings, Arc::new(platform), clock, Metrics::off()).await?;
+        slot.node = Some(node);
+        Ok(())
+    }
+
+    /// Stops a node gracefully, and waits for its end.
+    pub async fn stop(&mut self, number: usize) {
+        let slot = &mut self.slots[number];
+        if let Some(node) = slot.node.take() {
+            let address = slot.settings.callers;
+            self.recorder.note(Fact::Stopping { node: address });
+            node.stop().await;
+        }
+    }
+
+    /// Ends a node at once, as a crash would.
+    pub async fn kill(&mut self, number: usize) {
+        let slot = &mut self.slots[number];
+        if let Some(node) = slot.node.take() {
+            let address = slot.settings.callers;
+            self.recorder.note(Fact::Killed { node: address });
+            node.kill().await;
+        }
+    }
+
+    /// Ends all nodes at once.
+    pub async fn kill_all(&mut self) {
+        for number in 0..self.len() {
+            self.kill(number).await;
+        }
+    }
+
+    /// The node's address for callers.
+    #[must_use]
+    pub fn address(&self, number: usize) -> SocketAddr {
+        self.slots[number].settings.callers
+    }
+
+    /// A caller of one node.
+    #[must_use]
+    pub fn caller(&self, number: usize, key: &str) -> Caller {
+        let node = self.address(number);
+        Caller::new(node, key, self.recorder.clone(), self.clock.clone())
+    }
+
+    /// An operator at one node.
+    #[must_use]
+    pub fn operator(&self, number: usize) -> Operator {
+        let node = self.slots[number].settings.operators;
+        Operator::new(
+            node,
+            OPERATOR_TOKEN,
+            self.recorder.clone(),
+            self.clock.clone(),
+        )
+    }
+
+    /// Operators at all nodes.
+    #[must_use]
+    pub fn operators(&self) -> Vec<Operator> {
+        (0..self.len())
+            .map(|number| self.operator(number))
+            .collect()
+    }
+
+    /// Callers of all nodes.
+    #[must_use]
+    pub fn callers(&self, key: &str) -> Vec<Caller> {
+        (0..self.len())
+            .map(|number| self.caller(number, key))
+            .collect()
+    }
+}
+
+async fn settings(data_centre: &str) -> Result<NodeSettings, NodeSetError> {
+    /// Long enough for a balancer that asks every few hundred milliseconds.
+    const GRACE: Duration = Duration::from_millis(500);
+    let addresses = Addresses {
+        callers: free_port().await?,
+        operators: free_port().await?,
+        peers: free_port().await?,
+    };
+    let token = OperatorToken::new(OPERATOR_TOKEN);
+    let settings = NodeSettings::new(addresses, PEER_KEY.parse()?, token)
+        .place(REGION, data_centre)
+        .fleet(fleet())
+        .drain_grace(GRACE);
+    Ok(settings)
+}
+
+/// Timings that fit stand-ins, which load in a fraction of a second.
+///
+/// The age limit of attestations stays as it is: it is what the promises are built on.
+fn fleet() -> FleetSettings {
+    FleetSettings::default()
+        .read_every(Duration::from_secs(1))
+        .patience(Duration::from_secs(2))
+        .load_time(Duration::from_secs(1))
+        .takeover(Duration::from_secs(3))
+        .backoff_min(Duration::from_secs(2))
+}
+
+/// An address that is free for both TCP and UDP.
+async fn free_port() -> io::Result<SocketAddr> {
+    loop {
+        let listener = TcpListener::bind((LISTEN, 0)).await?;
+        let address = listener.local_addr()?;
+        if UdpSocket::bind(address).await.is_ok() {
+            return Ok(address);
+        }
+    }
+}
--- a/crates/tanagerhub_standins/src/operator.rs
+++ b/crates/tanagerhub_standins/src/operator.rs
@@ -72,10 +72,25 @@
         }
     }
 
+    /// The node's address for operators.
+    #[must_use]
+    pub const fn node(&self) -> SocketAddr {
+        self.node
+    }
+
     /// Whether the platform's balancer would send callers to the node.
     pub async fn is_ready(&self) -> bool {
+        self.ready().await.is_ok()
+    }
+
+    /// Asks whether the platform's balancer shall send callers to the node.
+    ///
+    /// # Errors
+    ///
+    /// Returns why not.
+    pub async fn ready(&self) -> Result<(), OperatorFailure> {
         let answer = self.send(Method::Get, "/ready", String::new()).await;
-        answer.is_ok()
+        answer.map(drop)
     }
 
     /// Applies a catalogue, and waits until it is in force.
--- /dev/null
+++ b/crates/tanagerhub_standins/tests/faults/harness.rs
@@ -0,0 +1,329 @@
+//! A site, its nodes and a load on them.
+
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
+use std::time::Duration;
+
+use async_std::task::{self, JoinHandle};
+use serde_json::Value;
+use tanagerhub_catalogue::VmId;
+use tanagerhub_clock::Clock;
+use tanagerhub_standins::{
+    ADVISOR, Caller, Checker, EngineStandin, Fact, NodeSet, Outcome, Question, Reply, SAMPLE_KEY,
+    SHOP_API, Site, SiteSettings, Started, Verdict, Work, sample_catalogue, wait_until,
+};
+
+/// A safety net: far longer than any step takes on a busy machine.
+pub const LIMIT: Duration = Duration::from_mins(1);
+/// Tests that run at the same time.
+const PARALLEL: u32 = 3;
+/// Nodes of a test.
+pub const NODES: usize = 3;
+
+static RUNNING: Mutex<u32> = Mutex::new(0);
+static ENDED: Condvar = Condvar::new();
+
+/// A test's turn; few run at the same time, so that each has a share of the machine.
+struct Turn;
+
+impl Turn {
+    fn take() -> Self {
+        let mut running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
+        while *running >= PARALLEL {
+            running = ENDED.wait(running).unwrap_or_else(PoisonError::into_inner);
+        }
+        *running += 1;
+        Self
+    }
+}
+
+impl Drop for Turn {
+    fn drop(&mut self) {
+        *RUNNING.lock().unwrap_or_else(PoisonError::into_inner) -= 1;
+        ENDED.notify_one();
+    }
+}
+
+/// A site with its nodes.
+pub struct World {
+    pub site: Site,
+    pub nodes: NodeSet,
+    names: AtomicU64,
+}
+
+/// Runs a test on a site whose catalogue is applied and whose groups serve.
+pub fn run(test: impl AsyncFnOnce(&mut World)) {
+    let _turn = Turn::take();
+    let _ = env_logger::builder().is_test(true).try_init();
+    task::block_on(async {
+        let mut world = World::start().await;
+        world.apply().await;
+        world.all_serve().await;
+        test(&mut world).await;
+        world.finish().await;
+    });
+}
+
+/// Runs a test on a site without a catalogue.
+pub fn run_empty(test: impl AsyncFnOnce(&mut World)) {
+    let _turn = Turn::take();
+    let _ = env_logger::builder().is_test(true).try_init();
+    task::block_on(async {
+        let mut world = World::start().await;
+        test(&mut world).await;
+        world.finish().await;
+    });
+}
+
+impl World {
+    async fn start() -> Self {
+        let site = SiteSettings::default().start(Clock::real()).await.unwrap();
+        let nodes = NodeSet::start(&site, NODES).await.unwrap();
+        Self {
+            site,
+            nodes,
+            names: AtomicU64::new(0),
+        }
+    }
+
+    /// Applies the sample catalogue once an operator is answered.
+    pub async fn apply(&self) {
+        let operator = self.nodes.operator(0);
+        self.until("the catalogue is in force", async || {
+            match operator.apply(&sample_catalogue()).await {
+                Ok(change) => change.in_force,
+                Err(_) => false,
+            }
+        })
+        .await;
+    }
+
+    /// Waits until every node sees the wanted replicas of all entries serve.
+    pub async fn all_serve(&self) {
+        let operators = self.nodes.operators();
+        self.until("every entry has its replicas at every node", async || {
+            for operator in &operators {
+                match operator.status().await {
+                    Ok(status) if is_served(&status) => {}
+                    _ => return false,
+                }
+            }
+            true
+        })
+        .await;
+    }
+
+    pub async fn until(&self, what: &str, holds: impl AsyncFn() -> bool) {
+        let waited = wait_until(&self.site.clock, what, LIMIT, holds).await;
+        if let Err(error) = waited {
+            panic!("{error}; status: {}", self.statuses().await);
+        }
+    }
+
+    async fn statuses(&self) -> Value {
+        let mut statuses = Vec::new();
+        for operator in self.nodes.operators() {
+            statuses.push(operator.status().await.unwrap_or_default());
+        }
+        Value::Array(statuses)
+    }
+
+    /// A name that no other request of this test has.
+    pub fn name(&self, kind: &str) -> String {
+        format!("{kind}-{}", self.names.fetch_add(1, Ordering::Relaxed))
+    }
+
+    pub fn question(&self, tokens: u32) -> Question {
+        Question::new(self.name("q"), ADVISOR).tokens(tokens)
+    }
+
+    pub fn caller(&self, node: usize) -> Caller {
+        self.nodes.caller(node, SAMPLE_KEY)
+    }
+
+    /// Starts a stream, and waits until an engine runs it.
+    pub async fn start_stream(&self, node: usize, tokens: u32) -> (Work, JoinHandle<Reply>) {
+        let question = self.question(tokens);
+        let work = question.work.clone();
+        let caller = self.caller(node);
+        let stream = task::spawn(async move { caller.stream(&question).await.unwrap() });
+        self.until("the stream runs", async || !self.starts(&work).is_empty())
+            .await;
+        (work, stream)
+    }
+
+    /// The starts of a request at engines, in order.
+    pub fn starts(&self, work: &Work) -> Vec<Started> {
+        let log = self.site.recorder.log();
+        let started = log
+            .records
+            .into_iter()
+            .filter_map(|record| match record.fact {
+                Fact::Started(started) if started.work == *work => Some(started),
+                _ => None,
+            });
+        started.collect()
+    }
+
+    /// The engines of the group that this VM serves as rank 0.
+    pub fn group(&self, first: VmId) -> Vec<&EngineStandin> {
+        let members = self.site.fabric.members(first);
+        members
+            .into_iter()
+            .filter_map(|vm| self.site.engine(vm))
+            .collect()
+    }
+
+    /// How often a booking ran.
+    pub fn runs(&self, id: &str) -> u32 {
+        let work = Work(id.to_owned());
+        let services = self.site.services.iter();
+        let bookings = services.map(|service| service.standin.bookings());
+        bookings
+            .filter_map(|bookings| bookings.get(&work).copied())
+            .sum()
+    }
+
+    /// Asks each node a few times, and wants whole answers.
+    pub async fn answers_everywhere(&self) {
+        for node in 0..self.nodes.len() {
+            for _ in 0..3 {
+                let reply = self.caller(node).chat(&self.question(4)).await.unwrap();
+                assert!(reply.is_whole(), "node {node}: {reply:?}");
+            }
+        }
+    }
+
+    /// Starts a steady load on all nodes that are ready.
+    pub fn load(&self, lanes: usize) -> Load {
+        let stop = Arc::new(AtomicBool::new(false));
+        let nodes: Vec<_> = (0..self.nodes.len())
+            .map(|node| (self.caller(node), self.nodes.operator(node)))
+            .collect();
+        let lanes = (0..lanes).map(|_| {
+            let lane = Lane {
+                nodes: nodes.clone(),
+                name: self.name("lane"),
+                stop: Arc::clone(&stop),
+                clock: self.site.clock.clone(),
+            };
+            task::spawn(lane.run())
+        });
+        Load {
+            lanes: lanes.collect(),
+            stop,
+        }
+    }
+
+    async fn finish(&mut self) {
+        for operator in self.nodes.operators() {
+            // A node that does not run states no version.
+            drop(operator.note_version().await);
+        }
+        self.nodes.kill_all().await;
+        let log = self.site.recorder.log();
+        assert_eq!(Checker::default().check(&log), []);
+        self.site.stop().await;
+    }
+}
+
+fn is_served(status: &Value) -> bool {
+    let entries = status["entries"].as_array();
+    entries.is_some_and(|entries| {
+        !entries.is_empty()
+            && entries
+                .iter()
+                .all(|entry| entry["serving"].as_u64() >= entry["replicas_min"].as_u64())
+    })
+}
+
+/// A steady load, until it is stopped.
+pub struct Load {
+    lanes: Vec<JoinHandle<Tally>>,
+    stop: Arc<AtomicBool>,
+}
+
+impl Load {
+    /// Lets what is in flight end, and counts.
+    pub async fn stop(self) -> Tally {
+        self.stop.store(true, Ordering::Relaxed);
+        let mut tally = Tally::default();
+        for lane in self.lanes {
+            tally.add(&lane.await);
+        }
+        println!("load: {tally:?}");
+        tally
+    }
+}
+
+/// How a load's requests ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Tally {
+    pub whole: u32,
+    pub not_run: u32,
+    pub refused: u32,
+    pub cut: u32,
+    pub lost: u32,
+}
+
+impl Tally {
+    fn count(&mut self, verdict: &Verdict) {
+        match verdict {
+            Verdict::Whole => self.whole += 1,
+            Verdict::Refused(Outcome::NotRun) => self.not_run += 1,
+            Verdict::Refused(_) => self.refused += 1,
+            Verdict::Cut | Verdict::Wrong => self.cut += 1,
+            Verdict::Lost => self.lost += 1,
+        }
+    }
+
+    const fn add(&mut self, other: &Self) {
+        self.whole += other.whole;
+        self.not_run += other.not_run;
+        self.refused += other.refused;
+        self.cut += other.cut;
+        self.lost += other.lost;
+    }
+}
+
+/// One caller that sends request after request.
+struct Lane {
+    nodes: Vec<(Caller, tanagerhub_standins::Operator)>,
+    name: String,
+    stop: Arc<AtomicBool>,
+    clock: Clock,
+}
+
+impl Lane {
+    /// The time between an answer and the next request.
+    const PAUSE: Duration = Duration::from_millis(10);
+
+    async fn run(self) -> Tally {
+        let mut tally = Tally::default();
+        let mut number = 0;
+        while !self.stop.load(Ordering::Relaxed) {
+            number += 1;
+            let (caller, operator) = &self.nodes[number % self.nodes.len()];
+            if operator.is_ready().await
+                && let Some(reply) = self.call(caller, number).await
+            {
+                tally.count(&reply.verdict);
+            }
+            self.clock.sleep(Self::PAUSE).await;
+        }
+        tally
+    }
+
+    /// Makes one call; a node that can't be reached counts as nothing.
+    async fn call(&self, caller: &Caller, number: usize) -> Option<Reply> {
+        let name = format!("{}-{number}", self.name);
+        let question = Question::new(name.clone(), ADVISOR);
+        let reply = match number % 4 {
+            0 => caller.book(SHOP_API, &name, Some(&name)).await,
+            1 => caller.items(SHOP_API, &name).await,
+            2 => caller.chat(&question).await,
+            _ => caller.stream(&question).await,
+        };
+        reply.ok()
+    }
+}
--- /dev/null
+++ b/crates/tanagerhub_standins/tests/faults/services.rs
@@ -0,0 +1,63 @@
+//! Work that may not be repeated.
+
+use tanagerhub_standins::{Outcome, SHOP_API, Verdict};
+
+use crate::harness::{NODES, run};
+
+#[test]
+fn book_same_key_everywhere() {
+    run(async |world| {
+        for node in 0..NODES {
+            let caller = world.caller(node);
+            let reply = caller.book(SHOP_API, "b-1", Some("key-1")).await.unwrap();
+            assert!(reply.is_whole(), "node {node}: {reply:?}");
+        }
+        assert_eq!(world.runs("b-1"), 1);
+    });
+}
+
+#[test]
+fn book_service_dies_after_running() {
+    run(async |world| {
+        for service in &world.site.services {
+            service.standin.die_after_running(1);
+        }
+        let first = world.caller(0).book(SHOP_API, "b-1", Some("key-1")).await;
+        let verdict = first.unwrap().verdict;
+        assert_ne!(verdict, Verdict::Whole);
+        assert_ne!(verdict, Verdict::Refused(Outcome::NotRun));
+        for node in 0..NODES {
+            let caller = world.caller(node);
+            let reply = caller.book(SHOP_API, "b-1", Some("key-1")).await.unwrap();
+            assert_ne!(reply.verdict, Verdict::Refused(Outcome::NotRun));
+        }
+        assert_eq!(world.runs("b-1"), 1);
+        for service in &world.site.services {
+            service.standin.die_after_running(0);
+        }
+    });
+}
+
+#[test]
+fn book_connections_silent() {
+    run(async |world| {
+        for number in 0..6 {
+            let id = world.name("warm");
+            let caller = world.caller(number % NODES);
+            let reply = caller.book(SHOP_API, &id, None).await.unwrap();
+            assert!(reply.is_whole(), "{reply:?}");
+        }
+        for service in &world.site.services {
+            service.standin.silence_open();
+        }
+        for number in 0..6 {
+            let id = world.name("silent");
+            let caller = world.caller(number % NODES);
+            let reply = caller.book(SHOP_API, &id, None).await.unwrap();
+            assert!(world.runs(&id) <= 1);
+            if reply.is_whole() {
+                assert_eq!(world.runs(&id), 1);
+            }
+        }
+    });
+}
