--- /dev/null
+++ b/crates/tanagerhub_traffic/benches/simulation/engine.rs
@@ -0,0 +1,148 @@
+//! A model engine as a queue: batches, a prefix cache, and faults.
+
+use std::collections::{HashSet, VecDeque};
+use std::time::Duration;
+
+/// Requests that an engine runs at once.
+pub const BATCH: usize = 16;
+/// Tokens computed per event.
+pub const CHUNK: u32 = 8;
+/// Tokens of a prefix block.
+const BLOCK_TOKENS: u32 = 64;
+/// Prefix blocks in an engine's cache, per half.
+const CACHE_HALF: usize = 1_500;
+/// Prompt tokens computed in a second.
+const PREFILL_RATE: f64 = 8_000.0;
+/// Time before the first token that no cache saves, in seconds.
+const PREFILL_FLOOR: f64 = 0.015;
+/// Time of a decoding step, in seconds.
+const STEP: f64 = 0.025;
+/// What each request in the batch adds to a step, in seconds.
+const STEP_PER_REQUEST: f64 = 0.001;
+
+/// One attempt at an engine.
+#[derive(Debug, Clone)]
+pub struct Job {
+    pub id: u64,
+    pub attempt: u64,
+    pub request: usize,
+    pub priority: u8,
+    pub blocks: Vec<u64>,
+    pub tokens: u32,
+    pub total: u32,
+}
+
+/// An engine, rank 0 of one group.
+#[derive(Debug, Default)]
+pub struct Engine {
+    pub running: Vec<Job>,
+    waiting: VecDeque<Job>,
+    pub dead: bool,
+    pub slowdown: f64,
+    /// Requests it bears in cold start; more crash it.
+    pub cold: Option<usize>,
+    prefilling: usize,
+    young: HashSet<u64>,
+    old: HashSet<u64>,
+    pub blocks_asked: u64,
+    pub blocks_hit: u64,
+}
+
+impl Engine {
+    pub fn new() -> Self {
+        Self {
+            slowdown: 1.0,
+            ..Self::default()
+        }
+    }
+
+    /// Adds a job; returns the jobs that start, each with the time of its first token.
+    pub fn add(&mut self, job: Job) -> Vec<(u64, Duration)> {
+        let at = self
+            .waiting
+            .partition_point(|it| it.priority <= job.priority);
+        self.waiting.insert(at, job);
+        self.start()
+    }
+
+    pub fn start(&mut self) -> Vec<(u64, Duration)> {
+        let mut started = Vec::new();
+        while self.running.len() < BATCH {
+            let Some(job) = self.waiting.pop_front() else {
+                break;
+            };
+            self.prefilling += 1;
+            started.push((job.id, self.prefill(&job)));
+            self.running.push(job);
+        }
+        started
+    }
+
+    fn prefill(&mut self, job: &Job) -> Duration {
+        let hit = job.blocks.iter().take_while(|it| self.holds(**it)).count();
+        self.blocks_asked += job.blocks.len() as u64;
+        self.blocks_hit += hit as u64;
+        for block in &job.blocks {
+            self.remember(*block);
+        }
+        let tokens = u32::try_from(job.blocks.len() - hit).unwrap() * BLOCK_TOKENS;
+        let alone = PREFILL_FLOOR + f64::from(tokens) / PREFILL_RATE;
+        let crowd = f64::from(u32::try_from(self.prefilling).unwrap());
+        Duration::from_secs_f64(alone * crowd.max(1.0) * self.slowdown)
+    }
+
+    fn holds(&self, block: u64) -> bool {
+        self.young.contains(&block) || self.old.contains(&block)
+    }
+
+    fn remember(&mut self, block: u64) {
+        if self.young.len() >= CACHE_HALF {
+            self.old = std::mem::take(&mut self.young);
+        }
+        self.young.insert(block);
+    }
+
+    /// Ends a job's prefill.
+    pub fn prefilled(&mut self) {
+        self.prefilling = self.prefilling.saturating_sub(1);
+    }
+
+    /// Time of the next tokens of a job, and their count.
+    pub fn chunk(&self, job: &Job) -> (u32, Duration) {
+        let count = CHUNK.min(job.total - job.tokens);
+        let crowd = f64::from(u32::try_from(self.running.len()).unwrap());
+        let step = (STEP + STEP_PER_REQUEST * crowd) * self.slowdown;
+        (count, Duration::from_secs_f64(step * f64::from(count)))
+    }
+
+    /// Takes out a job, wherever it is.
+    pub fn remove(&mut self, id: u64) -> Option<Job> {
+        if let Some(at) = self.running.iter().position(|job| job.id == id) {
+            return Some(self.running.swap_remove(at));
+        }
+        let at = self.waiting.iter().position(|job| job.id == id)?;
+        self.waiting.remove(at)
+    }
+
+    /// Requests that run and wait.
+    pub fn load(&self) -> (u32, u32) {
+        let count = |jobs: usize| u32::try_from(jobs).unwrap();
+        (count(self.running.len()), count(self.waiting.len()))
+    }
+
+    /// Whether a cold engine has more than it bears.
+    pub fn is_overrun(&self) -> bool {
+        self.cold
+            .is_some_and(|limit| self.running.len() + self.waiting.len() > limit)
+    }
+
+    /// Ends the engine; returns what it ran.
+    pub fn die(&mut self) -> Vec<Job> {
+        self.dead = true;
+        self.prefilling = 0;
+        self.young.clear();
+        self.old.clear();
+        let waiting = std::mem::take(&mut self.waiting);
+        self.running.drain(..).chain(waiting).collect()
+    }
+}
--- /dev/null
+++ b/crates/tanagerhub_traffic/benches/simulation/policy.rs
@@ -0,0 +1,200 @@
+//! The policy under test, and the baseline beside it.
+
+use std::collections::HashMap;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use slotmap::{Key, KeyData};
+use tanagerhub_catalogue::GroupId;
+use tanagerhub_clock::Moment;
+use tanagerhub_traffic::{
+    AttemptEvent, AttemptKey, Decision, Dispatch, Next, Outcome, Repeat, RequestInfo, RouteTable,
+    Traffic,
+};
+
+/// How a node decides.
+#[derive(Debug)]
+pub enum Policy {
+    /// The crate's decisions.
+    Tanagerhub(Box<Traffic>),
+    /// Random choice, retries without bound, no fairness.
+    Baseline(Baseline),
+}
+
+/// What the simulation carries out.
+#[derive(Debug, Clone, Copy)]
+pub enum Step {
+    /// Send to a group.
+    Send(Send),
+    /// Wait.
+    Wait,
+    /// Answer with an error; whether it says when to come back, and what it says of the outcome.
+    Error { retry_after: bool, outcome: Outcome },
+    /// Cancel another attempt.
+    Cancel(u64),
+    /// Nothing.
+    Nothing,
+}
+
+/// One attempt to send.
+#[derive(Debug, Clone, Copy)]
+pub struct Send {
+    pub attempt: u64,
+    pub group: GroupId,
+    pub priority: u8,
+    pub resume_at: u32,
+    pub first_byte_by: Moment,
+}
+
+/// Random choice, retries without bound, no fairness.
+#[derive(Debug)]
+pub struct Baseline {
+    random: ChaCha8Rng,
+    groups: Vec<GroupId>,
+    attempts: HashMap<u64, (RequestInfo, u32)>,
+    next: u64,
+}
+
+impl Baseline {
+    pub fn new(seed: u64) -> Self {
+        Self {
+            random: ChaCha8Rng::seed_from_u64(seed),
+            groups: Vec::new(),
+            attempts: HashMap::new(),
+            next: 0,
+        }
+    }
+
+    fn send(&mut self, info: RequestInfo, tokens: u32) -> Step {
+        if self.groups.is_empty() {
+            return Step::Error {
+                retry_after: false,
+                outcome: Outcome::NotRun,
+            };
+        }
+        self.next += 1;
+        let group = self.groups[self.random.random_range(0..self.groups.len())];
+        let first_byte_by = info.deadline;
+        self.attempts.insert(self.next, (info, tokens));
+        Step::Send(Send {
+            attempt: self.next,
+            group,
+            priority: 0,
+            resume_at: 0,
+            first_byte_by,
+        })
+    }
+
+    fn report(&mut self, attempt: u64, event: AttemptEvent) -> Step {
+        match event {
+            AttemptEvent::Token(count) => {
+                if let Some((_, tokens)) = self.attempts.get_mut(&attempt) {
+                    *tokens = count;
+                }
+                Step::Nothing
+            }
+            AttemptEvent::Finished { .. } => {
+                self.attempts.remove(&attempt);
+                Step::Nothing
+            }
+            AttemptEvent::ConnectFailed | AttemptEvent::Broke | AttemptEvent::TimedOut => {
+                let Some((info, tokens)) = self.attempts.remove(&attempt) else {
+                    return Step::Nothing;
+                };
+                // What a caller has seen of an answer can't be taken back.
+                if tokens > 0 {
+                    return Step::Error {
+                        retry_after: false,
+                        outcome: Outcome::Ran,
+                    };
+                }
+                self.send(info, 0)
+            }
+            _ => Step::Nothing,
+        }
+    }
+}
+
+impl Policy {
+    pub fn routes(&mut self, now: Moment, table: RouteTable) {
+        match self {
+            Self::Tanagerhub(traffic) => traffic.routes(now, table),
+            Self::Baseline(baseline) => {
+                let takes = table.routes.iter().filter(|route| route.takes_work());
+                baseline.groups = takes.map(|route| route.group).collect();
+            }
+        }
+    }
+
+    pub fn submit(&mut self, now: Moment, info: RequestInfo) -> Step {
+        match self {
+            Self::Tanagerhub(traffic) => of_decision(traffic.submit(now, info)),
+            Self::Baseline(baseline) => baseline.send(info, 0),
+        }
+    }
+
+    pub fn poll(&mut self, now: Moment) -> Vec<(usize, Step)> {
+        let Self::Tanagerhub(traffic) = self else {
+            return Vec::new();
+        };
+        let ready = traffic.poll(now).into_iter();
+        ready
+            .map(|(id, decision)| (usize::try_from(id.0).unwrap(), of_decision(decision)))
+            .collect()
+    }
+
+    pub fn next_wakeup(&self) -> Option<Moment> {
+        match self {
+            Self::Tanagerhub(traffic) => traffic.next_wakeup(),
+            Self::Baseline(_) => None,
+        }
+    }
+
+    pub fn report(&mut self, now: Moment, attempt: u64, event: AttemptEvent) -> Step {
+        let traffic = match self {
+            Self::Tanagerhub(traffic) => traffic,
+            Self::Baseline(baseline) => return baseline.report(attempt, event),
+        };
+        let key = AttemptKey::from(KeyData::from_ffi(attempt));
+        match traffic.report(now, key, event) {
+            Next::Continue | Next::Done => Step::Nothing,
+            Next::CancelOther(other) => Step::Cancel(other.data().as_ffi()),
+            Next::Retry(dispatch) => of_dispatch(&dispatch),
+            Next::Wait(_) => Step::Wait,
+            Next::Fail(refusal) => Step::Error {
+                retry_after: refusal.retry_after.is_some(),
+                outcome: refusal.outcome,
+            },
+        }
+    }
+}
+
+fn of_decision(decision: Decision) -> Step {
+    match decision {
+        Decision::Dispatch(dispatch) => of_dispatch(&dispatch),
+        Decision::Wait(_) => Step::Wait,
+        Decision::Refuse(refusal) => Step::Error {
+            retry_after: refusal.retry_after.is_some(),
+            outcome: refusal.outcome,
+        },
+    }
+}
+
+fn of_dispatch(dispatch: &Dispatch) -> Step {
+    Step::Send(Send {
+        attempt: dispatch.attempt.data().as_ffi(),
+        group: dispatch.group,
+        priority: dispatch.priority,
+        resume_at: dispatch.resume_at,
+        first_byte_by: dispatch.first_byte_by,
+    })
+}
+
+/// What may be done with a request again.
+pub const fn repeat_of(number: usize) -> Repeat {
+    if number % 10 == 9 {
+        Repeat::Never
+    } else {
+        Repeat::Resume
+    }
+}
