Traffic: retry in another data centre first

Cause: in a data centre lost without warning, retries met one dead group after another of the same centre until the attempt limit: 6 requests lost with outcome not-run. Retries now leave out data centres whose group failed the request, as long as another has room.

--- a/crates/tanagerhub_traffic/src/groups.rs
+++ b/crates/tanagerhub_traffic/src/groups.rs
@@ -57,6 +57,8 @@
     key: GroupKey,
     id: GroupId,
     load: f64,
+    /// Whether a group of the same data centre has failed the request.
+    distrusted: bool,
 }
 
 impl Groups {
@@ -149,9 +151,10 @@
             .map_or(&[][..], Vec::as_slice);
         for key in keys {
             let group = &self.arena[*key];
+            let centre = group.route.data_centre;
             let apart = !wish.suspect || group.suspects == 0;
             if apart && group.has_room(now, wish.limit, live) && !wish.tried.contains(key) {
-                let distance = if group.route.data_centre == self.home {
+                let distance = if centre == self.home {
                     0.0
                 } else {
                     REMOTE_LOAD
@@ -161,9 +164,21 @@
                     key: *key,
                     id: group.route.group,
                     load,
+                    distrusted: self.has_failed(centre, wish.tried),
                 });
             }
         }
+        // A data centre that failed the request may have failed as a whole.
+        if candidates.iter().any(|it| !it.distrusted) {
+            candidates.retain(|it| !it.distrusted);
+        }
+    }
+
+    fn has_failed(&self, centre: DataCentreId, tried: &[GroupKey]) -> bool {
+        tried
+            .iter()
+            .filter_map(|key| self.arena.get(*key))
+            .any(|group| group.route.data_centre == centre)
     }
 
     fn choose(
