Traffic: keep time for the answer when a request waits

Ruled out: engine priorities (one class). The reserve is now the usual high first byte plus the high time per token times the longest answer, or the high service time if that is less.

--- a/crates/tanagerhub_traffic/src/average.rs
+++ b/crates/tanagerhub_traffic/src/average.rs
@@ -4,18 +4,31 @@
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct Average {
     value: Option<f64>,
+    deviation: f64,
 }
 
 /// The weight of a new observation.
 const WEIGHT: f64 = 0.1;
 
+/// Mean deviations above the average that few observations exceed.
+const HIGH_DEVIATIONS: f64 = 3.0;
+
 impl Average {
     /// Takes in an observation.
     pub(crate) fn observe(&mut self, sample: f64) {
-        self.value = Some(match self.value {
-            Some(value) => value + WEIGHT * (sample - value),
-            None => sample,
-        });
+        let Some(value) = self.value else {
+            self.value = Some(sample);
+            return;
+        };
+        let error = sample - value;
+        self.value = Some(value + WEIGHT * error);
+        self.deviation += WEIGHT * (error.abs() - self.deviation);
+    }
+
+    /// A value that few observations exceed: the average and three mean deviations.
+    pub(crate) fn high(self) -> Option<f64> {
+        self.value
+            .map(|value| value + HIGH_DEVIATIONS * self.deviation)
     }
 
     /// The average, if anything was observed.
--- a/crates/tanagerhub_traffic/src/entry_state.rs
+++ b/crates/tanagerhub_traffic/src/entry_state.rs
@@ -20,6 +20,8 @@
     pub(crate) first_byte: Average,
     /// Seconds from dispatch to the end.
     pub(crate) service: Average,
+    /// Seconds between tokens.
+    pub(crate) token: Average,
     /// Requests dispatched and not ended.
     pub(crate) running: u32,
 }
@@ -36,6 +38,7 @@
             budget: RetryBudget::new(settings.retry_ratio, settings.retry_burst),
             first_byte: Average::default(),
             service: Average::default(),
+            token: Average::default(),
             running: 0,
         }
     }
@@ -56,9 +59,29 @@
     }
 
     /// When a waiting request could no longer be answered in time.
-    pub(crate) fn give_up_at(&self, now: Moment, deadline: Moment) -> Moment {
+    pub(crate) fn give_up_at(&self, now: Moment, deadline: Moment, tokens: u32) -> Moment {
         let left = deadline.since(now);
-        deadline.before(self.service_time().min(left / 2))
+        deadline.before(self.reserve(tokens).min(left / 2))
+    }
+
+    /// Time that an answer of at most this many tokens may take.
+    fn reserve(&self, tokens: u32) -> Duration {
+        let Some(longest) = self.service.high() else {
+            return Duration::ZERO;
+        };
+        let first = self.first_byte.high().unwrap_or(0.0);
+        let rest = self.token.high().map(|token| token * f64::from(tokens));
+        let seconds = rest.map_or(longest, |rest| (first + rest).min(longest));
+        Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+    }
+
+    /// Takes in a whole answer.
+    pub(crate) fn finished(&mut self, took: Duration, first: Duration, tokens: Option<u32>) {
+        self.service.observe(took.as_secs_f64());
+        if let Some(tokens) = tokens.filter(|it| *it > 1) {
+            let rest = took.saturating_sub(first).as_secs_f64();
+            self.token.observe(rest / f64::from(tokens - 1));
+        }
     }
 
     /// How long after dispatch a hedge is worth its cost.
--- a/crates/tanagerhub_traffic/src/in_flight.rs
+++ b/crates/tanagerhub_traffic/src/in_flight.rs
@@ -1,5 +1,7 @@
 //! Requests and attempts that this node holds.
 
+use std::time::Duration;
+
 use slotmap::new_key_type;
 use smallvec::SmallVec;
 use tanagerhub_clock::Moment;
@@ -65,6 +67,10 @@
     pub(crate) group: GroupKey,
     pub(crate) started: Moment,
     pub(crate) answered: bool,
+    /// Time to the first byte, once it has come.
+    pub(crate) waited: Duration,
+    /// Tokens that the caller had at its start.
+    pub(crate) resume_at: u32,
     /// Whether it counts among the group's suspects.
     pub(crate) suspect: bool,
     pub(crate) hedge: bool,
--- a/crates/tanagerhub_traffic/src/traffic/admission.rs
+++ b/crates/tanagerhub_traffic/src/traffic/admission.rs
@@ -65,7 +65,7 @@
         let weight = |id| self.weights.get(&id).copied().unwrap_or(1);
         let ahead = entry.queue.ahead(place.class, place.organisation, weight);
         let wait = entry.expected_wait(ahead);
-        let latest = entry.give_up_at(now, info.deadline);
+        let latest = entry.give_up_at(now, info.deadline, info.max_tokens);
         if now + wait <= latest {
             return Ok(());
         }
--- a/crates/tanagerhub_traffic/src/traffic/dispatch.rs
+++ b/crates/tanagerhub_traffic/src/traffic/dispatch.rs
@@ -1,6 +1,7 @@
 //! Sending a request to a group.
 
 use std::cmp::Reverse;
+use std::time::Duration;
 
 use tanagerhub_catalogue::Class;
 use tanagerhub_clock::Moment;
@@ -58,6 +59,8 @@
             group: choice.group,
             started: now,
             answered: false,
+            waited: Duration::ZERO,
+            resume_at: request.tokens,
             suspect,
             hedge,
         });
--- a/crates/tanagerhub_traffic/src/traffic/queueing.rs
+++ b/crates/tanagerhub_traffic/src/traffic/queueing.rs
@@ -64,6 +64,7 @@
         let share = self.share.share();
         let request = &self.requests[key];
         let (id, place) = (request.info.id, request.place);
+        let tokens = request.info.max_tokens;
         let Some(entry) = self.entries.get_mut(&request.info.entry) else {
             return Decision::Wait(now);
         };
@@ -76,7 +77,7 @@
         } else {
             None
         };
-        let until = entry.give_up_at(now, place.deadline);
+        let until = entry.give_up_at(now, place.deadline, tokens);
         let retry = entry.expected_wait(0.0).max(RETRY_FLOOR);
         self.requests[key].queued = Some(number);
         self.counters.queued += 1;
@@ -99,7 +100,8 @@
     pub(super) fn enqueue_again(&mut self, now: Moment, key: RequestKey) -> Option<Moment> {
         let request = self.requests.get_mut(key)?;
         let entry = self.entries.get_mut(&request.info.entry)?;
-        let until = entry.give_up_at(now, request.info.deadline);
+        let left = request.info.max_tokens.saturating_sub(request.tokens);
+        let until = entry.give_up_at(now, request.info.deadline, left);
         if until <= now {
             return None;
         }
--- a/crates/tanagerhub_traffic/src/traffic/reports.rs
+++ b/crates/tanagerhub_traffic/src/traffic/reports.rs
@@ -77,6 +77,7 @@
         }
         attempt.answered = true;
         let wait = now.since(attempt.started);
+        attempt.waited = wait;
         let (request, hedge) = (attempt.request, attempt.hedge);
         if let Some(group) = self.groups.arena.get_mut(attempt.group) {
             group.first_byte(now, wait);
@@ -160,7 +161,8 @@
         self.crashes.acquit(request.info.fingerprint);
         self.counters.finished += 1;
         if let Some(entry) = self.entries.get_mut(&request.info.entry) {
-            entry.service.observe(took.as_secs_f64());
+            let made = tokens.map(|tokens| tokens.saturating_sub(attempt.resume_at));
+            entry.finished(took, attempt.waited, made);
         }
         match next {
             Next::CancelOther(_) => next,
