Traffic: slowness counts like a full group

Cause: load was multiplied by slowness, so an idle straggler looked as good as a busy normal group. A batching engine's time hardly depends on its load, so what counts is the slowness itself: above twice the usual first byte, each multiple adds the entry's concurrency to the load.

--- a/crates/tanagerhub_traffic/src/groups.rs
+++ b/crates/tanagerhub_traffic/src/groups.rs
@@ -24,6 +24,9 @@
 /// Load, in requests, that a group in another data centre must be ahead by.
 const REMOTE_LOAD: f64 = 1.0;
 
+/// A group up to this many times slower than usual may just have had longer prompts.
+const SLOWNESS_NOISE: f64 = 2.0;
+
 /// What a request asks of a group.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Wish<'a> {
@@ -159,7 +162,8 @@
                 } else {
                     REMOTE_LOAD
                 };
-                let load = (group.load(now) + 1.0) * group.slowness(now, wish.usual) + distance;
+                let excess = (group.slowness(now, wish.usual) - SLOWNESS_NOISE).max(0.0);
+                let load = group.load(now) + 1.0 + excess * f64::from(wish.limit) + distance;
                 candidates.push(Candidate {
                     key: *key,
                     id: group.route.group,
