--- a/crates/tanagerhub_traffic/src/entry_state.rs
+++ b/crates/tanagerhub_traffic/src/entry_state.rs
@@ -65,7 +65,7 @@
     }
 
     /// Time that an answer of at most this many tokens may take.
-    fn reserve(&self, tokens: u32) -> Duration {
+    pub(crate) fn reserve(&self, tokens: u32) -> Duration {
         let Some(longest) = self.service.high() else {
             return Duration::ZERO;
         };
--- a/crates/tanagerhub_traffic/src/traffic.rs
+++ b/crates/tanagerhub_traffic/src/traffic.rs
@@ -106,6 +106,7 @@
 enum Timer {
     GiveUp(RequestKey, u64),
     Hedge(AttemptKey),
+    Pace(AttemptKey),
 }
 
 /// What traffic saw of a group, for control.
--- a/crates/tanagerhub_traffic/src/traffic/queueing.rs
+++ b/crates/tanagerhub_traffic/src/traffic/queueing.rs
@@ -121,7 +121,8 @@
             self.timers.pop();
             match timer {
                 Timer::GiveUp(key, number) => self.give_up(key, number),
-                Timer::Hedge(attempt) => self.hedge(now, attempt),
+                Timer::Hedge(attempt) if self.is_answered(attempt) => {}
+                Timer::Hedge(attempt) | Timer::Pace(attempt) => self.hedge(now, attempt),
             }
         }
     }
@@ -139,15 +140,16 @@
         self.refuse_waiter(key, refusal(Reason::DeadlinePassed, Some(RETRY_FLOOR)));
     }
 
-    /// Sends a second attempt if the first still has no answer and the budget allows it.
+    fn is_answered(&self, attempt: AttemptKey) -> bool {
+        self.attempts.get(attempt).is_some_and(|it| it.answered)
+    }
+
+    /// Sends a second attempt beside one that is late, if the budget allows it.
     fn hedge(&mut self, now: Moment, attempt: AttemptKey) {
         let Some(running) = self.attempts.get(attempt) else {
             return;
         };
         let (key, group) = (running.request, running.group);
-        if running.answered {
-            return;
-        }
         let Some(request) = self.requests.get_mut(key) else {
             return;
         };
