--- a/crates/tanagerhub_traffic/src/groups.rs
+++ b/crates/tanagerhub_traffic/src/groups.rs
@@ -24,6 +24,9 @@
 /// Load, in requests, that a group in another data centre must be ahead by.
 const REMOTE_LOAD: f64 = 1.0;
 
+/// A group up to this many times slower than usual may just have had longer prompts.
+const SLOWNESS_NOISE: f64 = 2.0;
+
 /// What a request asks of a group.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Wish<'a> {
@@ -57,6 +60,8 @@
     key: GroupKey,
     id: GroupId,
     load: f64,
+    /// Whether a group of the same data centre has failed the request.
+    distrusted: bool,
 }
 
 impl Groups {
@@ -149,21 +154,35 @@
             .map_or(&[][..], Vec::as_slice);
         for key in keys {
             let group = &self.arena[*key];
+            let centre = group.route.data_centre;
             let apart = !wish.suspect || group.suspects == 0;
             if apart && group.has_room(now, wish.limit, live) && !wish.tried.contains(key) {
-                let distance = if group.route.data_centre == self.home {
+                let distance = if centre == self.home {
                     0.0
                 } else {
                     REMOTE_LOAD
                 };
-                let load = (group.load(now) + 1.0) * group.slowness(now, wish.usual) + distance;
+                let excess = (group.slowness(now, wish.usual) - SLOWNESS_NOISE).max(0.0);
+                let load = group.load(now) + 1.0 + excess * f64::from(wish.limit) + distance;
                 candidates.push(Candidate {
                     key: *key,
                     id: group.route.group,
                     load,
+                    distrusted: self.has_failed(centre, wish.tried),
                 });
             }
         }
+        // A data centre that failed the request may have failed as a whole.
+        if candidates.iter().any(|it| !it.distrusted) {
+            candidates.retain(|it| !it.distrusted);
+        }
+    }
+
+    fn has_failed(&self, centre: DataCentreId, tried: &[GroupKey]) -> bool {
+        tried
+            .iter()
+            .filter_map(|key| self.arena.get(*key))
+            .any(|group| group.route.data_centre == centre)
     }
 
     fn choose(
--- a/crates/tanagerhub_traffic/src/traffic/queueing.rs
+++ b/crates/tanagerhub_traffic/src/traffic/queueing.rs
@@ -64,6 +64,7 @@
         let share = self.share.share();
         let request = &self.requests[key];
         let (id, place) = (request.info.id, request.place);
+        let tokens = request.info.max_tokens;
         let Some(entry) = self.entries.get_mut(&request.info.entry) else {
             return Decision::Wait(now);
         };
@@ -76,7 +77,7 @@
         } else {
             None
         };
-        let until = entry.give_up_at(now, place.deadline);
+        let until = entry.give_up_at(now, place.deadline, tokens);
         let retry = entry.expected_wait(0.0).max(RETRY_FLOOR);
         self.requests[key].queued = Some(number);
         self.counters.queued += 1;
@@ -99,7 +100,8 @@
     pub(super) fn enqueue_again(&mut self, now: Moment, key: RequestKey) -> Option<Moment> {
         let request = self.requests.get_mut(key)?;
         let entry = self.entries.get_mut(&request.info.entry)?;
-        let until = entry.give_up_at(now, request.info.deadline);
+        let left = request.info.max_tokens.saturating_sub(request.tokens);
+        let until = entry.give_up_at(now, request.info.deadline, left);
         if until <= now {
             return None;
         }
@@ -119,7 +121,8 @@
             self.timers.pop();
             match timer {
                 Timer::GiveUp(key, number) => self.give_up(key, number),
-                Timer::Hedge(attempt) => self.hedge(now, attempt),
+                Timer::Hedge(attempt) if self.is_answered(attempt) => {}
+                Timer::Hedge(attempt) | Timer::Pace(attempt) => self.hedge(now, attempt),
             }
         }
     }
@@ -137,15 +140,16 @@
         self.refuse_waiter(key, refusal(Reason::DeadlinePassed, Some(RETRY_FLOOR)));
     }
 
-    /// Sends a second attempt if the first still has no answer and the budget allows it.
+    fn is_answered(&self, attempt: AttemptKey) -> bool {
+        self.attempts.get(attempt).is_some_and(|it| it.answered)
+    }
+
+    /// Sends a second attempt beside one that is late, if the budget allows it.
     fn hedge(&mut self, now: Moment, attempt: AttemptKey) {
         let Some(running) = self.attempts.get(attempt) else {
             return;
         };
         let (key, group) = (running.request, running.group);
-        if running.answered {
-            return;
-        }
         let Some(request) = self.requests.get_mut(key) else {
             return;
         };
