--- a/crates/tanagerhub_fleet/tests/orders.rs
+++ b/crates/tanagerhub_fleet/tests/orders.rs
@@ -150,7 +150,8 @@
 
 #[test]
 fn member_in_a_newer_group_is_left_alone() {
-    let mut world = formed(false);
+    let mut world = World::new(1, domains(1, 4), models(&[("advisor", 4, 1, 1)]));
+    world.run_until(FORMED, |world| world.serving(0) == 1);
     let row = world.first().1;
     // This node reads nothing more, while a newer epoch is given out.
     world.nodes[0].store_cut = true;
@@ -160,7 +161,7 @@
     for vm in &row.members {
         world.engine(*vm).epoch = epoch;
     }
-    world.checking = false;
     world.run(10 * SECOND);
     assert_eq!(world.nodes[0].fleet.counters().orders, orders);
+    assert_eq!(world.eligible(0), 0);
 }
--- a/crates/tanagerhub_fleet/tests/store.rs
+++ b/crates/tanagerhub_fleet/tests/store.rs
@@ -139,6 +139,27 @@
     assert!(conflicts > 0);
 }
 
+#[test]
+fn deciders_that_want_the_same_vms_for_two_entries() {
+    let mut world = World::new(2, domains(1, 4), models(&[("a", 4, 1, 1), ("b", 4, 1, 1)]));
+    for place in 0..2 {
+        let mut catalogue = world.catalogue.clone();
+        catalogue.entries.remove(place);
+        let catalogue = std::sync::Arc::new(catalogue);
+        world.give(place, FleetEvent::Catalogue(catalogue));
+        let node = &world.nodes[place];
+        let peer = tanagerhub_fleet::Peer {
+            node: node.id,
+            data_centre: node.data_centre,
+        };
+        world.give(place, FleetEvent::Peers(vec![peer]));
+    }
+    world.run(SECOND);
+    assert_eq!(world.table.groups().len(), 1);
+    let counters = |place: usize| *world.nodes[place].fleet.counters();
+    assert_eq!(counters(0).conflicts + counters(1).conflicts, 1);
+}
+
 #[test]
 fn planner_cut_off_from_the_table_is_replaced() {
     let mut world = new_world(3);
--- a/crates/tanagerhub_fleet/tests/wholeness.rs
+++ b/crates/tanagerhub_fleet/tests/wholeness.rs
@@ -7,7 +7,8 @@
 
 use tanagerhub_catalogue::{BootId, GroupId, VmId};
 use tanagerhub_fleet::{FleetEvent, NotServing, Phase};
-use world::{SECOND, Up, World, domains, models};
+use world::{Engine, SECOND, Up, World, domains, models};
+use yare::parameterized;
 
 const FORMED: Duration = Duration::from_secs(140);
 
@@ -112,6 +113,25 @@
     );
 }
 
+#[parameterized(
+    group = { |engine: &mut Engine| engine.group = Some(GroupId(1)) },
+    no_group = { |engine: &mut Engine| engine.group = None },
+    rank = { |engine: &mut Engine| engine.rank.0 += 1 },
+    epoch = { |engine: &mut Engine| engine.epoch.0 -= 1 },
+)]
+fn member_in_another_place_is_missing(change: fn(&mut Engine)) {
+    let mut world = formed(1);
+    let (id, vm) = member(&world);
+    world.hold_orders = true;
+    change(world.engine(vm));
+    world.run(Duration::from_millis(2_250));
+    assert!(nowhere(&world, id));
+    // Read back and ordered again, it returns without loading anew.
+    world.hold_orders = false;
+    world.run(5 * SECOND);
+    assert_eq!(world.serving(0), 3);
+}
+
 #[test]
 fn member_straggler_counts_as_missing() {
     let mut world = formed(1);
