--- a/crates/tanagerhub_membership/src/attestations.rs
+++ b/crates/tanagerhub_membership/src/attestations.rs
@@ -5,11 +5,11 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use tanagerhub_catalogue::{Epoch, GroupId};
+use tanagerhub_catalogue::{Epoch, GroupId, Health};
 use tanagerhub_clock::Moment;
 use xxhash_rust::xxh3::Xxh3;
 
-use crate::Short;
+use crate::AttestedAge;
 
 /// How long a group stays in the directory after it was last seen whole.
 const DIRECTORY_LIFE: Duration = Duration::from_secs(30);
@@ -22,9 +22,17 @@
 
 /// When a group was last seen whole.
 #[derive(Debug, Clone, Copy)]
-struct Attestation {
-    epoch: Epoch,
-    at: Moment,
+pub(crate) struct Attestation {
+    pub(crate) epoch: Epoch,
+    pub(crate) health: Health,
+    pub(crate) at: Moment,
+}
+
+impl Attestation {
+    /// Its age and health as they travel.
+    fn aged(&self, now: Moment) -> AttestedAge {
+        AttestedAge::new(now.since(self.at), self.health)
+    }
 }
 
 /// Two bytes of the hash of each bucket.
@@ -50,9 +58,9 @@
     /// The hash over those buckets.
     check: u64,
     /// One age per group of those buckets, in order.
-    ages: Vec<Short>,
+    ages: Vec<AttestedAge>,
     /// Groups of other buckets in full, a different part each time.
-    listed: Vec<(GroupId, Epoch, Short)>,
+    listed: Vec<(GroupId, Epoch, AttestedAge)>,
 }
 
 /// The groups that were seen whole of late.
@@ -65,13 +73,13 @@
 
 impl Attestations {
     /// Notes that a group was whole at a moment; says whether that is news.
-    pub(crate) fn learn(&mut self, group: GroupId, epoch: Epoch, at: Moment) -> bool {
+    pub(crate) fn learn(&mut self, group: GroupId, new: Attestation) -> bool {
         let old = self.known.get(&group).copied();
-        if old.is_some_and(|old| (old.epoch, old.at) >= (epoch, at)) {
+        if old.is_some_and(|old| (old.epoch, old.at) >= (new.epoch, new.at)) {
             return false;
         }
-        self.known.insert(group, Attestation { epoch, at });
-        if old.is_none_or(|old| old.epoch != epoch) {
+        self.known.insert(group, new);
+        if old.is_none_or(|old| old.epoch != new.epoch) {
             self.rehash(bucket_of(group));
         }
         true
@@ -91,15 +99,9 @@
         self.known.len()
     }
 
-    /// Each group with its epoch and when it was last whole.
-    pub(crate) fn iter(&self) -> impl Iterator<Item = (GroupId, Epoch, Moment)> + '_ {
-        let known = self.known.iter();
-        known.map(|(group, known)| (*group, known.epoch, known.at))
-    }
-
-    /// When a group was last whole.
-    pub(crate) fn seen(&self, group: GroupId) -> Option<Moment> {
-        self.known.get(&group).map(|known| known.at)
+    /// Each group with its last attestation.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (GroupId, Attestation)> + '_ {
+        self.known.iter().map(|(group, known)| (*group, *known))
     }
 
     /// What tells two directories apart, up to chance.
@@ -121,9 +123,7 @@
         AttestedPart {
             agreed,
             check: self.check(agreed),
-            ages: ages
-                .map(|(_, known)| Short::of(now.since(known.at)))
-                .collect(),
+            ages: ages.map(|(_, known)| known.aged(now)).collect(),
             listed: self.listed(agreed, now),
         }
     }
@@ -134,7 +134,7 @@
         part: &AttestedPart,
         transit: Duration,
         now: Moment,
-    ) -> Vec<(GroupId, Epoch)> {
+    ) -> Vec<(GroupId, Attestation)> {
         let mut heard = part.listed.clone();
         if self.check(part.agreed) == part.check {
             let groups = self.agreed(part.agreed).zip(&part.ages);
@@ -142,11 +142,13 @@
         }
         let mut news = Vec::new();
         for (group, epoch, age) in heard {
-            let Some(age) = age.span() else {
+            let Some((age, health)) = age.open() else {
                 continue;
             };
-            if self.learn(group, epoch, now.before(age + transit)) {
-                news.push((group, epoch));
+            let at = now.before(age + transit);
+            let new = Attestation { epoch, health, at };
+            if self.learn(group, new) {
+                news.push((group, new));
             }
         }
         news
@@ -159,7 +161,7 @@
     }
 
     /// Groups of the other buckets, from where the last list ended.
-    fn listed(&mut self, agreed: u16, now: Moment) -> Vec<(GroupId, Epoch, Short)> {
+    fn listed(&mut self, agreed: u16, now: Moment) -> Vec<(GroupId, Epoch, AttestedAge)> {
         let start = self.cursor.unwrap_or_default();
         let after = self
             .known
@@ -168,8 +170,8 @@
         let before = self.known.range(..=start);
         let open = after.chain(before);
         let open = open.filter(|(group, _)| agreed & 1 << bucket_of(**group) == 0);
-        let aged = open.map(|(group, known)| (*group, known.epoch, Short::of(now.since(known.at))));
-        let recent = aged.filter(|(_, _, age)| *age != Short::UNKNOWN);
+        let aged = open.map(|(group, known)| (*group, known.epoch, known.aged(now)));
+        let recent = aged.filter(|(_, _, age)| age.open().is_some());
         let listed: Vec<_> = recent.take(MAX_LISTED).collect();
         self.cursor = listed.last().map(|(group, _, _)| *group);
         listed
--- a/crates/tanagerhub_membership/src/shared_facts.rs
+++ b/crates/tanagerhub_membership/src/shared_facts.rs
@@ -4,9 +4,10 @@
 use std::ops::Bound;
 use std::time::Duration;
 
+use tanagerhub_catalogue::GroupId;
 use tanagerhub_clock::Moment;
 
-use crate::attestations::Attestations;
+use crate::attestations::{Attestation, Attestations};
 use crate::{AgedFact, AttestedPart, DirectoryDigest, Fact, FactBatch, FactKey, WireFact};
 
 /// The most facts of each sort that are kept; new ones are dropped until others expire.
@@ -29,12 +30,12 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// use tanagerhub_catalogue::{Epoch, GroupId};
+/// use tanagerhub_catalogue::{Epoch, GroupId, Health};
 /// use tanagerhub_clock::Moment;
 /// use tanagerhub_membership::{AgedFact, Fact, SharedFacts};
 ///
 /// let mut facts = SharedFacts::default();
-/// let fact = Fact::Attested { group: GroupId(5), epoch: Epoch(1) };
+/// let fact = Fact::Attested { group: GroupId(5), epoch: Epoch(1), health: Health::Warm };
 /// facts.learn(AgedFact { fact, age: Duration::ZERO }, Moment::ZERO);
 /// let later = Moment::from_millis(300);
 /// let known: Vec<_> = facts.aged(later).collect();
@@ -54,9 +55,17 @@
             return false;
         }
         let at = now.before(aged.age);
-        if let Fact::Attested { group, epoch } = aged.fact {
+        if let Fact::Attested {
+            group,
+            epoch,
+            health,
+        } = aged.fact
+        {
             let room = self.attested.len() < MAX_FACTS;
-            return room && self.attested.learn(group, epoch, at);
+            return room
+                && self
+                    .attested
+                    .learn(group, Attestation { epoch, health, at });
         }
         let key = aged.fact.key();
         let new = Known {
@@ -94,9 +103,9 @@
 
     /// Every fact with its age, without those older than their life.
     pub fn aged(&self, now: Moment) -> impl Iterator<Item = AgedFact> + '_ {
-        let attested = self.attested.iter().map(|(group, epoch, at)| Known {
-            fact: Fact::Attested { group, epoch },
-            at,
+        let attested = self.attested.iter().map(|(group, seen)| Known {
+            fact: fact_of(group, &seen),
+            at: seen.at,
         });
         let known = attested.chain(self.others.values().copied());
         let aged = known.map(move |known| AgedFact {
@@ -139,11 +148,9 @@
                 news.push(aged);
             }
         }
-        let facts = groups.into_iter().filter_map(|(group, epoch)| {
-            let at = self.attested.seen(group)?;
-            let fact = Fact::Attested { group, epoch };
-            let age = now.since(at);
-            Some(AgedFact { fact, age })
+        let facts = groups.iter().map(|(group, seen)| AgedFact {
+            fact: fact_of(*group, seen),
+            age: now.since(seen.at),
         });
         news.extend(facts);
         news
@@ -163,3 +170,11 @@
         window.iter().map(item).collect()
     }
 }
+
+const fn fact_of(group: GroupId, seen: &Attestation) -> Fact {
+    Fact::Attested {
+        group,
+        epoch: seen.epoch,
+        health: seen.health,
+    }
+}
--- a/crates/tanagerhub_membership/tests/nodes/measure.rs
+++ b/crates/tanagerhub_membership/tests/nodes/measure.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use tanagerhub_catalogue::{Epoch, GroupId};
+use tanagerhub_catalogue::{Epoch, GroupId, Health};
 use tanagerhub_clock::Moment;
 use tanagerhub_membership::{AgedFact, Fact, FactKey, MembershipEvent};
 
@@ -147,6 +147,7 @@
     let fact = Fact::Attested {
         group: GroupId((group + 1).wrapping_mul(0x9E37_79B9_7F4A_7C15)),
         epoch: Epoch(3),
+        health: Health::Warm,
     };
     let age = Duration::ZERO;
     let event = MembershipEvent::LocalFacts(vec![AgedFact { fact, age }]);
