--- a/crates/tanagerhub_membership/tests/nodes/failures.rs
+++ b/crates/tanagerhub_membership/tests/nodes/failures.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use tanagerhub_catalogue::{CatalogueVersion, Epoch, GroupId, NodeId};
+use tanagerhub_catalogue::{CatalogueVersion, Epoch, GroupId, Health, NodeId};
 use tanagerhub_clock::Moment;
 use tanagerhub_membership::{
     AgedFact, Beacon, BeaconBody, Confirmer, DirectoryDigest, Fact, Freshness, MembershipAction,
@@ -359,6 +359,7 @@
     let fact = Fact::Attested {
         group: GroupId(77),
         epoch: Epoch(1),
+        health: Health::Warm,
     };
     let age = Duration::ZERO;
     let event = MembershipEvent::LocalFacts(vec![AgedFact { fact, age }]);
