--- a/crates/tanagerhub_fleet/tests/store.rs
+++ b/crates/tanagerhub_fleet/tests/store.rs
@@ -28,6 +28,9 @@
     world.table.lose = 5;
     world.run_until(2 * FORMED, |world| world.serving(0) == 3);
     assert_eq!(world.table.groups().len(), 3);
+    // Each is read back and recognised, so that none is formed twice.
+    let formed = |node: &world::Node| node.fleet.counters().formed;
+    assert_eq!(world.nodes.iter().map(formed).sum::<u64>(), 3);
 }
 
 #[test]
@@ -139,14 +142,11 @@
     assert!(conflicts > 0);
 }
 
-#[test]
-fn deciders_that_want_the_same_vms_for_two_entries() {
+/// Two nodes that know nothing of each other, and of one domain that fits one group.
+fn rivals() -> World {
     let mut world = World::new(2, domains(1, 4), models(&[("a", 4, 1, 1), ("b", 4, 1, 1)]));
     for place in 0..2 {
-        let mut catalogue = world.catalogue.clone();
-        catalogue.entries.remove(place);
-        let catalogue = std::sync::Arc::new(catalogue);
-        world.give(place, FleetEvent::Catalogue(catalogue));
+        world.give(place, FleetEvent::Catalogue(std::sync::Arc::default()));
         let node = &world.nodes[place];
         let peer = tanagerhub_fleet::Peer {
             node: node.id,
@@ -154,10 +154,70 @@
         };
         world.give(place, FleetEvent::Peers(vec![peer]));
     }
-    world.run(SECOND);
-    assert_eq!(world.table.groups().len(), 1);
-    let counters = |place: usize| *world.nodes[place].fleet.counters();
-    assert_eq!(counters(0).conflicts + counters(1).conflicts, 1);
+    world
+}
+
+/// Lets one node serve one entry, or none.
+fn want(world: &mut World, place: usize, entry: Option<usize>) {
+    let mut catalogue = world.catalogue.clone();
+    catalogue.version = catalogue.version.next();
+    world.catalogue.version = catalogue.version;
+    let kept = entry.map(|entry| catalogue.entries[entry].clone());
+    catalogue.entries = kept.into_iter().collect();
+    world.give(place, FleetEvent::Catalogue(std::sync::Arc::new(catalogue)));
+}
+
+fn conflicts(world: &World) -> u64 {
+    let nodes = world.nodes.iter();
+    nodes.map(|node| node.fleet.counters().conflicts).sum()
+}
+
+#[test]
+fn deciders_that_want_the_same_vms_at_once() {
+    let mut world = rivals();
+    for round in 1..=3 {
+        // Both wake from a pause, so that both plan at the same tick.
+        for place in 0..2 {
+            world.pause_node(place);
+        }
+        world.run(2 * SECOND);
+        for place in 0..2 {
+            world.wake_node(place);
+        }
+        want(&mut world, 0, Some(0));
+        want(&mut world, 1, Some(1));
+        world.run_until(10 * SECOND, |world| !world.table.groups().is_empty());
+        world.run(SECOND);
+        assert_eq!(world.table.groups().len(), 1);
+        assert_eq!(conflicts(&world), round);
+        want(&mut world, 0, None);
+        want(&mut world, 1, None);
+        world.run_until(FORMED, |world| world.table.groups().is_empty());
+        world.run(20 * SECOND);
+    }
+}
+
+#[test]
+fn vm_taken_by_an_unknown_group_is_not_enlisted() {
+    let mut world = new_world(1);
+    let taken: Vec<VmId> = world.vms.iter().take(20).map(Vm::id).collect();
+    for vm in &taken {
+        world.table.put(
+            tanagerhub_fleet::rows::vm_key(*vm),
+            &tanagerhub_fleet::rows::VmRow {
+                epoch: tanagerhub_catalogue::Epoch(7),
+                group: Some(tanagerhub_catalogue::GroupId(1)),
+            },
+        );
+    }
+    world.run(FORMED);
+    let groups = world.table.groups();
+    assert!(
+        groups
+            .values()
+            .all(|row| row.members.iter().all(|vm| !taken.contains(vm)))
+    );
+    assert!(world.nodes[0].fleet.counters().commits < 10);
 }
 
 #[test]
--- a/crates/tanagerhub_fleet/tests/support/world.rs
+++ b/crates/tanagerhub_fleet/tests/support/world.rs
@@ -17,7 +17,9 @@
     Order, OrderAnswer, OrderFailure, OrderKind, Peer, ProbeFailure, RowQuery, StoreFailure,
     Temperature,
 };
-use tanagerhub_table::{CommitOutcome, Condition, Row, RowKey, RowVersion, Transaction, Write};
+use tanagerhub_table::{
+    CommitOutcome, Condition, Row, RowKey, RowVersion, Transaction, TransactionId, Write,
+};
 
 pub const SECOND: Duration = Duration::from_secs(1);
 const LATENCY: Duration = Duration::from_millis(5);
@@ -166,6 +168,18 @@
         })
     }
 
+    /// Writes a row past all conditions.
+    pub fn put<T: serde::Serialize>(&mut self, key: RowKey, content: &T) {
+        self.version += 1;
+        let row = Row {
+            key: key.clone(),
+            version: RowVersion(self.version),
+            transaction: TransactionId(0),
+            value: tanagerhub_fleet::rows::encode(content),
+        };
+        self.rows.insert(key, row);
+    }
+
     pub fn groups(&self) -> BTreeMap<GroupId, GroupRow> {
         self.rows
             .values()
