--- a/crates/tanagerhub_fleet/src/counters.rs
+++ b/crates/tanagerhub_fleet/src/counters.rs
@@ -31,6 +31,8 @@
     pub formed: u64,
     /// Members replaced by this node.
     pub swapped: u64,
+    /// Standby groups put into service by this node.
+    pub promoted: u64,
     /// Groups dissolved by this node.
     pub dissolved: u64,
     /// Times a group stopped being eligible at this node.
--- a/crates/tanagerhub_fleet/src/decision.rs
+++ b/crates/tanagerhub_fleet/src/decision.rs
@@ -91,6 +91,14 @@
         /// Why.
         cause: DrainCause,
     },
+    /// A standby group is to be formed from VMs that no entry needs now.
+    FormStandby,
+    /// A standby group takes the place of a missing replica.
+    Promote,
+    /// A standby group was put into service.
+    Promoted,
+    /// A standby group is given up, because a replica needs its VMs.
+    YieldStandby,
     /// The group is to be dissolved, because it has drained.
     Drained,
     /// The group was dissolved.
--- a/crates/tanagerhub_fleet/src/fleet.rs
+++ b/crates/tanagerhub_fleet/src/fleet.rs
@@ -7,6 +7,7 @@
 mod plan;
 mod repair;
 mod slots;
+mod standby;
 mod store;
 mod transactions;
 mod view;
@@ -67,6 +68,8 @@
     jobs: Jobs,
     store: Store,
     planner: plan::Planner,
+    /// Entries of which a group broke a moment ago.
+    promotions: BTreeMap<EntryId, Moment>,
     last_event: Moment,
     decisions: Decisions,
     counters: FleetCounters,
@@ -89,6 +92,7 @@
             jobs: Jobs::default(),
             store: Store::default(),
             planner: plan::Planner::default(),
+            promotions: BTreeMap::new(),
             last_event: Moment::ZERO,
             decisions,
             counters: FleetCounters::default(),
@@ -165,6 +169,7 @@
     }
 
     fn tick(&mut self, now: Moment) {
+        self.look_for_promotions(now);
         self.read_groups(now);
         self.watch(now);
         self.advance_jobs(now);
--- a/crates/tanagerhub_fleet/src/fleet/group.rs
+++ b/crates/tanagerhub_fleet/src/fleet/group.rs
@@ -160,6 +160,7 @@
             data_centre: info.data_centre,
             domain: info.domain,
             members: vec![vm],
+            standby: false,
             draining: false,
             slots: Vec::new(),
             moves: 0,
@@ -171,6 +172,11 @@
         self.stamp.is_some()
     }
 
+    /// Whether the group counts among its entry's replicas.
+    pub(super) const fn is_held(&self) -> bool {
+        !self.row.draining && !self.row.standby
+    }
+
     /// Recomputes this node's place among the watchers.
     pub(super) fn assign(&mut self, settings: &FleetSettings, peers: &[Peer]) {
         let home = self.row.data_centre;
--- a/crates/tanagerhub_fleet/src/fleet/jobs.rs
+++ b/crates/tanagerhub_fleet/src/fleet/jobs.rs
@@ -31,6 +31,13 @@
         entry: EntryId,
         /// The new members.
         place: Place,
+        /// Whether the group only stands by.
+        standby: bool,
+    },
+    /// Puts a standby group into service.
+    Promote {
+        /// The group.
+        group: GroupId,
     },
     /// Replaces members of a group.
     Swap {
@@ -63,6 +70,7 @@
         match self {
             Self::Form { .. } => None,
             Self::Swap { group, .. }
+            | Self::Promote { group }
             | Self::Dissolve { group }
             | Self::Drain { group }
             | Self::Slots { group } => Some(*group),
@@ -74,7 +82,10 @@
         match self {
             Self::Form { place, .. } => &place.vms,
             Self::Swap { spares, .. } => spares,
-            Self::Dissolve { .. } | Self::Drain { .. } | Self::Slots { .. } => &[],
+            Self::Promote { .. }
+            | Self::Dissolve { .. }
+            | Self::Drain { .. }
+            | Self::Slots { .. } => &[],
         }
     }
 }
@@ -193,7 +204,10 @@
             _ => group.map(|group| group.row.entry),
         };
         keys.extend(entry.map(entry_key));
-        if !matches!(kind, JobKind::Drain { .. } | JobKind::Slots { .. }) {
+        if !matches!(
+            kind,
+            JobKind::Drain { .. } | JobKind::Slots { .. } | JobKind::Promote { .. }
+        ) {
             keys.extend(vms.into_iter().map(vm_key));
         }
         keys
@@ -430,6 +444,7 @@
             JobKind::Form { .. } => self.counters.formed += 1,
             JobKind::Swap { .. } => self.counters.swapped += 1,
             JobKind::Dissolve { .. } => self.counters.dissolved += 1,
+            JobKind::Promote { .. } => self.counters.promoted += 1,
             JobKind::Drain { .. } | JobKind::Slots { .. } => {}
         }
         self.planner.hurry();
--- a/crates/tanagerhub_fleet/src/fleet/plan.rs
+++ b/crates/tanagerhub_fleet/src/fleet/plan.rs
@@ -40,6 +40,10 @@
     Dissolve(GroupId),
     /// Cold slots of a node that left.
     Slots(GroupId),
+    /// Another standby group of an entry that has so many.
+    Standby(EntryId, u32),
+    /// A standby group whose VMs a replica needs.
+    Yield,
 }
 
 /// This node's place among the planners, and since when each need is seen.
@@ -178,11 +182,11 @@
         over.then(last).flatten().map(|group| group.id)
     }
 
-    /// Groups of an entry that don't drain.
+    /// Groups of an entry that neither drain nor stand by.
     pub(super) fn held_groups(&self, entry: EntryId) -> impl Iterator<Item = &Group> {
         self.groups
             .values()
-            .filter(move |group| group.row.entry == entry && !group.row.draining)
+            .filter(move |group| group.row.entry == entry && group.is_held())
     }
 
     /// Whether nothing runs on a draining group any more, or its time is over.
@@ -251,9 +255,23 @@
                 .filter(|wish| wish.held < wish.max && !placeless.contains(&wish.entry))
                 .min_by_key(|wish| wish.urgency());
             let Some(wish) = best.cloned() else {
-                return;
+                break;
             };
             let id = wish.entry;
+            if let Some(group) = self.standby(id) {
+                if !self.is_turn(now, Need::Form(id, wish.held)) {
+                    return;
+                }
+                self.note_group(now, group, Reason::Promote);
+                self.start_job(now, JobKind::Promote { group });
+                let centre = self.groups.get(&group).map(|group| group.row.data_centre);
+                if let Some((wish, centre)) =
+                    wishes.iter_mut().find(|wish| wish.entry == id).zip(centre)
+                {
+                    wish.add(centre);
+                }
+                continue;
+            }
             if loading > 0 && loading + wish.span > self.settings.loads_max {
                 self.note(now, Some(id), None, None, Reason::LoadsBusy { loading });
                 return;
@@ -277,11 +295,33 @@
             self.note(now, Some(id), None, None, reason);
             loading += wish.span;
             if let Some(wish) = wishes.iter_mut().find(|wish| wish.entry == id) {
-                wish.held += 1;
-                *wish.spread.entry(place.data_centre).or_default() += 1;
+                wish.add(place.data_centre);
             }
-            self.start_job(now, JobKind::Form { entry: id, place });
+            self.start_job(
+                now,
+                JobKind::Form {
+                    entry: id,
+                    place,
+                    standby: false,
+                },
+            );
         }
+        if placeless.is_empty() {
+            self.plan_standbys(now, &wishes, &mut free, loading);
+        } else {
+            self.yield_standby(now);
+        }
+    }
+
+    /// A whole standby group of an entry that no change concerns.
+    pub(super) fn standby(&self, entry: EntryId) -> Option<GroupId> {
+        self.groups
+            .values()
+            .filter(|group| group.row.entry == entry && group.row.standby && !group.row.draining)
+            .filter(|group| group.whole && self.drain_cause(group).is_none())
+            .max_by_key(|group| (group.health == Health::Warm, group.id))
+            .map(|group| group.id)
+            .filter(|id| !self.jobs.concerns(*id))
     }
 
     fn wishes(&self) -> Vec<Wish> {
@@ -294,16 +334,23 @@
         let held = self
             .groups
             .values()
-            .filter(|group| group.has_row() && !group.row.draining)
+            .filter(|group| group.has_row() && group.is_held())
             .map(|group| (group.row.entry, group.row.data_centre));
         let forming = self.jobs.kinds().filter_map(|kind| match kind {
-            JobKind::Form { entry, place } => Some((*entry, place.data_centre)),
+            JobKind::Form {
+                entry,
+                place,
+                standby: false,
+            } => Some((*entry, place.data_centre)),
+            JobKind::Promote { group } => {
+                let group = self.groups.get(group)?;
+                Some((group.row.entry, group.row.data_centre))
+            }
             _ => None,
         });
         for (entry, data_centre) in held.chain(forming) {
             if let Some(place) = index.get(&entry) {
-                wishes[*place].held += 1;
-                *wishes[*place].spread.entry(data_centre).or_default() += 1;
+                wishes[*place].add(data_centre);
             }
         }
         wishes
@@ -323,12 +370,12 @@
 
 /// The replicas that an entry holds and wants.
 #[derive(Debug, Clone)]
-struct Wish {
-    entry: EntryId,
+pub(super) struct Wish {
+    pub(super) entry: EntryId,
     class: Class,
-    span: usize,
+    pub(super) span: usize,
     min: u32,
-    max: u32,
+    pub(super) max: u32,
     held: u32,
     /// Replicas by data centre.
     spread: BTreeMap<DataCentreId, u32>,
@@ -347,6 +394,11 @@
         })
     }
 
+    fn add(&mut self, centre: DataCentreId) {
+        self.held += 1;
+        *self.spread.entry(centre).or_default() += 1;
+    }
+
     /// What comes first: below the minimum, class, the smallest part held, the larger span.
     fn urgency(&self) -> (bool, Class, u64, Reverse<usize>, EntryId) {
         let enough = self.held >= self.min;
--- a/crates/tanagerhub_fleet/src/fleet/repair.rs
+++ b/crates/tanagerhub_fleet/src/fleet/repair.rs
@@ -34,6 +34,15 @@
         if group.is_whole(now, self.settings.age_limit) {
             return;
         }
+        let broken = now.since(group.broken_since()) >= self.settings.blip;
+        let entry = group.row.entry;
+        if broken && group.is_held() && group.attested.is_some() && self.standby(entry).is_some() {
+            self.give_way(now, id);
+            return;
+        }
+        let Some(group) = self.groups.get(&id) else {
+            return;
+        };
         let lost = self.lost_members(now, group);
         if lost.is_empty() {
             let failure = group.members.iter().find_map(|member| member.failing);
@@ -74,6 +83,29 @@
         }
     }
 
+    /// Gives a broken group up for a standby group of its entry.
+    fn give_way(&mut self, now: Moment, id: GroupId) {
+        if !self.is_turn(now, Need::Repair(id)) {
+            return;
+        }
+        let Some(group) = self.groups.get(&id) else {
+            return;
+        };
+        let after = now.since(group.broken_since());
+        let failing = |member: &&Member| member.failing.is_some();
+        let lost: Vec<VmId> = group
+            .members
+            .iter()
+            .filter(failing)
+            .map(|member| member.vm)
+            .collect();
+        self.note_group(now, id, Reason::Reform { after });
+        for vm in lost {
+            self.strike(now, vm);
+        }
+        self.start_job(now, JobKind::Dissolve { group: id });
+    }
+
     /// Members that are not worth waiting for any longer.
     fn lost_members(&self, now: Moment, group: &Group) -> Vec<VmId> {
         let lost = |member: &&Member| {
--- a/crates/tanagerhub_fleet/src/fleet/transactions.rs
+++ b/crates/tanagerhub_fleet/src/fleet/transactions.rs
@@ -81,7 +81,12 @@
         prepared: &Prepared,
     ) -> Option<Change> {
         match kind {
-            JobKind::Form { entry, place } => self.form(now, *entry, place, prepared),
+            JobKind::Form {
+                entry,
+                place,
+                standby,
+            } => self.form(now, *entry, place, *standby, prepared),
+            JobKind::Promote { group } => self.promote(*group, prepared),
             JobKind::Swap {
                 group,
                 lost,
@@ -98,12 +103,14 @@
         now: Moment,
         entry: EntryId,
         place: &Place,
+        standby: bool,
         prepared: &Prepared,
     ) -> Option<Change> {
         let limits = &self.catalogue.entry(entry)?.limits;
         let held = prepared.held(entry)?;
         let free = |vm: &VmId| prepared.vm(*vm).is_some_and(|row| row.group.is_none());
-        if held >= limits.replicas_max || !self.may_enlist(now, &place.vms) {
+        let full = !standby && held >= limits.replicas_max;
+        if full || !self.may_enlist(now, &place.vms) {
             return None;
         }
         if !place.vms.iter().all(free) {
@@ -118,6 +125,7 @@
             data_centre: place.data_centre,
             domain: place.domain,
             members: place.vms.clone(),
+            standby,
             draining: false,
             slots: self.divide_slots(id, place.data_centre, limit),
             moves: 0,
@@ -127,7 +135,9 @@
             .transaction()
             .absent(key.clone())
             .put(key, encode(&row));
-        transaction = prepared.hold(transaction, entry, held + 1);
+        if !standby {
+            transaction = prepared.hold(transaction, entry, held + 1);
+        }
         transaction = enlist(transaction, prepared, &row.members, id, epoch);
         Some(Change {
             attempt: Attempt::new(transaction),
@@ -185,7 +195,7 @@
         let epoch = prepared.next_epoch(&row.members)?;
         let mut transaction = self.transaction();
         transaction = discharge(transaction, prepared, &row.members, epoch);
-        if !row.draining {
+        if !row.draining && !row.standby {
             let held = prepared.held(row.entry)?;
             transaction = prepared.hold(transaction, row.entry, held.saturating_sub(1));
         }
@@ -208,7 +218,9 @@
         }
         let held = prepared.held(row.entry)?;
         let mut transaction = prepared.replace(self.transaction(), group_key(id), encode(&row));
-        transaction = prepared.hold(transaction, row.entry, held.saturating_sub(1));
+        if !row.standby {
+            transaction = prepared.hold(transaction, row.entry, held.saturating_sub(1));
+        }
         Some(Change {
             attempt: Attempt::new(transaction),
             group: id,
@@ -219,6 +231,27 @@
         })
     }
 
+    /// Puts a standby group into service.
+    fn promote(&mut self, id: GroupId, prepared: &Prepared) -> Option<Change> {
+        let mut row = prepared.group(id)?;
+        let held = prepared.held(row.entry)?;
+        let limits = &self.catalogue.entry(row.entry)?.limits;
+        if row.draining || !row.standby || held >= limits.replicas_max {
+            return None;
+        }
+        row.standby = false;
+        let mut transaction = prepared.replace(self.transaction(), group_key(id), encode(&row));
+        transaction = prepared.hold(transaction, row.entry, held + 1);
+        Some(Change {
+            attempt: Attempt::new(transaction),
+            group: id,
+            fence: row.epoch,
+            row: Some(row),
+            freed: Vec::new(),
+            done: Reason::Promoted,
+        })
+    }
+
     fn redivide(&mut self, id: GroupId, prepared: &Prepared) -> Option<Change> {
         let mut row = prepared.group(id)?;
         if row != self.groups.get(&id)?.row {
--- a/crates/tanagerhub_fleet/src/fleet/view.rs
+++ b/crates/tanagerhub_fleet/src/fleet/view.rs
@@ -71,6 +71,9 @@
         if group.row.draining {
             return Some(NotServing::Draining);
         }
+        if group.row.standby {
+            return Some(NotServing::Standby);
+        }
         if members.iter().any(|vm| self.vms.is_out(*vm, home)) {
             return Some(NotServing::MarkedOut);
         }
--- a/crates/tanagerhub_fleet/src/fleet/watch.rs
+++ b/crates/tanagerhub_fleet/src/fleet/watch.rs
@@ -69,6 +69,7 @@
         for (id, whole) in changed {
             if !whole {
                 self.counters.broken += 1;
+                self.expect_promotion(now, id);
             }
             let reason = if whole {
                 Reason::Whole
--- a/crates/tanagerhub_fleet/src/group_view.rs
+++ b/crates/tanagerhub_fleet/src/group_view.rs
@@ -72,6 +72,8 @@
     NoEntry,
     /// The row says that it drains.
     Draining,
+    /// It stands by for a broken group.
+    Standby,
     /// A member, or the data centre, is marked out.
     MarkedOut,
     /// The platform or an engine says that a member is leaving, or lists it no more.
@@ -93,6 +95,7 @@
         f.write_str(match self {
             Self::NoEntry => "the catalogue has no such entry",
             Self::Draining => "the group drains",
+            Self::Standby => "the group stands by for a broken one",
             Self::MarkedOut => "a member or the data centre is marked out",
             Self::Leaving => "a member is leaving",
             Self::Loading => "the members have not yet been seen whole",
--- a/crates/tanagerhub_fleet/src/rows.rs
+++ b/crates/tanagerhub_fleet/src/rows.rs
@@ -23,6 +23,8 @@
     pub domain: DomainId,
     /// The members, by rank.
     pub members: Vec<VmId>,
+    /// Whether the group only holds the weights ready, to take the place of a broken one.
+    pub standby: bool,
     /// Whether the group takes no new work and is about to be dissolved.
     pub draining: bool,
     /// The cold limit, divided among nodes.
@@ -52,7 +54,7 @@
 /// The row of one entry, through which its formations are serialised.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct EntryRow {
-    /// Groups of the entry that don't drain.
+    /// Groups of the entry that neither drain nor stand by.
     pub held: u32,
 }
 
--- a/crates/tanagerhub_fleet/src/settings.rs
+++ b/crates/tanagerhub_fleet/src/settings.rs
@@ -62,6 +62,11 @@
     /// The time after which a member that still loads is given up.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub load_limit: Duration,
+    /// Standby groups that an entry may hold for each hundred replicas, rounded up.
+    pub standbys: u32,
+    /// How long a group may be broken before a standby group takes its place.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub blip: Duration,
     /// Members that may load from the weight store at once.
     pub loads_max: usize,
     /// How long a VM is left out after its first failure; doubles with each further one.
@@ -99,6 +104,8 @@
             patience: Duration::from_secs(20),
             load_time: Duration::from_secs(90),
             load_limit: Duration::from_mins(10),
+            standbys: 5,
+            blip: Duration::from_secs(3),
             loads_max: 64,
             backoff_min: Duration::from_mins(1),
             backoff_max: Duration::from_hours(1),
@@ -147,6 +154,8 @@
         load_time: Duration,
         /// Sets the time after which a member that still loads is given up.
         load_limit: Duration,
+        /// Sets how many standby groups an entry may hold for each hundred replicas.
+        standbys: u32,
         /// Sets how many members may load from the weight store at once.
         loads_max: usize,
         /// Sets how long a VM is left out after its first failure.
