--- a/crates/tanagerhub_fleet/tests/support/measure.rs
+++ b/crates/tanagerhub_fleet/tests/support/measure.rs
@@ -77,9 +77,15 @@
 
     /// A bench on which every replica serves.
     pub fn formed(&self) -> World {
+        self.formed_with(FleetSettings::default().standbys)
+    }
+
+    /// The same with so many standby groups for each hundred replicas.
+    pub fn formed_with(&self, standbys: u32) -> World {
         let settings = FleetSettings::default()
             .load_time(LOAD)
-            .loads_max(self.loads_max);
+            .loads_max(self.loads_max)
+            .standbys(standbys);
         let mut world = World::with(1, self.vms(), self.catalogue(), &settings);
         world.checking = false;
         world.tick = Duration::from_millis(500);
@@ -343,14 +349,26 @@
 
 /// How long a group's entry has one replica too few after a blow to one of its members.
 pub fn downtime(size: &Size, blow: Blow) -> Duration {
-    let mut world = size.formed();
+    downtime_with(size, blow, 0)
+}
+
+/// The same with so many standby groups for each hundred replicas.
+pub fn downtime_with(size: &Size, blow: Blow, standbys: u32) -> Duration {
+    let mut world = size.formed_with(standbys);
+    world.run(Duration::from_mins(3));
     let vm = world.first().1.members[0];
     down(&mut world, size, &[vm], blow)
 }
 
 /// How long until all replicas serve after a whole domain goes dark.
 pub fn domain_downtime(size: &Size) -> Duration {
-    let mut world = size.formed();
+    domain_downtime_with(size, 0)
+}
+
+/// The same with so many standby groups for each hundred replicas.
+pub fn domain_downtime_with(size: &Size, standbys: u32) -> Duration {
+    let mut world = size.formed_with(standbys);
+    world.run(Duration::from_mins(3));
     let domain = world.first().1.domain;
     let dark: Vec<VmId> = world
         .vms
