Send a head and its body in one write

Cause: async-h1's encoders give the head, the body and each chunk on their own, and each became a system call and, without Nagle, a packet. What is ready is now gathered into one block first; nothing that isn't ready is waited for.

--- a/crates/tanagerhub_wire/src/backend/link.rs
+++ b/crates/tanagerhub_wire/src/backend/link.rs
@@ -11,7 +11,7 @@
 
 use crate::backend::{BackendError, BackendRequest};
 use crate::http::head::{AnswerHead, Framing, head_length};
-use crate::http::{Replay, append_header, is_hop_by_hop};
+use crate::http::{Replay, append_header, gather, is_hop_by_hop};
 
 /// The most bytes read or written at once.
 const BLOCK: usize = 16 * 1_024;
@@ -61,7 +61,7 @@
         let mut block = vec![0; BLOCK];
         let mut sent = false;
         loop {
-            let count = encoder.read(&mut block).await;
+            let count = gather(&mut encoder, &mut block).await;
             let count = count.map_err(|error| self.failed(sent, &error))?;
             if count == 0 {
                 self.sent = true;
--- a/crates/tanagerhub_wire/src/http.rs
+++ b/crates/tanagerhub_wire/src/http.rs
@@ -7,6 +7,7 @@
 mod answer_body;
 mod connection;
 pub(crate) mod convert;
+mod gather;
 pub(crate) mod head;
 mod limits;
 mod replay;
@@ -19,6 +20,7 @@
 pub use server::{HttpCounters, HttpServer, serve};
 
 pub(crate) use convert::{append_header, is_hop_by_hop};
+pub(crate) use gather::gather;
 pub(crate) use replay::Replay;
 
 /// A request that has been read whole.
--- a/crates/tanagerhub_wire/src/http/connection.rs
+++ b/crates/tanagerhub_wire/src/http/connection.rs
@@ -16,7 +16,7 @@
 use crate::callers::{ErrorAnswer, ErrorKind, Outcome};
 use crate::http::head::{Framing, HeadFault, RequestHead, head_length};
 use crate::http::server::Shared;
-use crate::http::{Replay, Request, Response, convert};
+use crate::http::{Replay, Request, Response, convert, gather};
 
 /// The most bytes read at once outside bodies.
 const READ_BLOCK: usize = 4 * 1_024;
@@ -224,7 +224,9 @@
         let method = method.as_str().parse().unwrap_or(http_types::Method::Get);
         let response = convert::answer(response, close).map_err(|error| {
             log::error!(error:%; "an answer has a header outside ASCII");
-            End::Gone
+            let text = "the answer has a header that can't be sent";
+            let answer = ErrorAnswer::new(ErrorKind::Internal, Outcome::Unknown, text);
+            refused(answer)
         })?;
         let encoder = Encoder::new(response, method);
         let stream = self.stream.clone();
@@ -273,7 +275,7 @@
 async fn copy(mut encoder: Encoder, mut stream: TcpStream, shared: &Shared) -> Result<(), End> {
     let mut block = vec![0; WRITE_BLOCK];
     loop {
-        let count = encoder.read(&mut block).await.map_err(|error| {
+        let count = gather(&mut encoder, &mut block).await.map_err(|error| {
             log::debug!(error:%; "an answer was cut");
             End::Closed
         })?;
