Read tokens into a block of their own; cut every message at every byte

Each chunk of an answer kept a block of 16 KB alive while it waited for a slow caller, up to 8 of them for a stream; now it keeps its own length.

Two tests cut an answer and a request after each of their bytes: none reads as whole, and none reaches the handler.

--- a/crates/tanagerhub_wire/src/backend/backend_body.rs
+++ b/crates/tanagerhub_wire/src/backend/backend_body.rs
@@ -15,7 +15,7 @@
 use crate::http::head::Framing;
 
 /// The most bytes of one chunk.
-const BLOCK: usize = 16 * 1_024;
+const BLOCK: usize = 8 * 1_024;
 
 /// The body of a back end's answer, checked for wholeness while it is read.
 ///
@@ -32,6 +32,8 @@
     pub(crate) pool: Arc<Pool>,
     pub(crate) got: u64,
     pub(crate) ended: bool,
+    /// Where the socket's bytes arrive.
+    pub(crate) block: Vec<u8>,
 }
 
 impl BackendBody {
@@ -48,9 +50,9 @@
             self.end();
             return Ok(None);
         }
-        let mut block = vec![0; BLOCK];
+        self.block.resize(BLOCK, 0);
         let clock = self.clock.clone();
-        let read = clock.timeout(self.between, self.body.read(&mut block));
+        let read = clock.timeout(self.between, self.body.read(&mut self.block));
         let count = match read.await {
             Some(Ok(count)) => count,
             Some(Err(error)) => return Err(self.broken(&error)),
@@ -58,8 +60,8 @@
         };
         if count > 0 {
             self.got += count as u64;
-            block.truncate(count);
-            return Ok(Some(block.into()));
+            // A token is far shorter than the block, which would stay with each waiting chunk.
+            return Ok(Some(Bytes::copy_from_slice(&self.block[..count])));
         }
         if self.framing == Framing::Chunked {
             self.end();
@@ -110,6 +112,7 @@
     fn end(&mut self) {
         self.ended = true;
         self.body = http_types::Body::empty();
+        self.block = Vec::new();
         if let Some(stream) = self.keep.take() {
             self.pool.put(self.address, stream, self.clock.now());
         }
--- a/crates/tanagerhub_wire/src/backend/backend_client.rs
+++ b/crates/tanagerhub_wire/src/backend/backend_client.rs
@@ -163,6 +163,7 @@
             pool: Arc::clone(&self.pool),
             got: 0,
             ended: false,
+            block: Vec::new(),
         };
         BackendAnswer {
             status: head.status,
--- a/crates/tanagerhub_wire/tests/backend.rs
+++ b/crates/tanagerhub_wire/tests/backend.rs
@@ -284,3 +284,29 @@
         assert_eq!(stream.read(&mut [0]).await.unwrap(), 0);
     });
 }
+
+/// An answer that is cut after any of its bytes must never read as whole.
+#[parameterized(
+    length = { b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabcde", 0 },
+    // What follows the last chunk's own line belongs to no content.
+    chunks = { b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n3\r\ncde\r\n0\r\n\r\n", 2 },
+)]
+fn read_cut_anywhere(bytes: &'static [u8], spare: usize) {
+    task::block_on(async {
+        let client = client();
+        for cut in 1..bytes.len() - spare {
+            let address = backend(vec![&bytes[..cut]]).await;
+            let whole = match client.send(address, get()).await {
+                Ok(answer) => answer.body.read(100).await.is_ok(),
+                Err(error) => {
+                    assert!(error.may_have_run(), "{error}");
+                    false
+                }
+            };
+            assert!(!whole, "cut after {cut} bytes");
+        }
+        let address = backend(vec![bytes]).await;
+        let answer = client.send(address, get()).await.unwrap();
+        assert_eq!(answer.body.read(100).await.unwrap(), "abcde");
+    });
+}
--- a/crates/tanagerhub_wire/tests/http_server.rs
+++ b/crates/tanagerhub_wire/tests/http_server.rs
@@ -239,6 +239,29 @@
     });
 }
 
+/// A request that is cut after any of its bytes must never reach the handler.
+#[parameterized(
+    length = { b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc", 0 },
+    chunks = { b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", 2 },
+)]
+fn request_cut_anywhere(bytes: &[u8], spare: usize) {
+    task::block_on(async {
+        let server = start(HttpLimits::default()).await;
+        for cut in 1..bytes.len() - spare {
+            let mut stream = TcpStream::connect(server.address()).await.unwrap();
+            stream.write_all(&bytes[..cut]).await.unwrap();
+            stream.shutdown(std::net::Shutdown::Write).unwrap();
+            read_to_end(&mut stream).await;
+        }
+        let counters = server.counters();
+        assert_eq!(
+            counters.requests.load(std::sync::atomic::Ordering::Relaxed),
+            0
+        );
+        server.stop().await;
+    });
+}
+
 #[test]
 fn continue_before_body() {
     task::block_on(async {
