--- a/crates/tanagerhub_standins/src/lib.rs
+++ b/crates/tanagerhub_standins/src/lib.rs
@@ -7,6 +7,7 @@
 mod checker;
 mod engine_standin;
 mod gate;
+mod loopback;
 mod node_set;
 mod operator;
 mod platform_standin;
--- a/crates/tanagerhub_standins/src/server.rs
+++ b/crates/tanagerhub_standins/src/server.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 use std::io;
-use std::net::{Ipv4Addr, Shutdown, SocketAddr};
+use std::net::{Shutdown, SocketAddr};
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
@@ -13,10 +13,7 @@
 use http_types::{Request, Response, StatusCode};
 
 use crate::gate::Gate;
-
-/// Where stand-ins listen: apart from the address that outgoing connections take, so that a
-/// restarted stand-in finds its port free.
-const LISTEN: Ipv4Addr = Ipv4Addr::new(127, 0, 0, 2);
+use crate::loopback::{Side, loopback};
 
 /// An answer that is being made.
 pub(crate) type Answering = Pin<Box<dyn Future<Output = http_types::Result<Response>> + Send>>;
@@ -35,7 +32,7 @@
 impl Server {
     /// Starts to listen on a free port.
     pub(crate) async fn start(handler: Handler) -> io::Result<Self> {
-        let listener = TcpListener::bind((LISTEN, 0)).await?;
+        let listener = TcpListener::bind((loopback(Side::Standins), 0)).await?;
         let server = Self {
             address: listener.local_addr()?,
             gate: Arc::new(Gate::default()),
