--- a/crates/tanagerhub_traffic/benches/simulation/policy.rs
+++ b/crates/tanagerhub_traffic/benches/simulation/policy.rs
@@ -18,7 +18,7 @@
     /// The crate's decisions.
     Tanagerhub(Box<Traffic>),
     /// Random choice, retries without bound, no fairness.
-    Baseline(Baseline),
+    Baseline(Box<Baseline>),
 }
 
 /// What the simulation carries out.
@@ -128,7 +128,7 @@
 
     pub fn submit(&mut self, now: Moment, info: RequestInfo) -> Step {
         match self {
-            Self::Tanagerhub(traffic) => of_decision(traffic.submit(now, info)),
+            Self::Tanagerhub(traffic) => of_decision(&traffic.submit(now, info)),
             Self::Baseline(baseline) => baseline.send(info, 0),
         }
     }
@@ -139,7 +139,7 @@
         };
         let ready = traffic.poll(now).into_iter();
         ready
-            .map(|(id, decision)| (usize::try_from(id.0).unwrap(), of_decision(decision)))
+            .map(|(id, decision)| (usize::try_from(id.0).unwrap(), of_decision(&decision)))
             .collect()
     }
 
@@ -169,9 +169,9 @@
     }
 }
 
-fn of_decision(decision: Decision) -> Step {
+fn of_decision(decision: &Decision) -> Step {
     match decision {
-        Decision::Dispatch(dispatch) => of_dispatch(&dispatch),
+        Decision::Dispatch(dispatch) => of_dispatch(dispatch),
         Decision::Wait(_) => Step::Wait,
         Decision::Refuse(refusal) => Step::Error {
             retry_after: refusal.retry_after.is_some(),
--- a/crates/tanagerhub_traffic/benches/simulation/world.rs
+++ b/crates/tanagerhub_traffic/benches/simulation/world.rs
@@ -169,6 +169,8 @@
             }
             Event::Overdue(request, attempt) => self.overdue(request, attempt),
             Event::Deadline(request) => self.deadline(request),
+            // A wake that was brought forward has no work left.
+            Event::Wake(node) if self.wakes[node] != self.now => {}
             Event::Wake(node) => {
                 self.wakes[node] = Moment::from_nanos(u64::MAX);
                 self.poll(node);
@@ -555,7 +557,7 @@
 fn policy(plan: &Plan, node: usize, now: Moment) -> Policy {
     let seed = plan.seed * 100 + node as u64;
     if plan.baseline {
-        return Policy::Baseline(Baseline::new(seed));
+        return Policy::Baseline(Box::new(Baseline::new(seed)));
     }
     let id = NodeId::of(&format!("node-{node}"));
     let nodes = u32::try_from(plan.nodes).unwrap();
