--- /dev/null
+++ b/crates/tanagerhub_traffic/benches/memory.rs
@@ -0,0 +1,99 @@
+//! Prints the memory that traffic uses per request in flight, without its body.
+//!
+//! `cargo bench -p tanagerhub_traffic --bench memory -- running`, or `-- waiting`. One at a time,
+//! because freed memory stays resident.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tanagerhub_catalogue::{
+    Catalogue, Class, Entry, EntryId, EntryKind, Epoch, GroupId, Limits, OrganisationId, RequestId,
+    ServiceEntry,
+};
+use tanagerhub_clock::Moment;
+use tanagerhub_traffic::{
+    Decision, Freshness, Repeat, RequestInfo, Route, RouteTable, Traffic, TrafficSettings,
+};
+
+const REQUESTS: u32 = 100_000;
+const PAGE_BYTES: u64 = 4_096;
+
+fn main() {
+    let waiting = std::env::args().any(|argument| argument == "waiting");
+    let (name, concurrency) = if waiting {
+        ("waiting", 1)
+    } else {
+        ("running", u32::MAX)
+    };
+    let before = resident();
+    let traffic = fill(concurrency);
+    let bytes = resident().saturating_sub(before) / u64::from(REQUESTS);
+    println!("{name}: {bytes} bytes per request");
+    drop(traffic);
+}
+
+fn fill(concurrency: u32) -> Traffic {
+    let now = Moment::from_millis(1);
+    let entry = Entry {
+        name: "advisor".to_owned(),
+        owner: "fit".to_owned(),
+        class: Class::Interactive,
+        limits: Limits {
+            concurrency,
+            queue: u32::MAX,
+            ..Limits::default()
+        },
+        kind: EntryKind::Service(ServiceEntry {
+            routes: Vec::new(),
+            deduplicates: false,
+        }),
+    };
+    let id = entry.id();
+    let settings = TrafficSettings {
+        first_window: u32::MAX,
+        ..TrafficSettings::default()
+    };
+    let mut traffic = Traffic::new(settings, 7);
+    let catalogue = Catalogue {
+        entries: vec![entry],
+        ..Catalogue::default()
+    };
+    traffic.catalogue(now, &Arc::new(catalogue));
+    let view = Freshness {
+        takes_work: true,
+        live_nodes: 1,
+        place: 0,
+    };
+    traffic.freshness(now, view);
+    let route = Route::new(GroupId(1), Epoch(1), id, ([127, 0, 0, 1], 9_000).into());
+    traffic.routes(
+        now,
+        RouteTable {
+            routes: vec![route],
+        },
+    );
+    for number in 0..REQUESTS {
+        let decision = traffic.submit(now, info(number, id));
+        assert!(!matches!(decision, Decision::Refuse(_)), "{decision:?}");
+    }
+    traffic
+}
+
+fn info(number: u32, entry: EntryId) -> RequestInfo {
+    let number = u64::from(number);
+    RequestInfo::new(RequestId(number), OrganisationId(number % 10), entry)
+        .deadline(Moment::ZERO + Duration::from_secs(100))
+        .repeat(Repeat::Resume)
+        .tokens(512, 64)
+        .prefixes((0..8).map(|block| number << 8 | block))
+}
+
+/// Resident memory of this process, in bytes.
+fn resident() -> u64 {
+    let text = std::fs::read_to_string("/proc/self/statm").expect("statm is readable on Linux");
+    let pages = text
+        .split_whitespace()
+        .nth(1)
+        .and_then(|it| it.parse::<u64>().ok());
+    pages.unwrap_or(0) * PAGE_BYTES
+}
