--- a/crates/tanagerhub_catalogue/src/lib.rs
+++ b/crates/tanagerhub_catalogue/src/lib.rs
@@ -5,8 +5,10 @@
 
 mod catalogue;
 mod catalogue_error;
+mod diff;
 mod document;
 mod entry;
+mod health;
 mod ids;
 mod marks;
 mod organisation;
@@ -15,9 +17,11 @@
 
 pub use catalogue::{Catalogue, CatalogueVersion, DataCentre, Region};
 pub use catalogue_error::{CatalogueError, Mistake};
+pub use diff::{CatalogueDiff, Change};
 pub use entry::{
     Class, ColdLimit, Entry, EntryKind, Fencing, Limits, ModelEntry, Route, ServiceEntry,
 };
+pub use health::Health;
 pub use ids::{
     BootId, DataCentreId, DomainId, EntryId, Epoch, GroupId, IdHex, NodeId, OrganisationId, Rank,
     RequestId, VmId,
--- /dev/null
+++ b/crates/tanagerhub_membership/src/shared_facts.rs
@@ -0,0 +1,180 @@
+//! The facts that a node knows, own and heard.
+
+use std::collections::BTreeMap;
+use std::ops::Bound;
+use std::time::Duration;
+
+use tanagerhub_catalogue::GroupId;
+use tanagerhub_clock::Moment;
+
+use crate::attestations::{Attestation, Attestations};
+use crate::{AgedFact, AttestedPart, DirectoryDigest, Fact, FactBatch, FactKey, WireFact};
+
+/// The most facts of each sort that are kept; new ones are dropped until others expire.
+const MAX_FACTS: usize = 4_096;
+/// Facts other than attestations in one batch.
+const MAX_OTHER: usize = 12;
+
+#[derive(Debug, Clone, Copy)]
+struct Known {
+    fact: Fact,
+    at: Moment,
+}
+
+/// Facts by what they are about: the newest wins, ages add up, the size is bounded.
+///
+/// Attestations are most of what is shared. Nodes compare hashes of the groups that they know;
+/// where these agree, one byte of age per group is enough.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use tanagerhub_catalogue::{Epoch, GroupId, Health};
+/// use tanagerhub_clock::Moment;
+/// use tanagerhub_membership::{AgedFact, Fact, SharedFacts};
+///
+/// let mut facts = SharedFacts::default();
+/// let fact = Fact::Attested { group: GroupId(5), epoch: Epoch(1), health: Health::Warm };
+/// facts.learn(AgedFact { fact, age: Duration::ZERO }, Moment::ZERO);
+/// let later = Moment::from_millis(300);
+/// let known: Vec<_> = facts.aged(later).collect();
+/// assert_eq!(known[0].age, Duration::from_millis(300));
+/// ```
+#[derive(Debug, Default)]
+pub struct SharedFacts {
+    attested: Attestations,
+    others: BTreeMap<FactKey, Known>,
+    cursor: Option<FactKey>,
+}
+
+impl SharedFacts {
+    /// Takes in a fact; says whether it is news.
+    pub fn learn(&mut self, aged: AgedFact, now: Moment) -> bool {
+        if aged.age >= aged.fact.life() {
+            return false;
+        }
+        let at = now.before(aged.age);
+        if let Fact::Attested {
+            group,
+            epoch,
+            health,
+        } = aged.fact
+        {
+            let room = self.attested.len() < MAX_FACTS;
+            return room
+                && self
+                    .attested
+                    .learn(group, Attestation { epoch, health, at });
+        }
+        let key = aged.fact.key();
+        let new = Known {
+            fact: aged.fact,
+            at,
+        };
+        let order = |known: &Known| (known.fact.rank(), known.at);
+        match self.others.get(&key) {
+            Some(old) if order(&new) <= order(old) => return false,
+            None if self.others.len() >= MAX_FACTS => return false,
+            Some(_) | None => {}
+        }
+        self.others.insert(key, new);
+        true
+    }
+
+    /// Drops facts that are older than their life.
+    pub fn expire(&mut self, now: Moment) {
+        self.attested.expire(now);
+        self.others
+            .retain(|_, known| now.since(known.at) < known.fact.life());
+    }
+
+    /// How many facts are known.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.attested.len() + self.others.len()
+    }
+
+    /// Whether no fact is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Every fact with its age, without those older than their life.
+    pub fn aged(&self, now: Moment) -> impl Iterator<Item = AgedFact> + '_ {
+        let attested = self.attested.iter().map(|(group, seen)| Known {
+            fact: fact_of(group, &seen),
+            at: seen.at,
+        });
+        let known = attested.chain(self.others.values().copied());
+        let aged = known.map(move |known| AgedFact {
+            fact: known.fact,
+            age: now.since(known.at),
+        });
+        aged.filter(|aged| aged.age < aged.fact.life())
+    }
+
+    /// What tells the attested groups of two nodes apart.
+    #[must_use]
+    pub fn digest(&self) -> DirectoryDigest {
+        self.attested.digest()
+    }
+
+    /// Fills a batch for a peer of the same region.
+    pub fn batch(&mut self, peer: &DirectoryDigest, now: Moment) -> FactBatch {
+        FactBatch {
+            attested: self.attested.batch(peer, now),
+            other: self.window(now, |_| true),
+        }
+    }
+
+    /// Fills a batch for a peer in another region.
+    pub fn far_batch(&mut self, now: Moment) -> FactBatch {
+        FactBatch {
+            attested: AttestedPart::default(),
+            other: self.window(now, Fact::is_global),
+        }
+    }
+
+    /// Takes in a batch that is `transit` old at most; gives back what is news.
+    pub fn merge(&mut self, batch: &FactBatch, transit: Duration, now: Moment) -> Vec<AgedFact> {
+        let groups = self.attested.merge(&batch.attested, transit, now);
+        let mut news: Vec<AgedFact> = Vec::new();
+        for fact in &batch.other {
+            let mut aged = fact.aged();
+            aged.age += transit;
+            if self.learn(aged, now) {
+                news.push(aged);
+            }
+        }
+        let facts = groups.iter().map(|(group, seen)| AgedFact {
+            fact: fact_of(*group, seen),
+            age: now.since(seen.at),
+        });
+        news.extend(facts);
+        news
+    }
+
+    /// Some of the other facts, from where the last batch ended.
+    fn window(&mut self, now: Moment, wanted: impl Fn(&Fact) -> bool) -> Vec<WireFact> {
+        let start = self.cursor.map_or(Bound::Unbounded, Bound::Excluded);
+        let after = self.others.range((start, Bound::Unbounded));
+        let until = self.cursor.map(Bound::Included);
+        let before = until.map(|end| self.others.range((Bound::Unbounded, end)));
+        let all = after.chain(before.into_iter().flatten());
+        let all = all.filter(|(_, known)| wanted(&known.fact));
+        let window: Vec<_> = all.take(MAX_OTHER).map(|(_, known)| *known).collect();
+        self.cursor = window.last().map(|known| known.fact.key());
+        let item = |known: &Known| WireFact::new(known.fact, now.since(known.at));
+        window.iter().map(item).collect()
+    }
+}
+
+const fn fact_of(group: GroupId, seen: &Attestation) -> Fact {
+    Fact::Attested {
+        group,
+        epoch: seen.epoch,
+        health: seen.health,
+    }
+}
--- /dev/null
+++ b/crates/tanagerhub_membership/src/slot_table.rs
@@ -0,0 +1,154 @@
+//! The node slots that a node knows.
+
+use std::collections::BTreeMap;
+
+use tanagerhub_catalogue::NodeId;
+use tanagerhub_table::RowVersion;
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::{Identity, NodeSlot, SlotRow};
+
+/// The node slots of all regions, and which process was last heard in each.
+#[derive(Debug, Default)]
+pub(crate) struct SlotTable {
+    rows: BTreeMap<NodeId, SlotRow>,
+    heard: BTreeMap<NodeId, Identity>,
+    /// Rows that the table no longer has; peers may still tell of them.
+    removed: BTreeMap<NodeId, RowVersion>,
+    regions: BTreeMap<String, RegionSlots>,
+}
+
+/// The slots of one region in order, and a hash over them.
+#[derive(Debug, Default)]
+struct RegionSlots {
+    nodes: Vec<NodeId>,
+    digest: u64,
+}
+
+impl SlotTable {
+    /// Takes the rows of the table in place of those known.
+    pub(crate) fn replace(&mut self, rows: impl IntoIterator<Item = SlotRow>) {
+        let old = std::mem::take(&mut self.rows);
+        self.rows = rows.into_iter().map(|row| (row.slot.node(), row)).collect();
+        let gone = old.into_iter();
+        let gone = gone.filter(|(node, _)| !self.rows.contains_key(node));
+        self.removed
+            .extend(gone.map(|(node, row)| (node, row.version)));
+        self.removed.retain(|node, _| !self.rows.contains_key(node));
+        self.note_identities();
+        self.rebuild();
+    }
+
+    /// Takes in rows that are newer than those known.
+    pub(crate) fn merge(&mut self, rows: impl IntoIterator<Item = SlotRow>) {
+        for row in rows {
+            let node = row.slot.node();
+            self.meet(node, row.slot.identity);
+            let removed = self.removed.get(&node);
+            if removed.is_some_and(|version| *version >= row.version) {
+                continue;
+            }
+            let known = self.rows.get(&node);
+            if known.is_none_or(|known| known.version < row.version) {
+                self.rows.insert(node, row);
+            }
+        }
+        self.rebuild();
+    }
+
+    /// Forgets a slot.
+    pub(crate) fn remove(&mut self, node: NodeId) {
+        if let Some(row) = self.rows.remove(&node) {
+            self.removed.insert(node, row.version);
+        }
+        self.rebuild();
+    }
+
+    /// Notes which process speaks for a slot; says whether it is the newest known.
+    pub(crate) fn meet(&mut self, node: NodeId, identity: Identity) -> bool {
+        let known = self.heard.entry(node).or_default();
+        *known = identity.max(*known);
+        *known == identity
+    }
+
+    /// The newest process known in a slot.
+    pub(crate) fn identity(&self, node: NodeId) -> Identity {
+        self.heard.get(&node).copied().unwrap_or_default()
+    }
+
+    /// The row of a slot.
+    pub(crate) fn row(&self, node: NodeId) -> Option<&SlotRow> {
+        self.rows.get(&node)
+    }
+
+    /// The rows with the newest identities, for a peer.
+    pub(crate) fn export(&self) -> Vec<SlotRow> {
+        let newest = |(node, row): (&NodeId, &SlotRow)| {
+            let mut row = row.clone();
+            row.slot.identity = self.identity(*node);
+            row
+        };
+        self.rows.iter().map(newest).collect()
+    }
+
+    /// All slots.
+    pub(crate) fn all(&self) -> impl Iterator<Item = &NodeSlot> {
+        self.rows.values().map(|row| &row.slot)
+    }
+
+    /// Slots of one region, in order.
+    pub(crate) fn region(&self, region: &str) -> impl Iterator<Item = &NodeSlot> {
+        let rows = self.nodes(region).iter();
+        rows.filter_map(|node| self.row(*node)).map(|row| &row.slot)
+    }
+
+    /// The ids of one region's slots, in order.
+    pub(crate) fn nodes(&self, region: &str) -> &[NodeId] {
+        let slots = self.regions.get(region);
+        slots.map_or(&[], |slots| &slots.nodes)
+    }
+
+    /// The ids of every region's slots, by the region's name.
+    pub(crate) fn regions(&self) -> impl Iterator<Item = (&str, &[NodeId])> {
+        let regions = self.regions.iter();
+        regions.map(|(name, slots)| (name.as_str(), slots.nodes.as_slice()))
+    }
+
+    /// How many slots all regions have.
+    pub(crate) fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// How many slots a region has.
+    pub(crate) fn count(&self, region: &str) -> usize {
+        self.nodes(region).len()
+    }
+
+    /// A hash over the slots of one region.
+    pub(crate) fn digest(&self, region: &str) -> u64 {
+        self.regions.get(region).map_or(0, |slots| slots.digest)
+    }
+
+    fn note_identities(&mut self) {
+        let rows = self.rows.iter();
+        let rows: Vec<_> = rows.map(|(node, row)| (*node, row.slot.identity)).collect();
+        for (node, identity) in rows {
+            self.meet(node, identity);
+        }
+    }
+
+    fn rebuild(&mut self) {
+        self.regions.clear();
+        for (node, row) in &self.rows {
+            let region = self.regions.entry(row.slot.region.clone()).or_default();
+            region.nodes.push(*node);
+        }
+        for slots in self.regions.values_mut() {
+            let mut hasher = Xxh3::new();
+            for node in &slots.nodes {
+                hasher.update(&node.0.to_le_bytes());
+            }
+            slots.digest = hasher.digest();
+        }
+    }
+}
