Traffic: blame nobody when many groups break at once

Cause: in a lost data centre or a broken network, a request that broke off at two groups counted as a crashing one and was refused, though it was innocent. Suspicions of the last 5 s are now dropped once more than three groups have broken within 5 s; a crashing request breaks two before it is refused. The new test failed before with a refusal of both requests. Groups are dropped by a flag instead of a search, which was quadratic in the groups of an entry.

--- a/crates/tanagerhub_traffic/src/crash_table.rs
+++ b/crates/tanagerhub_traffic/src/crash_table.rs
@@ -1,6 +1,6 @@
 //! Requests that crash the back ends that run them.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -12,6 +12,12 @@
 const STRIKES: u32 = 2;
 /// How long a break waits for control to confirm that the group crashed.
 const CONFIRMATION: Duration = Duration::from_secs(15);
+/// Breaks within this time may have one cause.
+const MASS_SPAN: Duration = Duration::from_secs(5);
+/// Groups that a crashing request breaks within that time at most; more is another cause.
+const MASS_GROUPS: usize = 3;
+/// Breaks remembered at most.
+const BREAKS: usize = 256;
 /// Fingerprints held at most.
 const CAPACITY: usize = 4_096;
 
@@ -19,7 +25,7 @@
 ///
 /// A break is a suspicion until control withdraws the group; then it is a strike. Two requests
 /// under suspicion never share a group, so that a second crash has one culprit. A whole answer
-/// clears a request.
+/// clears a request. When many groups break at once, the cause lies elsewhere and nobody is blamed.
 ///
 /// # Examples
 ///
@@ -41,6 +47,8 @@
 pub struct CrashTable {
     quarantine: Duration,
     records: HashMap<u64, Record>,
+    /// When groups broke off, oldest first.
+    breaks: VecDeque<(Moment, GroupId)>,
 }
 
 #[derive(Debug, Default)]
@@ -80,11 +88,17 @@
         Self {
             quarantine,
             records: HashMap::new(),
+            breaks: VecDeque::new(),
         }
     }
 
     /// Notes that a group broke off while it ran a request.
     pub fn suspect(&mut self, now: Moment, fingerprint: u64, group: GroupId, epoch: Epoch) {
+        self.note_break(now, group);
+        if self.is_mass_failure() {
+            self.clear_since(now.before(MASS_SPAN));
+            return;
+        }
         self.make_room(now, fingerprint);
         let record = self.records.entry(fingerprint).or_default();
         if record.pending.len() < STRIKES as usize {
@@ -177,6 +191,28 @@
         self.records.is_empty()
     }
 
+    fn note_break(&mut self, now: Moment, group: GroupId) {
+        let old = |(at, _): &(Moment, GroupId)| now.since(*at) > MASS_SPAN;
+        while self.breaks.len() >= BREAKS || self.breaks.front().is_some_and(old) {
+            self.breaks.pop_front();
+        }
+        self.breaks.push_back((now, group));
+    }
+
+    fn is_mass_failure(&self) -> bool {
+        let groups: HashSet<GroupId> = self.breaks.iter().map(|(_, group)| *group).collect();
+        groups.len() > MASS_GROUPS
+    }
+
+    /// Drops suspicions that came up since.
+    fn clear_since(&mut self, since: Moment) {
+        for record in self.records.values_mut() {
+            record.pending.retain(|it| it.since < since);
+        }
+        self.records
+            .retain(|_, record| record.strikes > 0 || !record.pending.is_empty());
+    }
+
     /// Makes room for a new fingerprint; the least recently struck gives way.
     fn make_room(&mut self, now: Moment, fingerprint: u64) {
         if self.records.len() < CAPACITY || self.records.contains_key(&fingerprint) {
--- a/crates/tanagerhub_traffic/src/group.rs
+++ b/crates/tanagerhub_traffic/src/group.rs
@@ -24,6 +24,8 @@
 #[derive(Debug)]
 pub(crate) struct Group {
     pub(crate) route: Route,
+    /// Whether control's newest view has it.
+    pub(crate) listed: bool,
     /// Requests in flight from this node.
     pub(crate) in_flight: u32,
     /// Of these, requests without a first byte.
@@ -47,6 +49,7 @@
     pub(crate) fn new(now: Moment, route: Route, first_window: u32) -> Self {
         let mut group = Self {
             route,
+            listed: true,
             in_flight: 0,
             unanswered: 0,
             suspects: 0,
@@ -71,6 +74,7 @@
         let restarted = route.epoch != self.route.epoch;
         let proof = now.before(route.attested);
         self.route = route;
+        self.listed = true;
         if restarted {
             self.window = self.first_window;
             self.first_byte = Average::default();
--- a/crates/tanagerhub_traffic/src/groups.rs
+++ b/crates/tanagerhub_traffic/src/groups.rs
@@ -82,6 +82,7 @@
     pub(crate) fn update(&mut self, now: Moment, table: RouteTable) {
         for group in self.arena.values_mut() {
             group.route.eligible = false;
+            group.listed = false;
         }
         self.by_entry.clear();
         for route in table.routes {
@@ -89,13 +90,8 @@
             let key = self.upsert(now, route);
             self.by_entry.entry(entry).or_default().push(key);
         }
-        let by_entry = &self.by_entry;
-        self.arena.retain(|key, group| {
-            group.in_flight > 0
-                || by_entry
-                    .get(&group.route.entry)
-                    .is_some_and(|keys| keys.contains(&key))
-        });
+        self.arena
+            .retain(|_, group| group.listed || group.in_flight > 0);
         let arena = &self.arena;
         self.by_id.retain(|_, key| arena.contains_key(*key));
     }
--- a/crates/tanagerhub_traffic/tests/crash_table.rs
+++ b/crates/tanagerhub_traffic/tests/crash_table.rs
@@ -59,6 +59,20 @@
     assert_eq!(table.refused(at(30), CULPRIT), None);
 }
 
+#[test]
+fn suspect_many_groups_at_once() {
+    let mut table = CrashTable::new(QUARANTINE);
+    for group in 1..=20 {
+        table.suspect(at(10), CULPRIT, GroupId(group), Epoch(1));
+        table.suspect(at(10), NEIGHBOUR, GroupId(group), Epoch(1));
+    }
+    for group in 1..=20 {
+        table.confirm(at(12), GroupId(group), Epoch(1));
+    }
+    assert_eq!(table.refused(at(13), CULPRIT), None);
+    assert_eq!(table.refused(at(13), NEIGHBOUR), None);
+}
+
 #[test]
 fn learn_from_peer() {
     let mut table = CrashTable::new(QUARANTINE);
