--- a/crates/tanagerhub_traffic/src/in_flight.rs
+++ b/crates/tanagerhub_traffic/src/in_flight.rs
@@ -60,13 +60,21 @@
     }
 }
 
+/// How much of an attempt's answer has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Progress {
+    Nothing,
+    FirstByte,
+    Tokens,
+}
+
 /// One try of a request at one group.
 #[derive(Debug)]
 pub(crate) struct Attempt {
     pub(crate) request: RequestKey,
     pub(crate) group: GroupKey,
     pub(crate) started: Moment,
-    pub(crate) answered: bool,
+    pub(crate) progress: Progress,
     /// Time to the first byte, once it has come.
     pub(crate) waited: Duration,
     /// Tokens that the caller had at its start.
@@ -75,3 +83,10 @@
     pub(crate) suspect: bool,
     pub(crate) hedge: bool,
 }
+
+impl Attempt {
+    /// Whether the first byte of the answer has come.
+    pub(crate) const fn is_answered(&self) -> bool {
+        !matches!(self.progress, Progress::Nothing)
+    }
+}
--- a/crates/tanagerhub_traffic/src/traffic/dispatch.rs
+++ b/crates/tanagerhub_traffic/src/traffic/dispatch.rs
@@ -8,7 +8,7 @@
 
 use super::{Timer, Traffic};
 use crate::groups::{Choice, Wish};
-use crate::in_flight::{Attempt, RequestKey};
+use crate::in_flight::{Attempt, Progress, RequestKey};
 use crate::{AttemptKey, Dispatch, Repeat};
 
 impl Traffic {
@@ -59,7 +59,7 @@
             request: key,
             group: choice.group,
             started: now,
-            answered: false,
+            progress: Progress::Nothing,
             waited: Duration::ZERO,
             resume_at: request.tokens,
             suspect,
--- a/crates/tanagerhub_traffic/src/traffic/queueing.rs
+++ b/crates/tanagerhub_traffic/src/traffic/queueing.rs
@@ -7,7 +7,7 @@
 
 use super::admission::{RETRY_FLOOR, refusal, status_of};
 use super::{Timer, Traffic};
-use crate::in_flight::RequestKey;
+use crate::in_flight::{Attempt, RequestKey};
 use crate::{AttemptKey, Decision, Outcome, Reason, Refusal};
 
 /// Waiting requests that may be passed by others because no group fits just them.
@@ -141,7 +141,7 @@
     }
 
     fn is_answered(&self, attempt: AttemptKey) -> bool {
-        self.attempts.get(attempt).is_some_and(|it| it.answered)
+        self.attempts.get(attempt).is_some_and(Attempt::is_answered)
     }
 
     /// Sends a second attempt beside one that is late, if the budget allows it.
--- a/crates/tanagerhub_traffic/src/traffic/reports.rs
+++ b/crates/tanagerhub_traffic/src/traffic/reports.rs
@@ -6,7 +6,7 @@
 
 use super::admission::{RETRY_FLOOR, status_of};
 use super::{Fact, Traffic};
-use crate::in_flight::{Attempt, RequestKey};
+use crate::in_flight::{Attempt, Progress, RequestKey};
 use crate::{AttemptEvent, AttemptKey, Next, Outcome, Reason, Refusal, Repeat};
 
 /// Attempts of one request at most, as long as it makes no progress.
@@ -48,11 +48,18 @@
     }
 
     fn connect_failed(&mut self, now: Moment, key: AttemptKey) -> Next {
+        if self.attempts[key].is_answered() {
+            return self.broke(now, key);
+        }
         self.fail_group(now, key);
         self.fail_attempt(now, key, Failure::NotRun)
     }
 
+    /// Takes in a refusal; one that follows a token is not believed.
     fn refused_not_run(&mut self, now: Moment, key: AttemptKey) -> Next {
+        if self.attempts[key].progress == Progress::Tokens {
+            return self.broke(now, key);
+        }
         if let Some(group) = self.groups.arena.get_mut(self.attempts[key].group) {
             group.refused();
         }
@@ -72,17 +79,17 @@
 
     fn first_byte(&mut self, now: Moment, key: AttemptKey) -> Next {
         let attempt = &mut self.attempts[key];
-        if attempt.answered {
+        if attempt.is_answered() {
             return Next::Continue;
         }
-        attempt.answered = true;
+        attempt.progress = Progress::FirstByte;
         let wait = now.since(attempt.started);
         attempt.waited = wait;
         let (request, hedge) = (attempt.request, attempt.hedge);
         if let Some(group) = self.groups.arena.get_mut(attempt.group) {
             group.first_byte(now, wait);
         }
-        let Some(held) = self.requests.get(request) else {
+        let Some(held) = self.requests.get_mut(request) else {
             return Next::Done;
         };
         if let Some(entry) = self.entries.get_mut(&held.info.entry) {
@@ -92,6 +99,7 @@
         let Some(other) = other else {
             return Next::Continue;
         };
+        held.worsen(Outcome::Unknown);
         if hedge {
             self.counters.hedge_wins += 1;
         }
@@ -102,8 +110,9 @@
     fn token(&mut self, now: Moment, key: AttemptKey, count: u32) -> Next {
         let next = self.first_byte(now, key);
         self.prove_whole(now, key);
-        let request = self.attempts[key].request;
-        let Some(held) = self.requests.get_mut(request) else {
+        let attempt = &mut self.attempts[key];
+        attempt.progress = Progress::Tokens;
+        let Some(held) = self.requests.get_mut(attempt.request) else {
             return Next::Done;
         };
         let start = held.tokens;
@@ -199,7 +208,7 @@
     fn end_attempt(&mut self, key: AttemptKey) -> Option<Attempt> {
         let attempt = self.attempts.remove(key)?;
         if let Some(group) = self.groups.arena.get_mut(attempt.group) {
-            group.end(attempt.answered, attempt.suspect);
+            group.end(attempt.is_answered(), attempt.suspect);
         }
         if let Some(request) = self.requests.get_mut(attempt.request) {
             request.attempts.retain(|it| *it != key);
@@ -218,7 +227,7 @@
         let Some(request) = self.requests.get_mut(attempt.request) else {
             return Next::Done;
         };
-        request.worsen(outcome_of(failure, attempt.answered));
+        request.worsen(outcome_of(failure, attempt.is_answered()));
         request.tried.push(attempt.group);
         request.fresh |= failure == Failure::TimedOut;
         if !request.attempts.is_empty() {
--- a/crates/tanagerhub_traffic/tests/failures.rs
+++ b/crates/tanagerhub_traffic/tests/failures.rs
@@ -339,3 +339,36 @@
     let info = world.info(SHOP).fingerprint(7);
     world.dispatch(info);
 }
+
+#[test]
+fn report_refused_after_hedge_won() {
+    let mut world = TrafficWorld::new(2);
+    let info = world.info(SHOP).repeat(Repeat::Whole).tokens(16, 10);
+    world.dispatch(info);
+    world.pass(250);
+    let ready = world.poll();
+    let [(_, Decision::Dispatch(hedge))] = ready.as_slice() else {
+        panic!("no hedge: {ready:?}");
+    };
+    world.report(hedge.attempt, AttemptEvent::FirstByte);
+    world.fresh(false);
+    let refusal = world.failed(hedge.attempt, AttemptEvent::RefusedNotRun);
+    assert_eq!(
+        refusal.outcome,
+        Outcome::Unknown,
+        "the cancelled attempt may have run"
+    );
+}
+
+#[parameterized(
+    connect_failed = { AttemptEvent::ConnectFailed },
+    refused = { AttemptEvent::RefusedNotRun },
+)]
+fn report_not_run_after_token(event: AttemptEvent) {
+    let mut world = TrafficWorld::new(2);
+    let info = world.info(SHOP).repeat(Repeat::Never);
+    let first = world.dispatch(info);
+    world.report(first.attempt, AttemptEvent::Token(1));
+    let refusal = world.failed(first.attempt, event);
+    assert_eq!(refusal.outcome, Outcome::Ran);
+}
