Bound a node's memory: four traffic threads, no huge pages

Cause: the allocator keeps a heap per thread and the kernel backed each with 2 MB pages; 26 of 52 MB of anonymous memory were huge pages, with ten traffic threads on this machine. Ruled out: the state itself, which the same load held in 15 MB once pages were small.

--- a/crates/tanagerhub_daemon/src/bin/tanagerhubd.rs
+++ b/crates/tanagerhub_daemon/src/bin/tanagerhubd.rs
@@ -11,7 +11,7 @@
 use tanagerhub::{Metrics, Node};
 use tanagerhub_clock::Clock;
 use tanagerhub_daemon::settings::{Settings, flags};
-use tanagerhub_daemon::statsd_client;
+use tanagerhub_daemon::{prepare_runtime, statsd_client};
 use tanagerhub_wire::platform::HttpPlatform;
 
 #[global_allocator]
@@ -41,6 +41,7 @@
     env_logger::Builder::new()
         .parse_filters(&settings.log)
         .init();
+    prepare_runtime(settings.threads);
     match task::block_on(run(settings)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- a/crates/tanagerhub_daemon/src/lib.rs
+++ b/crates/tanagerhub_daemon/src/lib.rs
@@ -4,7 +4,9 @@
 //! and the operators' commands with their exit codes.
 
 pub mod ctl;
+mod runtime;
 pub mod settings;
 mod statsd;
 
+pub use runtime::prepare_runtime;
 pub use statsd::statsd_client;
--- a/crates/tanagerhub_daemon/src/settings.rs
+++ b/crates/tanagerhub_daemon/src/settings.rs
@@ -17,6 +17,8 @@
 
 /// Fewest bytes of the operators' token.
 const TOKEN_MIN: usize = 16;
+/// Threads that carry traffic when nothing else is said.
+const THREADS: usize = 4;
 /// The longest time that a setting can name, in milliseconds (an hour).
 const MAX_MILLIS: u64 = 3_600_000;
 
@@ -29,6 +31,8 @@
     pub platform: SocketAddr,
     /// Where metrics go; `None` turns them off.
     pub statsd: Option<SocketAddr>,
+    /// Threads that carry traffic.
+    pub threads: usize,
     /// The filter of the log, as `env_logger` reads it.
     pub log: String,
 }
@@ -57,6 +61,7 @@
         let node = read_node(&mut reader, &flags);
         let platform = reader.required("platform", flags.platform, parse_peer);
         let statsd = reader.optional("statsd", flags.statsd, parse_peer);
+        let threads = reader.optional("threads", flags.threads, parse_threads);
         let log = reader.optional("log", flags.log, |text| Some(text.to_owned()));
         let problems = reader.finish();
         match (node, platform, problems.is_empty()) {
@@ -64,6 +69,7 @@
                 node,
                 platform,
                 statsd,
+                threads: threads.unwrap_or(THREADS),
                 log: log.unwrap_or_else(|| "info".to_owned()),
             }),
             _ => Err(SettingsRefused { problems }),
@@ -142,6 +148,10 @@
     (millis <= MAX_MILLIS).then(|| Duration::from_millis(millis))
 }
 
+fn parse_threads(text: &str) -> Option<usize> {
+    text.parse().ok().filter(|count| (1..=64).contains(count))
+}
+
 fn parse_connections(text: &str) -> Option<usize> {
     text.parse()
         .ok()
--- a/crates/tanagerhub_daemon/src/settings/flags.rs
+++ b/crates/tanagerhub_daemon/src/settings/flags.rs
@@ -47,6 +47,9 @@
     /// How long a stopping node waits for requests in flight, 60000 when unset
     #[bpaf(argument("MS"))]
     pub drain_limit_ms: Option<String>,
+    /// Threads that carry traffic, 4 when unset
+    #[bpaf(argument("COUNT"))]
+    pub threads: Option<String>,
     /// Connections that callers may hold open, 4096 when unset
     #[bpaf(argument("COUNT"))]
     pub connections: Option<String>,
--- a/crates/tanagerhub_daemon/src/settings/settings_reader.rs
+++ b/crates/tanagerhub_daemon/src/settings/settings_reader.rs
@@ -129,6 +129,7 @@
         b"peer-key" | b"operator-token" => "at least 16 bytes",
         b"drain-grace-ms" | b"drain-limit-ms" => "milliseconds from 0 to 3600000",
         b"connections" => "a number from 1 to 100000",
+        b"threads" => "a number from 1 to 64",
         b"body-limit" => "a number of bytes from 1024 to 67108864",
         b"random-seed" => "a number from 0 to 18446744073709551615",
         _ => "a text",
