--- a/crates/tanagerhub_daemon/src/ctl/ctl_error.rs
+++ b/crates/tanagerhub_daemon/src/ctl/ctl_error.rs
@@ -43,13 +43,13 @@
     Unreachable(String),
     /// The change is committed, but not known to be in force everywhere.
     #[error(
-        "version {version} is committed, but not known to be in force at: {}",
+        "version {version} is committed, but these may still work under an older one: {}",
         missing.join(", ")
     )]
     NotInForce {
         /// The version of the change.
         version: CatalogueVersion,
-        /// The nodes where it isn't known to be in force.
+        /// The nodes that aren't known to hold it.
         missing: Vec<String>,
     },
     /// The change may have been committed.
--- a/crates/tanagerhub_daemon/src/ctl/print.rs
+++ b/crates/tanagerhub_daemon/src/ctl/print.rs
@@ -11,11 +11,17 @@
     let version = applied.version;
     let state = match (applied.committed, applied.in_force) {
         (false, _) => "nothing was changed".to_owned(),
-        (true, true) => format!("version {version} is in force at every node"),
+        (true, true) if applied.missing.is_empty() => {
+            format!("version {version} is in force at every node")
+        }
+        (true, true) => {
+            let missing = applied.missing.join(", ");
+            format!("version {version} is in force; without work until they hold it: {missing}")
+        }
         (true, false) if applied.missing.is_empty() => format!("version {version} is committed"),
         (true, false) => {
             let missing = applied.missing.join(", ");
-            format!("version {version} is committed; not known to be in force at {missing}")
+            format!("version {version} is committed; not known to hold it: {missing}")
         }
     };
     state + "\n"
--- a/crates/tanagerhub_daemon/tests/processes.rs
+++ b/crates/tanagerhub_daemon/tests/processes.rs
@@ -6,6 +6,7 @@
 
 use async_std::task;
 use rustix::process::{Pid, Signal, kill_process};
+use tanagerhub_catalogue::NodeId;
 use tanagerhub_clock::Clock;
 use tanagerhub_standins::{PlatformStandin, sample_catalogue};
 use yare::parameterized;
@@ -18,10 +19,11 @@
 struct Daemon {
     child: Child,
     operators: SocketAddr,
+    peers: SocketAddr,
 }
 
 impl Daemon {
-    fn start(platform: SocketAddr) -> Self {
+    fn start(platform: SocketAddr, seeds: &str) -> Self {
         let ports = [(); 3].map(|()| TcpListener::bind("127.0.0.1:0").unwrap());
         let [callers, operators, peers] = ports.each_ref().map(|port| port.local_addr().unwrap());
         drop(ports);
@@ -29,6 +31,7 @@
             .env("TANAGERHUB_CALLERS", callers.to_string())
             .env("TANAGERHUB_OPERATORS", operators.to_string())
             .env("TANAGERHUB_PEERS", peers.to_string())
+            .env("TANAGERHUB_SEEDS", seeds)
             .env("TANAGERHUB_REGION", "tbilisi")
             .env("TANAGERHUB_PEER_KEY", "0123456789abcdef")
             .env("TANAGERHUB_OPERATOR_TOKEN", TOKEN)
@@ -36,7 +39,11 @@
             .args(["--platform", &platform.to_string()])
             .spawn()
             .unwrap();
-        Self { child, operators }
+        Self {
+            child,
+            operators,
+            peers,
+        }
     }
 
     /// Runs `tanagerctl` against this daemon.
@@ -62,9 +69,28 @@
         }
     }
 
+    /// Waits until this daemon is fresh and knows this many nodes.
+    fn await_nodes(&self, count: usize) {
+        let start = Instant::now();
+        loop {
+            let output = self.ctl_until_done(&["status", "--json"]);
+            let status: serde_json::Value = serde_json::from_slice(&output.stdout).unwrap();
+            let nodes = status["nodes"].as_array().map_or(0, Vec::len);
+            if nodes == count && status["fresh"] == true {
+                return;
+            }
+            assert!(start.elapsed() < SAFETY, "{status}");
+            std::thread::sleep(Duration::from_millis(50));
+        }
+    }
+
+    fn signal(&self, signal: Signal) {
+        kill_process(Pid::from_child(&self.child), signal).unwrap();
+    }
+
     /// Sends SIGTERM, and gives the exit code.
     fn terminate(&mut self) -> Option<i32> {
-        kill_process(Pid::from_child(&self.child), Signal::TERM).unwrap();
+        self.signal(Signal::TERM);
         let start = Instant::now();
         while start.elapsed() < SAFETY {
             if let Some(status) = self.child.try_wait().unwrap() {
@@ -92,7 +118,7 @@
 #[test]
 fn daemon_driven_by_ctl() {
     let platform = task::block_on(PlatformStandin::start(Clock::real())).unwrap();
-    let mut daemon = Daemon::start(platform.address());
+    let mut daemon = Daemon::start(platform.address(), "");
     let file = std::env::temp_dir().join(format!("processes-{}.toml", std::process::id()));
     std::fs::write(&file, sample_catalogue()).unwrap();
     let file_name = file.to_str().unwrap();
@@ -125,6 +151,52 @@
     task::block_on(platform.stop());
 }
 
+/// A catalogue with one data centre of this name.
+fn catalogue_file(name: &str) -> String {
+    let file = std::env::temp_dir().join(format!("{name}-{}.toml", std::process::id()));
+    let text = format!("[[data_centres]]\nname = \"{name}\"\nregion = \"tbilisi\"\n");
+    std::fs::write(&file, text).unwrap();
+    file.to_str().unwrap().to_owned()
+}
+
+#[test]
+fn apply_paused_daemon() {
+    let platform = task::block_on(PlatformStandin::start(Clock::real())).unwrap();
+    let first = Daemon::start(platform.address(), "");
+    let seeds = first.peers.to_string();
+    let second = Daemon::start(platform.address(), &seeds);
+    let third = Daemon::start(platform.address(), &seeds);
+    for daemon in [&first, &second, &third] {
+        daemon.await_nodes(3);
+    }
+    let file = catalogue_file("one");
+    let output = first.ctl_until_done(&["apply", "-f", &file, "--wait"]);
+    assert!(output.status.success(), "{}", text(&output));
+    std::fs::remove_file(file).unwrap();
+
+    third.signal(Signal::STOP);
+    let file = catalogue_file("two");
+    let output = second.ctl(&["apply", "-f", &file, "--wait"]);
+    third.signal(Signal::CONT);
+    // Two of three hold it, and the third takes no work until it does too.
+    assert!(output.status.success(), "{}", text(&output));
+    // A node that has not been heard for long is named by its id.
+    let name = third.peers.to_string();
+    let names = [name.clone(), NodeId::of(&name).to_string()];
+    let shown = names.iter().any(|name| text(&output).contains(name));
+    assert!(shown, "{names:?}: {}", text(&output));
+    std::fs::remove_file(file).unwrap();
+
+    // What was committed comes into force where it was missing.
+    let start = Instant::now();
+    let in_force = || text(&third.ctl(&["get"])).contains("name = \"two\"");
+    while !in_force() {
+        assert!(start.elapsed() < SAFETY, "{}", text(&third.ctl(&["get"])));
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    task::block_on(platform.stop());
+}
+
 #[parameterized(
     setting = { &["--callers", "localhost:80"], "--callers is \"localhost:80\"" },
     flag = { &["--caller", "10.0.0.5:80"], "--caller" },
--- a/crates/tanagerhub_wire/src/operators/answers.rs
+++ b/crates/tanagerhub_wire/src/operators/answers.rs
@@ -59,9 +59,9 @@
     pub version: CatalogueVersion,
     /// Whether it is committed; `false` for a dry run or a change that changes nothing.
     pub committed: bool,
-    /// Whether it is known to be in force at every node.
+    /// Whether it is known that no node takes new work under an older version.
     pub in_force: bool,
-    /// The nodes where it isn't known to be in force.
+    /// The nodes that aren't known to hold it; while it is in force, they take no new work.
     pub missing: Vec<String>,
 }
 
