Close silent connections at both ends and compare beacon transports

Cause: a dialler that vanished left its connection open at the listening side for good, up to the limit of 1,024; both ends now ping. Port 0 took a port that was free for TCP only (seen once in beacon_delivered: address in use); up to 32 are tried. Beacons stay on UDP.

--- /dev/null
+++ b/crates/tanagerhub_wire/examples/beacon_transports.rs
@@ -0,0 +1,276 @@
+//! Compares beacons over UDP with requests over HTTP/2 under loss, on loopback.
+//!
+//! Run it with `cargo run --release -p tanagerhub_wire --example beacon_transports`.
+//!
+//! A relay drops datagrams. It can't drop TCP's segments, so for a "lost" one it holds the stream
+//! back for a retransmission timeout, doubled for each further loss, as the system does for a
+//! stream that is too thin for fast retransmit. Bytes of both include the headers of IP and of the
+//! transport, and TCP's acknowledgements.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use async_channel::Receiver;
+use async_std::io::{ReadExt, WriteExt};
+use async_std::net::{TcpListener, TcpStream, UdpSocket};
+use async_std::task::{self, block_on};
+use futures_lite::StreamExt;
+use rand::RngExt;
+use tanagerhub_catalogue::{BootId, CatalogueVersion, NodeId};
+use tanagerhub_clock::Clock;
+use tanagerhub_membership::{
+    Answer, AnswerHead, Beacon, BeaconBody, DirectoryDigest, FactBatch, Identity, PeerReply,
+    PeerRequest, Probe, Short, Standing,
+};
+use tanagerhub_wire::peers::{PeerEvent, PeerKey, PeerSender, PeerTransport};
+
+/// Time between two questions.
+const PERIOD: Duration = Duration::from_millis(250);
+/// How long each transport is measured.
+const SPAN: Duration = Duration::from_secs(15);
+/// Time between two looks at the age of what is known.
+const SAMPLE: Duration = Duration::from_millis(5);
+/// Pairs of nodes that talk at the same time.
+const PAIRS: usize = 24;
+/// Slots whose ages an answer carries, which makes it as long as in a region of 72 nodes.
+const SLOTS: usize = 312;
+/// The shortest retransmission timeout of TCP.
+const RETRANSMIT: Duration = Duration::from_millis(200);
+/// Headers of IP and UDP, in bytes.
+const UDP_HEADERS: u64 = 28;
+/// Headers of IP and TCP with time stamps, in bytes.
+const TCP_HEADERS: u64 = 52;
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+async fn node(boot: u64) -> (PeerSender, Receiver<PeerEvent>) {
+    let key: PeerKey = "a key that all nodes share".parse().expect("long enough");
+    let transport = PeerTransport::new(any_port(), key, BootId(boot), Clock::real());
+    transport.bind().await.expect("binds")
+}
+
+fn probe(nonce: u64) -> Beacon {
+    beacon(BeaconBody::Probe(Probe {
+        nonce,
+        region: nonce,
+        version: CatalogueVersion(9),
+        digest: DirectoryDigest::default(),
+        slots: nonce,
+    }))
+}
+
+fn answer(nonce: u64) -> Beacon {
+    beacon(BeaconBody::Answer(Box::new(Answer {
+        nonce,
+        standing: Standing::Member,
+        head: AnswerHead::Version(CatalogueVersion(9)),
+        store_age: Short::UNKNOWN,
+        asker: Identity::default(),
+        slots: nonce,
+        ages: vec![Short::UNKNOWN; SLOTS],
+        leaving: Vec::new(),
+        load: 0,
+        facts: FactBatch::default(),
+    })))
+}
+
+fn beacon(body: BeaconBody) -> Beacon {
+    Beacon {
+        node: NodeId(u64::MAX / 3),
+        identity: Identity::default(),
+        body,
+    }
+}
+
+/// Passes datagrams between one asker and `to`, and drops some.
+async fn udp_relay(to: SocketAddr, loss: f64, bytes: Arc<AtomicU64>) -> SocketAddr {
+    let near = UdpSocket::bind(any_port()).await.expect("binds");
+    let far = UdpSocket::bind(any_port()).await.expect("binds");
+    let address = near.local_addr().expect("bound");
+    task::spawn(async move {
+        let mut question = vec![0; 8_192];
+        let mut reply = vec![0; 8_192];
+        while let Ok((length, asker)) = near.recv_from(&mut question).await {
+            bytes.fetch_add(length as u64 + UDP_HEADERS, Ordering::Relaxed);
+            if rand::rng().random_bool(loss) {
+                continue;
+            }
+            far.send_to(&question[..length], to).await.expect("sent");
+            let Ok((length, _)) = far.recv_from(&mut reply).await else {
+                return;
+            };
+            bytes.fetch_add(length as u64 + UDP_HEADERS, Ordering::Relaxed);
+            if !rand::rng().random_bool(loss) {
+                near.send_to(&reply[..length], asker).await.expect("sent");
+            }
+        }
+    });
+    address
+}
+
+/// Passes streams on to `to`, and holds them back for each loss.
+async fn tcp_relay(to: SocketAddr, loss: f64, bytes: Arc<AtomicU64>) -> SocketAddr {
+    let listener = TcpListener::bind(any_port()).await.expect("binds");
+    let address = listener.local_addr().expect("bound");
+    task::spawn(async move {
+        let mut incoming = listener.incoming();
+        while let Some(Ok(near)) = incoming.next().await {
+            let far = TcpStream::connect(to).await.expect("connects");
+            near.set_nodelay(true).expect("open");
+            far.set_nodelay(true).expect("open");
+            task::spawn(pass(near.clone(), far.clone(), loss, Arc::clone(&bytes)));
+            task::spawn(pass(far, near, loss, Arc::clone(&bytes)));
+        }
+    });
+    address
+}
+
+async fn pass(mut from: TcpStream, mut to: TcpStream, loss: f64, bytes: Arc<AtomicU64>) {
+    let mut buffer = vec![0; 1_448];
+    while let Ok(length @ 1..) = from.read(&mut buffer).await {
+        let segment = length as u64 + TCP_HEADERS;
+        let mut wait = RETRANSMIT;
+        while rand::rng().random_bool(loss) {
+            bytes.fetch_add(segment, Ordering::Relaxed);
+            task::sleep(wait).await;
+            wait *= 2;
+        }
+        bytes.fetch_add(segment + TCP_HEADERS, Ordering::Relaxed);
+        if to.write_all(&buffer[..length]).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// When the newest answered question was sent, in microseconds since the start.
+#[derive(Debug, Default)]
+struct Newest(AtomicU64);
+
+/// What one pair measured: ages in microseconds, sampled.
+async fn sample(newest: Arc<Newest>, start: Instant) -> Vec<u64> {
+    let mut ages = Vec::new();
+    while start.elapsed() < SPAN {
+        task::sleep(SAMPLE).await;
+        let now = micros(start);
+        ages.push(now.saturating_sub(newest.0.load(Ordering::Relaxed)));
+    }
+    ages
+}
+
+fn micros(start: Instant) -> u64 {
+    u64::try_from(start.elapsed().as_micros()).unwrap_or(u64::MAX)
+}
+
+async fn over_udp(loss: f64, bytes: Arc<AtomicU64>) -> Vec<u64> {
+    let (one, answers) = node(1).await;
+    let (two, questions) = node(2).await;
+    let relay = udp_relay(two.address(), loss, bytes).await;
+    task::spawn(async move {
+        while let Ok(PeerEvent::Beacon { from, beacon }) = questions.recv().await {
+            if let BeaconBody::Probe(probe) = beacon.body {
+                let sent = two.send_beacon(from, &answer(probe.nonce)).await;
+                sent.expect("sent");
+            }
+        }
+    });
+    let start = Instant::now();
+    let newest = Arc::new(Newest::default());
+    let heard = Arc::clone(&newest);
+    task::spawn(async move {
+        while let Ok(PeerEvent::Beacon { beacon, .. }) = answers.recv().await {
+            if let BeaconBody::Answer(answer) = beacon.body {
+                heard.0.fetch_max(answer.nonce, Ordering::Relaxed);
+            }
+        }
+    });
+    task::spawn(async move {
+        while start.elapsed() < SPAN {
+            let sent = one.send_beacon(relay, &probe(micros(start))).await;
+            sent.expect("sent");
+            task::sleep(PERIOD).await;
+        }
+    });
+    sample(newest, start).await
+}
+
+async fn over_h2(loss: f64, bytes: Arc<AtomicU64>) -> Vec<u64> {
+    let (one, _events) = node(1).await;
+    let (two, questions) = node(2).await;
+    let relay = tcp_relay(two.address(), loss, bytes).await;
+    task::spawn(async move {
+        let config = bincode::config::standard();
+        while let Ok(PeerEvent::Asked { reply, .. }) = questions.recv().await {
+            let body = bincode::serde::encode_to_vec(answer(u64::MAX / 3), config);
+            let body = body.expect("encodes");
+            drop(reply.send(PeerReply::Fleet(body)).await);
+        }
+        drop(two);
+    });
+    let start = Instant::now();
+    let newest = Arc::new(Newest::default());
+    let heard = Arc::clone(&newest);
+    task::spawn(async move {
+        while start.elapsed() < SPAN {
+            let (one, heard) = (one.clone(), Arc::clone(&heard));
+            task::spawn(async move {
+                let sent = micros(start);
+                if one.ask(relay, &PeerRequest::Slots, SPAN).await.is_ok() {
+                    heard.0.fetch_max(sent, Ordering::Relaxed);
+                }
+            });
+            task::sleep(PERIOD).await;
+        }
+    });
+    sample(newest, start).await
+}
+
+/// Prints quantiles of the ages and the bytes of one pair a second.
+fn report(name: &str, loss: f64, mut ages: Vec<u64>, bytes: u64) {
+    ages.sort_unstable();
+    let at = |permille: usize| ages[ages.len() * permille / 1_000] / 1_000;
+    let pairs = PAIRS as u64 * SPAN.as_secs();
+    println!(
+        "{name} loss {loss}: age p50 {} ms, p95 {} ms, p99 {} ms, p99.9 {} ms; {} B/s a pair",
+        at(500),
+        at(950),
+        at(990),
+        at(999),
+        bytes / pairs
+    );
+}
+
+fn main() {
+    for loss in [0.0, 0.05, 0.2] {
+        let measure = |is_udp: bool| {
+            let bytes = Arc::new(AtomicU64::new(0));
+            let pairs: Vec<_> = (0..PAIRS)
+                .map(|_| {
+                    let bytes = Arc::clone(&bytes);
+                    task::spawn(async move {
+                        if is_udp {
+                            over_udp(loss, bytes).await
+                        } else {
+                            over_h2(loss, bytes).await
+                        }
+                    })
+                })
+                .collect();
+            let ages = block_on(async {
+                let mut ages = Vec::new();
+                for pair in pairs {
+                    ages.extend(pair.await);
+                }
+                ages
+            });
+            (ages, bytes.load(Ordering::Relaxed))
+        };
+        let (ages, bytes) = measure(true);
+        report("UDP", loss, ages, bytes);
+        let (ages, bytes) = measure(false);
+        report("HTTP/2", loss, ages, bytes);
+    }
+}
--- a/crates/tanagerhub_wire/src/peers.rs
+++ b/crates/tanagerhub_wire/src/peers.rs
@@ -6,6 +6,7 @@
 
 mod beacon_socket;
 mod frame;
+mod keep_alive;
 mod peer_client;
 mod peer_counters;
 mod peer_error;
--- a/crates/tanagerhub_wire/src/peers/peer_client.rs
+++ b/crates/tanagerhub_wire/src/peers/peer_client.rs
@@ -3,29 +3,22 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
 
 use async_std::net::TcpStream;
 use async_std::task;
 use bytes::Bytes;
 use futures_lite::future;
 use h2::client::SendRequest;
-use h2::{Ping, PingPong};
 use http::{Request, StatusCode};
-use tanagerhub_clock::Clock;
 use tanagerhub_membership::{PeerReply, PeerRequest};
 use tokio_util::compat::FuturesAsyncReadCompatExt;
 
+use crate::peers::keep_alive::keep_alive;
 use crate::peers::peer_counters::bump;
 use crate::peers::peer_server::read_body;
 use crate::peers::peer_transport::Shared;
 use crate::peers::{Frame, MAX_FRAME, PeerError};
 
-/// Time between two pings of a connection.
-const PING_PERIOD: Duration = Duration::from_secs(2);
-/// How long the answer to a ping is awaited.
-const PING_LIMIT: Duration = Duration::from_secs(2);
-
 /// An open connection; the number tells it from its successors.
 #[derive(Debug, Clone)]
 struct Open {
@@ -142,20 +135,6 @@
     }
 }
 
-/// Pings until one stays unanswered.
-async fn keep_alive(pings: Option<PingPong>, clock: &Clock) {
-    let Some(mut pings) = pings else {
-        return future::pending().await;
-    };
-    loop {
-        clock.sleep(PING_PERIOD).await;
-        let pong = clock.timeout(PING_LIMIT, pings.ping(Ping::opaque())).await;
-        if !matches!(pong, Some(Ok(_))) {
-            return;
-        }
-    }
-}
-
 async fn exchange(
     mut sender: SendRequest<Bytes>,
     to: SocketAddr,
--- a/crates/tanagerhub_wire/src/peers/peer_server.rs
+++ b/crates/tanagerhub_wire/src/peers/peer_server.rs
@@ -7,13 +7,15 @@
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use bytes::{Bytes, BytesMut};
-use futures_lite::StreamExt;
+use futures_lite::{StreamExt, future};
 use h2::server::SendResponse;
 use h2::{Reason, RecvStream};
 use http::{Request, Response, StatusCode};
 use tanagerhub_membership::PeerRequest;
 use tokio_util::compat::FuturesAsyncReadCompatExt;
 
+use crate::peers::keep_alive::keep_alive;
+use crate::peers::peer_counters::bump;
 use crate::peers::peer_transport::Shared;
 use crate::peers::{Frame, FrameError, MAX_FRAME, PeerEvent};
 
@@ -63,14 +65,23 @@
         return Ok(());
     };
     let mut connection = connection?;
-    while let Some(request) = connection.accept().await {
-        let (request, respond) = request?;
-        let (shared, events) = (Arc::clone(&shared), events.clone());
-        task::spawn(async move {
-            let _: Result<(), h2::Error> = handle(request, respond, &shared, &events).await;
-        });
-    }
-    Ok(())
+    let pings = connection.ping_pong();
+    let requests = async {
+        while let Some(request) = connection.accept().await {
+            let (request, respond) = request?;
+            let (shared, events) = (Arc::clone(&shared), events.clone());
+            task::spawn(async move {
+                let _: Result<(), h2::Error> = handle(request, respond, &shared, &events).await;
+            });
+        }
+        Ok(())
+    };
+    let liveness = async {
+        keep_alive(pings, &shared.clock).await;
+        bump(&shared.tally.dead);
+        Ok(())
+    };
+    future::or(requests, liveness).await
 }
 
 async fn handle(
--- a/crates/tanagerhub_wire/src/peers/peer_transport.rs
+++ b/crates/tanagerhub_wire/src/peers/peer_transport.rs
@@ -19,6 +19,8 @@
 
 /// Events that wait for the node before datagrams are dropped.
 const EVENT_QUEUE: usize = 4_096;
+/// Ports that are tried when any will do.
+const PORT_TRIES: u32 = 32;
 
 /// Something that came from a peer.
 #[derive(Debug)]
@@ -100,14 +102,15 @@
     ///
     /// Returns an error that names the address when it can't be bound.
     pub async fn bind(self) -> Result<(PeerSender, async_channel::Receiver<PeerEvent>), PeerError> {
-        let asked = self.address;
-        let failed = |source| PeerError::Bind {
-            address: asked,
+        let bound = bind_both(self.address).await;
+        let (listener, socket) = bound.map_err(|source| PeerError::Bind {
+            address: self.address,
             source,
-        };
-        let listener = TcpListener::bind(asked).await.map_err(failed)?;
-        let address = listener.local_addr().map_err(failed)?;
-        let socket = UdpSocket::bind(address).await.map_err(failed)?;
+        })?;
+        let address = socket.local_addr().map_err(|source| PeerError::Bind {
+            address: self.address,
+            source,
+        })?;
         let socket = Arc::new(socket);
         let shared = Arc::new(Shared {
             key: self.key,
@@ -133,6 +136,21 @@
     }
 }
 
+/// Binds the same port for TCP and UDP.
+async fn bind_both(address: SocketAddr) -> std::io::Result<(TcpListener, UdpSocket)> {
+    let mut tries = if address.port() == 0 { PORT_TRIES } else { 1 };
+    loop {
+        tries -= 1;
+        let listener = TcpListener::bind(address).await?;
+        match UdpSocket::bind(listener.local_addr()?).await {
+            Ok(socket) => return Ok((listener, socket)),
+            // A port that is free for one may be taken for the other.
+            Err(_taken) if tries > 0 => {}
+            Err(error) => return Err(error),
+        }
+    }
+}
+
 /// Listening tasks, cancelled with the last sender.
 #[derive(Debug)]
 struct Tasks(Vec<task::JoinHandle<()>>);
--- a/crates/tanagerhub_wire/tests/peers.rs
+++ b/crates/tanagerhub_wire/tests/peers.rs
@@ -262,3 +262,22 @@
         assert_eq!(one.counters().dials, 2);
     });
 }
+
+#[test]
+fn dialler_gone_silent() {
+    block_on(async {
+        let (clock, hand) = Clock::manual();
+        let (two, _events) = node(2, KEY, clock).await;
+        let mut stream = TcpStream::connect(two.address()).await.expect("connects");
+        // The preface and empty settings of HTTP/2; then nothing.
+        let opening = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\0\0\0\x04\0\0\0\0\0";
+        stream.write_all(opening).await.expect("sent");
+        let mut advances = 0;
+        while two.counters().dead == 0 {
+            assert!(advances < 1_000, "the silent connection stays open");
+            advances += 1;
+            hand.advance(Duration::from_millis(500));
+            task::sleep(Duration::from_millis(5)).await;
+        }
+    });
+}
