--- a/crates/tanagerhub_fleet/benches/decisions.rs
+++ b/crates/tanagerhub_fleet/benches/decisions.rs
@@ -1,5 +1,7 @@
 //! Processor time of the decisions, at both sizes.
 
+#[path = "../tests/support/lone_node.rs"]
+mod lone_node;
 #[path = "../tests/support/measure.rs"]
 mod measure;
 #[path = "../tests/support/world.rs"]
--- a/crates/tanagerhub_fleet/examples/fleet_measure.rs
+++ b/crates/tanagerhub_fleet/examples/fleet_measure.rs
@@ -2,6 +2,8 @@
 //!
 //! `cargo run --release -p tanagerhub_fleet --example fleet_measure -- downtime|today|letter|memory`
 
+#[path = "../tests/support/lone_node.rs"]
+mod lone_node;
 #[path = "../tests/support/measure.rs"]
 mod measure;
 #[path = "../tests/support/world.rs"]
--- a/crates/tanagerhub_fleet/src/fleet.rs
+++ b/crates/tanagerhub_fleet/src/fleet.rs
@@ -1,6 +1,7 @@
 //! The state machine.
 
 mod group;
+mod job;
 mod jobs;
 mod members;
 mod orders;
@@ -13,6 +14,7 @@
 mod view;
 mod vms;
 mod watch;
+mod wish;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
--- a/crates/tanagerhub_fleet/src/fleet/jobs.rs
+++ b/crates/tanagerhub_fleet/src/fleet/jobs.rs
@@ -3,134 +3,21 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use tanagerhub_catalogue::{EntryId, Epoch, GroupId, VmId};
+use tanagerhub_catalogue::{GroupId, VmId};
 use tanagerhub_clock::Moment;
-use tanagerhub_table::{Attempt, CommitOutcome, ReadBack, Row, RowKey, RowVersion, TransactionId};
+use tanagerhub_table::{CommitOutcome, ReadBack, Row, RowKey, RowVersion, TransactionId};
 
 use crate::decision::Reason;
-use crate::place::Place;
-use crate::rows::{GroupRow, entry_key, group_key, vm_key};
+use crate::rows::{entry_key, group_key, vm_key};
 use crate::{FleetAction, MemberReport, ProbeFailure, StoreFailure};
 
 use super::Fleet;
 use super::group::RowStamp;
+use super::job::{Change, Job, JobId, JobKind, JobState, Prepared};
 
 /// How long the preparation of a change may take.
 const PREPARE_LIMIT: Duration = Duration::from_secs(5);
 
-/// Names a job within this process.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct JobId(u64);
-
-/// What a job changes.
-#[derive(Debug, Clone)]
-pub(super) enum JobKind {
-    /// Forms a new group.
-    Form {
-        /// The entry to be served.
-        entry: EntryId,
-        /// The new members.
-        place: Place,
-        /// Whether the group only stands by.
-        standby: bool,
-    },
-    /// Puts a standby group into service.
-    Promote {
-        /// The group.
-        group: GroupId,
-    },
-    /// Replaces members of a group.
-    Swap {
-        /// The group.
-        group: GroupId,
-        /// The members that go.
-        lost: Vec<VmId>,
-        /// The VMs that come, in the same order.
-        spares: Vec<VmId>,
-    },
-    /// Removes a group and frees its VMs.
-    Dissolve {
-        /// The group.
-        group: GroupId,
-    },
-    /// Marks a group as draining.
-    Drain {
-        /// The group.
-        group: GroupId,
-    },
-    /// Divides a group's cold slots anew.
-    Slots {
-        /// The group.
-        group: GroupId,
-    },
-}
-
-impl JobKind {
-    pub(super) const fn group(&self) -> Option<GroupId> {
-        match self {
-            Self::Form { .. } => None,
-            Self::Swap { group, .. }
-            | Self::Promote { group }
-            | Self::Dissolve { group }
-            | Self::Drain { group }
-            | Self::Slots { group } => Some(*group),
-        }
-    }
-
-    /// VMs that are free until the job is done.
-    pub(super) fn enlists(&self) -> &[VmId] {
-        match self {
-            Self::Form { place, .. } => &place.vms,
-            Self::Swap { spares, .. } => spares,
-            Self::Promote { .. }
-            | Self::Dissolve { .. }
-            | Self::Drain { .. }
-            | Self::Slots { .. } => &[],
-        }
-    }
-}
-
-/// One change, from its preparation until its outcome is known.
-#[derive(Debug)]
-pub(super) struct Job {
-    pub(super) kind: JobKind,
-    since: Moment,
-    state: JobState,
-}
-
-#[derive(Debug)]
-enum JobState {
-    Preparing {
-        rows: Option<Vec<Row>>,
-        reports: BTreeMap<VmId, Option<MemberReport>>,
-    },
-    Committing(Box<Change>),
-    ReadingBack {
-        change: Box<Change>,
-        asked: bool,
-    },
-}
-
-/// A transaction with what it leads to.
-#[derive(Debug)]
-pub(super) struct Change {
-    pub(super) attempt: Attempt,
-    pub(super) group: GroupId,
-    /// The group's new row; `None` when it is dissolved.
-    pub(super) row: Option<GroupRow>,
-    /// VMs that leave the group, and the epoch that fences them off.
-    pub(super) freed: Vec<VmId>,
-    pub(super) fence: Epoch,
-    pub(super) done: Reason,
-}
-
-/// The rows and reports that a change is made from.
-#[derive(Debug)]
-pub(super) struct Prepared {
-    pub(super) rows: BTreeMap<RowKey, Row>,
-    pub(super) reports: BTreeMap<VmId, MemberReport>,
-}
-
 /// All changes on their way.
 #[derive(Debug, Default)]
 pub(super) struct Jobs {
--- a/crates/tanagerhub_fleet/src/fleet/plan.rs
+++ b/crates/tanagerhub_fleet/src/fleet/plan.rs
@@ -1,10 +1,9 @@
 //! Planning: which groups to form, drain and dissolve, and who does it.
 
-use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use tanagerhub_catalogue::{Class, DataCentreId, Entry, EntryId, GroupId, NodeId, VmId};
+use tanagerhub_catalogue::{Entry, EntryId, GroupId, NodeId, VmId};
 use tanagerhub_clock::Moment;
 
 use crate::decision::{DrainCause, Reason};
@@ -14,7 +13,7 @@
 
 use super::Fleet;
 use super::group::Group;
-use super::jobs::JobKind;
+use super::job::JobKind;
 
 /// The key under which the planner is chosen.
 const PLANNER_KEY: u64 = 0x706c_616e;
@@ -324,38 +323,6 @@
             .filter(|id| !self.jobs.concerns(*id))
     }
 
-    fn wishes(&self) -> Vec<Wish> {
-        let mut wishes: Vec<Wish> = self.catalogue.entries.iter().filter_map(Wish::of).collect();
-        let index: BTreeMap<EntryId, usize> = wishes
-            .iter()
-            .enumerate()
-            .map(|(place, wish)| (wish.entry, place))
-            .collect();
-        let held = self
-            .groups
-            .values()
-            .filter(|group| group.has_row() && group.is_held())
-            .map(|group| (group.row.entry, group.row.data_centre));
-        let forming = self.jobs.kinds().filter_map(|kind| match kind {
-            JobKind::Form {
-                entry,
-                place,
-                standby: false,
-            } => Some((*entry, place.data_centre)),
-            JobKind::Promote { group } => {
-                let group = self.groups.get(group)?;
-                Some((group.row.entry, group.row.data_centre))
-            }
-            _ => None,
-        });
-        for (entry, data_centre) in held.chain(forming) {
-            if let Some(place) = index.get(&entry) {
-                wishes[*place].add(data_centre);
-            }
-        }
-        wishes
-    }
-
     /// How many groups of an entry are whole.
     pub(super) fn whole_groups(&self, entry: EntryId) -> u32 {
         let whole = self.held_groups(entry).filter(|group| group.whole).count();
@@ -367,43 +334,3 @@
         !self.store.homes.contains_key(&vm)
     }
 }
-
-/// The replicas that an entry holds and wants.
-#[derive(Debug, Clone)]
-pub(super) struct Wish {
-    pub(super) entry: EntryId,
-    class: Class,
-    pub(super) span: usize,
-    min: u32,
-    pub(super) max: u32,
-    held: u32,
-    /// Replicas by data centre.
-    spread: BTreeMap<DataCentreId, u32>,
-}
-
-impl Wish {
-    fn of(entry: &Entry) -> Option<Self> {
-        Some(Self {
-            entry: entry.id(),
-            class: entry.class,
-            span: usize::from(entry.model()?.span),
-            min: entry.limits.replicas_min,
-            max: entry.limits.replicas_max,
-            held: 0,
-            spread: BTreeMap::new(),
-        })
-    }
-
-    fn add(&mut self, centre: DataCentreId) {
-        self.held += 1;
-        *self.spread.entry(centre).or_default() += 1;
-    }
-
-    /// What comes first: below the minimum, class, the smallest part held, the larger span.
-    fn urgency(&self) -> (bool, Class, u64, Reverse<usize>, EntryId) {
-        let enough = self.held >= self.min;
-        let wanted = if enough { self.max } else { self.min };
-        let part = u64::from(self.held) * 1_000_000 / u64::from(wanted.max(1));
-        (enough, self.class, part, Reverse(self.span), self.entry)
-    }
-}
--- a/crates/tanagerhub_fleet/src/fleet/repair.rs
+++ b/crates/tanagerhub_fleet/src/fleet/repair.rs
@@ -11,7 +11,7 @@
 
 use super::Fleet;
 use super::group::{Group, Member};
-use super::jobs::JobKind;
+use super::job::JobKind;
 use super::plan::Need;
 
 /// Since when, and for how long, a member may be missing.
--- a/crates/tanagerhub_fleet/src/fleet/standby.rs
+++ b/crates/tanagerhub_fleet/src/fleet/standby.rs
@@ -11,8 +11,9 @@
 
 use super::Fleet;
 use super::group::Group;
-use super::jobs::JobKind;
-use super::plan::{Need, Wish};
+use super::job::JobKind;
+use super::plan::Need;
+use super::wish::Wish;
 
 /// How long the promotion of a standby group is looked for after a group broke.
 const PROMOTION_WAIT: Duration = Duration::from_secs(10);
--- a/crates/tanagerhub_fleet/src/fleet/store.rs
+++ b/crates/tanagerhub_fleet/src/fleet/store.rs
@@ -13,7 +13,7 @@
 
 use super::Fleet;
 use super::group::{Group, RowStamp, service_id};
-use super::jobs::JobId;
+use super::job::JobId;
 
 /// The pause after the first call that the table did not answer.
 const RETRY_MIN: Duration = Duration::from_secs(1);
--- a/crates/tanagerhub_fleet/src/fleet/transactions.rs
+++ b/crates/tanagerhub_fleet/src/fleet/transactions.rs
@@ -11,7 +11,7 @@
 use crate::rows::{EntryRow, GroupRow, VmRow, decode, encode, entry_key, group_key, vm_key};
 
 use super::Fleet;
-use super::jobs::{Change, JobKind, Prepared};
+use super::job::{Change, JobKind, Prepared};
 
 impl Prepared {
     /// A row's content; `None` when it can't be decoded, the default when there is no row.
