Count groups once, and look for excess replicas once a plan

Cause: each view and each planned group walked all groups (read interval, excess), so both grew with the square of the groups.

--- a/crates/tanagerhub_fleet/src/fleet.rs
+++ b/crates/tanagerhub_fleet/src/fleet.rs
@@ -241,11 +241,7 @@
 
     /// The time between two reads of all group rows; it grows with their number.
     fn read_interval(&self) -> Duration {
-        let rows = self.groups.values().filter(|group| group.has_row()).count();
-        let share = self
-            .settings
-            .read_share
-            .saturating_mul(u32::try_from(rows).unwrap_or(u32::MAX));
+        let share = self.settings.read_share.saturating_mul(self.store.rows);
         self.settings.read_every.max(share)
     }
 }
--- a/crates/tanagerhub_fleet/src/fleet/plan.rs
+++ b/crates/tanagerhub_fleet/src/fleet/plan.rs
@@ -115,14 +115,21 @@
             .map(|group| group.id)
             .collect();
         let mut spares = free;
+        let excess = self.excess();
         for id in ids {
             if !self.jobs.concerns(id) {
-                self.plan_group(now, id, &mut spares);
+                self.plan_group(now, id, &mut spares, &excess);
             }
         }
     }
 
-    fn plan_group(&mut self, now: Moment, id: GroupId, spares: &mut FreeVms) {
+    fn plan_group(
+        &mut self,
+        now: Moment,
+        id: GroupId,
+        spares: &mut FreeVms,
+        excess: &BTreeSet<GroupId>,
+    ) {
         let Some(group) = self.groups.get(&id) else {
             return;
         };
@@ -133,15 +140,16 @@
             }
             return;
         }
-        if let Some(cause) = self.drain_cause(group) {
+        let over = excess.contains(&id).then_some(DrainCause::Excess);
+        if let Some(cause) = self.drain_cause(group).or(over) {
             if self.is_turn(now, Need::Drain(id)) {
                 self.note_group(now, id, Reason::Drain { cause });
                 self.start_job(now, JobKind::Drain { group: id });
             }
             return;
         }
-        if let Some(from) = self.idle_holder(now, group)
-            && group.health == Health::Cold
+        if group.health == Health::Cold
+            && let Some(from) = self.idle_holder(now, group)
             && self.is_turn(now, Need::Slots(id))
         {
             self.note_group(now, id, Reason::MoveSlots { from });
@@ -169,16 +177,27 @@
         if leaving || group.health == Health::Leaving {
             return Some(DrainCause::Leaving);
         }
-        (self.excess(group.row.entry) == Some(group.id)).then_some(DrainCause::Excess)
+        None
     }
 
-    /// The group to give up when an entry holds more than its limit: a broken or young one first.
-    fn excess(&self, entry: EntryId) -> Option<GroupId> {
-        let max = self.catalogue.entry(entry)?.limits.replicas_max;
-        let held = || self.held_groups(entry);
-        let over = held().count() > usize::try_from(max).unwrap_or(usize::MAX);
-        let last = || held().max_by_key(|group| (!group.whole, group.formed, group.id));
-        over.then(last).flatten().map(|group| group.id)
+    /// For each entry that holds more than its limit the group to give up: a broken or young one.
+    fn excess(&self) -> BTreeSet<GroupId> {
+        let mut held: BTreeMap<EntryId, Vec<&Group>> = BTreeMap::new();
+        let groups = self.groups.values();
+        for group in groups.filter(|group| group.has_row() && group.is_held()) {
+            held.entry(group.row.entry).or_default().push(group);
+        }
+        let max = |entry: EntryId| {
+            let entry = self.catalogue.entry(entry)?;
+            usize::try_from(entry.limits.replicas_max).ok()
+        };
+        held.into_iter()
+            .filter(|(entry, groups)| max(*entry).is_some_and(|max| groups.len() > max))
+            .filter_map(|(_, groups)| {
+                let last = |group: &&&Group| (!group.whole, group.formed, group.id);
+                groups.iter().max_by_key(last).map(|group| group.id)
+            })
+            .collect()
     }
 
     /// Groups of an entry that neither drain nor stand by.
--- a/crates/tanagerhub_fleet/src/fleet/store.rs
+++ b/crates/tanagerhub_fleet/src/fleet/store.rs
@@ -54,6 +54,8 @@
     hinted: Moment,
     /// Groups that were dissolved, and when that was known.
     pub(super) tombstones: BTreeMap<GroupId, Moment>,
+    /// Groups that have a row.
+    pub(super) rows: u32,
     /// Groups by member.
     pub(super) homes: BTreeMap<VmId, Vec<GroupId>>,
     reading: BTreeMap<ReadId, Reading>,
@@ -251,6 +253,7 @@
         }
         let group = Group::new(now, id, row, Some(stamp), &self.settings, &self.peers);
         self.groups.insert(id, group);
+        self.store.rows += 1;
     }
 
     /// Forgets a group for good.
@@ -258,6 +261,7 @@
         self.unlink(id);
         if self.groups.remove(&id).is_some_and(|group| group.has_row()) {
             self.store.tombstones.insert(id, now);
+            self.store.rows -= 1;
         }
     }
 
