--- a/crates/tanagerhub_standins/src/bin/tanagerhub-load.rs
+++ b/crates/tanagerhub_standins/src/bin/tanagerhub-load.rs
@@ -45,6 +45,8 @@
     first: Histogram<u64>,
     total: Histogram<u64>,
     span: Duration,
+    /// Processor time of this process: caller, engine and, unless called directly, node.
+    processor: Duration,
     failed: u64,
 }
 
@@ -54,6 +56,7 @@
             first: Histogram::new(3)?,
             total: Histogram::new(3)?,
             span: Duration::ZERO,
+            processor: Duration::ZERO,
             failed: 0,
         })
     }
@@ -65,6 +68,11 @@
         Ok(())
     }
 
+    /// Processor time of one request, in microseconds.
+    fn cost(&self) -> u64 {
+        micros(self.processor) / self.total.len().max(1)
+    }
+
     #[expect(clippy::cast_precision_loss, reason = "the count is far below 2^52")]
     fn rate(&self) -> f64 {
         self.total.len() as f64 / self.span.as_secs_f64()
@@ -105,6 +113,7 @@
         for (caller, measure) in [&direct, &through].into_iter().zip(&mut measures) {
             let round = call(caller, &options, &site.clock).await?;
             measure.span += round.span;
+            measure.processor += round.processor;
             measure.add(&round)?;
         }
     }
@@ -149,6 +158,7 @@
 async fn call(caller: &Caller, options: &Options, clock: &Clock) -> anyhow::Result<Measure> {
     let left = Arc::new(AtomicU64::new(options.requests / options.rounds.max(1)));
     let start = clock.now();
+    let before = processor_time();
     let tasks: Vec<_> = (0..options.parallel)
         .map(|lane| {
             task::spawn(lane_of(
@@ -164,6 +174,7 @@
         measure.add(&task.await?)?;
     }
     measure.span = clock.now().since(start);
+    measure.processor = processor_time().saturating_sub(before);
     Ok(measure)
 }
 
@@ -189,6 +200,12 @@
     Ok(measure)
 }
 
+/// The processor time that this process has used.
+fn processor_time() -> Duration {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::ProcessCPUTime);
+    Duration::try_from(time).unwrap_or_default()
+}
+
 fn micros(span: Duration) -> u64 {
     u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
 }
@@ -214,6 +231,7 @@
         through.rate(),
         through.rate() / direct.rate()
     );
+    row("processor, us a request", [direct.cost(), through.cost()]);
     println!(
         "failed: {} direct, {} through the node",
         direct.failed, through.failed
