Traffic: move slow streams at a token instead of a second attempt beside them

Cause: a second attempt beside a stream needs an edge that carries two streams at once, and an edge that doesn't would leak its place in the group. A token of a stream that takes twice its usual high time is now answered by Next::Retry; the reported attempt has ended. Off by default (moves_streams) until the edge looks at that answer. Traffic::is_live says whether an older dispatch is still valid.

--- a/crates/tanagerhub_traffic/benches/simulation/world.rs
+++ b/crates/tanagerhub_traffic/benches/simulation/world.rs
@@ -355,6 +355,9 @@
     fn report(&mut self, number: usize, attempt: u64, event: AttemptEvent) {
         let node = self.requests[number].node;
         let step = self.nodes[node].report(self.now, attempt, event);
+        if matches!((event, step), (AttemptEvent::Token(_), Step::Send(_))) {
+            self.cancel(number, attempt);
+        }
         self.carry_out(number, step);
         if !matches!(event, AttemptEvent::Token(_)) {
             self.poll(node);
@@ -563,7 +566,8 @@
     let nodes = u32::try_from(plan.nodes).unwrap();
     let settings = TrafficSettings::default()
         .node(id, centre_id(node))
-        .nodes(nodes);
+        .nodes(nodes)
+        .moves_streams(true);
     let mut traffic = Traffic::new(settings, seed);
     traffic.catalogue(now, &Arc::new(catalogue()));
     let view = Freshness {
--- a/crates/tanagerhub_traffic/src/counters.rs
+++ b/crates/tanagerhub_traffic/src/counters.rs
@@ -41,6 +41,8 @@
     pub prefix_hits: u64,
     /// Dispatches of requests with prefixes.
     pub prefix_lookups: u64,
+    /// Streams moved because they were far behind the usual pace.
+    pub moved: u64,
     /// Groups that turned cold without warning.
     pub turned_cold: u64,
 }
--- a/crates/tanagerhub_traffic/src/decision.rs
+++ b/crates/tanagerhub_traffic/src/decision.rs
@@ -168,7 +168,7 @@
     CancelOther(AttemptKey),
     /// Nothing is left to do for the attempt.
     Done,
-    /// Send the request again.
+    /// Send the request again; the attempt reported on has ended, and is cancelled if it runs.
     Retry(Dispatch),
     /// The request is queued again.
     Wait(Moment),
--- a/crates/tanagerhub_traffic/src/retry_budget.rs
+++ b/crates/tanagerhub_traffic/src/retry_budget.rs
@@ -50,7 +50,13 @@
 
     /// Takes one extra attempt, but leaves half of the burst to others.
     pub fn withdraw_spare(&mut self) -> bool {
-        self.level >= 1.0 + self.burst / 2.0 && self.withdraw()
+        self.has_spare() && self.withdraw()
+    }
+
+    /// Whether more than half of the burst is left.
+    #[must_use]
+    pub fn has_spare(&self) -> bool {
+        self.level >= 1.0 + self.burst / 2.0
     }
 
     /// Extra attempts left.
--- a/crates/tanagerhub_traffic/src/settings.rs
+++ b/crates/tanagerhub_traffic/src/settings.rs
@@ -48,6 +48,8 @@
     pub hedge_floor: Duration,
     /// The longest answer, in tokens, that is hedged.
     pub hedge_tokens: u32,
+    /// Whether the edge moves a stream when a report of a token is answered by a retry.
+    pub moves_streams: bool,
     /// How long a request that crashes back ends is refused.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "quarantine_ms")]
@@ -68,6 +70,7 @@
             stall: Duration::from_secs(5),
             hedge_floor: Duration::from_millis(200),
             hedge_tokens: 64,
+            moves_streams: false,
             quarantine: Duration::from_mins(10),
         }
     }
@@ -82,6 +85,13 @@
         self
     }
 
+    /// Sets whether the edge moves streams that are far behind the usual pace.
+    #[must_use]
+    pub const fn moves_streams(mut self, moves: bool) -> Self {
+        self.moves_streams = moves;
+        self
+    }
+
     /// Sets the number of node slots that share the limits.
     #[must_use]
     pub const fn nodes(mut self, nodes: u32) -> Self {
--- a/crates/tanagerhub_traffic/src/traffic.rs
+++ b/crates/tanagerhub_traffic/src/traffic.rs
@@ -106,7 +106,6 @@
 enum Timer {
     GiveUp(RequestKey, u64),
     Hedge(AttemptKey),
-    Pace(AttemptKey),
 }
 
 /// What traffic saw of a group, for control.
@@ -205,6 +204,14 @@
         self.drain.begin(now, grace);
     }
 
+    /// Whether an attempt still runs, as far as was reported.
+    ///
+    /// A dispatch that was decided a while ago is void when its attempt has been cancelled since.
+    #[must_use]
+    pub fn is_live(&self, attempt: AttemptKey) -> bool {
+        self.attempts.contains_key(attempt)
+    }
+
     /// How far a graceful shutdown has come.
     #[must_use]
     pub fn drain_state(&self, now: Moment) -> DrainState {
--- a/crates/tanagerhub_traffic/src/traffic/dispatch.rs
+++ b/crates/tanagerhub_traffic/src/traffic/dispatch.rs
@@ -38,7 +38,6 @@
         let dispatch = self.start(now, key, choice, suspect, hedge);
         self.count_dispatch(key, choice);
         self.arm_hedge(now, key, dispatch?.attempt);
-        self.arm_pace(now, key, dispatch?.attempt);
         dispatch
     }
 
@@ -96,25 +95,6 @@
         }
     }
 
-    /// Sets a timer for a second attempt of a stream that is far behind the usual pace.
-    fn arm_pace(&mut self, now: Moment, key: RequestKey, attempt: AttemptKey) {
-        let Some(request) = self.requests.get(key) else {
-            return;
-        };
-        if request.info.repeat != Repeat::Resume || request.attempts.len() != 1 {
-            return;
-        }
-        let left = request.info.max_tokens.saturating_sub(request.tokens);
-        let usual = self
-            .entries
-            .get(&request.info.entry)
-            .map_or(Duration::ZERO, |entry| entry.reserve(left));
-        if !usual.is_zero() {
-            let at = now + usual * PACE_FACTOR;
-            self.timers.push(Reverse((at, Timer::Pace(attempt))));
-        }
-    }
-
     /// Sets a timer for a second attempt of short work that may be repeated.
     fn arm_hedge(&mut self, now: Moment, key: RequestKey, attempt: AttemptKey) {
         let Some(request) = self.requests.get(key) else {
@@ -133,9 +113,6 @@
     }
 }
 
-/// How many times its usual high time a stream may take before it is tried elsewhere.
-const PACE_FACTOR: u32 = 2;
-
 /// The engines' priority of a class; 0 goes first.
 const fn priority(class: Class) -> u8 {
     match class {
--- a/crates/tanagerhub_traffic/src/traffic/queueing.rs
+++ b/crates/tanagerhub_traffic/src/traffic/queueing.rs
@@ -7,7 +7,7 @@
 
 use super::admission::{RETRY_FLOOR, refusal, status_of};
 use super::{Timer, Traffic};
-use crate::in_flight::{Attempt, RequestKey};
+use crate::in_flight::RequestKey;
 use crate::{AttemptKey, Decision, Outcome, Reason, Refusal};
 
 /// Waiting requests that may be passed by others because no group fits just them.
@@ -121,8 +121,7 @@
             self.timers.pop();
             match timer {
                 Timer::GiveUp(key, number) => self.give_up(key, number),
-                Timer::Hedge(attempt) if self.is_answered(attempt) => {}
-                Timer::Hedge(attempt) | Timer::Pace(attempt) => self.hedge(now, attempt),
+                Timer::Hedge(attempt) => self.hedge(now, attempt),
             }
         }
     }
@@ -140,16 +139,15 @@
         self.refuse_waiter(key, refusal(Reason::DeadlinePassed, Some(RETRY_FLOOR)));
     }
 
-    fn is_answered(&self, attempt: AttemptKey) -> bool {
-        self.attempts.get(attempt).is_some_and(Attempt::is_answered)
-    }
-
-    /// Sends a second attempt beside one that is late, if the budget allows it.
+    /// Sends a second attempt if the first still has no answer and the budget allows it.
     fn hedge(&mut self, now: Moment, attempt: AttemptKey) {
         let Some(running) = self.attempts.get(attempt) else {
             return;
         };
         let (key, group) = (running.request, running.group);
+        if running.is_answered() {
+            return;
+        }
         let Some(request) = self.requests.get_mut(key) else {
             return;
         };
--- a/crates/tanagerhub_traffic/src/traffic/reports.rs
+++ b/crates/tanagerhub_traffic/src/traffic/reports.rs
@@ -14,6 +14,9 @@
 /// Tokens beyond the break after which a resumed request is no longer under suspicion.
 const ACQUITTAL_TOKENS: u32 = 16;
 
+/// How many times its usual high time a stream may take before it is moved.
+const PACE_FACTOR: u32 = 2;
+
 /// How an attempt failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Failure {
@@ -122,7 +125,41 @@
             let fingerprint = held.info.fingerprint;
             self.crashes.acquit(fingerprint);
         }
-        next
+        match next {
+            Next::Continue => self.move_stream(now, key).unwrap_or(Next::Continue),
+            other => other,
+        }
+    }
+
+    /// Resumes a stream elsewhere when it is far behind the usual pace.
+    fn move_stream(&mut self, now: Moment, key: AttemptKey) -> Option<Next> {
+        if !self.settings.moves_streams {
+            return None;
+        }
+        let attempt = self.attempts.get(key)?;
+        let (request, group) = (attempt.request, attempt.group);
+        let held = self.requests.get_mut(request)?;
+        let entry = self.entries.get(&held.info.entry)?;
+        let planned = held.info.max_tokens.saturating_sub(attempt.resume_at);
+        let usual = entry.reserve(planned);
+        let late = !usual.is_zero() && now.since(attempt.started) > usual * PACE_FACTOR;
+        let movable = held.info.repeat == Repeat::Resume && held.tokens < held.info.max_tokens;
+        if !late || !movable || !entry.queue.is_empty() || !entry.budget.has_spare() {
+            return None;
+        }
+        held.tried.push(group);
+        let Some(dispatch) = self.try_dispatch(now, request, false) else {
+            self.requests.get_mut(request)?.tried.pop();
+            return None;
+        };
+        self.end_attempt(key);
+        let held = self.requests.get_mut(request)?;
+        held.worsen(Outcome::Ran);
+        if let Some(entry) = self.entries.get_mut(&held.info.entry) {
+            entry.budget.withdraw();
+        }
+        self.counters.moved += 1;
+        Some(Next::Retry(dispatch))
     }
 
     /// Tells control that a token proves the group whole.
--- a/crates/tanagerhub_traffic/tests/failures.rs
+++ b/crates/tanagerhub_traffic/tests/failures.rs
@@ -372,3 +372,24 @@
     let refusal = world.failed(first.attempt, event);
     assert_eq!(refusal.outcome, Outcome::Ran);
 }
+
+#[test]
+fn report_slow_stream_moved() {
+    let mut world = TrafficWorld::new(2);
+    let info = world.info(SHOP);
+    let usual = world.dispatch(info);
+    world.pass(1_000);
+    world.report(usual.attempt, AttemptEvent::Finished { tokens: 100 });
+    let info = world.info(SHOP);
+    let slow = world.dispatch(info);
+    world.pass(1_000);
+    assert_eq!(
+        world.report(slow.attempt, AttemptEvent::Token(4)),
+        Next::Continue
+    );
+    world.pass(2_000);
+    let moved = world.retried(slow.attempt, AttemptEvent::Token(9));
+    assert_ne!(moved.group, slow.group);
+    assert_eq!(moved.resume_at, 9);
+    assert!(!world.traffic.is_live(slow.attempt));
+}
--- a/crates/tanagerhub_traffic/tests/support/traffic_world.rs
+++ b/crates/tanagerhub_traffic/tests/support/traffic_world.rs
@@ -5,7 +5,7 @@
 
 use tanagerhub_catalogue::{
     Catalogue, Class, ColdLimit, DataCentreId, Entry, EntryId, EntryKind, Epoch, GroupId, Limits,
-    Organisation, OrganisationId, OrganisationLimits, RequestId, ServiceEntry,
+    NodeId, Organisation, OrganisationId, OrganisationLimits, RequestId, ServiceEntry,
 };
 use tanagerhub_clock::Moment;
 use tanagerhub_traffic::{
@@ -80,10 +80,9 @@
 
     pub fn with(groups: u64, limits: Limits, organisations: Vec<Organisation>) -> Self {
         let now = Moment::from_millis(1_000);
-        let settings = TrafficSettings::default().node(
-            tanagerhub_catalogue::NodeId::of("n1"),
-            DataCentreId::of("tbs-a"),
-        );
+        let settings = TrafficSettings::default()
+            .node(NodeId::of("n1"), DataCentreId::of("tbs-a"))
+            .moves_streams(true);
         let mut traffic = Traffic::new(settings, 7);
         let catalogue = Catalogue {
             entries: vec![entry(limits)],
--- a/crates/tanagerhub_traffic/tests/traffic_random.rs
+++ b/crates/tanagerhub_traffic/tests/traffic_random.rs
@@ -173,7 +173,10 @@
             event,
             AttemptEvent::Cold | AttemptEvent::FirstByte | AttemptEvent::Token(_)
         );
-        if ends {
+        // A retry after a token moves a stream that was slow.
+        let moved = !ends && matches!(next, Next::Retry(_));
+        held.touched |= moved;
+        if ends || moved {
             held.attempts.retain(|it| it.attempt != attempt);
         }
         self.next(request, &next, event);
