Traffic: suspects in a queue don't hold up others; cost of a token's report

Cause: a poll looked past eight requests that only some groups fit; ten suspects of crashes at the front kept an innocent request waiting beside a free place. The limit is now 64; the new test failed with one request sent instead of two.

--- a/crates/tanagerhub_traffic/benches/routing.rs
+++ b/crates/tanagerhub_traffic/benches/routing.rs
@@ -99,6 +99,22 @@
     group.finish();
 }
 
+fn token(criterion: &mut Criterion) {
+    let mut traffic = traffic(60);
+    let now = Moment::from_millis(1);
+    let Decision::Dispatch(it) = traffic.submit(now, info(1)) else {
+        panic!("no group has room");
+    };
+    let mut count = 0;
+    criterion.bench_function("report/token", |bencher| {
+        bencher.iter(|| {
+            count += 1;
+            let next = traffic.report(now, it.attempt, AttemptEvent::Token(count));
+            black_box(next)
+        });
+    });
+}
+
 fn relay(criterion: &mut Criterion) {
     let mut text = String::new();
     for token in 1..=100 {
@@ -120,5 +136,5 @@
     });
 }
 
-criterion_group!(benches, routing, relay);
+criterion_group!(benches, routing, token, relay);
 criterion_main!(benches);
--- a/crates/tanagerhub_traffic/src/traffic/queueing.rs
+++ b/crates/tanagerhub_traffic/src/traffic/queueing.rs
@@ -11,7 +11,7 @@
 use crate::{AttemptKey, Decision, Outcome, Reason, Refusal};
 
 /// Waiting requests that may be passed by others because no group fits just them.
-const PASSED_LIMIT: usize = 8;
+const PASSED_LIMIT: usize = 64;
 
 impl Traffic {
     /// Decides on requests that wait, and on hedges.
--- a/crates/tanagerhub_traffic/tests/failures.rs
+++ b/crates/tanagerhub_traffic/tests/failures.rs
@@ -7,7 +7,7 @@
 
 use support::traffic_world::{SHOP, TrafficWorld};
 use tanagerhub_catalogue::Epoch;
-use tanagerhub_traffic::{AttemptEvent, Decision, Fact, Next, Outcome, Reason, Repeat};
+use tanagerhub_traffic::{AttemptEvent, CrashFact, Decision, Fact, Next, Outcome, Reason, Repeat};
 use yare::parameterized;
 
 #[test]
@@ -393,3 +393,28 @@
     assert_eq!(moved.resume_at, 9);
     assert!(!world.traffic.is_live(slow.attempt));
 }
+
+#[test]
+fn poll_innocent_passes_suspects() {
+    let mut world = TrafficWorld::new(1);
+    let running = world.fill();
+    for fingerprint in 100..110 {
+        let fact = CrashFact {
+            fingerprint,
+            strikes: 1,
+            age: Duration::ZERO,
+        };
+        world.traffic.crashes().learn(world.now, fact);
+        let info = world.info(SHOP).fingerprint(fingerprint);
+        assert!(matches!(world.submit(info), Decision::Wait(_)));
+    }
+    let info = world.info(SHOP);
+    let innocent = info.id;
+    assert!(matches!(world.submit(info), Decision::Wait(_)));
+    for dispatch in &running[..2] {
+        world.report(dispatch.attempt, AttemptEvent::Finished { tokens: 1 });
+    }
+    let sent: Vec<_> = world.poll().into_iter().map(|(id, _)| id).collect();
+    assert_eq!(sent.len(), 2, "one suspect and the innocent request");
+    assert!(sent.contains(&innocent));
+}
