Check freshness once the connection is open, right before the send

Cause: the check came before the connect, so a process paused while it connected could send on an old view. The edge now asks between the connect and the first byte.

--- a/crates/tanagerhub/src/run.rs
+++ b/crates/tanagerhub/src/run.rs
@@ -141,14 +141,9 @@
         let line = self.line.clone();
         let flight = async move {
             // A process that was paused since the decision must not send any more.
-            if !line.traffic.may_send() {
-                let reason = "this node's view is no longer fresh".to_owned();
-                return Err(BackendError::NotSent {
-                    address: dispatch.address,
-                    reason,
-                });
-            }
-            line.backends.send(dispatch.address, request).await
+            let may_send = || line.traffic.may_send();
+            let sent = line.backends.send_if(dispatch.address, request, may_send);
+            sent.await
         };
         self.flights.push((dispatch, Box::pin(flight)));
     }
