--- a/crates/tanagerhub/src/control/status.rs
+++ b/crates/tanagerhub/src/control/status.rs
@@ -111,14 +111,10 @@
         }))
     }
 
-    /// The address of a node, or its id when it is not known.
+    /// The address of a node, or its id when its slot is not known.
     pub(super) fn node_name(&self, node: NodeId) -> String {
-        if node == self.node {
-            return self.edges.peers.address().to_string();
-        }
-        let peers = self.membership.peers(self.clock.now());
-        let peer = peers.iter().find(|peer| peer.node == node);
-        peer.map_or_else(|| node.to_string(), |peer| peer.address.to_string())
+        let address = self.membership.address(node);
+        address.map_or_else(|| node.to_string(), |address| address.to_string())
     }
 
     fn names(&self) -> Names<'_> {
--- a/crates/tanagerhub_membership/src/membership.rs
+++ b/crates/tanagerhub_membership/src/membership.rs
@@ -217,6 +217,12 @@
         self.standing
     }
 
+    /// Where a node is reached, alive or not, as its slot says.
+    #[must_use]
+    pub fn address(&self, node: NodeId) -> Option<SocketAddr> {
+        self.slots.row(node).map(|row| row.slot.address)
+    }
+
     /// Live nodes of the region without this one, in the order of their ids.
     #[must_use]
     pub fn peers(&self, now: Moment) -> Vec<Peer> {
