Read all node slots around the commit of an operator's change

Cause: the set of nodes was the last list read, up to 15 s old, so a change applied by a node that knew only itself was answered "in force" though two other nodes still worked under the old version. Ruled out: the two-round acceptance, which the model check holds for a given set. Before: apply_before_slots_known got InForce with nobody missing; after: Committed, two missing. In force now needs a read of the slots sent after the commit, or, when the table has failed since, one sent after the change began.

--- a/crates/tanagerhub_membership/src/apply.rs
+++ b/crates/tanagerhub_membership/src/apply.rs
@@ -31,6 +31,7 @@
 #[derive(Debug)]
 pub(crate) struct Apply {
     pub(crate) operation: OperationId,
+    pub(crate) began: Moment,
     pub(crate) token: u64,
     pub(crate) document: Document,
     pub(crate) attempt: Option<Attempt>,
@@ -71,6 +72,8 @@
 pub(crate) struct Spread {
     version: CatalogueVersion,
     pub(crate) regions: BTreeMap<String, RegionSpread>,
+    /// When the commit was known.
+    pub(crate) began: Moment,
     /// When the last region accepted the version.
     accepted: Option<Moment>,
 }
@@ -83,9 +86,10 @@
 }
 
 impl Spread {
-    pub(crate) const fn new(version: CatalogueVersion) -> Self {
+    pub(crate) const fn new(version: CatalogueVersion, began: Moment) -> Self {
         Self {
             version,
+            began,
             regions: BTreeMap::new(),
             accepted: None,
         }
--- a/crates/tanagerhub_membership/src/membership/applying.rs
+++ b/crates/tanagerhub_membership/src/membership/applying.rs
@@ -40,6 +40,7 @@
         catalogue.version = expected.next();
         self.applies.push(Apply {
             operation,
+            began: now,
             token: self.rng.random(),
             document: Document::of(catalogue),
             attempt: None,
@@ -48,6 +49,7 @@
             deadline: now + self.settings.apply_limit,
             resend: now,
         });
+        self.read_slots(now);
         self.applies_due(now);
     }
 
@@ -74,7 +76,8 @@
         let limit = self.settings.freshness_limit;
         if let ApplyStage::Spreading(spread) = &mut apply.stage {
             spread.tick(now);
-            if spread.is_in_force(now, limit) {
+            let counted = self.store.has_counted(apply.began, spread.began);
+            if counted && spread.is_in_force(now, limit) {
                 let (version, stopped) = (apply.document.head().version, spread.missing());
                 return Some(ApplyOutcome::InForce { version, stopped });
             }
@@ -325,7 +328,8 @@
         let head = apply.document.head();
         self.hear_of(head, None, now);
         self.follow(apply.document.clone(), now);
-        apply.stage = ApplyStage::Spreading(Spread::new(head.version));
+        apply.stage = ApplyStage::Spreading(Spread::new(head.version, now));
+        self.read_slots(now);
         self.recount(apply, now);
         self.send_holds(apply, now);
     }
--- a/crates/tanagerhub_membership/src/membership/reading.rs
+++ b/crates/tanagerhub_membership/src/membership/reading.rs
@@ -30,12 +30,17 @@
         }
         let slots_known = self.store.state == StoreState::Up || self.slots.len() == 0;
         if slots_known && now >= self.store.slots_due && !self.store.is_open(ReadPurpose::Slots) {
-            let prefix = SLOT_PREFIX.to_owned();
-            self.read(ReadPurpose::Slots, TableRead::Prefix(prefix), now);
-            self.store.slots_due = now + self.slots_wait();
+            self.read_slots(now);
         }
     }
 
+    /// Reads all slots now.
+    pub(super) fn read_slots(&mut self, now: Moment) {
+        let prefix = SLOT_PREFIX.to_owned();
+        self.read(ReadPurpose::Slots, TableRead::Prefix(prefix), now);
+        self.store.slots_due = now + self.slots_wait();
+    }
+
     pub(super) fn read(&mut self, purpose: ReadPurpose, rows: TableRead, now: Moment) {
         let read = self.store.open(purpose, now);
         self.counters.reads += 1;
@@ -84,7 +89,10 @@
         }
         match open.purpose {
             ReadPurpose::Head => self.head_read(now, open.sent, rows),
-            ReadPurpose::Slots => self.slots_read(rows),
+            ReadPurpose::Slots => {
+                self.store.slots_seen = self.store.slots_seen.max(Some(open.sent));
+                self.slots_read(rows);
+            }
             ReadPurpose::Apply(operation) => self.apply_read(now, operation, rows),
         }
     }
--- a/crates/tanagerhub_membership/src/store_reader.rs
+++ b/crates/tanagerhub_membership/src/store_reader.rs
@@ -39,6 +39,8 @@
     pub(crate) state: StoreState,
     pub(crate) head_due: Moment,
     pub(crate) slots_due: Moment,
+    /// When the last answered read of all slots was sent.
+    pub(crate) slots_seen: Option<Moment>,
 }
 
 impl StoreReader {
@@ -50,9 +52,24 @@
             state: StoreState::Unasked,
             head_due: Moment::ZERO,
             slots_due: Moment::ZERO,
+            slots_seen: None,
         }
     }
 
+    /// Whether all slots were read late enough to judge a change.
+    ///
+    /// A node that registers after a read that followed the commit learns the version from the
+    /// table first. If the table has failed since, no node can register, and a read that followed
+    /// the change's begin has to do: a node that came in between is stale within the limit, since
+    /// a majority knows the newer version.
+    pub(crate) fn has_counted(&self, began: Moment, committed: Moment) -> bool {
+        let needed = match self.state {
+            StoreState::Down => began,
+            StoreState::Up | StoreState::Unasked => committed,
+        };
+        self.slots_seen >= Some(needed)
+    }
+
     /// Notes a read that is being sent.
     pub(crate) fn open(&mut self, purpose: ReadPurpose, now: Moment) -> ReadId {
         self.next_id += 1;
--- a/crates/tanagerhub_membership/tests/nodes/spreading.rs
+++ b/crates/tanagerhub_membership/tests/nodes/spreading.rs
@@ -132,6 +132,27 @@
     assert!((4..8).all(|node| !world.is_fresh(node)));
 }
 
+/// A node that knows only itself must not take its own word for a majority.
+#[test]
+fn apply_before_slots_known() {
+    let mut world = World::new(6);
+    world.start(0, 0);
+    world.run(SECOND * 3);
+    for place in [1, 2] {
+        world.start(place, 0);
+        world.cuts.extend([(0, place), (place, 0)]);
+    }
+    world.run(SECOND);
+    world.apply(0, 1, 0);
+    world.run(CHANGE_LIMIT);
+    let outcome = world.answer(1);
+    let missing = match outcome {
+        Some(ApplyOutcome::Committed { missing, .. }) => missing.len(),
+        _ => panic!("two nodes can't be asked, but the answer is {outcome:?}"),
+    };
+    assert_eq!(missing, 2);
+}
+
 #[test]
 fn apply_after_slot_added_elsewhere() {
     let mut world = World::settled(8, 40, 2);
