Look marks and addresses up when they change, not for each view

Cause: each view looked every member up in the lists of VMs and marks, four times; at 1,200 replicas one pass over all views took 9.1 ms on a busy machine, and a node makes several a second.

--- a/crates/tanagerhub_fleet/src/fleet.rs
+++ b/crates/tanagerhub_fleet/src/fleet.rs
@@ -105,6 +105,14 @@
     /// Takes in an event at the moment `now`, and returns what shall be done.
     pub fn on_event(&mut self, now: Moment, event: FleetEvent) -> Vec<FleetAction> {
         self.notice_pause(now);
+        let refresh = matches!(
+            event,
+            FleetEvent::Catalogue(_)
+                | FleetEvent::Vms(_)
+                | FleetEvent::Rows { .. }
+                | FleetEvent::PeerRows(_)
+                | FleetEvent::Committed { .. }
+        );
         match event {
             FleetEvent::Tick => self.tick(now),
             FleetEvent::Catalogue(catalogue) => self.set_catalogue(catalogue),
@@ -136,6 +144,9 @@
                 self.token_streamed(now, group, epoch, at);
             }
         }
+        if refresh {
+            self.refresh();
+        }
         std::mem::take(&mut self.out)
     }
 
--- a/crates/tanagerhub_fleet/src/fleet/group.rs
+++ b/crates/tanagerhub_fleet/src/fleet/group.rs
@@ -1,5 +1,6 @@
 //! One group, as this node knows it.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use tanagerhub_catalogue::{BootId, EntryId, Epoch, GroupId, NodeId, VmId};
@@ -9,7 +10,7 @@
 
 use crate::rendezvous::watcher_rank;
 use crate::rows::GroupRow;
-use crate::{FleetSettings, Health, MemberReport, Peer, ProbeFailure};
+use crate::{FleetSettings, Health, MemberReport, NotServing, Peer, ProbeFailure};
 
 use super::vms::VmInfo;
 
@@ -35,6 +36,10 @@
     /// `None` for a plain service, which has no row.
     pub(super) stamp: Option<RowStamp>,
     pub(super) members: Vec<Member>,
+    /// The members' addresses, as the platform last listed them.
+    pub(super) addresses: Vec<Option<SocketAddr>>,
+    /// Why marks or the platform's list stop the group, as of their last change.
+    pub(super) stopped: Option<NotServing>,
     /// When this node first knew of the row's present version.
     pub(super) known: Moment,
     /// When this node first knew of the present division of cold slots.
@@ -127,6 +132,8 @@
             row,
             stamp,
             members,
+            addresses: Vec::new(),
+            stopped: Some(NotServing::Leaving),
             known: now,
             divided: now,
             formed: now,
--- a/crates/tanagerhub_fleet/src/fleet/view.rs
+++ b/crates/tanagerhub_fleet/src/fleet/view.rs
@@ -9,22 +9,23 @@
 
 impl Fleet {
     pub(super) fn view(&self, now: Moment, group: &Group) -> GroupView {
-        let health = self.health(group);
+        let health = health(group);
         let cold_slots = if health == Health::Cold {
             self.own_slots(now, group)
         } else {
             0
         };
         let why_not = self.why_not(now, group, health, cold_slots);
-        let member = |vm: &tanagerhub_catalogue::VmId| MemberView {
-            vm: *vm,
-            address: self.vms.address(*vm),
-        };
+        let addresses = group.addresses.iter().copied();
+        let members = group.row.members.iter().copied();
+        let members = members.zip(addresses);
         GroupView {
             id: group.id,
             epoch: group.row.epoch,
             entry: group.row.entry,
-            members: group.row.members.iter().map(member).collect(),
+            members: members
+                .map(|(vm, address)| MemberView { vm, address })
+                .collect(),
             data_centre: group.row.data_centre,
             phase: self.phase(now, group, health),
             age: group.counted().map(|at| now.since(at)),
@@ -35,12 +36,21 @@
         }
     }
 
-    fn health(&self, group: &Group) -> Health {
-        let leaving = |vm: &tanagerhub_catalogue::VmId| self.vms.is_leaving(*vm);
-        if group.row.members.iter().any(leaving) {
-            return Health::Leaving;
+    /// Looks up marks, leaving VMs and addresses again, after any of them or a row changed.
+    pub(super) fn refresh(&mut self) {
+        let vms = &self.vms;
+        for group in self.groups.values_mut() {
+            let home = group.row.data_centre;
+            let members = &group.row.members;
+            group.addresses = members.iter().map(|vm| vms.address(*vm)).collect();
+            group.stopped = if members.iter().any(|vm| vms.is_out(*vm, home)) {
+                Some(NotServing::MarkedOut)
+            } else if members.iter().any(|vm| vms.is_leaving(*vm)) {
+                Some(NotServing::Leaving)
+            } else {
+                None
+            };
         }
-        group.health
     }
 
     fn phase(&self, now: Moment, group: &Group, health: Health) -> Phase {
@@ -63,8 +73,6 @@
         health: Health,
         cold_slots: u32,
     ) -> Option<NotServing> {
-        let home = group.row.data_centre;
-        let members = &group.row.members;
         if self.catalogue.entry(group.row.entry).is_none() {
             return Some(NotServing::NoEntry);
         }
@@ -74,8 +82,8 @@
         if group.row.standby {
             return Some(NotServing::Standby);
         }
-        if members.iter().any(|vm| self.vms.is_out(*vm, home)) {
-            return Some(NotServing::MarkedOut);
+        if group.stopped.is_some() {
+            return group.stopped;
         }
         if health == Health::Leaving {
             return Some(NotServing::Leaving);
@@ -136,6 +144,14 @@
     }
 }
 
+/// What the group can bear, with what the platform says of its members.
+fn health(group: &Group) -> Health {
+    if group.stopped == Some(NotServing::Leaving) {
+        return Health::Leaving;
+    }
+    group.health
+}
+
 fn count(number: usize) -> u32 {
     u32::try_from(number).unwrap_or(u32::MAX)
 }
