Traffic: the window on requests without a first byte no longer grows without bound

Cause: each first byte opened the window by one for good, so that a group warm for a while had none, and a group that turned cold without warning could get a node's whole concurrency at once. The window now stays at its first value and only recovers to it. Seen while looking at the stand-ins' load_engine_turns_cold, which failed once on a machine at load 30 (2 engines fell over) and passed alone; this bounds the blind moment and does not prove that test mended.

--- a/crates/tanagerhub_traffic/src/group.rs
+++ b/crates/tanagerhub_traffic/src/group.rs
@@ -177,7 +177,7 @@
     /// Takes in a first byte; the window opens.
     pub(crate) fn first_byte(&mut self, now: Moment, wait: Duration) {
         self.unanswered = self.unanswered.saturating_sub(1);
-        self.window = self.window.saturating_add(1);
+        self.window = self.window.saturating_add(1).min(self.first_window);
         self.timeouts = 0;
         self.first_byte.observe(wait.as_secs_f64());
         self.measured = now;
