Say that an unchanged catalogue is in force only where that is known

Cause: applying the same catalogue again answered in_force from the node's own freshness alone, and the status listed only live nodes, so apply_at_once_counts_every_node failed once in a clean clone on a busy machine (1 of 3 nodes shown). Now the answer names the nodes that are not known to follow the version, and the status lists every node slot with the time since it was last alive.

--- a/crates/tanagerhub/src/control/operations.rs
+++ b/crates/tanagerhub/src/control/operations.rs
@@ -153,15 +153,7 @@
         } = change;
         catalogue.version = expected;
         if dry_run || catalogue == *self.view.catalogue {
-            let same = catalogue == *self.view.catalogue;
-            let version = if same { expected } else { expected.next() };
-            let in_force = same && self.membership.freshness(now).is_fresh();
-            let applied = Applied {
-                version,
-                committed: false,
-                in_force,
-                missing: Vec::new(),
-            };
+            let applied = self.unchanged(now, catalogue == *self.view.catalogue);
             drop(reply.try_send(Ok(OperatorAnswer::Applied(applied))));
             return;
         }
@@ -186,6 +178,26 @@
         );
     }
 
+    /// The answer to a call that commits nothing; `same` says that there was nothing to change.
+    fn unchanged(&self, now: Moment, same: bool) -> Applied {
+        let current = self.view.catalogue.version;
+        if !same {
+            return Applied {
+                version: current.next(),
+                committed: false,
+                in_force: false,
+                missing: Vec::new(),
+            };
+        }
+        let behind = self.membership.behind(now);
+        Applied {
+            version: current,
+            committed: false,
+            in_force: behind.is_empty() && self.membership.freshness(now).is_fresh(),
+            missing: behind.iter().map(|node| self.node_name(*node)).collect(),
+        }
+    }
+
     fn readiness(&self, now: Moment) -> Readiness {
         let freshness = self.membership.freshness(now);
         let reason = if self.view.draining {
--- a/crates/tanagerhub/src/control/status.rs
+++ b/crates/tanagerhub/src/control/status.rs
@@ -242,15 +242,16 @@
             fresh: self.membership.freshness(now).is_fresh(),
             age: Duration::ZERO,
         };
-        let peers = self.membership.peers(now);
-        let peers = peers.iter().map(|peer| NodeStatus {
+        let live = self.membership.peers(now);
+        let others = self.membership.others(now);
+        let others = others.iter().map(|peer| NodeStatus {
             name: peer.address.to_string(),
             data_centre: names.data_centre(peer.data_centre),
             version: peer.version,
-            fresh: !peer.leaving,
-            age: Duration::ZERO,
+            fresh: !peer.leaving && live.iter().any(|it| it.node == peer.node),
+            age: peer.age.unwrap_or(now.since(Moment::ZERO)),
         });
-        std::iter::once(own).chain(peers).collect()
+        std::iter::once(own).chain(others).collect()
     }
 }
 
--- a/crates/tanagerhub_daemon/tests/processes.rs
+++ b/crates/tanagerhub_daemon/tests/processes.rs
@@ -75,7 +75,8 @@
         loop {
             let output = self.ctl_until_done(&["status", "--json"]);
             let status: serde_json::Value = serde_json::from_slice(&output.stdout).unwrap();
-            let nodes = status["nodes"].as_array().map_or(0, Vec::len);
+            let nodes = status["nodes"].as_array().into_iter().flatten();
+            let nodes = nodes.filter(|node| node["fresh"] == true).count();
             if nodes == count && status["fresh"] == true {
                 return;
             }
--- a/crates/tanagerhub_membership/src/membership.rs
+++ b/crates/tanagerhub_membership/src/membership.rs
@@ -217,6 +217,20 @@
         self.standing
     }
 
+    /// Nodes that are not known to follow the version that this node follows.
+    ///
+    /// Nodes of other regions are among them, since only their own region hears of their version.
+    #[must_use]
+    pub fn behind(&self, now: Moment) -> Vec<NodeId> {
+        let peers = self.peers(now);
+        let follows = |node: NodeId| {
+            let said = peers.iter().find(|peer| peer.node == node);
+            node == self.settings.node || said.is_some_and(|peer| peer.version >= self.version())
+        };
+        let all = self.slots.regions().flat_map(|(_, nodes)| nodes);
+        all.copied().filter(|node| !follows(*node)).collect()
+    }
+
     /// Where a node is reached, alive or not, as its slot says.
     #[must_use]
     pub fn address(&self, node: NodeId) -> Option<SocketAddr> {
@@ -226,9 +240,17 @@
     /// Live nodes of the region without this one, in the order of their ids.
     #[must_use]
     pub fn peers(&self, now: Moment) -> Vec<Peer> {
+        let mut peers = self.others(now);
+        peers.retain(|peer| self.is_live(peer.node, now));
+        peers
+    }
+
+    /// All other node slots of the region, alive or not, in the order of their ids.
+    #[must_use]
+    pub fn others(&self, now: Moment) -> Vec<Peer> {
         let slots = self.slots.nodes(&self.settings.region).iter();
-        let live = slots.filter(|node| self.is_live(**node, now));
-        let rows = live.filter_map(|node| Some((*node, self.slots.row(*node)?)));
+        let others = slots.filter(|node| **node != self.settings.node);
+        let rows = others.filter_map(|node| Some((*node, self.slots.row(*node)?)));
         rows.map(|(node, row)| self.peer(node, &row.slot, now))
             .collect()
     }
--- a/crates/tanagerhub_membership/src/membership/probing.rs
+++ b/crates/tanagerhub_membership/src/membership/probing.rs
@@ -367,6 +367,10 @@
             version: heard.map_or_else(CatalogueVersion::default, |it| it.version),
             load: heard.map_or(0, |it| it.load),
             leaving: self.leaves(node, now),
+            age: self
+                .confirmations
+                .slot_seen(node)
+                .map(|it| now.since(it.at)),
         }
     }
 }
--- a/crates/tanagerhub_standins/tests/faults/harness.rs
+++ b/crates/tanagerhub_standins/tests/faults/harness.rs
@@ -294,8 +294,10 @@
     }
 }
 
+/// Nodes that take work, as one node says.
 fn known_nodes(status: &Value) -> usize {
-    status["nodes"].as_array().map_or(0, Vec::len)
+    let nodes = status["nodes"].as_array().into_iter().flatten();
+    nodes.filter(|node| node["fresh"] == true).count()
 }
 
 fn is_served(status: &Value) -> bool {
