--- a/crates/tanagerhub/src/control.rs
+++ b/crates/tanagerhub/src/control.rs
@@ -391,6 +391,7 @@
             place: place
                 .and_then(|place| u32::try_from(place).ok())
                 .unwrap_or(nodes - 1),
+            ..Snapshot::default()
         });
     }
 }
--- /dev/null
+++ b/crates/tanagerhub/src/gateway/control.rs
@@ -0,0 +1,413 @@
+//! The control thread: configuration, VMs, groups and presence.
+
+use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender};
+use tanagerhub_catalogue::{Catalogue, DataCentreId, Epoch, GroupId};
+use tanagerhub_clock::{Clock, Moment};
+use tanagerhub_groups::{
+    Decision, Groups, GroupsAction, GroupsEvent, Head, Presence, PresenceAction, VmReport,
+};
+use tanagerhub_table::{Commit, FeedError, StoreClock, VersionedRow};
+use tanagerhub_traffic::{Route, RouteTable};
+
+use crate::gateway::control_store::ControlStore;
+use crate::gateway::feed::FeedNews;
+use crate::gateway::shared::Shared;
+use crate::gateway::state_dump::StateDump;
+use crate::gateway::{Configuration, Edges, GatewayMetrics, OperatorRow};
+use crate::snapshot::Snapshot;
+use crate::traffic_handle::TrafficHandle;
+
+/// Time between two ticks of the decisions.
+const TICK: Duration = Duration::from_millis(100);
+/// The share of a limit over all nodes that nodes use, so that their clocks may differ a little.
+const STARTS_MARGIN: f64 = 0.85;
+/// For how long the routes of a snapshot hold: they are published anew whenever they change.
+const TRUST: Duration = Duration::MAX;
+
+/// What reaches the control thread.
+#[derive(Debug)]
+pub(crate) enum GatewayEvent {
+    /// News of the operators' rows.
+    Operators(FeedNews),
+    /// News of the VMs' rows.
+    Vms(FeedNews),
+    /// News of the nodes' rows.
+    Nodes(FeedNews),
+    /// An answer to an action of the groups.
+    Groups(GroupsEvent),
+    /// The store's answer to the write of this node's row.
+    PresenceWritten(Commit),
+    /// Requests at a group failed or went silent.
+    Suspected(GroupId, Epoch),
+    /// Somebody wants to see the state.
+    Dump(Sender<String>),
+    /// The node stops: it plans no more.
+    Drain,
+    /// The thread is to end.
+    Stop,
+}
+
+/// The state of the control thread.
+#[derive(Debug)]
+pub(crate) struct GatewayControl {
+    pub(crate) clock: Clock,
+    pub(crate) edges: Edges,
+    pub(crate) store: ControlStore,
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) traffic: Arc<TrafficHandle>,
+    pub(crate) metrics: GatewayMetrics,
+    pub(crate) groups: Groups,
+    pub(crate) presence: Presence,
+    /// Set while this node plans, which makes it follow the VMs more closely.
+    pub(crate) hurry: Arc<AtomicBool>,
+    pub(crate) view: ControlView,
+}
+
+/// What the control thread knows and has published.
+#[derive(Debug, Default)]
+pub(crate) struct ControlView {
+    store_clock: StoreClock,
+    configuration: Option<Arc<Configuration>>,
+    evacuated: BTreeSet<String>,
+    /// Whether the nodes' rows have been read.
+    nodes_known: bool,
+    /// Whether the last call for the operators' rows had no answer.
+    store_lost: bool,
+    draining: bool,
+    heads: Vec<Head>,
+    live: usize,
+    generation: u64,
+}
+
+impl GatewayControl {
+    /// Runs until [`GatewayEvent::Stop`].
+    pub(crate) async fn run(mut self, events: Receiver<GatewayEvent>) {
+        let mut ticked = Moment::ZERO;
+        loop {
+            let left = TICK.saturating_sub(self.clock.now().since(ticked));
+            match self.clock.timeout(left, events.recv()).await {
+                Some(Ok(GatewayEvent::Stop) | Err(_)) => return,
+                Some(Ok(event)) => self.take(event),
+                None => {}
+            }
+            let now = self.clock.now();
+            if now.since(ticked) >= TICK {
+                ticked = now;
+                self.tick(now);
+            }
+        }
+    }
+
+    fn take(&mut self, event: GatewayEvent) {
+        let now = self.clock.now();
+        match event {
+            GatewayEvent::Operators(news) => self.operators(now, news),
+            GatewayEvent::Vms(news) => self.vms(now, news),
+            GatewayEvent::Nodes(news) => self.nodes(now, news),
+            GatewayEvent::Groups(event) => self.tell_groups(now, event),
+            GatewayEvent::PresenceWritten(commit) => {
+                if commit != Commit::Unknown {
+                    log::debug!(commit:?; "presence written");
+                }
+            }
+            GatewayEvent::Suspected(group, epoch) => {
+                self.tell_groups(now, GroupsEvent::Suspected { group, epoch });
+            }
+            GatewayEvent::Dump(reply) => {
+                drop(reply.try_send(self.dump(now)));
+            }
+            GatewayEvent::Drain => {
+                self.view.draining = true;
+                self.tell_groups(now, GroupsEvent::YieldPlan);
+                self.presence.stops();
+                self.tend_presence(now);
+            }
+            GatewayEvent::Stop => {}
+        }
+    }
+
+    fn tick(&mut self, now: Moment) {
+        self.tell_groups(now, GroupsEvent::Tick);
+        self.tend_presence(now);
+        self.publish_routes(now);
+        self.metrics
+            .view(self.view.heads.len(), self.shared.age());
+    }
+
+    /// Takes in the operators' rows, and dates what is known of them.
+    fn operators(&mut self, now: Moment, news: FeedNews) {
+        let page = match news.page {
+            Ok(page) => page,
+            Err(error) => return self.note_store_failure(&error),
+        };
+        if std::mem::take(&mut self.view.store_lost) {
+            log::info!(age_ms = self.shared.age().as_millis(); "the store answers again");
+            self.tell_groups(now, GroupsEvent::StoreReturned);
+        }
+        if news.all {
+            let listed = |zone: &String| {
+                page.rows.iter().any(|row| {
+                    let subject = self.edges.dialect.operator_row(row.key.name());
+                    row.value.is_some() && subject == OperatorRow::Evacuation(zone.clone())
+                })
+            };
+            let kept: BTreeSet<String> = self
+                .view
+                .evacuated
+                .iter()
+                .filter(|zone| listed(zone))
+                .cloned()
+                .collect();
+            self.evacuate(now, kept);
+        }
+        for row in &page.rows {
+            self.operator_row(now, row);
+        }
+        let proved = self
+            .view
+            .store_clock
+            .date(news.sent, news.received, page.at);
+        self.shared.prove(proved);
+    }
+
+    fn note_store_failure(&mut self, error: &FeedError) {
+        if !std::mem::replace(&mut self.view.store_lost, true) {
+            let age = self.shared.age();
+            log::warn!(error:%, age_ms = age.as_millis(); "the store does not answer");
+        }
+    }
+
+    fn operator_row(&mut self, now: Moment, row: &VersionedRow) {
+        match self.edges.dialect.operator_row(row.key.name()) {
+            OperatorRow::Configuration => {
+                if let Some(value) = &row.value {
+                    self.configure(now, value);
+                }
+            }
+            OperatorRow::Evacuation(zone) => {
+                let mut evacuated = self.view.evacuated.clone();
+                if row.value.is_some() {
+                    evacuated.insert(zone);
+                } else {
+                    evacuated.remove(&zone);
+                }
+                self.evacuate(now, evacuated);
+            }
+            OperatorRow::Other => {}
+        }
+    }
+
+    fn evacuate(&mut self, now: Moment, zones: BTreeSet<String>) {
+        if zones == self.view.evacuated {
+            return;
+        }
+        log::info!(zones:? = zones; "data centres out of service");
+        let ids = zones.iter().map(|zone| DataCentreId::of(zone)).collect();
+        self.view.evacuated = zones;
+        self.tell_groups(now, GroupsEvent::Evacuated(ids));
+        self.publish_routes(now);
+    }
+
+    fn configure(&mut self, now: Moment, value: &[u8]) {
+        let configuration = match self.edges.dialect.configuration(value) {
+            Ok(configuration) => configuration,
+            Err(error) => {
+                log::error!(error:%; "the configuration can't be used; the last one stays");
+                return;
+            }
+        };
+        let known = self.view.configuration.as_ref().map(|it| it.version);
+        if known.is_some_and(|known| known >= configuration.version) {
+            return;
+        }
+        log::info!(version = configuration.version, before:? = known; "configuration in force");
+        let configuration = Arc::new(configuration);
+        self.shared.configure(Arc::clone(&configuration));
+        let engines = configuration.engines.clone();
+        self.view.configuration = Some(configuration);
+        self.tell_groups(now, GroupsEvent::Engines(engines));
+        self.view.heads.clear();
+        self.publish_routes(now);
+    }
+
+    fn vms(&mut self, now: Moment, news: FeedNews) {
+        let Ok(page) = news.page else {
+            return;
+        };
+        let mut reports: Vec<VmReport> = Vec::new();
+        for row in &page.rows {
+            let name = row.key.name();
+            let report = row.value.as_ref().map(|value| {
+                let decoded = self.edges.dialect.vm(name, value);
+                decoded.map_err(|error| log::warn!(vm = name, error:%; "a VM's row is ignored"))
+            });
+            match report {
+                Some(Ok(report)) => reports.push(report),
+                Some(Err(())) | None => {
+                    let vm = tanagerhub_catalogue::VmId::of(name);
+                    self.tell_groups(now, GroupsEvent::VmGone(vm));
+                }
+            }
+        }
+        if news.all {
+            self.tell_groups(now, GroupsEvent::AllVms(reports));
+        } else {
+            for report in reports {
+                self.tell_groups(now, GroupsEvent::VmChanged(report));
+            }
+        }
+        self.publish_routes(now);
+    }
+
+    fn nodes(&mut self, now: Moment, news: FeedNews) {
+        let Ok(page) = news.page else {
+            self.view.nodes_known = false;
+            return;
+        };
+        if let Err(error) = self.presence.rows(now, &page.rows, news.all) {
+            log::warn!(error:%; "a node's row is ignored");
+        }
+        self.view.nodes_known = true;
+        self.tend_presence(now);
+    }
+
+    /// Writes this node's row when it is due, and tries to plan when nobody does.
+    fn tend_presence(&mut self, now: Moment) {
+        let configured = self.view.configuration.is_some();
+        let knows = self.view.nodes_known && configured && !self.view.draining;
+        for action in self.presence.tick(now, knows) {
+            match action {
+                PresenceAction::Write(value) => self.store.write_presence(value),
+                PresenceAction::Plan(boots) => {
+                    self.tell_groups(now, GroupsEvent::Plan(boots));
+                }
+            }
+        }
+    }
+
+    /// Hands an event to the decisions on groups, and carries out what they want.
+    fn tell_groups(&mut self, now: Moment, event: GroupsEvent) {
+        let actions = self.groups.on_event(now, event);
+        for action in actions {
+            match action {
+                GroupsAction::Commit(transaction) => self.store.commit(transaction),
+                GroupsAction::ReadRows => self.store.read_groups(),
+                GroupsAction::Order {
+                    vm,
+                    name,
+                    address,
+                    order,
+                } => self.store.order(vm, name, address, order),
+                GroupsAction::Probe { vm, .. } => {
+                    if let Some(report) = self.groups.report(vm) {
+                        self.store.probe(report.clone());
+                    }
+                }
+            }
+        }
+        for decision in self.groups.take_decisions() {
+            log_decision(&decision);
+        }
+        let plans = self.groups.is_planning();
+        self.presence.plans(plans);
+        self.hurry.store(plans, Ordering::Relaxed);
+    }
+
+    /// Publishes where requests may go, if that has changed.
+    fn publish_routes(&mut self, now: Moment) {
+        let Some(configuration) = self.view.configuration.clone() else {
+            return;
+        };
+        let mut heads = self.groups.heads(now);
+        for head in &mut heads {
+            // Only whether it is cold matters, and that is covered by the limit that always holds.
+            head.cold = Duration::ZERO;
+        }
+        let live = self.presence.live(now);
+        if heads == self.view.heads && live == self.view.live && self.view.generation > 0 {
+            return;
+        }
+        self.log_route_changes(&heads);
+        let names: HashMap<GroupId, Arc<str>> = heads
+            .iter()
+            .map(|head| (head.group, Arc::from(head.name.as_str())))
+            .collect();
+        self.shared.rename(names);
+        let routes = heads
+            .iter()
+            .map(|head| route(head, &configuration, live))
+            .collect();
+        self.view.heads = heads;
+        self.view.live = live;
+        self.view.generation += 1;
+        let catalogue: Arc<Catalogue> = Arc::clone(&configuration.catalogue);
+        self.traffic.publish(Snapshot {
+            generation: self.view.generation,
+            made: now,
+            trust: TRUST,
+            catalogue,
+            routes: RouteTable { routes },
+            fresh_until: Some(now + Duration::MAX),
+            nodes: u32::try_from(live).unwrap_or(u32::MAX),
+            place: 0,
+        });
+    }
+
+    fn log_route_changes(&self, heads: &[Head]) {
+        let key = |head: &Head| (head.group, head.epoch);
+        let before: BTreeSet<_> = self.view.heads.iter().map(key).collect();
+        let after: BTreeSet<_> = heads.iter().map(key).collect();
+        for (group, epoch) in after.difference(&before) {
+            log::info!(group:%, epoch = epoch.0; "requests may go to a group");
+        }
+        for (group, epoch) in before.difference(&after) {
+            log::info!(group:%, epoch = epoch.0; "no more requests to a group");
+        }
+    }
+
+    fn dump(&self, now: Moment) -> String {
+        let dump = StateDump {
+            configuration: self.view.configuration.as_ref().map(|it| it.version),
+            store_age_ms: u64::try_from(self.shared.age().as_millis()).unwrap_or(u64::MAX),
+            nodes: self.view.live,
+            plans: self.groups.is_planning(),
+            evacuated: self.view.evacuated.iter().cloned().collect(),
+            routes: self.view.heads.iter().map(Into::into).collect(),
+            groups: self.groups.group_statuses(now),
+            vms: self.groups.vm_statuses(),
+        };
+        dump.to_json()
+    }
+}
+
+/// The route to a head, with this node's share of what it bears.
+fn route(head: &Head, configuration: &Configuration, live: usize) -> Route {
+    let live = u32::try_from(live).unwrap_or(u32::MAX).max(1);
+    let starts = configuration.starts.get(&head.entry).copied();
+    let mut route = Route::new(head.group, head.epoch, head.entry, head.address);
+    route.data_centre = head.data_centre;
+    route.slots = Some(head.slots);
+    route.starts = starts.map(|starts| share(starts, live));
+    route
+}
+
+/// A node's share of a limit over all nodes; one at least, or a large fleet could start nothing.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a share of a small count"
+)]
+fn share(limit: u32, nodes: u32) -> u32 {
+    ((f64::from(limit) * STARTS_MARGIN / f64::from(nodes)) as u32).max(1)
+}
+
+fn log_decision(decision: &Decision) {
+    let text = serde_json::to_string(decision);
+    let text = text.unwrap_or_else(|error| error.to_string());
+    log::info!(target: "tanagerhub::groups", detail = text.as_str(); "group decision");
+}
--- /dev/null
+++ b/crates/tanagerhub/src/gateway/control_store.rs
@@ -0,0 +1,141 @@
+//! Carries out the actions of the control thread, and turns their results into events.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_channel::Sender;
+use async_std::task;
+use rand::Rng as _;
+use tanagerhub_catalogue::VmId;
+use tanagerhub_clock::Clock;
+use tanagerhub_groups::{GROUPS_TABLE, GroupsEvent, Order, OrderResult, VmReport};
+use tanagerhub_table::{Commit, RowKey, Transaction, TransactionId};
+
+use crate::gateway::control::GatewayEvent;
+use crate::gateway::{Edges, GatewayMetrics};
+
+/// The table of the nodes' rows.
+pub(crate) const NODES_TABLE: &str = "nodes";
+/// How long a transaction may take.
+const COMMIT_LIMIT: Duration = Duration::from_millis(1_500);
+/// How long a read of the groups' rows may take.
+const READ_LIMIT: Duration = Duration::from_secs(1);
+/// How long an order may go unanswered.
+const ORDER_LIMIT: Duration = Duration::from_millis(700);
+/// How long a probe may go unanswered.
+const PROBE_LIMIT: Duration = Duration::from_millis(150);
+
+/// The ways out of the control thread.
+#[derive(Debug)]
+pub(crate) struct ControlStore {
+    pub(crate) node: String,
+    pub(crate) edges: Edges,
+    pub(crate) clock: Clock,
+    pub(crate) metrics: GatewayMetrics,
+    pub(crate) events: Sender<GatewayEvent>,
+}
+
+impl ControlStore {
+    /// Writes this node's row, whatever it held before.
+    pub(crate) fn write_presence(&self, value: Vec<u8>) {
+        let key = RowKey::in_table(NODES_TABLE, &self.node);
+        let id = TransactionId(u128::from(rand::rng().next_u64()));
+        let commit = self.timed_commit(Transaction::new(id).put(key, value));
+        self.spawn(async move { GatewayEvent::PresenceWritten(commit.await) });
+    }
+
+    pub(crate) fn commit(&self, transaction: Transaction) {
+        let commit = self.timed_commit(transaction);
+        self.spawn(async move { GatewayEvent::Groups(GroupsEvent::Committed(commit.await)) });
+    }
+
+    pub(crate) fn read_groups(&self) {
+        let store = Arc::clone(&self.edges.store);
+        let (clock, metrics) = (self.clock.clone(), self.metrics.clone());
+        self.spawn(async move {
+            let read = clock.timeout(READ_LIMIT, store.read(GROUPS_TABLE)).await;
+            let page = match read {
+                Some(Ok(page)) => Some(page),
+                Some(Err(error)) => {
+                    log::warn!(error:%; "the groups' rows can't be read");
+                    None
+                }
+                None => {
+                    log::warn!("the store did not answer a read of the groups' rows");
+                    None
+                }
+            };
+            metrics.store_call(if page.is_some() { "read" } else { "read_failed" });
+            GatewayEvent::Groups(GroupsEvent::RowsRead(page))
+        });
+    }
+
+    pub(crate) fn order(&self, vm: VmId, name: String, address: SocketAddr, order: Order) {
+        let engines = Arc::clone(&self.edges.engines);
+        let (clock, metrics) = (self.clock.clone(), self.metrics.clone());
+        self.spawn(async move {
+            let answer = clock.timeout(ORDER_LIMIT, engines.order(&name, address, &order));
+            let result = answer.await.unwrap_or(OrderResult::Unknown);
+            metrics.order(order_outcome(result));
+            GatewayEvent::Groups(GroupsEvent::Ordered { vm, order, result })
+        });
+    }
+
+    pub(crate) fn probe(&self, known: VmReport) {
+        let engines = Arc::clone(&self.edges.engines);
+        let (clock, metrics) = (self.clock.clone(), self.metrics.clone());
+        let sent = self.clock.now();
+        self.spawn(async move {
+            let answer = clock.timeout(PROBE_LIMIT, engines.report(&known, PROBE_LIMIT));
+            let late = Err(tanagerhub_groups::ProbeFailure::Unanswered);
+            let result = answer.await.unwrap_or(late);
+            metrics.probe(if result.is_ok() { "answered" } else { "failed" });
+            let vm = known.vm.id();
+            GatewayEvent::Groups(GroupsEvent::Probed { vm, sent, result })
+        });
+    }
+
+    fn timed_commit(
+        &self,
+        transaction: Transaction,
+    ) -> impl Future<Output = Commit> + Send + 'static {
+        let store = Arc::clone(&self.edges.store);
+        let (clock, metrics) = (self.clock.clone(), self.metrics.clone());
+        async move {
+            let commit = clock.timeout(COMMIT_LIMIT, store.commit(transaction));
+            let commit = commit.await.unwrap_or(Commit::Unknown);
+            metrics.store_call(commit_outcome(commit));
+            commit
+        }
+    }
+
+    fn spawn(&self, work: impl Future<Output = GatewayEvent> + Send + 'static) {
+        let events = self.events.clone();
+        task::spawn(async move {
+            let event = work.await;
+            // The control thread ends before the tasks that report to it.
+            drop(events.send(event).await);
+        });
+    }
+}
+
+const fn commit_outcome(commit: Commit) -> &'static str {
+    match commit {
+        Commit::Applied(_) => "applied",
+        Commit::Conflict => "conflict",
+        Commit::NotApplied => "not_applied",
+        Commit::Unknown => "unknown",
+    }
+}
+
+const fn order_outcome(result: OrderResult) -> &'static str {
+    match result {
+        OrderResult::Accepted => "accepted",
+        OrderResult::Unfit => "unfit",
+        OrderResult::Stale => "stale",
+        OrderResult::Misdirected => "misdirected",
+        OrderResult::NotSent => "not_sent",
+        OrderResult::Unknown => "unknown",
+    }
+}
--- /dev/null
+++ b/crates/tanagerhub/src/gateway/feed.rs
@@ -0,0 +1,102 @@
+//! Follows a table of the store.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use async_channel::Sender;
+use tanagerhub_clock::{Clock, Moment};
+use tanagerhub_table::{FeedError, FeedPage, RowVersion};
+
+use crate::gateway::Store;
+
+/// The pause after a failed call.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// How much longer than its wait a call may take.
+const CALL_SLACK: Duration = Duration::from_millis(600);
+/// How long a read of a whole table may take.
+const READ_LIMIT: Duration = Duration::from_secs(1);
+
+/// One answer of the store about a table.
+#[derive(Debug)]
+pub(crate) struct FeedNews {
+    pub(crate) page: Result<FeedPage, FeedError>,
+    /// Whether the page holds all rows, not only those that changed.
+    pub(crate) all: bool,
+    pub(crate) sent: Moment,
+    pub(crate) received: Moment,
+}
+
+/// How a table is followed.
+#[derive(Debug, Clone)]
+pub(crate) struct FeedPlan {
+    pub(crate) table: &'static str,
+    /// The longest that one call waits for a change.
+    pub(crate) wait: Duration,
+    /// The least time between two calls.
+    pub(crate) interval: Duration,
+    /// The same while `hurry` is set.
+    pub(crate) hurried: Duration,
+    pub(crate) hurry: Arc<AtomicBool>,
+}
+
+/// Follows a table until nobody listens.
+pub(crate) async fn follow<E: Send + 'static>(
+    store: Arc<dyn Store>,
+    plan: FeedPlan,
+    clock: Clock,
+    events: Sender<E>,
+    wrap: impl Fn(FeedNews) -> E + Send + 'static,
+) {
+    let mut known: Option<RowVersion> = None;
+    loop {
+        let news = call(&*store, &plan, &clock, known).await;
+        let sent = news.sent;
+        known = match &news.page {
+            Ok(page) => Some(page.version),
+            Err(FeedError::Compacted) => None,
+            Err(_) => known,
+        };
+        let failed = news.page.is_err();
+        if events.send(wrap(news)).await.is_err() {
+            return;
+        }
+        let interval = match (failed, plan.hurry.load(Ordering::Relaxed)) {
+            (true, _) => RETRY_PAUSE,
+            (false, true) => plan.hurried,
+            (false, false) => plan.interval,
+        };
+        let since = clock.now().since(sent);
+        if since < interval {
+            clock.sleep(interval.saturating_sub(since)).await;
+        }
+    }
+}
+
+async fn call(
+    store: &dyn Store,
+    plan: &FeedPlan,
+    clock: &Clock,
+    known: Option<RowVersion>,
+) -> FeedNews {
+    let sent = clock.now();
+    let (limit, pending) = match known {
+        Some(after) => (
+            plan.wait + CALL_SLACK,
+            store.follow(plan.table, after, plan.wait),
+        ),
+        None => (READ_LIMIT, store.read(plan.table)),
+    };
+    let late = || {
+        Err(FeedError::Unavailable {
+            reason: format!("no answer within {} ms", limit.as_millis()),
+        })
+    };
+    let page = clock.timeout(limit, pending).await.unwrap_or_else(late);
+    FeedNews {
+        page,
+        all: known.is_none(),
+        sent,
+        received: clock.now(),
+    }
+}
--- /dev/null
+++ b/crates/tanagerhub/src/gateway/front.rs
@@ -0,0 +1,239 @@
+//! Accepts callers' requests.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{AUTHORIZATION, CONTENT_LENGTH, HOST};
+use http::request::Parts;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt as _, Limited};
+use hyper::body::Incoming;
+use tanagerhub_catalogue::{Class, IngressRoute, KeyHash, OrganisationId, RequestId};
+use tanagerhub_clock::{Clock, Moment};
+use tanagerhub_proxy::{Client, ReplyBody, strip_hop_headers};
+use tanagerhub_traffic::RequestInfo;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::gateway::call::Call;
+use crate::gateway::exchange::Exchange;
+use crate::gateway::pulse::Pulses;
+use crate::gateway::reply::Failure;
+use crate::gateway::shared::Shared;
+use crate::gateway::{CallHead, Configuration, Dialect, GatewayMetrics, KeyHolder};
+use crate::traffic_handle::TrafficHandle;
+
+/// When a caller may return to a node that does not know its configuration or the keys.
+const RETURN_SOON: Duration = Duration::from_millis(500);
+/// The share of its objective that a request may wait for a group.
+const PATIENCE: f64 = 0.5;
+/// The least time that callers wait for a stream to begin.
+const MIN_BEGIN: Duration = Duration::from_millis(1_900);
+/// How long a caller may wait where its request and its route say nothing.
+const LONGEST: Duration = Duration::from_mins(10);
+
+/// The entry of callers' requests.
+#[derive(Debug)]
+pub(crate) struct Front {
+    pub(crate) clock: Clock,
+    pub(crate) dialect: Arc<dyn Dialect>,
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) traffic: Arc<TrafficHandle>,
+    pub(crate) client: Client,
+    pub(crate) pulses: Pulses,
+    pub(crate) metrics: GatewayMetrics,
+}
+
+impl Front {
+    /// Answers one request.
+    pub(crate) async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Response<ReplyBody> {
+        let arrived = self.clock.now();
+        match self.accept(arrived, request).await {
+            Ok((call, info)) => {
+                let exchange = Exchange::new(Arc::clone(&self), call);
+                exchange.run(info).await
+            }
+            Err(refused) => {
+                let took = self.clock.now().since(arrived);
+                self.metrics.request(refused.failure.status.as_u16(), took);
+                log::info!(
+                    request = refused.id.as_str(),
+                    status = refused.failure.status.as_u16(),
+                    reason = refused.failure.reason.as_str(),
+                    version = refused.version,
+                    age_ms = self.shared.age().as_millis();
+                    "refused at the entry"
+                );
+                refused.failure.into_response()
+            }
+        }
+    }
+
+    /// Reads a request whole, and finds out what it may have.
+    async fn accept(
+        &self,
+        arrived: Moment,
+        request: Request<Incoming>,
+    ) -> Result<(Call, RequestInfo), Refused> {
+        let (mut parts, body) = request.into_parts();
+        let head = self.dialect.head(&parts).map_err(|error| {
+            Refused::new("", 0, Failure::new(StatusCode::BAD_REQUEST, error.reason))
+        })?;
+        let Some(configuration) = self.shared.configuration() else {
+            let failure = Failure::unavailable("no configuration is known yet", RETURN_SOON);
+            return Err(Refused::new(&head.id, 0, failure));
+        };
+        let refused = |failure| Refused::new(&head.id, configuration.version, failure);
+        let route = find_route(&configuration, &head, &parts).map_err(refused)?;
+        let holder = self
+            .key_holder(&configuration, route, &head)
+            .map_err(refused)?;
+        let body = read_body(body, configuration.body_bytes)
+            .await
+            .map_err(refused)?;
+        let id = xxh3_64(head.id.as_bytes());
+        let service = route.target(id).unwrap_or_default();
+        let entry = configuration
+            .entry(service, head.model.as_deref())
+            .ok_or_else(|| {
+                refused(Failure::new(StatusCode::NOT_FOUND, "the service has no such model"))
+            })?;
+        let limit = head.deadline.unwrap_or(LONGEST).min(route.timeout);
+        let priority = holder
+            .and_then(|holder| holder.priority)
+            .unwrap_or(route.priority);
+        strip_hop_headers(&mut parts.headers);
+        parts.headers.remove(CONTENT_LENGTH);
+        if !route.public {
+            parts.headers.remove(AUTHORIZATION);
+        }
+        let call = Call {
+            id: head.id.clone(),
+            arrived,
+            method: parts.method,
+            target: parts.uri.into_parts().path_and_query.unwrap_or_else(root),
+            headers: parts.headers,
+            body,
+            kind: route.kind,
+            entry,
+            organisation: holder.map(|holder| Arc::clone(&holder.organisation)),
+            keyed: holder.is_some(),
+            urgency: route.kind.is_stream().then_some(priority),
+            objective: route.objective,
+            give_up: arrived + limit,
+            begin_by: arrived + begin_limit(route).min(limit),
+            last_event: head.last_event,
+        };
+        let info = request_info(&call, &head, route, priority);
+        Ok((call, info))
+    }
+
+    /// Who holds the key of a request; `None` where none is needed.
+    fn key_holder<'a>(
+        &self,
+        configuration: &'a Configuration,
+        route: &IngressRoute,
+        head: &CallHead,
+    ) -> Result<Option<&'a KeyHolder>, Failure> {
+        if route.public || configuration.keys.is_empty() {
+            return Ok(None);
+        }
+        if !self.shared.keys_hold() {
+            let reason = "the store has not confirmed the keys for too long";
+            return Err(Failure::unavailable(reason, RETURN_SOON));
+        }
+        let key = head.key.as_deref().map(KeyHash::of);
+        let holder = key.and_then(|key| configuration.keys.get(&key));
+        let unknown = || Failure::new(StatusCode::UNAUTHORIZED, "the key is unknown");
+        holder.map(Some).ok_or_else(unknown)
+    }
+}
+
+/// A request that got no further than the entry.
+struct Refused {
+    id: String,
+    version: u64,
+    failure: Failure,
+}
+
+impl Refused {
+    fn new(id: &str, version: u64, failure: Failure) -> Self {
+        Self {
+            id: id.to_owned(),
+            version,
+            failure,
+        }
+    }
+}
+
+fn find_route<'a>(
+    configuration: &'a Configuration,
+    head: &CallHead,
+    parts: &Parts,
+) -> Result<&'a IngressRoute, Failure> {
+    debug_assert!(parts.headers.contains_key(HOST) || head.host.is_empty());
+    configuration
+        .ingress
+        .find(&head.host, parts.uri.path())
+        .ok_or_else(|| Failure::new(StatusCode::NOT_FOUND, "no route leads there"))
+}
+
+async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Failure> {
+    match Limited::new(body, limit).collect().await {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(Failure::new(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            format!("the body is longer than {limit} bytes"),
+        )),
+        Err(error) => Err(Failure::new(
+            StatusCode::BAD_REQUEST,
+            format!("the body can't be read: {error}"),
+        )),
+    }
+}
+
+fn root() -> http::uri::PathAndQuery {
+    http::uri::PathAndQuery::from_static("/")
+}
+
+fn request_info(
+    call: &Call,
+    head: &CallHead,
+    route: &IngressRoute,
+    priority: u8,
+) -> RequestInfo {
+    let organisation = call.organisation.as_deref().unwrap_or_default();
+    let mut content = Vec::with_capacity(call.body.len() + 64);
+    content.extend_from_slice(call.target.as_str().as_bytes());
+    content.extend_from_slice(organisation.as_bytes());
+    content.extend_from_slice(&call.body);
+    RequestInfo::new(
+        RequestId(rand::random()),
+        OrganisationId::of(organisation),
+        call.entry,
+    )
+    .deadline(call.give_up)
+    .repeat(Call::repeat(call.kind))
+    .tokens(head.prompt_tokens, head.max_tokens)
+    .fingerprint(xxh3_64(&content))
+    .class(class_of(priority))
+    .attempts(route.attempts)
+    .patience(route.objective.mul_f64(PATIENCE))
+}
+
+/// How long a stream may take to begin: callers leave one that shows nothing for long.
+fn begin_limit(route: &IngressRoute) -> Duration {
+    if !route.kind.is_stream() {
+        return LONGEST;
+    }
+    let pause = route.pause.unwrap_or_default();
+    MIN_BEGIN.max(route.objective * 4).max(pause * 8)
+}
+
+const fn class_of(priority: u8) -> Class {
+    match priority {
+        0 => Class::Interactive,
+        1 => Class::Standard,
+        _ => Class::Batch,
+    }
+}
--- /dev/null
+++ b/crates/tanagerhub/src/gateway/gateway_metrics.rs
@@ -0,0 +1,145 @@
+//! Counters and histograms of a gateway.
+
+use std::fmt;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+/// Counters and histograms of a gateway, served as text.
+#[derive(Clone)]
+pub struct GatewayMetrics {
+    registry: Arc<Mutex<Registry>>,
+    requests: Family<Status, Counter>,
+    attempts: Family<Outcome, Counter>,
+    store_calls: Family<Outcome, Counter>,
+    orders: Family<Outcome, Counter>,
+    probes: Family<Outcome, Counter>,
+    first_byte: Histogram,
+    duration: Histogram,
+    routes: Gauge,
+    store_age: Gauge,
+    log_drops: Counter,
+}
+
+#[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct Status {
+    status: u16,
+}
+
+#[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct Outcome {
+    outcome: &'static str,
+}
+
+impl fmt::Debug for GatewayMetrics {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("GatewayMetrics(..)")
+    }
+}
+
+impl Default for GatewayMetrics {
+    fn default() -> Self {
+        let mut registry = Registry::with_prefix("tanagerhub");
+        let seconds = || Histogram::new(exponential_buckets(0.005, 2.0, 12));
+        let (requests, attempts) = (Family::default(), Family::default());
+        let (store_calls, orders) = (Family::default(), Family::default());
+        let probes = Family::default();
+        let (first_byte, duration) = (seconds(), seconds());
+        let (routes, store_age) = (Gauge::default(), Gauge::default());
+        let log_drops = Counter::default();
+        let mut add = |name: &str, help: &str, metric: &dyn Registered| {
+            metric.register(&mut registry, name, help);
+        };
+        add("requests", "Answers to callers, by status", &requests);
+        add("attempts", "Attempts at back ends, by what became of them", &attempts);
+        add("store_calls", "Calls of the store, by outcome", &store_calls);
+        add("orders", "Orders to VMs, by outcome", &orders);
+        add("probes", "Probes of VMs, by outcome", &probes);
+        add("first_byte_seconds", "Time to the first byte of an answer", &first_byte);
+        add("request_seconds", "Time to the end of an answer", &duration);
+        add("routes", "Back ends that requests may be sent to", &routes);
+        add("store_age_ms", "Age of what is known of the operators' rows", &store_age);
+        add("log_lines_dropped", "Lines that the log had no room for", &log_drops);
+        Self {
+            registry: Arc::new(Mutex::new(registry)),
+            requests,
+            attempts,
+            store_calls,
+            orders,
+            probes,
+            first_byte,
+            duration,
+            routes,
+            store_age,
+            log_drops,
+        }
+    }
+}
+
+/// A metric that a registry takes; the types differ, what is done with them does not.
+trait Registered {
+    fn register(&self, registry: &mut Registry, name: &str, help: &str);
+}
+
+impl<M: prometheus_client::registry::Metric + Clone> Registered for M {
+    fn register(&self, registry: &mut Registry, name: &str, help: &str) {
+        registry.register(name, help, self.clone());
+    }
+}
+
+impl GatewayMetrics {
+    /// All metrics as text.
+    #[must_use]
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        let registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Err(error) = encode(&mut text, &registry) {
+            log::error!(error:%; "the metrics can't be written");
+        }
+        text
+    }
+
+    /// The counter of lines that the log had no room for.
+    #[must_use]
+    pub fn log_drops(&self) -> Counter {
+        self.log_drops.clone()
+    }
+
+    pub(crate) fn request(&self, status: u16, took: Duration) {
+        self.requests.get_or_create(&Status { status }).inc();
+        self.duration.observe(took.as_secs_f64());
+    }
+
+    pub(crate) fn first_byte(&self, took: Duration) {
+        self.first_byte.observe(took.as_secs_f64());
+    }
+
+    pub(crate) fn attempt(&self, outcome: &'static str) {
+        self.attempts.get_or_create(&Outcome { outcome }).inc();
+    }
+
+    pub(crate) fn store_call(&self, outcome: &'static str) {
+        self.store_calls.get_or_create(&Outcome { outcome }).inc();
+    }
+
+    pub(crate) fn order(&self, outcome: &'static str) {
+        self.orders.get_or_create(&Outcome { outcome }).inc();
+    }
+
+    pub(crate) fn probe(&self, outcome: &'static str) {
+        self.probes.get_or_create(&Outcome { outcome }).inc();
+    }
+
+    pub(crate) fn view(&self, routes: usize, age: Duration) {
+        self.routes.set(i64::try_from(routes).unwrap_or(i64::MAX));
+        let age = i64::try_from(age.as_millis()).unwrap_or(i64::MAX);
+        self.store_age.set(age);
+    }
+}
--- /dev/null
+++ b/crates/tanagerhub/src/gateway/gateway_settings.rs
@@ -0,0 +1,85 @@
+//! Settings of a gateway.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tanagerhub_groups::GroupsSettings;
+
+/// Settings of a gateway.
+#[derive(Debug, Clone, PartialEq)]
+pub struct GatewaySettings {
+    /// The node's name, different from all others'.
+    pub node: String,
+    /// The name of its data centre.
+    pub data_centre: String,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the balancer asks whether the node takes requests.
+    pub ready: SocketAddr,
+    /// Where counters and the state are read, if anywhere.
+    pub metrics: Option<SocketAddr>,
+    /// For how long keys count without a word from the store.
+    pub key_life: Duration,
+    /// Attempts beyond the first, as a share of all requests.
+    pub retry_ratio: f64,
+    /// Attempts beyond that share, over all nodes.
+    pub retry_slack: f64,
+    /// Time from the signal to stop until the process must have ended.
+    pub grace: Duration,
+    /// Time after the signal to stop in which callers may still open connections.
+    pub drain: Duration,
+    /// Silence of all streams of a group after which it is avoided.
+    pub silence: Duration,
+    /// Settings of the decisions on groups.
+    pub groups: GroupsSettings,
+}
+
+impl GatewaySettings {
+    /// Settings with the usual limits for a node at these addresses.
+    #[must_use]
+    pub fn new(node: &str, data_centre: &str, callers: SocketAddr, ready: SocketAddr) -> Self {
+        Self {
+            node: node.to_owned(),
+            data_centre: data_centre.to_owned(),
+            callers,
+            ready,
+            metrics: None,
+            key_life: Duration::from_secs(4),
+            retry_ratio: 0.1,
+            retry_slack: 100.0,
+            grace: Duration::from_secs(8),
+            drain: Duration::from_millis(2_500),
+            silence: Duration::from_millis(180),
+            groups: GroupsSettings::default(),
+        }
+    }
+
+    /// Sets where counters and the state are read.
+    #[must_use]
+    pub const fn metrics(mut self, address: SocketAddr) -> Self {
+        self.metrics = Some(address);
+        self
+    }
+
+    /// Sets for how long keys count without a word from the store.
+    #[must_use]
+    pub const fn key_life(mut self, life: Duration) -> Self {
+        self.key_life = life;
+        self
+    }
+
+    /// Sets the budget of attempts beyond the first.
+    #[must_use]
+    pub const fn retries(mut self, ratio: f64, slack: f64) -> Self {
+        self.retry_ratio = ratio;
+        self.retry_slack = slack;
+        self
+    }
+
+    /// Sets the time from the signal to stop until the process must have ended.
+    #[must_use]
+    pub const fn grace(mut self, grace: Duration) -> Self {
+        self.grace = grace;
+        self
+    }
+}
--- /dev/null
+++ b/crates/tanagerhub/src/gateway/reply.rs
@@ -0,0 +1,77 @@
+//! Answers of the node itself.
+
+use std::time::Duration;
+
+use http::header::{CONTENT_TYPE, RETRY_AFTER};
+use http::{HeaderValue, Response, StatusCode};
+use serde::Serialize;
+use tanagerhub_proxy::{ReplyBody, full_body};
+use tanagerhub_traffic::{Outcome, Reason, Refusal};
+
+/// Why the node answers a request itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Failure {
+    pub(crate) status: StatusCode,
+    pub(crate) reason: String,
+    pub(crate) retry_after: Option<Duration>,
+}
+
+#[derive(Debug, Serialize)]
+struct Body<'a> {
+    error: &'a str,
+}
+
+impl Failure {
+    pub(crate) fn new(status: StatusCode, reason: impl Into<String>) -> Self {
+        Self {
+            status,
+            reason: reason.into(),
+            retry_after: None,
+        }
+    }
+
+    /// A request that has not run and may come again after a while.
+    pub(crate) fn unavailable(reason: impl Into<String>, after: Duration) -> Self {
+        Self {
+            retry_after: Some(after),
+            ..Self::new(StatusCode::SERVICE_UNAVAILABLE, reason)
+        }
+    }
+
+    /// The answer for a refusal of the traffic decisions.
+    pub(crate) fn of(refusal: &Refusal) -> Self {
+        let status = match (refusal.reason, refusal.outcome) {
+            (Reason::UnknownEntry, Outcome::NotRun) => StatusCode::NOT_FOUND,
+            (Reason::RequestRate | Reason::TokenRate | Reason::Concurrency, Outcome::NotRun) => {
+                StatusCode::TOO_MANY_REQUESTS
+            }
+            (_, Outcome::NotRun) => StatusCode::SERVICE_UNAVAILABLE,
+            (Reason::DeadlinePassed, _) => StatusCode::GATEWAY_TIMEOUT,
+            (_, Outcome::Ran | Outcome::Unknown) => StatusCode::BAD_GATEWAY,
+        };
+        let not_run = refusal.outcome == Outcome::NotRun;
+        Self {
+            status,
+            reason: refusal.reason.to_string(),
+            retry_after: refusal.retry_after.filter(|_| not_run),
+        }
+    }
+
+    pub(crate) fn into_response(self) -> Response<ReplyBody> {
+        let body = Body {
+            error: &self.reason,
+        };
+        let text = serde_json::to_vec(&body).expect("a text can always be written as JSON");
+        let mut response = Response::new(full_body(text));
+        *response.status_mut() = self.status;
+        let headers = response.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        if let Some(after) = self.retry_after {
+            let seconds = format!("{:.2}", after.as_secs_f64());
+            if let Ok(value) = HeaderValue::from_str(&seconds) {
+                headers.insert(RETRY_AFTER, value);
+            }
+        }
+        response
+    }
+}
--- /dev/null
+++ b/crates/tanagerhub/src/gateway/shared.rs
@@ -0,0 +1,81 @@
+//! What control shows to the tasks that carry requests.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use tanagerhub_catalogue::GroupId;
+use tanagerhub_clock::{Clock, Moment};
+
+use crate::gateway::Configuration;
+
+/// What control shows to the tasks that carry requests.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    clock: Clock,
+    key_life: Duration,
+    configuration: ArcSwapOption<Configuration>,
+    /// Names of the VMs that take the requests of groups.
+    names: ArcSwap<HashMap<GroupId, Arc<str>>>,
+    /// The moment as of which the operators' rows are known, in nanoseconds of the clock.
+    proved: AtomicU64,
+    draining: AtomicBool,
+}
+
+impl Shared {
+    pub(crate) fn new(clock: Clock, key_life: Duration) -> Self {
+        Self {
+            clock,
+            key_life,
+            configuration: ArcSwapOption::empty(),
+            names: ArcSwap::default(),
+            proved: AtomicU64::new(0),
+            draining: AtomicBool::new(false),
+        }
+    }
+
+    pub(crate) fn configuration(&self) -> Option<Arc<Configuration>> {
+        self.configuration.load_full()
+    }
+
+    pub(crate) fn configure(&self, configuration: Arc<Configuration>) {
+        self.configuration.store(Some(configuration));
+    }
+
+    pub(crate) fn name(&self, group: GroupId) -> Option<Arc<str>> {
+        self.names.load().get(&group).cloned()
+    }
+
+    pub(crate) fn rename(&self, names: HashMap<GroupId, Arc<str>>) {
+        self.names.store(Arc::new(names));
+    }
+
+    /// Takes in that the operators' rows are known as of `at`.
+    pub(crate) fn prove(&self, at: Moment) {
+        self.proved.fetch_max(at.as_nanos(), Ordering::Relaxed);
+    }
+
+    /// How old the knowledge of the operators' rows is.
+    pub(crate) fn age(&self) -> Duration {
+        let proved = Moment::from_nanos(self.proved.load(Ordering::Relaxed));
+        self.clock.now().since(proved)
+    }
+
+    /// Whether a key that was valid at the last word of the store may still be used.
+    pub(crate) fn keys_hold(&self) -> bool {
+        let known = self.proved.load(Ordering::Relaxed) > 0;
+        known && self.age() < self.key_life
+    }
+
+    pub(crate) fn drain(&self) {
+        self.draining.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the balancer may send callers here.
+    pub(crate) fn is_ready(&self) -> bool {
+        let configured = self.configuration.load().is_some();
+        configured && !self.draining.load(Ordering::Relaxed) && self.keys_hold()
+    }
+}
--- /dev/null
+++ b/crates/tanagerhub/src/gateway/start.rs
@@ -0,0 +1,407 @@
+//! A running gateway.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use async_channel::Sender;
+use async_std::net::TcpListener;
+use async_std::task;
+use futures_lite::future;
+use http::header::{CONTENT_TYPE, HeaderValue};
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use tanagerhub_catalogue::{DataCentreId, NodeId};
+use tanagerhub_clock::Clock;
+use tanagerhub_groups::{Groups, Presence};
+use tanagerhub_proxy::{
+    Client, PoolLimits, ReplyBody, Server, ServerLimits, empty_body, full_body, serve,
+};
+use tanagerhub_traffic::{Fact, Selection, Traffic, TrafficSettings};
+
+use crate::gateway::control::{ControlView, GatewayControl, GatewayEvent};
+use crate::gateway::control_store::{ControlStore, NODES_TABLE};
+use crate::gateway::feed::{FeedPlan, follow};
+use crate::gateway::front::Front;
+use crate::gateway::pulse::Pulses;
+use crate::gateway::shared::Shared;
+use crate::gateway::{Edges, GatewayMetrics, GatewaySettings};
+use crate::traffic_handle::TrafficHandle;
+
+/// How long a connection to a back end may take to open.
+const CONNECT_LIMIT: Duration = Duration::from_millis(250);
+/// Time between two looks at the pulses of groups.
+const PULSE_PERIOD: Duration = Duration::from_millis(30);
+/// Time between two sweeps of idle connections to back ends.
+const SWEEP_PERIOD: Duration = Duration::from_secs(1);
+/// Time between two looks at whether a stopping node is done.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+/// What a stopping node keeps of its time to end in an orderly way.
+const STOP_RESERVE: Duration = Duration::from_millis(600);
+/// How long a group that failed is avoided.
+const SUSPENSION: Duration = Duration::from_millis(1_200);
+/// Failures in a row after which a group is avoided.
+const FAILURES: u32 = 3;
+
+/// Why a gateway could not start.
+#[derive(Debug, thiserror::Error)]
+pub enum GatewayError {
+    /// An address can't be listened on.
+    #[error("the {purpose} address {address} can't be listened on: {source}")]
+    Listen {
+        /// What the address is for.
+        purpose: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// What the system says.
+        source: io::Error,
+    },
+    /// The control thread can't be started.
+    #[error("the control thread can't be started: {source}")]
+    Thread {
+        /// What the system says.
+        source: io::Error,
+    },
+}
+
+/// A running gateway; [`stop`](Self::stop) ends it without cutting anything off.
+#[derive(Debug)]
+pub struct Gateway {
+    settings: GatewaySettings,
+    clock: Clock,
+    callers: Server,
+    shared: Arc<Shared>,
+    traffic: Arc<TrafficHandle>,
+    events: Sender<GatewayEvent>,
+    thread: Option<JoinHandle<()>>,
+    tasks: Vec<task::JoinHandle<()>>,
+    /// Servers that go on until the end.
+    others: Vec<Server>,
+}
+
+impl Gateway {
+    /// Starts a gateway; it takes requests once it knows its configuration.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address can't be bound.
+    pub async fn start(
+        settings: GatewaySettings,
+        edges: Edges,
+        clock: Clock,
+        metrics: GatewayMetrics,
+    ) -> Result<Self, GatewayError> {
+        let callers = listen("caller", settings.callers).await?;
+        let ready = listen("ready", settings.ready).await?;
+        let (events, received) = async_channel::unbounded();
+        let shared = Arc::new(Shared::new(clock.clone(), settings.key_life));
+        let traffic = Arc::new(traffic_handle(&settings, &clock, &events));
+        let hurry = Arc::new(AtomicBool::new(false));
+        let control = control(
+            &settings, &edges, &clock, &metrics, &shared, &traffic, &events, &hurry,
+        );
+        let thread = std::thread::Builder::new()
+            .name("control".to_owned())
+            .spawn(move || future::block_on(control.run(received)))
+            .map_err(|source| GatewayError::Thread { source })?;
+
+        let client = Client::new(PoolLimits::default(), CONNECT_LIMIT, clock.clone());
+        let front = Arc::new(Front {
+            clock: clock.clone(),
+            dialect: Arc::clone(&edges.dialect),
+            shared: Arc::clone(&shared),
+            traffic: Arc::clone(&traffic),
+            client: client.clone(),
+            pulses: Pulses::default(),
+            metrics: metrics.clone(),
+        });
+        let mut tasks = feeds(&edges, &clock, &events, &hurry);
+        tasks.push(task::spawn(Arc::clone(&traffic).run()));
+        tasks.push(task::spawn(sweep_connections(clock.clone(), client)));
+        tasks.push(task::spawn(sweep_pulses(
+            clock.clone(),
+            Arc::clone(&front),
+            settings.silence,
+            events.clone(),
+        )));
+        let mut others = vec![serve_ready(ready, &clock, &shared, settings.ready)?];
+        if let Some(address) = settings.metrics {
+            let listener = listen("metrics", address).await?;
+            others.push(serve_metrics(listener, &clock, metrics, &events, address)?);
+        }
+        let callers = serve_callers(callers, &clock, front, settings.callers)?;
+        log::info!(node = settings.node.as_str(), callers:% = settings.callers; "started");
+        Ok(Self {
+            settings,
+            clock,
+            callers,
+            shared,
+            traffic,
+            events,
+            thread: Some(thread),
+            tasks,
+            others,
+        })
+    }
+
+    /// Stops gracefully: nothing in flight is cut off before the time to stop is used up.
+    ///
+    /// The node first fails the balancer's check and goes on serving for a while. Then it closes
+    /// idle connections, and ends when the answers in flight are out.
+    pub async fn stop(mut self) {
+        let started = self.clock.now();
+        log::info!(open = self.callers.open(); "stopping");
+        self.shared.drain();
+        self.callers.drain();
+        self.send(GatewayEvent::Drain).await;
+        self.clock.sleep(self.settings.drain).await;
+        self.callers.close_idle();
+        let limit = self.settings.grace.saturating_sub(STOP_RESERVE);
+        while self.is_busy() && self.clock.now().since(started) < limit {
+            self.callers.close_idle();
+            self.clock.sleep(DRAIN_POLL).await;
+        }
+        log::info!(open = self.callers.open(); "stopped");
+        self.send(GatewayEvent::Stop).await;
+        for running in std::mem::take(&mut self.tasks) {
+            running.cancel().await;
+        }
+        if let Some(thread) = self.thread.take() {
+            let joined = task::spawn_blocking(move || thread.join()).await;
+            if joined.is_err() {
+                log::error!("the control thread panicked");
+            }
+        }
+        drop(std::mem::take(&mut self.others));
+    }
+
+    async fn send(&self, event: GatewayEvent) {
+        if self.events.send(event).await.is_err() {
+            log::error!("the control thread has ended early");
+        }
+    }
+
+    fn is_busy(&self) -> bool {
+        let open = self.traffic.with(|traffic, _| traffic.open());
+        open > 0 || self.callers.open() > 0
+    }
+}
+
+async fn listen(purpose: &'static str, address: SocketAddr) -> Result<TcpListener, GatewayError> {
+    let listener = TcpListener::bind(address).await;
+    listener.map_err(|source| GatewayError::Listen {
+        purpose,
+        address,
+        source,
+    })
+}
+
+fn traffic_handle(
+    settings: &GatewaySettings,
+    clock: &Clock,
+    events: &Sender<GatewayEvent>,
+) -> TrafficHandle {
+    let mut traffic = TrafficSettings::default().node(
+        NodeId::of(&settings.node),
+        DataCentreId::of(&settings.data_centre),
+    );
+    traffic.selection = Selection::LeastLoaded;
+    traffic.first_window = u32::MAX;
+    traffic.failures = FAILURES;
+    traffic.suspension = SUSPENSION;
+    traffic.hedges = false;
+    traffic.filled = false;
+    traffic.shares_retries = true;
+    traffic.retry_ratio = settings.retry_ratio;
+    traffic.retry_burst = settings.retry_slack;
+    traffic.retry_floor = Duration::from_millis(300);
+    let events = events.clone();
+    let facts = move |_, facts: Vec<Fact>| {
+        for fact in facts {
+            if let Fact::Failed { group, epoch } = fact {
+                // A suspicion that finds no room comes again with the next failure.
+                drop(events.try_send(GatewayEvent::Suspected(group, epoch)));
+            }
+        }
+    };
+    let seed = rand::random();
+    TrafficHandle::new(clock.clone(), Traffic::new(traffic, seed), Box::new(facts))
+}
+
+#[expect(
+    clippy::too_many_arguments,
+    reason = "it joins the parts of a node, each of which it needs"
+)]
+fn control(
+    settings: &GatewaySettings,
+    edges: &Edges,
+    clock: &Clock,
+    metrics: &GatewayMetrics,
+    shared: &Arc<Shared>,
+    traffic: &Arc<TrafficHandle>,
+    events: &Sender<GatewayEvent>,
+    hurry: &Arc<AtomicBool>,
+) -> GatewayControl {
+    let store = ControlStore {
+        node: settings.node.clone(),
+        edges: edges.clone(),
+        clock: clock.clone(),
+        metrics: metrics.clone(),
+        events: events.clone(),
+    };
+    let boot = rand::random_range(1..u64::MAX);
+    let groups = settings.groups.clone().boot(boot);
+    GatewayControl {
+        clock: clock.clone(),
+        edges: edges.clone(),
+        store,
+        shared: Arc::clone(shared),
+        traffic: Arc::clone(traffic),
+        metrics: metrics.clone(),
+        groups: Groups::new(groups, rand::random()),
+        presence: Presence::new(settings.node.clone(), boot, rand::random()),
+        hurry: Arc::clone(hurry),
+        view: ControlView::default(),
+    }
+}
+
+/// Follows the tables that the node depends on.
+fn feeds(
+    edges: &Edges,
+    clock: &Clock,
+    events: &Sender<GatewayEvent>,
+    hurry: &Arc<AtomicBool>,
+) -> Vec<task::JoinHandle<()>> {
+    let millis = Duration::from_millis;
+    let plan = |table, wait, interval, hurried| FeedPlan {
+        table,
+        wait: millis(wait),
+        interval: millis(interval),
+        hurried: millis(hurried),
+        hurry: Arc::clone(hurry),
+    };
+    let operators = plan(edges.dialect.operator_table(), 1_000, 100, 100);
+    let vms = plan(edges.dialect.vm_table(), 2_000, 500, 120);
+    let nodes = plan(NODES_TABLE, 2_000, 1_000, 1_000);
+    let start = |plan, wrap: fn(_) -> GatewayEvent| {
+        let store = Arc::clone(&edges.store);
+        task::spawn(follow(store, plan, clock.clone(), events.clone(), wrap))
+    };
+    vec![
+        start(operators, GatewayEvent::Operators),
+        start(vms, GatewayEvent::Vms),
+        start(nodes, GatewayEvent::Nodes),
+    ]
+}
+
+async fn sweep_connections(clock: Clock, client: Client) {
+    loop {
+        clock.sleep(SWEEP_PERIOD).await;
+        client.expire();
+    }
+}
+
+/// Looks for groups whose streams have all fallen silent.
+async fn sweep_pulses(
+    clock: Clock,
+    front: Arc<Front>,
+    silence: Duration,
+    events: Sender<GatewayEvent>,
+) {
+    loop {
+        clock.sleep(PULSE_PERIOD).await;
+        for (group, epoch) in front.pulses.sweep(clock.now(), silence) {
+            log::info!(group:%, epoch = epoch.0; "all streams of a group are silent");
+            drop(events.try_send(GatewayEvent::Suspected(group, epoch)));
+        }
+    }
+}
+
+fn serve_callers(
+    listener: TcpListener,
+    clock: &Clock,
+    front: Arc<Front>,
+    address: SocketAddr,
+) -> Result<Server, GatewayError> {
+    let handler = move |request: Request<Incoming>| Arc::clone(&front).answer(request);
+    let server = serve(listener, ServerLimits::default(), clock.clone(), handler);
+    server.map_err(|source| GatewayError::Listen {
+        purpose: "caller",
+        address,
+        source,
+    })
+}
+
+fn serve_ready(
+    listener: TcpListener,
+    clock: &Clock,
+    shared: &Arc<Shared>,
+    address: SocketAddr,
+) -> Result<Server, GatewayError> {
+    let shared = Arc::clone(shared);
+    let handler = move |_: Request<Incoming>| {
+        let is_ready = shared.is_ready();
+        async move {
+            let mut response = Response::new(empty_body());
+            if !is_ready {
+                *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+            }
+            response
+        }
+    };
+    let server = serve(listener, ServerLimits::default(), clock.clone(), handler);
+    server.map_err(|source| GatewayError::Listen {
+        purpose: "ready",
+        address,
+        source,
+    })
+}
+
+fn serve_metrics(
+    listener: TcpListener,
+    clock: &Clock,
+    metrics: GatewayMetrics,
+    events: &Sender<GatewayEvent>,
+    address: SocketAddr,
+) -> Result<Server, GatewayError> {
+    let events = events.clone();
+    let handler = move |request: Request<Incoming>| {
+        let (metrics, events) = (metrics.clone(), events.clone());
+        async move {
+            if request.uri().path() == "/state" {
+                return state(&events).await;
+            }
+            text(metrics.text(), "text/plain; version=0.0.4")
+        }
+    };
+    let server = serve(listener, ServerLimits::default(), clock.clone(), handler);
+    server.map_err(|source| GatewayError::Listen {
+        purpose: "metrics",
+        address,
+        source,
+    })
+}
+
+async fn state(events: &Sender<GatewayEvent>) -> Response<ReplyBody> {
+    let (reply, answer) = async_channel::bounded(1);
+    let asked = events.send(GatewayEvent::Dump(reply)).await.is_ok();
+    let dump = if asked { answer.recv().await.ok() } else { None };
+    match dump {
+        Some(dump) => text(dump, "application/json"),
+        None => {
+            let mut response = Response::new(empty_body());
+            *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+            response
+        }
+    }
+}
+
+fn text(content: String, kind: &'static str) -> Response<ReplyBody> {
+    let mut response = Response::new(full_body(content));
+    let kind = HeaderValue::from_static(kind);
+    response.headers_mut().insert(CONTENT_TYPE, kind);
+    response
+}
--- /dev/null
+++ b/crates/tanagerhub/src/gateway/streaming.rs
@@ -0,0 +1,198 @@
+//! Passes a stream of events on, and resumes it elsewhere when it breaks.
+
+use std::pin::Pin;
+
+use bytes::Bytes;
+use futures_lite::{future, stream};
+use http::{Response, StatusCode};
+use tanagerhub_proxy::{BodyError, CutBody, ReplyBody, stream_body, strip_hop_headers};
+use tanagerhub_traffic::{AttemptEvent, EventRelay, RelayError};
+
+use crate::gateway::exchange::{Answered, Exchange, Started};
+
+/// A stream under way.
+pub(crate) struct Streaming {
+    exchange: Exchange,
+    started: Started,
+    relay: EventRelay,
+    status: StatusCode,
+    /// Completes when the request's time is up.
+    expiry: Pin<Box<dyn Future<Output = ()> + Send>>,
+    done: bool,
+}
+
+/// What comes next in a stream.
+enum Step {
+    Chunk(Bytes),
+    End,
+    Broken(Break),
+    Expired,
+}
+
+/// Why a stream can't go on where it is.
+enum Break {
+    Body(BodyError),
+    Relay(RelayError),
+    Silent,
+}
+
+impl Streaming {
+    /// The answer that passes on a stream that has begun.
+    pub(crate) fn respond(exchange: Exchange, started: Started) -> Response<ReplyBody> {
+        let clock = exchange.front.clock.clone();
+        let took = clock.now().since(exchange.call.arrived);
+        exchange.front.metrics.first_byte(took);
+        let left = exchange.call.give_up.since(clock.now());
+        let mut headers = started.headers.clone();
+        strip_hop_headers(&mut headers);
+        headers.remove(http::header::CONTENT_LENGTH);
+        let status = started.status;
+        let streaming = Self {
+            relay: EventRelay::framed(exchange.call.last_event),
+            exchange,
+            started,
+            status,
+            expiry: Box::pin(async move { clock.sleep(left).await }),
+            done: false,
+        };
+        let events = stream::unfold(streaming, |streaming| streaming.next());
+        let mut response = Response::new(stream_body(events));
+        *response.status_mut() = status;
+        *response.headers_mut() = headers;
+        response
+    }
+
+    /// The next events; `None` after the last one.
+    async fn next(mut self) -> Option<(Result<Bytes, CutBody>, Self)> {
+        if self.done {
+            return None;
+        }
+        loop {
+            let step = self.step().await;
+            match step {
+                Step::Chunk(chunk) => match self.pass(&chunk) {
+                    Ok(events) if events.is_empty() => {}
+                    Ok(events) => return Some((Ok(events), self)),
+                    Err(error) => self.go_on(Break::Relay(error)).await?,
+                },
+                Step::End => match self.relay.end() {
+                    Ok(()) => {
+                        self.finish();
+                        return None;
+                    }
+                    Err(error) => {
+                        if self.go_on(Break::Relay(error)).await.is_none() {
+                            return Some((Err(CutBody), self));
+                        }
+                    }
+                },
+                Step::Broken(cause) => {
+                    if self.go_on(cause).await.is_none() {
+                        return Some((Err(CutBody), self));
+                    }
+                }
+                Step::Expired => {
+                    self.cut("the time is up");
+                    return Some((Err(CutBody), self));
+                }
+            }
+        }
+    }
+
+    async fn step(&mut self) -> Step {
+        let first = std::mem::take(&mut self.started.first);
+        if !first.is_empty() {
+            return Step::Chunk(first);
+        }
+        let Started { body, watch, .. } = &mut self.started;
+        let resumable = self.exchange.call.is_repeatable();
+        let chunk = async {
+            match body.next().await {
+                Ok(Some(chunk)) => Step::Chunk(chunk),
+                Ok(None) => Step::End,
+                Err(error) => Step::Broken(Break::Body(error)),
+            }
+        };
+        let silent = async {
+            if !resumable {
+                future::pending::<()>().await;
+            }
+            watch.alarm().await;
+            Step::Broken(Break::Silent)
+        };
+        let expired = async {
+            self.expiry.as_mut().await;
+            Step::Expired
+        };
+        future::or(chunk, future::or(silent, expired)).await
+    }
+
+    /// The whole events that a chunk completes.
+    fn pass(&mut self, chunk: &[u8]) -> Result<Bytes, RelayError> {
+        self.started.watch.hear(self.exchange.front.clock.now());
+        let mut events = Vec::with_capacity(chunk.len());
+        self.relay.push(chunk, &mut events)?;
+        Ok(events.into())
+    }
+
+    /// Resumes the stream at another group; `None` when it can't go on.
+    async fn go_on(&mut self, cause: Break) -> Option<()> {
+        let dispatch = self.started.dispatch;
+        log::info!(
+            request = self.exchange.call.id.as_str(),
+            group:% = dispatch.group,
+            epoch = dispatch.epoch.0,
+            event = self.relay.tokens(),
+            cause = cause.text().as_str();
+            "stream broke"
+        );
+        self.exchange.front.metrics.attempt("stream_broke");
+        self.exchange
+            .report(dispatch, AttemptEvent::Token(self.relay.tokens()));
+        let next = self.exchange.report(dispatch, cause.event());
+        self.relay.resume();
+        let started = match self.exchange.after(next) {
+            Ok(decision) => self.exchange.start(decision, self.relay.tokens()).await,
+            Err(failure) => Err(failure),
+        };
+        match started {
+            Ok(Answered::Stream(started)) => {
+                self.started = *started;
+                Some(())
+            }
+            Ok(Answered::Whole(..)) => self.cut("a back end refused to resume the stream"),
+            Err(failure) => self.cut(&failure.reason),
+        }
+    }
+
+    fn finish(&mut self) {
+        let tokens = self.relay.tokens();
+        let event = AttemptEvent::Finished { tokens };
+        self.exchange.report(self.started.dispatch, event);
+        self.exchange.log_end(self.status, "streamed");
+    }
+
+    /// Ends the stream in a way that the caller can't take for its end.
+    fn cut(&mut self, reason: &str) -> Option<()> {
+        self.done = true;
+        self.exchange.log_end(self.status, reason);
+        None
+    }
+}
+
+impl Break {
+    const fn event(&self) -> AttemptEvent {
+        match self {
+            Self::Body(_) | Self::Relay(_) => AttemptEvent::Broke,
+            Self::Silent => AttemptEvent::Silent,
+        }
+    }
+
+    fn text(&self) -> String {
+        match self {
+            Self::Body(error) => error.to_string(),
+            Self::Relay(error) => error.to_string(),
+            Self::Silent => "all streams of the group are silent".to_owned(),
+        }
+    }
+}
--- a/crates/tanagerhub/src/lib.rs
+++ b/crates/tanagerhub/src/lib.rs
@@ -9,6 +9,7 @@
 mod control_event;
 mod export;
 mod fleet_copy;
+pub mod gateway;
 mod metrics;
 mod node;
 mod node_settings;
--- a/crates/tanagerhub/src/node.rs
+++ b/crates/tanagerhub/src/node.rs
@@ -267,7 +267,12 @@
     let node = TrafficSettings::default()
         .node(settings.node(), settings.data_centre_id())
         .moves_streams(true);
-    TrafficHandle::new(clock.clone(), Traffic::new(node, seed), control.clone())
+    let control = control.clone();
+    let facts = move |at, facts| {
+        // Facts that a full or closed channel refuses come again with the next failure.
+        drop(control.try_send(ControlEvent::TrafficFacts { at, facts }));
+    };
+    TrafficHandle::new(clock.clone(), Traffic::new(node, seed), Box::new(facts))
 }
 
 fn fleet_settings(settings: &NodeSettings) -> FleetSettings {
--- a/crates/tanagerhub/src/snapshot.rs
+++ b/crates/tanagerhub/src/snapshot.rs
@@ -8,15 +8,17 @@
 use tanagerhub_traffic::{Freshness, RouteTable};
 
 /// The age from which a snapshot is no longer trusted: the control thread stands still.
-const SNAPSHOT_LIMIT: Duration = Duration::from_millis(500);
+const TRUST: Duration = Duration::from_millis(500);
 
 /// The catalogue, the routes and the freshness at one moment; it never changes.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub(crate) struct Snapshot {
     /// Rises with each snapshot.
     pub(crate) generation: u64,
     /// When it was made.
     pub(crate) made: Moment,
+    /// For how long it is trusted.
+    pub(crate) trust: Duration,
     /// The catalogue in force.
     pub(crate) catalogue: Arc<Catalogue>,
     /// Where requests may go.
@@ -29,11 +31,26 @@
     pub(crate) place: u32,
 }
 
+impl Default for Snapshot {
+    fn default() -> Self {
+        Self {
+            generation: 0,
+            made: Moment::ZERO,
+            trust: TRUST,
+            catalogue: Arc::default(),
+            routes: RouteTable::default(),
+            fresh_until: None,
+            nodes: 0,
+            place: 0,
+        }
+    }
+}
+
 impl Snapshot {
     /// Whether new work may be sent at `now`.
     pub(crate) fn takes_work(&self, now: Moment) -> bool {
         let fresh = self.fresh_until.is_some_and(|until| now < until);
-        fresh && now.since(self.made) < SNAPSHOT_LIMIT
+        fresh && now.since(self.made) < self.trust
     }
 
     /// The view that traffic decides by.
--- a/crates/tanagerhub/src/traffic_handle.rs
+++ b/crates/tanagerhub/src/traffic_handle.rs
@@ -1,6 +1,7 @@
 //! Shares one [`Traffic`] among the tasks that carry requests.
 
 use std::collections::HashMap;
+use std::fmt;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -8,9 +9,8 @@
 use async_channel::Sender;
 use tanagerhub_catalogue::{Catalogue, RequestId};
 use tanagerhub_clock::{Clock, Moment};
-use tanagerhub_traffic::{Decision, RequestInfo, Traffic};
+use tanagerhub_traffic::{Decision, Fact, RequestInfo, Traffic};
 
-use crate::control_event::ControlEvent;
 use crate::snapshot::Snapshot;
 use crate::ticket::Ticket;
 use crate::wake::Wake;
@@ -20,15 +20,17 @@
 /// Decisions that may wait for one request's task.
 const MAILBOX_SIZE: usize = 8;
 
+/// Takes what traffic saw of groups to control.
+pub(crate) type FactSink = Box<dyn Fn(Moment, Vec<Fact>) + Send + Sync>;
+
 /// The traffic decisions of a node.
 ///
 /// Calls are short and hold the lock for microseconds; no task waits while it holds it.
-#[derive(Debug)]
 pub(crate) struct TrafficHandle {
     clock: Clock,
     inner: Mutex<Inner>,
     snapshot: ArcSwap<Snapshot>,
-    control: Sender<ControlEvent>,
+    facts: FactSink,
     wake: Wake,
 }
 
@@ -40,8 +42,16 @@
     mailboxes: HashMap<RequestId, Sender<Decision>>,
 }
 
+impl fmt::Debug for TrafficHandle {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("TrafficHandle")
+            .field("inner", &self.inner)
+            .finish_non_exhaustive()
+    }
+}
+
 impl TrafficHandle {
-    pub(crate) fn new(clock: Clock, traffic: Traffic, control: Sender<ControlEvent>) -> Self {
+    pub(crate) fn new(clock: Clock, traffic: Traffic, facts: FactSink) -> Self {
         let inner = Inner {
             traffic,
             generation: 0,
@@ -52,7 +62,7 @@
             clock,
             inner: Mutex::new(inner),
             snapshot: ArcSwap::default(),
-            control,
+            facts,
             wake: Wake::default(),
         }
     }
@@ -129,8 +139,7 @@
         let facts = inner.traffic.take_facts();
         drop(inner);
         if !facts.is_empty() {
-            let event = ControlEvent::TrafficFacts { at: now, facts };
-            drop(self.control.try_send(event));
+            (self.facts)(now, facts);
         }
         result
     }
--- a/crates/tanagerhub_catalogue/src/lib.rs
+++ b/crates/tanagerhub_catalogue/src/lib.rs
@@ -10,6 +10,7 @@
 mod entry;
 mod health;
 mod ids;
+mod ingress;
 mod marks;
 mod organisation;
 mod units;
@@ -26,6 +27,7 @@
     BootId, DataCentreId, DomainId, EntryId, Epoch, GroupId, IdHex, NodeId, OrganisationId, Rank,
     RequestId, VmId,
 };
+pub use ingress::{Ingress, IngressRoute, RouteKind, RouteTarget};
 pub use marks::{Mark, Marks};
 pub use organisation::{KeyHash, Organisation, OrganisationLimits};
 pub use units::{Bytes, PerSecond, Tokens};
--- a/crates/tanagerhub_clock/src/clock.rs
+++ b/crates/tanagerhub_clock/src/clock.rs
@@ -1,7 +1,9 @@
 //! The clock that a process reads.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use rustix::time::{ClockId, clock_gettime};
 
 use crate::{ManualClock, Moment};
 
@@ -20,8 +22,8 @@
 /// ```
 #[derive(Debug, Clone)]
 pub enum Clock {
-    /// The machine's monotonic clock, counted from the given instant.
-    Real(Instant),
+    /// The time since boot, counted from the given time; it goes on while the VM is suspended.
+    Real(Duration),
     /// A clock that stands still until a test advances it.
     Manual(Arc<ManualClock>),
 }
@@ -33,10 +35,10 @@
 }
 
 impl Clock {
-    /// Starts a clock on the machine's monotonic time.
+    /// Starts a clock on the VM's time since boot.
     #[must_use]
     pub fn real() -> Self {
-        Self::Real(Instant::now())
+        Self::Real(since_boot())
     }
 
     /// Starts a paused clock, and gives the handle that advances it.
@@ -50,7 +52,7 @@
     #[must_use]
     pub fn now(&self) -> Moment {
         match self {
-            Self::Real(start) => Moment::ZERO + start.elapsed(),
+            Self::Real(start) => Moment::ZERO + since_boot().saturating_sub(*start),
             Self::Manual(hand) => hand.now(),
         }
     }
@@ -84,3 +86,11 @@
         futures_lite::future::or(work, late).await
     }
 }
+
+/// The time since boot, with the time that the VM was suspended.
+fn since_boot() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+    let nanos = u32::try_from(time.tv_nsec).unwrap_or_default();
+    Duration::new(seconds, nanos)
+}
--- /dev/null
+++ b/crates/tanagerhub_daemon/src/json_log.rs
@@ -0,0 +1,106 @@
+//! Structured logs on standard output.
+
+use std::io::{self, Write};
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::thread;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use env_logger::fmt::Formatter;
+use env_logger::{Builder, Target, WriteStyle};
+use log::Record;
+use log::kv::{Error, Key, Value, VisitSource};
+use serde_json::Map;
+
+/// Lines that may wait for standard output.
+const LINES: usize = 4_096;
+
+/// Logs JSON lines to standard output without ever waiting for it.
+///
+/// A line that finds no room is dropped, and `dropped` is called.
+///
+/// # Panics
+///
+/// Panics when a logger has been set already, or when no thread can be started.
+pub fn json_log(filters: &str, dropped: impl Fn() + Send + 'static) {
+    let (sender, lines) = sync_channel(LINES);
+    thread::Builder::new()
+        .name("log".to_owned())
+        .spawn(move || write_lines(&lines))
+        .expect("a thread for the log can be started");
+    let queue = LineQueue {
+        sender,
+        dropped: Box::new(dropped),
+    };
+    Builder::new()
+        .parse_filters(filters)
+        .write_style(WriteStyle::Never)
+        .target(Target::Pipe(Box::new(queue)))
+        .format(write_json)
+        .init();
+}
+
+/// Hands whole lines to the thread that writes them.
+struct LineQueue {
+    sender: SyncSender<Vec<u8>>,
+    dropped: Box<dyn Fn() + Send>,
+}
+
+impl Write for LineQueue {
+    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        if self.sender.try_send(line.to_vec()).is_err() {
+            (self.dropped)();
+        }
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Writes lines until the process ends, all that wait at once.
+fn write_lines(lines: &Receiver<Vec<u8>>) {
+    let mut output = io::stdout().lock();
+    while let Ok(mut block) = lines.recv() {
+        while let Ok(line) = lines.try_recv() {
+            block.extend_from_slice(&line);
+        }
+        if output.write_all(&block).and_then(|()| output.flush()).is_err() {
+            // Nobody reads the log any more, and there is no other place to say so.
+            return;
+        }
+    }
+}
+
+fn write_json(formatter: &mut Formatter, record: &Record<'_>) -> io::Result<()> {
+    let mut line = Map::new();
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let millis = since.map_or(0, |since| since.as_millis());
+    line.insert("time_ms".to_owned(), u64::try_from(millis).unwrap_or(u64::MAX).into());
+    line.insert("level".to_owned(), record.level().as_str().into());
+    line.insert("target".to_owned(), record.target().into());
+    line.insert("message".to_owned(), record.args().to_string().into());
+    record
+        .key_values()
+        .visit(&mut Fields(&mut line))
+        .map_err(io::Error::other)?;
+    serde_json::to_writer(&mut *formatter, &line).map_err(io::Error::other)?;
+    formatter.write_all(b"\n")
+}
+
+/// Adds the key-value pairs of a record to a JSON object.
+struct Fields<'a>(&'a mut Map<String, serde_json::Value>);
+
+impl<'kvs> VisitSource<'kvs> for Fields<'_> {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        let value = value
+            .to_u64()
+            .map(Into::into)
+            .or_else(|| value.to_i64().map(Into::into))
+            .or_else(|| value.to_f64().map(Into::into))
+            .or_else(|| value.to_bool().map(Into::into))
+            .unwrap_or_else(|| value.to_string().into());
+        self.0.insert(key.as_str().to_owned(), value);
+        Ok(())
+    }
+}
--- a/crates/tanagerhub_daemon/src/lib.rs
+++ b/crates/tanagerhub_daemon/src/lib.rs
@@ -4,9 +4,11 @@
 //! and the operators' commands with their exit codes.
 
 pub mod ctl;
+mod json_log;
 mod runtime;
 pub mod settings;
 mod statsd;
 
+pub use json_log::json_log;
 pub use runtime::prepare_runtime;
 pub use statsd::statsd_client;
--- /dev/null
+++ b/crates/tanagerhub_groups/src/groups.rs
@@ -0,0 +1,132 @@
+//! The state machine.
+
+mod compose;
+mod drive;
+mod group;
+mod ledger;
+mod repair;
+mod stage;
+mod view;
+mod vms;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use tanagerhub_catalogue::{DataCentreId, GroupId, VmId};
+use tanagerhub_clock::Moment;
+
+use crate::load_limit::LoadMeter;
+use crate::{Decision, EngineSpec, GroupsAction, GroupsEvent, GroupsSettings, VmReport};
+
+use group::Group;
+use ledger::Ledger;
+use vms::Vms;
+
+pub use view::{GroupStatus, Head, VmStatus};
+
+/// The decisions of one node on all replica groups.
+///
+/// It reads no clock and does no I/O: each event comes with the present moment, and the answer is
+/// what shall be done. Moments must not run backwards.
+///
+/// # Examples
+///
+/// ```
+/// use tanagerhub_clock::Moment;
+/// use tanagerhub_groups::{Groups, GroupsAction, GroupsEvent, GroupsSettings, VmReport};
+///
+/// let mut groups = Groups::new(GroupsSettings::default().boot(7), 1);
+/// let actions = groups.on_event(Moment::ZERO, GroupsEvent::Plan(KnownBoots::default()));
+/// assert_eq!(actions, [GroupsAction::ReadRows]);
+/// ```
+#[derive(Debug)]
+pub struct Groups {
+    settings: GroupsSettings,
+    rng: ChaCha8Rng,
+    engines: Vec<EngineSpec>,
+    evacuated: BTreeSet<DataCentreId>,
+    vms: Vms,
+    known: BTreeMap<GroupId, Group>,
+    ledger: Ledger,
+    loads: LoadMeter,
+    decisions: Vec<Decision>,
+    out: Vec<GroupsAction>,
+}
+
+impl Groups {
+    /// Starts without any knowledge; `seed` makes its random choices repeatable.
+    #[must_use]
+    pub fn new(settings: GroupsSettings, seed: u64) -> Self {
+        Self {
+            settings,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            engines: Vec::new(),
+            evacuated: BTreeSet::new(),
+            vms: Vms::default(),
+            known: BTreeMap::new(),
+            ledger: Ledger::default(),
+            loads: LoadMeter::default(),
+            decisions: Vec::new(),
+            out: Vec::new(),
+        }
+    }
+
+    /// Takes in what happened, and says what shall be done.
+    pub fn on_event(&mut self, now: Moment, event: GroupsEvent) -> Vec<GroupsAction> {
+        match event {
+            GroupsEvent::Tick => self.tick(now),
+            GroupsEvent::Engines(engines) => self.engines = engines,
+            GroupsEvent::Evacuated(centres) => self.evacuated = centres.into_iter().collect(),
+            GroupsEvent::AllVms(reports) => self.vms.replace(now, reports, &self.settings),
+            GroupsEvent::VmChanged(report) => self.vms.upsert(now, report),
+            GroupsEvent::VmGone(vm) => self.vms.gone(now, vm, &self.settings),
+            GroupsEvent::StoreReturned => self.vms.expect_lapses(now, &self.settings),
+            GroupsEvent::Plan(boots) => self.try_to_plan(boots),
+            GroupsEvent::YieldPlan => self.yield_plan(),
+            GroupsEvent::RowsRead(page) => self.rows_read(now, page),
+            GroupsEvent::Committed(commit) => self.committed(now, commit),
+            GroupsEvent::Ordered { vm, order, result } => self.ordered(now, vm, &order, result),
+            GroupsEvent::Probed { vm, sent, result } => self.probed(now, vm, sent, result),
+            GroupsEvent::Suspected { group, epoch } => self.suspected(now, group, epoch),
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    /// Whether this node plans.
+    #[must_use]
+    pub const fn is_planning(&self) -> bool {
+        self.ledger.is_held()
+    }
+
+    /// What a VM reported last.
+    #[must_use]
+    pub fn report(&self, vm: VmId) -> Option<&VmReport> {
+        self.vms.get(vm).map(|entry| &entry.report)
+    }
+
+    /// Takes the decisions since the last call.
+    pub fn take_decisions(&mut self) -> Vec<Decision> {
+        std::mem::take(&mut self.decisions)
+    }
+
+    fn tick(&mut self, now: Moment) {
+        self.vms.forget_gone(now);
+        if !self.ledger.is_held() {
+            return;
+        }
+        self.probe_members(now);
+        self.drive_groups(now);
+        self.stage_models(now);
+        self.plan_changes(now);
+    }
+
+    fn note(&mut self, decision: Decision) {
+        self.decisions.push(decision);
+    }
+
+    /// The names of the members of a group that exist; ids hash names.
+    fn vm_id(name: &str) -> VmId {
+        VmId::of(name)
+    }
+}
--- /dev/null
+++ b/crates/tanagerhub_groups/src/groups/compose.rs
@@ -0,0 +1,163 @@
+//! How many groups of each model a fabric domain should hold.
+
+use std::collections::BTreeMap;
+
+use tanagerhub_catalogue::{DomainId, VmId};
+
+use crate::{EngineSpec, ModelSpec};
+
+use super::Groups;
+
+/// A group that could be formed.
+#[derive(Debug, Clone)]
+pub(super) struct Wish {
+    pub(super) domain: DomainId,
+    pub(super) service: String,
+    pub(super) model: String,
+    pub(super) size: usize,
+    /// Free VMs that must be left over.
+    pub(super) reserve: usize,
+}
+
+/// What one domain should hold.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub(super) struct Composition {
+    /// Groups, by the model's place in the engine's list.
+    pub(super) groups: Vec<usize>,
+    /// VMs that should have the model staged without being in a group.
+    pub(super) spares: Vec<usize>,
+}
+
+impl Groups {
+    /// The VMs of each domain that serve an engine's service and are not lost.
+    fn domains(&self, engine: &EngineSpec) -> BTreeMap<DomainId, Vec<VmId>> {
+        let mut domains: BTreeMap<DomainId, Vec<VmId>> = BTreeMap::new();
+        for (vm, entry) in &self.vms.list {
+            let serves = entry.report.vm.service.as_deref() == Some(&engine.service);
+            if serves && !self.is_unusable(*vm) {
+                domains
+                    .entry(entry.report.vm.domain_id())
+                    .or_default()
+                    .push(*vm);
+            }
+        }
+        domains
+    }
+
+    /// What each domain of an engine's service should hold.
+    pub(super) fn compositions(&self, engine: &EngineSpec) -> BTreeMap<DomainId, Composition> {
+        let domains = self.domains(engine);
+        let sizes = domains.iter().map(|(id, vms)| (*id, vms.len()));
+        compose(&engine.models, sizes, self.settings.spare_share)
+    }
+
+    /// The groups that would be formed if free VMs have their models, the most wanted first.
+    pub(super) fn formations(&self) -> Vec<Wish> {
+        let mut wishes = Vec::new();
+        for engine in &self.engines {
+            for (domain, wanted) in self.compositions(engine) {
+                for (place, model) in engine.models.iter().enumerate() {
+                    let held = self.groups_in(domain, model);
+                    let missing = wanted.groups[place].saturating_sub(held);
+                    let wish = Wish {
+                        domain,
+                        service: engine.service.clone(),
+                        model: model.name.clone(),
+                        size: model.size,
+                        reserve: 0,
+                    };
+                    wishes.extend(std::iter::repeat_n(wish.clone(), missing));
+                    // Beyond the wanted number, a group is formed from what repairs don't need.
+                    let reserve = wanted.spares[place].max(1);
+                    wishes.push(Wish { reserve, ..wish });
+                }
+            }
+        }
+        wishes.sort_by_key(|wish| wish.reserve);
+        wishes
+    }
+
+    /// The groups of a model whose members are in a domain.
+    pub(super) fn groups_in(&self, domain: DomainId, model: &ModelSpec) -> usize {
+        let in_domain = |vm: &VmId| {
+            let entry = self.vms.get(*vm);
+            entry.is_some_and(|entry| entry.report.vm.domain_id() == domain)
+        };
+        self.known
+            .values()
+            .filter(|group| group.row.model == model.name && group.dissolving.is_none())
+            .filter(|group| group.members.iter().any(in_domain))
+            .count()
+    }
+}
+
+/// Divides the VMs of domains among models, so that each model gets its share of all VMs.
+///
+/// Each domain keeps `spare_share` of its VMs free for repairs, one at least where it has groups.
+pub(super) fn compose(
+    models: &[ModelSpec],
+    domains: impl Iterator<Item = (DomainId, usize)>,
+    spare_share: f64,
+) -> BTreeMap<DomainId, Composition> {
+    let mut held = vec![0_usize; models.len()];
+    domains
+        .map(|(domain, vms)| {
+            let spares = spare_count(vms, spare_share);
+            let groups = fill(models, vms - spares, &mut held);
+            let used: usize = groups.iter().zip(models).map(|(n, m)| n * m.size).sum();
+            let spares = share_spares(models, &groups, vms - used);
+            (domain, Composition { groups, spares })
+        })
+        .collect()
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    clippy::cast_precision_loss,
+    reason = "a domain has few VMs, and shares lie between 0 and 1"
+)]
+fn spare_count(vms: usize, share: f64) -> usize {
+    (vms as f64 * share).round() as usize
+}
+
+/// Adds groups of the model that is furthest below its share, as long as one fits.
+fn fill(models: &[ModelSpec], mut room: usize, held: &mut [usize]) -> Vec<usize> {
+    let mut groups = vec![0; models.len()];
+    loop {
+        let next = models
+            .iter()
+            .enumerate()
+            .filter(|(_, model)| model.size > 0 && model.size <= room && model.share > 0.0)
+            .min_by(|(a, one), (b, other)| {
+                let fill = |place: usize, model: &ModelSpec| {
+                    f64::from(u32::try_from(held[place]).unwrap_or(u32::MAX)) / model.share
+                };
+                fill(*a, one).total_cmp(&fill(*b, other))
+            });
+        let Some((place, model)) = next else {
+            return groups;
+        };
+        groups[place] += 1;
+        held[place] += model.size;
+        room -= model.size;
+    }
+}
+
+/// Divides spare VMs among the models by the VMs that their groups hold here.
+fn share_spares(models: &[ModelSpec], groups: &[usize], mut left: usize) -> Vec<usize> {
+    let mut spares = vec![0; models.len()];
+    let at_risk = |place: usize| groups[place] * models[place].size;
+    while left > 0 {
+        let next = (0..models.len()).filter(|place| at_risk(*place) > 0).max_by(|a, b| {
+            let need = |place: usize| at_risk(place) * 1_000 / (spares[place] + 1);
+            need(*a).cmp(&need(*b)).then(b.cmp(a))
+        });
+        let Some(place) = next else {
+            break;
+        };
+        spares[place] += 1;
+        left -= 1;
+    }
+    spares
+}
--- /dev/null
+++ b/crates/tanagerhub_groups/src/groups/drive.rs
@@ -0,0 +1,262 @@
+//! Brings groups into service: joins, readiness, opening; and probes their members.
+
+use tanagerhub_catalogue::{Epoch, GroupId, VmId};
+use tanagerhub_clock::Moment;
+
+use crate::{
+    Decision, GroupState, GroupsAction, Order, OrderResult, ProbeFailure, VmReport,
+};
+
+use super::Groups;
+use super::group::{Dissolving, Group, Sent};
+use super::vms::Verdict;
+
+impl Groups {
+    /// Probes the members of all groups in turn, and those that failed more often.
+    pub(super) fn probe_members(&mut self, now: Moment) {
+        let members: Vec<VmId> = self
+            .known
+            .values()
+            .flat_map(|group| group.members.iter().copied())
+            .collect();
+        for vm in members {
+            let Some(entry) = self.vms.get(vm) else {
+                continue;
+            };
+            let every = match entry.failures {
+                0 => self.settings.probe_every,
+                failures if failures < self.settings.probe_failures => self.settings.probe_again,
+                _ => self.settings.probe_every / 2,
+            };
+            if now.since(entry.probed) >= every {
+                self.probe(now, vm);
+            }
+        }
+    }
+
+    fn probe(&mut self, now: Moment, vm: VmId) {
+        let Some(entry) = self.vms.list.get_mut(&vm) else {
+            return;
+        };
+        if entry.waiting {
+            return;
+        }
+        entry.waiting = true;
+        entry.probed = now;
+        self.out.push(GroupsAction::Probe {
+            vm,
+            name: entry.report.vm.name.clone(),
+            address: entry.report.vm.address,
+        });
+    }
+
+    pub(super) fn probed(
+        &mut self,
+        now: Moment,
+        vm: VmId,
+        _sent: Moment,
+        result: Result<VmReport, ProbeFailure>,
+    ) {
+        let verdict = self.vms.probed(now, vm, result, &self.settings);
+        let Some(entry) = self.vms.get(vm) else {
+            return;
+        };
+        let (name, probes) = (entry.report.vm.name.clone(), entry.failures);
+        match verdict {
+            Some(Verdict::Lost) => self.note(Decision::VmLost { vm: name, probes }),
+            Some(Verdict::Back) => self.note(Decision::VmBack { vm: name }),
+            None => {}
+        }
+    }
+
+    /// Probes all members of a group at once, since its requests failed.
+    pub(super) fn suspected(&mut self, now: Moment, id: GroupId, epoch: Epoch) {
+        let Some(group) = self.known.get(&id) else {
+            return;
+        };
+        if group.epoch != epoch || !self.ledger.is_held() {
+            return;
+        }
+        for vm in group.members.clone() {
+            self.probe(now, vm);
+        }
+    }
+
+    pub(super) fn drive_groups(&mut self, now: Moment) {
+        let ids: Vec<GroupId> = self.known.keys().copied().collect();
+        for id in ids {
+            let Some(group) = self.known.get(&id) else {
+                continue;
+            };
+            if group.changing {
+                continue;
+            }
+            if group.dissolving.is_some() {
+                self.release_head(now, id);
+            } else if !self.has_loss(group) {
+                self.complete(now, id);
+            }
+        }
+    }
+
+    /// Whether a member is lost or leaving.
+    pub(super) fn has_loss(&self, group: &Group) -> bool {
+        group.members.iter().any(|vm| self.is_unusable(*vm))
+    }
+
+    /// Whether a VM can't be a member for much longer.
+    pub(super) fn is_unusable(&self, vm: VmId) -> bool {
+        self.vms
+            .get(vm)
+            .is_none_or(|entry| entry.is_lost(&self.settings) || entry.is_leaving())
+    }
+
+    /// Orders joins, and opens the group once every member is ready.
+    fn complete(&mut self, now: Moment, id: GroupId) {
+        let Some(group) = self.known.get(&id) else {
+            return;
+        };
+        let states: Vec<(VmId, Option<GroupState>)> = group
+            .members
+            .iter()
+            .map(|vm| {
+                let entry = self.vms.get(*vm);
+                let state = entry.and_then(|entry| entry.report.state_in(id, group.epoch));
+                (*vm, state)
+            })
+            .collect();
+        let join = Order::Join {
+            group: id,
+            epoch: group.epoch,
+            model: group.row.model.clone(),
+            members: group.row.members.clone(),
+        };
+        let was_ready = group.was_ready;
+        let mut ready = true;
+        for (vm, state) in &states {
+            match state {
+                // A member that left the epoch can only come back with a new one.
+                None if was_ready => ready = false,
+                None => {
+                    ready = false;
+                    self.order(now, id, *vm, join.clone());
+                }
+                Some(GroupState::Joining | GroupState::Broken | GroupState::Closing) => {
+                    ready = false;
+                }
+                Some(GroupState::Ready | GroupState::Open) => {}
+            }
+        }
+        if ready {
+            self.open(now, id, &states);
+        }
+    }
+
+    fn open(&mut self, now: Moment, id: GroupId, states: &[(VmId, Option<GroupState>)]) {
+        let Some(group) = self.known.get_mut(&id) else {
+            return;
+        };
+        group.was_ready = true;
+        let epoch = group.epoch;
+        let Some((head, Some(GroupState::Ready))) = states.first().copied() else {
+            return;
+        };
+        if group.closing.is_some() {
+            return;
+        }
+        if self.order(now, id, head, Order::Open { group: id, epoch }) {
+            self.note(Decision::Opening { group: id, epoch });
+        }
+    }
+
+    /// Makes the head of a group that is being dissolved leave it.
+    fn release_head(&mut self, now: Moment, id: GroupId) {
+        let Some(group) = self.known.get(&id) else {
+            return;
+        };
+        let (epoch, broken) = (group.epoch, group.broken);
+        if group.dissolving != Some(Dissolving::HeadLeaves) {
+            return;
+        }
+        let Some(head) = group.head() else {
+            return;
+        };
+        let entry = self.vms.get(head);
+        let lost = entry.is_none_or(|entry| entry.is_lost(&self.settings));
+        let serves = entry.is_some_and(|entry| entry.report.state_in(id, epoch).is_some());
+        let stalled = broken.is_some_and(|since| now.since(since) >= self.settings.stall);
+        if (!lost && !serves) || (lost && stalled) {
+            if let Some(group) = self.known.get_mut(&id) {
+                group.dissolving = Some(Dissolving::HeadLeft);
+            }
+        } else if !lost {
+            self.order(now, id, head, Order::Leave { group: id, epoch });
+        }
+    }
+
+    /// Sends an order to a member, unless the same one was sent a moment ago.
+    pub(super) fn order(&mut self, now: Moment, id: GroupId, vm: VmId, order: Order) -> bool {
+        let again = self.settings.order_again;
+        let Some((group, entry)) = self.known.get_mut(&id).zip(self.vms.get(vm)) else {
+            return false;
+        };
+        let recent = |sent: &&Sent| sent.order == order && now.since(sent.at) < again;
+        if group.orders.get(&vm).as_ref().is_some_and(recent) {
+            return false;
+        }
+        let sent = Sent {
+            order: order.clone(),
+            at: now,
+        };
+        group.orders.insert(vm, sent);
+        self.out.push(GroupsAction::Order {
+            vm,
+            name: entry.report.vm.name.clone(),
+            address: entry.report.vm.address,
+            order,
+        });
+        true
+    }
+
+    pub(super) fn ordered(&mut self, now: Moment, vm: VmId, order: &Order, result: OrderResult) {
+        if result != OrderResult::Accepted {
+            let name = self.vms.get(vm).map(|entry| entry.report.vm.name.clone());
+            self.note(Decision::OrderFailed {
+                vm: name.unwrap_or_default(),
+                result,
+            });
+        }
+        match (order, result) {
+            (Order::Leave { group, epoch }, OrderResult::Accepted) => self.left(*group, *epoch, vm),
+            (Order::Join { group, epoch, .. }, OrderResult::Stale) => {
+                self.outrun(now, *group, *epoch);
+            }
+            (Order::Stage { .. }, OrderResult::Unfit | OrderResult::NotSent) => {
+                if let Some(entry) = self.vms.list.get_mut(&vm) {
+                    entry.staging = None;
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn left(&mut self, id: GroupId, epoch: Epoch, vm: VmId) {
+        if let Some(group) = self.known.get_mut(&id)
+            && group.epoch == epoch
+            && group.head() == Some(vm)
+            && group.dissolving.is_some()
+        {
+            group.dissolving = Some(Dissolving::HeadLeft);
+        }
+    }
+
+    /// A member has seen a higher epoch than the group's: it needs a new one.
+    fn outrun(&mut self, now: Moment, id: GroupId, epoch: Epoch) {
+        if let Some(group) = self.known.get_mut(&id)
+            && group.epoch == epoch
+        {
+            group.was_ready = true;
+            group.broken.get_or_insert(now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/tanagerhub_groups/src/groups/group.rs
@@ -0,0 +1,72 @@
+//! One group, as its row says.
+
+use std::collections::BTreeMap;
+
+use tanagerhub_catalogue::{Epoch, GroupId, VmId};
+use tanagerhub_clock::Moment;
+
+use crate::{GroupRow, Order};
+
+use super::Groups;
+
+/// One group and what this node has done for it.
+#[derive(Debug)]
+pub(super) struct Group {
+    pub(super) id: GroupId,
+    pub(super) epoch: Epoch,
+    pub(super) row: GroupRow,
+    pub(super) members: Vec<VmId>,
+    /// Since when this node knows the epoch.
+    pub(super) since: Moment,
+    /// The last order to each member.
+    pub(super) orders: BTreeMap<VmId, Sent>,
+    /// Whether every member was ready at this epoch at some time.
+    pub(super) was_ready: bool,
+    /// Since when a member is lost or the group has failed.
+    pub(super) broken: Option<Moment>,
+    /// When the head was told to finish its requests.
+    pub(super) closing: Option<Moment>,
+    /// Whether it is being dissolved, and whether its head is known to have left.
+    pub(super) dissolving: Option<Dissolving>,
+    /// Whether the store's answer to a change of it is awaited.
+    pub(super) changing: bool,
+}
+
+/// An order that was sent.
+#[derive(Debug, Clone)]
+pub(super) struct Sent {
+    pub(super) order: Order,
+    pub(super) at: Moment,
+}
+
+/// How far a dissolution is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Dissolving {
+    /// The head may still serve.
+    HeadLeaves,
+    /// The head serves no more; the members are free.
+    HeadLeft,
+}
+
+impl Group {
+    pub(super) fn new(now: Moment, id: GroupId, epoch: Epoch, row: GroupRow) -> Self {
+        let members = row.members.iter().map(|name| Groups::vm_id(name)).collect();
+        Self {
+            id,
+            epoch,
+            row,
+            members,
+            since: now,
+            orders: BTreeMap::new(),
+            was_ready: false,
+            broken: None,
+            closing: None,
+            dissolving: None,
+            changing: false,
+        }
+    }
+
+    pub(super) fn head(&self) -> Option<VmId> {
+        self.members.first().copied()
+    }
+}
--- /dev/null
+++ b/crates/tanagerhub_groups/src/groups/repair.rs
@@ -0,0 +1,280 @@
+//! Which groups to renew, dissolve and form.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use rand::Rng as _;
+use tanagerhub_catalogue::{DomainId, GroupId, VmId};
+use tanagerhub_clock::Moment;
+
+use crate::{Change, GroupRow, GroupState, Order};
+
+use super::Groups;
+use super::group::{Dissolving, Group};
+
+/// How long a broken group waits for a spare VM before it is dissolved.
+const SPARE_WAIT: Duration = Duration::from_millis(300);
+/// How long a load may still take for a group to wait for it rather than be dissolved.
+const STAGE_WAIT: Duration = Duration::from_secs(2);
+
+/// The VMs that no group holds, as changes of this round leave them.
+pub(super) struct FreeVms {
+    pub(super) list: BTreeSet<VmId>,
+}
+
+type Planned = Vec<(Change, Option<GroupRow>)>;
+
+impl Groups {
+    /// Collects the changes that are due, and sends them in one transaction.
+    pub(super) fn plan_changes(&mut self, now: Moment) {
+        if !self.ledger.is_free() {
+            return;
+        }
+        let mut free = self.free_vms();
+        let mut changes = Planned::new();
+        let ids: Vec<GroupId> = self.known.keys().copied().collect();
+        for id in ids {
+            self.plan_group(now, id, &mut free, &mut changes);
+        }
+        self.plan_formations(&mut free, &mut changes);
+        if !changes.is_empty() {
+            self.change(changes);
+        }
+    }
+
+    /// VMs that could become members now.
+    pub(super) fn free_vms(&self) -> FreeVms {
+        let held: BTreeSet<VmId> = self
+            .known
+            .values()
+            .flat_map(|group| group.members.iter().copied())
+            .collect();
+        let list = self
+            .vms
+            .list
+            .keys()
+            .filter(|vm| !held.contains(vm) && !self.is_unusable(**vm))
+            .copied()
+            .collect();
+        FreeVms { list }
+    }
+
+    fn plan_group(
+        &mut self,
+        now: Moment,
+        id: GroupId,
+        free: &mut FreeVms,
+        changes: &mut Planned,
+    ) {
+        let Some(group) = self.known.get(&id) else {
+            return;
+        };
+        match group.dissolving {
+            Some(Dissolving::HeadLeft) => {
+                changes.push((Change::Dissolve { group: id }, None));
+                return;
+            }
+            Some(Dissolving::HeadLeaves) => return,
+            None => {}
+        }
+        if !self.is_broken(group) {
+            if let Some(group) = self.known.get_mut(&id) {
+                group.broken = None;
+            }
+            return;
+        }
+        let since = self
+            .known
+            .get_mut(&id)
+            .map_or(now, |group| *group.broken.get_or_insert(now));
+        if !self.finish_requests(now, id) {
+            return;
+        }
+        match self.renewed_members(id, free) {
+            Some(members) => changes.push(self.renew(id, &members)),
+            None => self.consider_dissolving(now, id, since),
+        }
+    }
+
+    /// Whether a group can't go on at its epoch.
+    fn is_broken(&self, group: &Group) -> bool {
+        if self.has_loss(group) || group.broken.is_some() && !self.is_complete(group) {
+            return true;
+        }
+        let state = |vm: &VmId| {
+            let entry = self.vms.get(*vm);
+            entry.and_then(|entry| entry.report.state_in(group.id, group.epoch))
+        };
+        let head_broke = group.head().and_then(|vm| state(&vm)) == Some(GroupState::Broken);
+        let left = group.was_ready && group.members.iter().any(|vm| state(vm).is_none());
+        head_broke || left
+    }
+
+    /// Whether every member is ready at the group's epoch.
+    fn is_complete(&self, group: &Group) -> bool {
+        group.members.iter().all(|vm| {
+            let entry = self.vms.get(*vm);
+            let state = entry.and_then(|entry| entry.report.state_in(group.id, group.epoch));
+            matches!(state, Some(GroupState::Ready | GroupState::Open))
+        })
+    }
+
+    /// Lets the head of a group finish its requests when members leave but none is lost.
+    ///
+    /// Says whether the group may be changed now.
+    fn finish_requests(&mut self, now: Moment, id: GroupId) -> bool {
+        let Some(group) = self.known.get(&id) else {
+            return false;
+        };
+        let lost = group.members.iter().any(|vm| {
+            let entry = self.vms.get(*vm);
+            entry.is_none_or(|entry| entry.is_lost(&self.settings))
+        });
+        let Some(head) = group.head().filter(|_| !lost) else {
+            return true;
+        };
+        let epoch = group.epoch;
+        let state = self
+            .vms
+            .get(head)
+            .and_then(|entry| entry.report.state_in(id, epoch));
+        if !matches!(state, Some(GroupState::Open | GroupState::Closing)) {
+            return true;
+        }
+        let limit = self.settings.close_limit;
+        let started = self
+            .known
+            .get_mut(&id)
+            .map_or(now, |group| *group.closing.get_or_insert(now));
+        if state == Some(GroupState::Open) {
+            self.order(now, id, head, Order::Close { group: id, epoch });
+        }
+        now.since(started) >= limit
+    }
+
+    /// The members with free VMs in place of those that are lost, the usable ones first.
+    fn renewed_members(&self, id: GroupId, free: &mut FreeVms) -> Option<Vec<VmId>> {
+        let group = self.known.get(&id)?;
+        let usable = |vm: &VmId| !self.is_unusable(*vm);
+        let mut members: Vec<VmId> = group.members.iter().copied().filter(usable).collect();
+        let missing = group.members.len() - members.len();
+        if missing > 0 {
+            let domain = self.domain_of(&group.members)?;
+            let spares = self.spares(free, domain, &group.row.service, &group.row.model, missing)?;
+            for vm in &spares {
+                free.list.remove(vm);
+            }
+            members.extend(spares);
+        }
+        Some(members)
+    }
+
+    /// The fabric domain of VMs of which at least one is known.
+    fn domain_of(&self, members: &[VmId]) -> Option<DomainId> {
+        let known = members.iter().find_map(|vm| self.vms.get(*vm));
+        known.map(|entry| entry.report.vm.domain_id())
+    }
+
+    /// Free VMs of a domain with the model on their hosts.
+    pub(super) fn spares(
+        &self,
+        free: &FreeVms,
+        domain: DomainId,
+        service: &str,
+        model: &str,
+        count: usize,
+    ) -> Option<Vec<VmId>> {
+        let fits = |vm: &&VmId| {
+            self.vms.get(**vm).is_some_and(|entry| {
+                entry.report.vm.domain_id() == domain
+                    && entry.report.vm.service.as_deref() == Some(service)
+                    && entry.report.has_staged(model)
+                    && entry.staging.is_none()
+            })
+        };
+        let spares: Vec<VmId> = free.list.iter().filter(fits).take(count).copied().collect();
+        (spares.len() == count).then_some(spares)
+    }
+
+    fn renew(&self, id: GroupId, members: &[VmId]) -> (Change, Option<GroupRow>) {
+        let row = self.known.get(&id).map(|group| &group.row);
+        let names = self.names(members);
+        let change = Change::Renew {
+            group: id,
+            members: names.clone(),
+        };
+        let row = row.map(|row| GroupRow {
+            members: names,
+            ..row.clone()
+        });
+        (change, row)
+    }
+
+    fn names(&self, members: &[VmId]) -> Vec<String> {
+        members
+            .iter()
+            .filter_map(|vm| self.vms.get(*vm))
+            .map(|entry| entry.report.vm.name.clone())
+            .collect()
+    }
+
+    /// Dissolves a group for which there is no spare VM, so that its members can serve elsewhere.
+    fn consider_dissolving(&mut self, now: Moment, id: GroupId, since: Moment) {
+        let Some(group) = self.known.get(&id) else {
+            return;
+        };
+        if now.since(since) < SPARE_WAIT || self.spare_is_coming(now, group) {
+            return;
+        }
+        if let Some(group) = self.known.get_mut(&id) {
+            group.dissolving = Some(Dissolving::HeadLeaves);
+        }
+    }
+
+    /// Whether a VM of the domain will have the model in a moment.
+    fn spare_is_coming(&self, now: Moment, group: &Group) -> bool {
+        let Some(domain) = self.domain_of(&group.members) else {
+            return false;
+        };
+        let load = self
+            .engines
+            .iter()
+            .filter(|engine| engine.service == group.row.service)
+            .find_map(|engine| engine.model(&group.row.model))
+            .map_or(Duration::MAX, |model| model.load);
+        self.vms.list.values().any(|entry| {
+            let staging = entry.staging.as_ref();
+            let soon = |(model, at): &(String, Moment)| {
+                *model == group.row.model && now.since(*at) + STAGE_WAIT >= load
+            };
+            entry.report.vm.domain_id() == domain && staging.is_some_and(soon)
+        })
+    }
+
+    fn plan_formations(&mut self, free: &mut FreeVms, changes: &mut Planned) {
+        for wish in self.formations() {
+            let size = wish.size + wish.reserve;
+            let spares = self.spares(free, wish.domain, &wish.service, &wish.model, size);
+            let Some(mut members) = spares else {
+                continue;
+            };
+            members.truncate(wish.size);
+            for vm in &members {
+                free.list.remove(vm);
+            }
+            let names = self.names(&members);
+            let group = GroupId(self.rng.next_u64());
+            let change = Change::Form {
+                group,
+                model: wish.model.clone(),
+                members: names.clone(),
+            };
+            let row = GroupRow {
+                service: wish.service,
+                model: wish.model,
+                members: names,
+            };
+            changes.push((change, Some(row)));
+        }
+    }
+}
--- /dev/null
+++ b/crates/tanagerhub_groups/src/groups/vms.rs
@@ -0,0 +1,184 @@
+//! The VMs, as they report themselves.
+
+use std::collections::BTreeMap;
+
+use tanagerhub_catalogue::{VmId, VmState};
+use tanagerhub_clock::Moment;
+
+use crate::{GroupsSettings, ProbeFailure, VmReport};
+
+/// All VMs that are listed, or were a moment ago.
+#[derive(Debug, Default)]
+pub(super) struct Vms {
+    pub(super) list: BTreeMap<VmId, VmEntry>,
+    /// Until when a VM that vanishes is taken for one that the store merely lost sight of.
+    lapses_until: Moment,
+}
+
+/// One VM.
+#[derive(Debug)]
+pub(super) struct VmEntry {
+    pub(super) report: VmReport,
+    /// When the store stopped listing it, and until when it may be listed again.
+    gone: Option<Gone>,
+    /// Unanswered probes in a row.
+    pub(super) failures: u32,
+    pub(super) probed: Moment,
+    pub(super) waiting: bool,
+    /// The model that it was told to load, and when.
+    pub(super) staging: Option<(String, Moment)>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Gone {
+    since: Moment,
+    until: Moment,
+}
+
+impl VmEntry {
+    fn new(report: VmReport) -> Self {
+        Self {
+            report,
+            gone: None,
+            failures: 0,
+            probed: Moment::ZERO,
+            waiting: false,
+            staging: None,
+        }
+    }
+
+    /// Whether it is lost, as far as the store and the probes show.
+    pub(super) const fn is_lost(&self, settings: &GroupsSettings) -> bool {
+        self.gone.is_some() || self.failures >= settings.probe_failures
+    }
+
+    pub(super) fn is_leaving(&self) -> bool {
+        self.report.vm.state == VmState::Leaving
+    }
+
+    /// Whether the store lists it, or may list it again in a moment.
+    pub(super) fn is_listed(&self, now: Moment) -> bool {
+        self.gone.is_none_or(|gone| now < gone.until)
+    }
+
+    fn take(&mut self, report: VmReport) {
+        let restarted = report.started != self.report.started;
+        let older = !restarted && report.orders < self.report.orders;
+        if older {
+            return;
+        }
+        if restarted {
+            self.failures = 0;
+        }
+        if self
+            .staging
+            .as_ref()
+            .is_some_and(|(model, _)| report.has_staged(model))
+        {
+            self.staging = None;
+        }
+        self.report = report;
+    }
+}
+
+impl Vms {
+    pub(super) fn get(&self, vm: VmId) -> Option<&VmEntry> {
+        self.list.get(&vm)
+    }
+
+    pub(super) fn upsert(&mut self, _now: Moment, report: VmReport) {
+        match self.list.get_mut(&report.vm.id()) {
+            Some(entry) => {
+                entry.gone = None;
+                entry.take(report);
+            }
+            None => {
+                self.list.insert(report.vm.id(), VmEntry::new(report));
+            }
+        }
+    }
+
+    /// Takes in the whole list; a VM that is missing from it is gone.
+    pub(super) fn replace(
+        &mut self,
+        now: Moment,
+        reports: Vec<VmReport>,
+        settings: &GroupsSettings,
+    ) {
+        let listed: Vec<VmId> = reports.iter().map(|report| report.vm.id()).collect();
+        let missing: Vec<VmId> = self
+            .list
+            .keys()
+            .filter(|vm| !listed.contains(vm))
+            .copied()
+            .collect();
+        for vm in missing {
+            self.gone(now, vm, settings);
+        }
+        for report in reports {
+            self.upsert(now, report);
+        }
+    }
+
+    pub(super) fn gone(&mut self, now: Moment, vm: VmId, settings: &GroupsSettings) {
+        let until = if now < self.lapses_until {
+            now + settings.relist
+        } else {
+            now
+        };
+        if let Some(entry) = self.list.get_mut(&vm) {
+            entry.gone.get_or_insert(Gone { since: now, until });
+        }
+    }
+
+    /// Expects VMs to vanish that only the store's outage made vanish.
+    pub(super) fn expect_lapses(&mut self, now: Moment, settings: &GroupsSettings) {
+        self.lapses_until = now + settings.relist;
+    }
+
+    /// Drops VMs that have been gone for so long that nothing depends on them.
+    pub(super) fn forget_gone(&mut self, now: Moment) {
+        self.list.retain(|_, entry| {
+            entry
+                .gone
+                .is_none_or(|gone| now < gone.until || now.since(gone.since) < GONE_MEMORY)
+        });
+    }
+
+    /// Takes in a probe's answer; says whether the VM was believed lost before or is now.
+    pub(super) fn probed(
+        &mut self,
+        now: Moment,
+        vm: VmId,
+        result: Result<VmReport, ProbeFailure>,
+        settings: &GroupsSettings,
+    ) -> Option<Verdict> {
+        let entry = self.list.get_mut(&vm)?;
+        entry.waiting = false;
+        entry.probed = now;
+        let was_lost = entry.failures >= settings.probe_failures;
+        match result {
+            Ok(report) => {
+                entry.failures = 0;
+                entry.take(report);
+                was_lost.then_some(Verdict::Back)
+            }
+            Err(ProbeFailure::Malformed) => None,
+            Err(ProbeFailure::Unanswered | ProbeFailure::Misdirected) => {
+                entry.failures = entry.failures.saturating_add(1);
+                let is_lost = entry.failures >= settings.probe_failures;
+                (is_lost && !was_lost).then_some(Verdict::Lost)
+            }
+        }
+    }
+}
+
+/// What a probe changed in the belief about a VM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Verdict {
+    Lost,
+    Back,
+}
+
+/// How long a VM is remembered after the store stopped listing it.
+const GONE_MEMORY: std::time::Duration = std::time::Duration::from_secs(10);
--- /dev/null
+++ b/crates/tanagerhub_groups/src/load_limit.rs
@@ -0,0 +1,43 @@
+//! Loads that the store of weights bears.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use tanagerhub_clock::Moment;
+
+/// The span over which starts of loads are counted.
+const WINDOW: Duration = Duration::from_secs(1);
+
+/// Loads that the store of weights bears.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct LoadLimit {
+    /// Loads that may start in a second.
+    pub per_second: f64,
+    /// Loads that go at full speed at once.
+    pub at_once: usize,
+}
+
+/// Counts the starts of loads.
+#[derive(Debug, Default)]
+pub(crate) struct LoadMeter {
+    starts: VecDeque<Moment>,
+}
+
+impl LoadMeter {
+    /// Whether one more load may start while `running` are under way.
+    pub(crate) fn allows(&mut self, now: Moment, limit: LoadLimit, running: usize) -> bool {
+        while self
+            .starts
+            .front()
+            .is_some_and(|start| now.since(*start) >= WINDOW)
+        {
+            self.starts.pop_front();
+        }
+        let recent = u32::try_from(self.starts.len()).unwrap_or(u32::MAX);
+        running < limit.at_once && f64::from(recent) + 1.0 <= limit.per_second
+    }
+
+    pub(crate) fn count(&mut self, now: Moment) {
+        self.starts.push_back(now);
+    }
+}
--- /dev/null
+++ b/crates/tanagerhub_groups/src/presence.rs
@@ -0,0 +1,211 @@
+//! Which nodes are there, and which of them plans.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use tanagerhub_clock::Moment;
+use tanagerhub_table::{RowVersion, VersionedRow};
+
+use crate::KnownBoots;
+use crate::rows::{RowError, decode, encode};
+
+/// Time between two writes of the presence row of a node that plans.
+const PLANNER_PERIOD: Duration = Duration::from_secs(1);
+/// Time between two writes of the presence row of any other node.
+const PERIOD: Duration = Duration::from_secs(5);
+/// Silence after which a planner is replaced.
+const PLANNER_LIMIT: Duration = Duration::from_millis(2_600);
+/// Silence after which a node that does not plan is not expected to begin to.
+const QUIET_LIMIT: Duration = Duration::from_millis(6_500);
+/// Silence after which a node no longer counts.
+const LIMIT: Duration = Duration::from_secs(13);
+/// The time over which nodes spread their attempts to plan.
+const SPREAD: Duration = Duration::from_millis(250);
+
+/// What a node writes of itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PresenceRow {
+    /// Drawn at each start of the process.
+    pub boot: u64,
+    /// Whether it plans.
+    pub plans: bool,
+    /// Whether it is about to end, and will not plan again.
+    pub stops: bool,
+    /// Rises with each write.
+    pub count: u64,
+}
+
+/// What [`Presence`] wants done.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PresenceAction {
+    /// Write this node's row.
+    Write(Vec<u8>),
+    /// Try to become the planner.
+    Plan(KnownBoots),
+}
+
+/// The nodes that are there, judged by the changes of their rows.
+#[derive(Debug)]
+pub struct Presence {
+    node: String,
+    own: PresenceRow,
+    written: Option<Moment>,
+    nodes: BTreeMap<String, Seen>,
+    /// Since when no planner is seen.
+    vacant: Option<Moment>,
+    turn: Duration,
+}
+
+#[derive(Debug)]
+struct Seen {
+    row: PresenceRow,
+    version: RowVersion,
+    at: Moment,
+}
+
+impl Presence {
+    /// A node that knows nobody yet; `boot` and `draw` are random numbers.
+    #[must_use]
+    pub fn new(node: impl Into<String>, boot: u64, draw: u64) -> Self {
+        let own = PresenceRow {
+            boot,
+            plans: false,
+            stops: false,
+            count: 0,
+        };
+        let spread = u64::try_from(SPREAD.as_millis()).unwrap_or(u64::MAX);
+        Self {
+            node: node.into(),
+            own,
+            written: None,
+            nodes: BTreeMap::new(),
+            vacant: None,
+            turn: Duration::from_millis(draw % spread),
+        }
+    }
+
+    /// Takes in changed rows; `all` says that rows which are not among them are gone.
+    ///
+    /// # Errors
+    ///
+    /// Names the first row that can't be read; the others are taken in all the same.
+    pub fn rows(&mut self, now: Moment, rows: &[VersionedRow], all: bool) -> Result<(), RowError> {
+        if all {
+            let listed = |name: &String| rows.iter().any(|row| row.key.name() == name);
+            self.nodes.retain(|name, _| listed(name));
+        }
+        let mut verdict = Ok(());
+        for row in rows {
+            let name = row.key.name();
+            let Some(value) = &row.value else {
+                self.nodes.remove(name);
+                continue;
+            };
+            if self
+                .nodes
+                .get(name)
+                .is_some_and(|seen| seen.version >= row.version)
+            {
+                continue;
+            }
+            match decode(&row.key, value) {
+                Ok(content) => {
+                    let seen = Seen {
+                        row: content,
+                        version: row.version,
+                        at: now,
+                    };
+                    self.nodes.insert(name.to_owned(), seen);
+                }
+                Err(error) => verdict = verdict.and(Err(error)),
+            }
+        }
+        verdict
+    }
+
+    /// Takes in whether this node plans.
+    pub fn plans(&mut self, plans: bool) {
+        if self.own.plans != plans {
+            self.own.plans = plans;
+            self.written = None;
+        }
+    }
+
+    /// Takes in that this node is about to end.
+    pub fn stops(&mut self) {
+        self.own.plans = false;
+        self.own.stops = true;
+        self.written = None;
+    }
+
+    /// The starts of all other nodes, by whether they are there.
+    fn boots(&self, now: Moment) -> KnownBoots {
+        let mut boots = KnownBoots::default();
+        for (name, seen) in &self.nodes {
+            let limit = if seen.row.plans {
+                PLANNER_LIMIT
+            } else {
+                QUIET_LIMIT
+            };
+            let list = if *name == self.node || seen.row.stops || now.since(seen.at) >= limit {
+                &mut boots.gone
+            } else {
+                &mut boots.live
+            };
+            list.push(seen.row.boot);
+        }
+        boots
+    }
+
+    /// The nodes that are there, this one included.
+    #[must_use]
+    pub fn live(&self, now: Moment) -> usize {
+        let others = self
+            .nodes
+            .iter()
+            .filter(|(name, seen)| **name != self.node && now.since(seen.at) < LIMIT);
+        others.count() + 1
+    }
+
+    /// Whether another node plans, as far as is known.
+    #[must_use]
+    pub fn other_plans(&self, now: Moment) -> bool {
+        self.nodes.iter().any(|(name, seen)| {
+            *name != self.node && seen.row.plans && now.since(seen.at) < PLANNER_LIMIT
+        })
+    }
+
+    /// What is due now; `knows` says that the rows of the nodes are known and up to date.
+    pub fn tick(&mut self, now: Moment, knows: bool) -> Vec<PresenceAction> {
+        let mut actions = Vec::new();
+        let period = if self.own.plans {
+            PLANNER_PERIOD
+        } else {
+            PERIOD
+        };
+        if self.written.is_none_or(|at| now.since(at) >= period) {
+            self.written = Some(now);
+            self.own.count += 1;
+            actions.push(PresenceAction::Write(encode(&self.own)));
+        }
+        if self.may_plan(now, knows) {
+            actions.push(PresenceAction::Plan(self.boots(now)));
+        }
+        actions
+    }
+
+    /// Whether the planner's place has been vacant long enough for this node's turn.
+    fn may_plan(&mut self, now: Moment, knows: bool) -> bool {
+        if self.own.plans || !knows || self.other_plans(now) {
+            self.vacant = None;
+            return false;
+        }
+        let since = *self.vacant.get_or_insert(now);
+        if now.since(since) < self.turn {
+            return false;
+        }
+        self.vacant = None;
+        true
+    }
+}
--- /dev/null
+++ b/crates/tanagerhub_groups/src/rows.rs
@@ -0,0 +1,86 @@
+//! The rows of the store that hold the groups.
+
+use bincode::config::standard;
+use bincode::serde::{decode_from_slice, encode_to_vec};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use tanagerhub_catalogue::GroupId;
+use tanagerhub_table::RowKey;
+
+/// The table of the planner's row and of all groups.
+pub const GROUPS_TABLE: &str = "groups";
+const PLANNER: &str = "planner";
+const GROUP_PREFIX: &str = "g/";
+
+/// Who plans; written with each change of any group, so that changes can't overlap.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct PlannerRow {
+    /// The start of the node that plans; zero when it has stopped planning.
+    pub boot: u64,
+    /// A number drawn for each write, by which a lost answer is recognised.
+    pub nonce: u64,
+}
+
+/// One group. The row's version is the group's epoch.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GroupRow {
+    /// The service whose VMs it spans.
+    pub service: String,
+    /// The model that it serves.
+    pub model: String,
+    /// Names of the members, the head first.
+    pub members: Vec<String>,
+}
+
+/// A row that can't be read.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("row \"{key}\" can't be decoded: {reason}")]
+pub struct RowError {
+    /// The row.
+    pub key: RowKey,
+    /// What is wrong.
+    pub reason: String,
+}
+
+/// What a row of the table is about.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Subject {
+    Planner,
+    Group(GroupId),
+    Unknown,
+}
+
+pub(crate) fn planner_key() -> RowKey {
+    RowKey::in_table(GROUPS_TABLE, PLANNER)
+}
+
+pub(crate) fn group_key(group: GroupId) -> RowKey {
+    RowKey::in_table(GROUPS_TABLE, &format!("{GROUP_PREFIX}{group}"))
+}
+
+pub(crate) fn subject(key: &RowKey) -> Subject {
+    let name = key.name();
+    if name == PLANNER {
+        return Subject::Planner;
+    }
+    name.strip_prefix(GROUP_PREFIX)
+        .and_then(|digits| u64::from_str_radix(digits, 16).ok())
+        .map_or(Subject::Unknown, |id| Subject::Group(GroupId(id)))
+}
+
+pub(crate) fn encode<T: Serialize>(content: &T) -> Vec<u8> {
+    encode_to_vec(content, standard()).expect("row types can always be encoded")
+}
+
+pub(crate) fn decode<T: DeserializeOwned>(key: &RowKey, value: &[u8]) -> Result<T, RowError> {
+    let wrong = |reason: String| RowError {
+        key: key.clone(),
+        reason,
+    };
+    let (content, used) =
+        decode_from_slice(value, standard()).map_err(|error| wrong(error.to_string()))?;
+    if used != value.len() {
+        return Err(wrong(format!("{} bytes too many", value.len() - used)));
+    }
+    Ok(content)
+}
--- /dev/null
+++ b/crates/tanagerhub_groups/src/settings.rs
@@ -0,0 +1,61 @@
+//! Settings of the decisions on groups.
+
+use std::time::Duration;
+
+/// Settings of the decisions on groups.
+#[derive(Debug, Clone, PartialEq)]
+pub struct GroupsSettings {
+    /// Drawn at each start of the node, and written into the planner's row.
+    pub boot: u64,
+    /// How long the planner's row of an unknown node must stay as it is to be taken.
+    pub unknown_wait: Duration,
+    /// Time between two probes of a member that is believed healthy.
+    pub probe_every: Duration,
+    /// Time between two probes of a VM that did not answer.
+    pub probe_again: Duration,
+    /// Unanswered probes in a row after which a VM counts as lost.
+    pub probe_failures: u32,
+    /// Time after which an order that had no effect is sent again.
+    pub order_again: Duration,
+    /// How long the head of a group may finish its requests before a member is replaced.
+    pub close_limit: Duration,
+    /// How long a head that is out of reach may go on serving by itself.
+    pub stall: Duration,
+    /// How long a VM that vanished in an outage of the store may take to be listed again.
+    pub relist: Duration,
+    /// The share of a domain's VMs that is kept free for repairs.
+    pub spare_share: f64,
+}
+
+impl Default for GroupsSettings {
+    fn default() -> Self {
+        Self {
+            boot: 0,
+            unknown_wait: Duration::from_millis(1_500),
+            probe_every: Duration::from_secs(2),
+            probe_again: Duration::from_millis(50),
+            probe_failures: 2,
+            order_again: Duration::from_secs(1),
+            close_limit: Duration::from_millis(2_500),
+            stall: Duration::from_secs(6),
+            relist: Duration::from_millis(2_500),
+            spare_share: 0.2,
+        }
+    }
+}
+
+impl GroupsSettings {
+    /// Sets the number of this start of the node.
+    #[must_use]
+    pub const fn boot(mut self, boot: u64) -> Self {
+        self.boot = boot;
+        self
+    }
+
+    /// Sets how long a head that is out of reach may go on serving by itself.
+    #[must_use]
+    pub const fn stall(mut self, stall: Duration) -> Self {
+        self.stall = stall;
+        self
+    }
+}
--- /dev/null
+++ b/crates/tanagerhub_proxy/src/connection.rs
@@ -0,0 +1,67 @@
+//! Bodies of replies to callers.
+
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use futures_lite::Stream;
+use http_body::{Body, Frame, SizeHint};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt as _, Full, StreamBody};
+
+/// The rest of the body can't be delivered; the connection is cut, so that the caller notices.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("the answer can't be completed")]
+pub struct CutBody;
+
+/// The body of a reply.
+pub type ReplyBody = UnsyncBoxBody<Bytes, CutBody>;
+
+/// A body without bytes.
+#[must_use]
+pub fn empty_body() -> ReplyBody {
+    full_body(Bytes::new())
+}
+
+/// A body that is known whole.
+#[must_use]
+pub fn full_body(bytes: impl Into<Bytes>) -> ReplyBody {
+    Full::new(bytes.into())
+        .map_err(|never| match never {})
+        .boxed_unsync()
+}
+
+/// A body that comes in pieces; an error cuts the connection.
+#[must_use]
+pub fn stream_body(
+    pieces: impl Stream<Item = Result<Bytes, CutBody>> + Send + 'static,
+) -> ReplyBody {
+    let frames = futures_lite::StreamExt::map(pieces, |piece| piece.map(Frame::data));
+    StreamBody::new(frames).boxed_unsync()
+}
+
+/// A body that holds something until it has been sent or dropped.
+pub(crate) struct HoldingBody<T> {
+    pub(crate) body: ReplyBody,
+    pub(crate) _held: T,
+}
+
+impl<T: Unpin> Body for HoldingBody<T> {
+    type Data = Bytes;
+    type Error = CutBody;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, CutBody>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- /dev/null
+++ b/crates/tanagerhub_proxy/src/hop.rs
@@ -0,0 +1,45 @@
+//! Headers that concern one connection only.
+
+use http::HeaderMap;
+use http::header::{
+    CONNECTION, HeaderName, PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
+};
+
+const HOP_BY_HOP: [HeaderName; 8] = [
+    CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+    PROXY_AUTHORIZATION,
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE,
+];
+
+/// Removes the headers that concern one connection only, with those that `Connection` names.
+///
+/// # Examples
+///
+/// ```
+/// use http::HeaderMap;
+/// use tanagerhub_proxy::strip_hop_headers;
+///
+/// let mut headers = HeaderMap::new();
+/// headers.insert("connection", "x-hop".parse().unwrap());
+/// headers.insert("x-hop", "1".parse().unwrap());
+/// headers.insert("host", "shop.example".parse().unwrap());
+/// strip_hop_headers(&mut headers);
+/// assert_eq!(headers.len(), 1);
+/// ```
+pub fn strip_hop_headers(headers: &mut HeaderMap) {
+    if let Some(named) = headers.get(CONNECTION).cloned() {
+        let named = named.to_str().unwrap_or_default();
+        for name in named.split(',').map(str::trim) {
+            // `close` and `keep-alive` name no header that a request could need later.
+            headers.remove(name);
+        }
+    }
+    for name in &HOP_BY_HOP {
+        headers.remove(name);
+    }
+}
--- a/crates/tanagerhub_table/src/lib.rs
+++ b/crates/tanagerhub_table/src/lib.rs
@@ -6,10 +6,14 @@
 
 mod attempt;
 mod commit_outcome;
+mod feed;
+mod freshness;
 mod row;
 mod transaction;
 
 pub use attempt::{Attempt, AttemptState, ReadBack};
 pub use commit_outcome::CommitOutcome;
+pub use feed::{Commit, FeedError, FeedPage, StoreTime, VersionedRow};
+pub use freshness::StoreClock;
 pub use row::{Row, RowKey, RowVersion};
 pub use transaction::{Condition, Transaction, TransactionId, Write};
--- a/crates/tanagerhub_table/src/row.rs
+++ b/crates/tanagerhub_table/src/row.rs
@@ -27,6 +27,36 @@
     }
 }
 
+impl RowKey {
+    /// The key of a row in a table of a store that has tables.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use tanagerhub_table::RowKey;
+    ///
+    /// let key = RowKey::in_table("groups", "g/7");
+    /// assert_eq!(key.table(), "groups");
+    /// assert_eq!(key.name(), "g/7");
+    /// ```
+    #[must_use]
+    pub fn in_table(table: &str, name: &str) -> Self {
+        Self(format!("{table}/{name}"))
+    }
+
+    /// The table: what comes before the first slash.
+    #[must_use]
+    pub fn table(&self) -> &str {
+        self.0.split_once('/').map_or("", |(table, _)| table)
+    }
+
+    /// The name within its table: what follows the first slash.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        self.0.split_once('/').map_or(&self.0, |(_, name)| name)
+    }
+}
+
 impl fmt::Display for RowKey {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(&self.0)
--- a/crates/tanagerhub_traffic/src/decision.rs
+++ b/crates/tanagerhub_traffic/src/decision.rs
@@ -100,6 +100,9 @@
     /// The request would wait beyond its deadline.
     #[error("the entry is busy beyond the request's deadline")]
     Overloaded,
+    /// No group serves the entry now.
+    #[error("no group serves the entry now")]
+    NoGroup,
     /// The queue is full.
     #[error("the entry's queue is full")]
     QueueFull,
@@ -143,6 +146,10 @@
     FirstByte,
     /// The caller has been sent this many tokens.
     Token(u32),
+    /// All requests of the group fell silent together; it is avoided at once.
+    Silent,
+    /// The back end ran the request and answered that it failed; the group is sound.
+    Failed,
     /// The connection broke, or the answer was cut, lied about its length or was garbage.
     Broke,
     /// The first byte or the next token is overdue.
--- a/crates/tanagerhub_traffic/src/entry_state.rs
+++ b/crates/tanagerhub_traffic/src/entry_state.rs
@@ -35,7 +35,7 @@
             limits: entry.limits.clone(),
             class: entry.class,
             queue: FairQueue::default(),
-            budget: RetryBudget::new(settings.retry_ratio, settings.retry_burst),
+            budget: budget(settings),
             first_byte: Average::default(),
             service: Average::default(),
             token: Average::default(),
@@ -93,3 +93,12 @@
             .min(self.limits.first_byte)
     }
 }
+
+fn budget(settings: &TrafficSettings) -> RetryBudget {
+    let budget = RetryBudget::new(settings.retry_ratio, settings.retry_burst);
+    if settings.filled {
+        budget
+    } else {
+        budget.emptied()
+    }
+}
--- a/crates/tanagerhub_traffic/src/event_relay.rs
+++ b/crates/tanagerhub_traffic/src/event_relay.rs
@@ -38,6 +38,8 @@
     tokens: u32,
     resumed: bool,
     done: bool,
+    /// Whether the end of the body marks the end of the stream.
+    framed: bool,
 }
 
 /// What one event says.
@@ -49,6 +51,16 @@
 }
 
 impl EventRelay {
+    /// A relay of a stream that ends with its body, after the events that the caller has already.
+    #[must_use]
+    pub fn framed(after: u32) -> Self {
+        Self {
+            tokens: after,
+            framed: true,
+            ..Self::default()
+        }
+    }
+
     /// Takes in bytes of the stream, and appends what the caller gets to `out`.
     ///
     /// # Errors
@@ -74,7 +86,7 @@
     ///
     /// Fails when the final event has not come.
     pub const fn end(&self) -> Result<(), RelayError> {
-        if self.done && self.partial.is_empty() {
+        if (self.done || self.framed) && self.partial.is_empty() {
             return Ok(());
         }
         Err(RelayError::Cut {
--- a/crates/tanagerhub_traffic/src/group.rs
+++ b/crates/tanagerhub_traffic/src/group.rs
@@ -1,5 +1,6 @@
 //! One group as this node uses it.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use tanagerhub_clock::Moment;
@@ -7,8 +8,8 @@
 use crate::Route;
 use crate::average::Average;
 
-/// How long a group that failed is avoided when nothing newer is heard of it.
-const SUSPENSION: Duration = Duration::from_secs(5);
+/// The span over which starts of requests are counted.
+const STARTS_WINDOW: Duration = Duration::from_secs(1);
 /// Tokens of a group are told to control at most this often.
 const PROOF_INTERVAL: Duration = Duration::from_millis(500);
 /// How long a load report counts.
@@ -20,6 +21,17 @@
 /// How long a group's slowness is believed without new evidence.
 const SLOWNESS_LIFE: Duration = Duration::from_secs(10);
 
+/// How a group is treated, whichever it is.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct GroupLimits {
+    /// Requests without a first byte that may be in flight from this node.
+    pub(crate) window: u32,
+    /// Failures in a row after which the group is avoided.
+    pub(crate) failures: u32,
+    /// How long it is avoided when nothing newer is heard of it.
+    pub(crate) suspension: Duration,
+}
+
 /// One group, with what this node has in flight there.
 #[derive(Debug)]
 pub(crate) struct Group {
@@ -32,7 +44,7 @@
     pub(crate) unanswered: u32,
     /// Of these, requests that may crash a back end.
     pub(crate) suspects: u32,
-    first_window: u32,
+    limits: GroupLimits,
     window: u32,
     others: u32,
     reported: Moment,
@@ -41,20 +53,23 @@
     measured: Moment,
     proved: Moment,
     timeouts: u32,
+    failures: u32,
+    /// When requests were started, within the last window.
+    starts: VecDeque<Moment>,
     failed: Option<Moment>,
     cold_since: Option<Moment>,
 }
 
 impl Group {
-    pub(crate) fn new(now: Moment, route: Route, first_window: u32) -> Self {
+    pub(crate) fn new(now: Moment, route: Route, limits: GroupLimits) -> Self {
         let mut group = Self {
             route,
             listed: true,
             in_flight: 0,
             unanswered: 0,
             suspects: 0,
-            first_window,
-            window: first_window,
+            limits,
+            window: limits.window,
             others: 0,
             reported: Moment::ZERO,
             own_reported: 0,
@@ -62,6 +77,8 @@
             measured: now,
             proved: Moment::ZERO,
             timeouts: 0,
+            failures: 0,
+            starts: VecDeque::new(),
             failed: None,
             cold_since: None,
         };
@@ -76,7 +93,8 @@
         self.route = route;
         self.listed = true;
         if restarted {
-            self.window = self.first_window;
+            self.window = self.limits.window;
+            self.failures = 0;
             self.first_byte = Average::default();
             self.failed = None;
             self.cold_since = None;
@@ -106,10 +124,11 @@
         self.takes_work(now)
             && self.unanswered < self.window
             && self.in_flight < self.cap(now, limit, live)
+            && self.may_start(now)
     }
 
     fn takes_work(&self, now: Moment) -> bool {
-        let suspended = |failed| now.since(failed) < SUSPENSION;
+        let suspended = |failed| now.since(failed) < self.limits.suspension;
         self.route.takes_work() && !self.failed.is_some_and(suspended)
     }
 
@@ -121,6 +140,9 @@
         if self.cold_since.is_some() {
             return 0;
         }
+        if let Some(slots) = self.route.slots {
+            return slots;
+        }
         let sharers = match self.route.sharers {
             0 => live.max(1),
             sharers => sharers,
@@ -155,7 +177,11 @@
     }
 
     /// Counts a request that is sent.
-    pub(crate) const fn start(&mut self, suspect: bool) {
+    pub(crate) fn start(&mut self, now: Moment, suspect: bool) {
+        if self.route.starts.is_some() {
+            self.forget_starts(now);
+            self.starts.push_back(now);
+        }
         self.in_flight += 1;
         self.unanswered += 1;
         if suspect {
@@ -177,8 +203,9 @@
     /// Takes in a first byte; the window opens.
     pub(crate) fn first_byte(&mut self, now: Moment, wait: Duration) {
         self.unanswered = self.unanswered.saturating_sub(1);
-        self.window = self.window.saturating_add(1).min(self.first_window);
+        self.window = self.window.saturating_add(1).min(self.limits.window);
         self.timeouts = 0;
+        self.failures = 0;
         self.first_byte.observe(wait.as_secs_f64());
         self.measured = now;
     }
@@ -210,17 +237,47 @@
 
     /// Takes in a failure: the group gets no work until something newer is heard of it.
     pub(crate) const fn fail(&mut self, now: Moment) {
+        self.failures = self.failures.saturating_add(1);
+        if self.failures < self.limits.failures {
+            return;
+        }
+        self.suspend(now);
+    }
+
+    /// Avoids the group from now on.
+    pub(crate) const fn suspend(&mut self, now: Moment) {
+        self.failures = 0;
         self.failed = Some(now);
-        self.window = self.first_window;
+        self.window = self.limits.window;
         self.timeouts = 0;
     }
 
+    /// Whether one more request may start within this second.
+    fn may_start(&self, now: Moment) -> bool {
+        let Some(limit) = self.route.starts else {
+            return true;
+        };
+        let recent = |start: &&Moment| now.since(**start) < STARTS_WINDOW;
+        let count = self.starts.iter().rev().take_while(recent).count();
+        u32::try_from(count).is_ok_and(|count| count < limit)
+    }
+
+    fn forget_starts(&mut self, now: Moment) {
+        while self
+            .starts
+            .front()
+            .is_some_and(|start| now.since(*start) >= STARTS_WINDOW)
+        {
+            self.starts.pop_front();
+        }
+    }
+
     /// Takes in a cold signal; says whether it is news.
     pub(crate) fn turn_cold(&mut self, now: Moment) -> bool {
         let news = self.route.cold.is_none() && self.cold_since.is_none();
         if news {
             self.cold_since = Some(now);
-            self.window = self.first_window;
+            self.window = self.limits.window;
         }
         news
     }
--- a/crates/tanagerhub_traffic/src/groups.rs
+++ b/crates/tanagerhub_traffic/src/groups.rs
@@ -10,9 +10,9 @@
 use tanagerhub_clock::Moment;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::group::Group;
+use crate::group::{Group, GroupLimits};
 use crate::prefix_index::PrefixIndex;
-use crate::{RouteTable, TrafficSettings};
+use crate::{RouteTable, Selection, TrafficSettings};
 
 new_key_type! {
     /// A group in the arena.
@@ -52,7 +52,8 @@
     candidates: Vec<Candidate>,
     home: DataCentreId,
     bound: f64,
-    first_window: u32,
+    limits: GroupLimits,
+    selection: Selection,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -74,7 +75,12 @@
             candidates: Vec::new(),
             home: settings.data_centre,
             bound: settings.load_bound,
-            first_window: settings.first_window.max(1),
+            limits: GroupLimits {
+                window: settings.first_window.max(1),
+                failures: settings.failures.max(1),
+                suspension: settings.suspension,
+            },
+            selection: settings.selection,
         }
     }
 
@@ -104,7 +110,7 @@
             group.update(now, route);
             return key;
         }
-        let key = self.arena.insert(Group::new(now, route, self.first_window));
+        let key = self.arena.insert(Group::new(now, route, self.limits));
         self.by_id.insert(id, key);
         key
     }
@@ -190,6 +196,12 @@
         if candidates.is_empty() {
             return None;
         }
+        if self.selection == Selection::LeastLoaded {
+            return Some(Choice {
+                group: least_loaded(candidates, random),
+                blocks: 0,
+            });
+        }
         let count = f64::from(u32::try_from(candidates.len()).unwrap_or(u32::MAX));
         let mean = candidates.iter().map(|it| it.load).sum::<f64>() / count;
         let bound = (mean * self.bound).ceil() + 1.0;
@@ -246,6 +258,15 @@
         .map(|it| it.key)
 }
 
+/// The candidate with the least load; one of them at random where several have it.
+fn least_loaded(candidates: &[Candidate], random: &mut ChaCha8Rng) -> GroupKey {
+    let offset = random.random_range(0..candidates.len());
+    let rotated = candidates[offset..].iter().chain(&candidates[..offset]);
+    rotated
+        .min_by(|one, other| one.load.total_cmp(&other.load))
+        .map_or(candidates[0].key, |best| best.key)
+}
+
 /// The less loaded of two groups drawn at random.
 fn two_choices(candidates: &[Candidate], random: &mut ChaCha8Rng) -> GroupKey {
     let first = candidates[random.random_range(0..candidates.len())];
--- a/crates/tanagerhub_traffic/src/lib.rs
+++ b/crates/tanagerhub_traffic/src/lib.rs
@@ -43,6 +43,6 @@
 pub use request::{Prefixes, Repeat, RequestInfo};
 pub use retry_budget::RetryBudget;
 pub use route_table::{LoadReport, Route, RouteTable};
-pub use settings::TrafficSettings;
+pub use settings::{Selection, TrafficSettings};
 pub use share::{Freshness, Share};
 pub use traffic::{EntryStatus, Fact, GroupStatus, OrganisationStatus, Traffic, TrafficStatus};
--- a/crates/tanagerhub_traffic/src/request.rs
+++ b/crates/tanagerhub_traffic/src/request.rs
@@ -1,5 +1,7 @@
 //! A caller's request, as far as decisions need it.
 
+use std::time::Duration;
+
 use serde::Serialize;
 use smallvec::SmallVec;
 use tanagerhub_catalogue::{Class, EntryId, OrganisationId, RequestId};
@@ -59,6 +61,10 @@
     pub fingerprint: u64,
     /// When the caller needs the end of the answer.
     pub deadline: Moment,
+    /// Attempts that it may have; `None` for the usual number.
+    pub attempts: Option<u32>,
+    /// How long it may wait for a group; `None` for as long as its deadline allows.
+    pub patience: Option<Duration>,
 }
 
 impl RequestInfo {
@@ -76,6 +82,8 @@
             repeat: Repeat::Never,
             fingerprint: id.0,
             deadline: Moment::ZERO,
+            attempts: None,
+            patience: None,
         }
     }
 
@@ -86,6 +94,27 @@
         self
     }
 
+    /// Sets how long it may wait for a group.
+    ///
+    /// Where no group serves its entry, such a request does not wait at all.
+    #[must_use]
+    pub const fn patience(mut self, patience: Duration) -> Self {
+        self.patience = Some(patience);
+        self
+    }
+
+    /// Until when it may wait from now on, if it may until `latest`.
+    pub(crate) fn wait_until(&self, now: Moment, latest: Moment) -> Moment {
+        self.patience.map_or(latest, |patience| latest.min(now + patience))
+    }
+
+    /// Sets how many attempts it may have.
+    #[must_use]
+    pub const fn attempts(mut self, attempts: u32) -> Self {
+        self.attempts = Some(attempts);
+        self
+    }
+
     /// Sets what may be repeated.
     #[must_use]
     pub const fn repeat(mut self, repeat: Repeat) -> Self {
--- a/crates/tanagerhub_traffic/src/retry_budget.rs
+++ b/crates/tanagerhub_traffic/src/retry_budget.rs
@@ -34,6 +34,19 @@
         }
     }
 
+    /// Sets how many attempts may be saved up.
+    pub const fn set_burst(&mut self, burst: f64) {
+        self.burst = burst;
+        self.level = self.level.min(burst);
+    }
+
+    /// The same budget with nothing in it yet.
+    #[must_use]
+    pub const fn emptied(mut self) -> Self {
+        self.level = 0.0;
+        self
+    }
+
     /// Counts a request.
     pub fn deposit(&mut self) {
         self.level = (self.level + self.ratio).min(self.burst);
--- a/crates/tanagerhub_traffic/src/route_table.rs
+++ b/crates/tanagerhub_traffic/src/route_table.rs
@@ -37,6 +37,10 @@
     pub sharers: u32,
     /// What the engine last reported.
     pub load: Option<LoadReport>,
+    /// Requests that the group runs at once, where that is known of the group itself.
+    pub slots: Option<u32>,
+    /// Requests that this node may start there within any second.
+    pub starts: Option<u32>,
 }
 
 /// What an engine reported of its load.
@@ -66,6 +70,8 @@
             cold: None,
             sharers: 0,
             load: None,
+            slots: None,
+            starts: None,
         }
     }
 
--- a/crates/tanagerhub_traffic/src/settings.rs
+++ b/crates/tanagerhub_traffic/src/settings.rs
@@ -54,6 +54,40 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "quarantine_ms")]
     pub quarantine: Duration,
+    /// How a group is chosen among those with room.
+    pub selection: Selection,
+    /// Failures in a row after which a group gets no more requests for a while.
+    pub failures: u32,
+    /// For how long it gets none, unless it is seen whole before.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "suspension_ms")]
+    pub suspension: Duration,
+    /// Attempts of one request that names no limit itself, as long as it makes no progress.
+    pub attempts: u32,
+    /// Whether a slow attempt may get a second one beside it.
+    pub hedges: bool,
+    /// Whether the retry budget is full at the start.
+    ///
+    /// An empty one keeps the sum of many nodes' budgets within bounds while they restart.
+    pub filled: bool,
+    /// Whether `retry_burst` holds for all nodes and entries together, not for each.
+    pub shares_retries: bool,
+    /// The least time after which a refused caller may return.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "retry_floor_ms")]
+    pub retry_floor: Duration,
+}
+
+/// How a group is chosen among those with room.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Selection {
+    /// The better of two drawn at random, after the cache of prompts.
+    ///
+    /// Loads that are known with a lag send no herd to the group that seemed idle.
+    TwoChoices,
+    /// The one with the least of this node's own requests.
+    LeastLoaded,
 }
 
 impl Default for TrafficSettings {
@@ -72,6 +106,14 @@
             hedge_tokens: 64,
             moves_streams: false,
             quarantine: Duration::from_mins(10),
+            selection: Selection::TwoChoices,
+            failures: 1,
+            suspension: Duration::from_secs(5),
+            attempts: 5,
+            hedges: true,
+            filled: true,
+            shares_retries: false,
+            retry_floor: Duration::from_secs(1),
         }
     }
 }
--- a/crates/tanagerhub_traffic/src/traffic.rs
+++ b/crates/tanagerhub_traffic/src/traffic.rs
@@ -177,6 +177,7 @@
             .map(|organisation| (organisation.id(), organisation.weight))
             .collect();
         self.drop_entries(catalogue);
+        self.share_budgets();
         self.configure_meters(now);
     }
 
@@ -196,6 +197,7 @@
         self.takes_work = view.takes_work;
         if self.share.observe(now, &view) {
             self.configure_meters(now);
+            self.share_budgets();
         }
     }
 
@@ -272,6 +274,19 @@
             .retain(|id, meter| meter.active() > 0 || catalogue.organisation(*id).is_some());
     }
 
+    /// Divides what may be retried beyond the share of requests among nodes and entries.
+    fn share_budgets(&mut self) {
+        if !self.settings.shares_retries {
+            return;
+        }
+        let entries = u32::try_from(self.entries.len()).unwrap_or(u32::MAX);
+        let parts = f64::from(self.share.share().nodes.max(1)) * f64::from(entries.max(1));
+        let burst = self.settings.retry_burst / parts;
+        for entry in self.entries.values_mut() {
+            entry.budget.set_burst(burst);
+        }
+    }
+
     /// Keeps a fact for control; the oldest give way when nobody takes them.
     fn tell(&mut self, fact: Fact) {
         if self.facts.len() >= FACTS_LIMIT {
--- a/crates/tanagerhub_traffic/src/traffic/admission.rs
+++ b/crates/tanagerhub_traffic/src/traffic/admission.rs
@@ -8,8 +8,8 @@
 use crate::in_flight::{Request, RequestKey};
 use crate::{Decision, Outcome, Place, Reason, Refusal, RequestInfo};
 
-/// The shortest time that a caller is told to stay away.
-pub(super) const RETRY_FLOOR: Duration = Duration::from_secs(1);
+/// How long a caller is told to stay away when no group serves the entry.
+const NO_GROUP_PAUSE: Duration = Duration::from_secs(1);
 /// The longest time that a busy entry's caller is told to stay away.
 const RETRY_CEILING: Duration = Duration::from_mins(1);
 
@@ -29,10 +29,10 @@
     /// Checks everything that does not depend on the queue, and charges the organisation.
     fn admit(&mut self, now: Moment, info: &RequestInfo) -> Result<Place, Refusal> {
         if !self.drain.accepts(now) {
-            return Err(refusal(Reason::ShuttingDown, Some(RETRY_FLOOR)));
+            return Err(refusal(Reason::ShuttingDown, Some(self.settings.retry_floor)));
         }
         if !self.takes_work {
-            return Err(refusal(Reason::Stale, Some(RETRY_FLOOR)));
+            return Err(refusal(Reason::Stale, Some(self.settings.retry_floor)));
         }
         let Some(entry) = self.entries.get(&info.entry) else {
             return Err(refusal(Reason::UnknownEntry, None));
@@ -48,11 +48,12 @@
             .map_or(entry.class, |class| class.max(entry.class));
         let place = Place::new(class, info.organisation, info.deadline);
         self.check_wait(now, info, place)?;
+        let floor = self.settings.retry_floor;
         self.organisations
             .entry(info.organisation)
             .or_default()
             .admit(now, tokens_of(info))
-            .map_err(|(reason, wait)| refusal(reason, Some(wait.max(RETRY_FLOOR))))?;
+            .map_err(|(reason, wait)| refusal(reason, Some(wait.max(floor))))?;
         Ok(place)
     }
 
@@ -66,11 +67,12 @@
         let ahead = entry.queue.ahead(place.class, place.organisation, weight);
         let wait = entry.expected_wait(ahead);
         let latest = entry.give_up_at(now, info.deadline, info.max_tokens);
+        let latest = info.wait_until(now, latest);
         if now + wait <= latest {
             return Ok(());
         }
         let excess = wait.saturating_sub(latest.since(now));
-        let retry = excess.clamp(RETRY_FLOOR, RETRY_CEILING);
+        let retry = excess.clamp(self.settings.retry_floor, RETRY_CEILING);
         Err(refusal(Reason::Overloaded, Some(retry)))
     }
 
@@ -91,6 +93,11 @@
             }
             return Decision::Dispatch(dispatch);
         }
+        let request = &self.requests[key].info;
+        if request.patience.is_some() && self.groups.serving(entry_id) == 0 {
+            self.end_request(key, None);
+            return self.refuse(refusal(Reason::NoGroup, Some(NO_GROUP_PAUSE)));
+        }
         self.enqueue_new(now, key, weight, work)
     }
 
@@ -108,7 +115,10 @@
             Reason::RequestRate | Reason::TokenRate | Reason::Concurrency => {
                 self.counters.over_limit += 1;
             }
-            Reason::Overloaded | Reason::QueueFull | Reason::DeadlinePassed => {
+            Reason::Overloaded
+            | Reason::NoGroup
+            | Reason::QueueFull
+            | Reason::DeadlinePassed => {
                 self.counters.overloaded += 1;
             }
             _ => self.counters.refused += 1,
--- a/crates/tanagerhub_traffic/src/traffic/dispatch.rs
+++ b/crates/tanagerhub_traffic/src/traffic/dispatch.rs
@@ -52,7 +52,7 @@
         let request = self.requests.get_mut(key)?;
         let entry = self.entries.get_mut(&request.info.entry)?;
         let group = self.groups.arena.get_mut(choice.group)?;
-        group.start(suspect);
+        group.start(now, suspect);
         entry.running += 1;
         let attempt = self.attempts.insert(Attempt {
             request: key,
@@ -102,7 +102,7 @@
         };
         let first = request.attempts.len() == 1 && request.tokens == 0;
         let short = request.info.max_tokens <= self.settings.hedge_tokens;
-        if !first || !short || request.info.repeat == Repeat::Never {
+        if !self.settings.hedges || !first || !short || request.info.repeat == Repeat::Never {
             return;
         }
         let Some(entry) = self.entries.get(&request.info.entry) else {
--- a/crates/tanagerhub_traffic/src/traffic/queueing.rs
+++ b/crates/tanagerhub_traffic/src/traffic/queueing.rs
@@ -5,7 +5,7 @@
 use tanagerhub_catalogue::{EntryId, RequestId};
 use tanagerhub_clock::Moment;
 
-use super::admission::{RETRY_FLOOR, refusal, status_of};
+use super::admission::{refusal, status_of};
 use super::{Timer, Traffic};
 use crate::in_flight::RequestKey;
 use crate::{AttemptKey, Decision, Outcome, Reason, Refusal};
@@ -78,7 +78,8 @@
             None
         };
         let until = entry.give_up_at(now, place.deadline, tokens);
-        let retry = entry.expected_wait(0.0).max(RETRY_FLOOR);
+        let until = self.requests[key].info.wait_until(now, until);
+        let retry = entry.expected_wait(0.0).max(self.settings.retry_floor);
         self.requests[key].queued = Some(number);
         self.counters.queued += 1;
         let full = refusal(Reason::QueueFull, Some(retry));
@@ -102,6 +103,7 @@
         let entry = self.entries.get_mut(&request.info.entry)?;
         let left = request.info.max_tokens.saturating_sub(request.tokens);
         let until = entry.give_up_at(now, request.info.deadline, left);
+        let until = request.info.wait_until(now, until);
         if until <= now {
             return None;
         }
@@ -136,7 +138,7 @@
             return;
         }
         self.unqueue(key);
-        self.refuse_waiter(key, refusal(Reason::DeadlinePassed, Some(RETRY_FLOOR)));
+        self.refuse_waiter(key, refusal(Reason::DeadlinePassed, Some(self.settings.retry_floor)));
     }
 
     /// Sends a second attempt if the first still has no answer and the budget allows it.
@@ -176,7 +178,7 @@
         let keys: Vec<RequestKey> = self.waiting.values().copied().collect();
         for key in keys {
             self.unqueue(key);
-            self.refuse_waiter(key, refusal(Reason::Stale, Some(RETRY_FLOOR)));
+            self.refuse_waiter(key, refusal(Reason::Stale, Some(self.settings.retry_floor)));
         }
     }
 
--- a/crates/tanagerhub_traffic/src/traffic/reports.rs
+++ b/crates/tanagerhub_traffic/src/traffic/reports.rs
@@ -4,13 +4,11 @@
 
 use tanagerhub_clock::Moment;
 
-use super::admission::{RETRY_FLOOR, status_of};
+use super::admission::status_of;
 use super::{Fact, Traffic};
 use crate::in_flight::{Attempt, Progress, RequestKey};
 use crate::{AttemptEvent, AttemptKey, Next, Outcome, Reason, Refusal, Repeat};
 
-/// Attempts of one request at most, as long as it makes no progress.
-const ATTEMPTS_LIMIT: u32 = 5;
 /// Tokens beyond the break after which a resumed request is no longer under suspicion.
 const ACQUITTAL_TOKENS: u32 = 16;
 
@@ -42,6 +40,8 @@
             AttemptEvent::Cold => self.cold(now, attempt),
             AttemptEvent::FirstByte => self.first_byte(now, attempt),
             AttemptEvent::Token(count) => self.token(now, attempt, count),
+            AttemptEvent::Silent => self.silent(now, attempt),
+            AttemptEvent::Failed => self.fail_attempt(now, attempt, Failure::Broke),
             AttemptEvent::Broke => self.broke(now, attempt),
             AttemptEvent::TimedOut => self.timed_out(now, attempt),
             AttemptEvent::Finished { tokens } => self.finished(now, attempt, Some(tokens)),
@@ -195,6 +195,15 @@
         self.fail_attempt(now, key, Failure::TimedOut)
     }
 
+    fn silent(&mut self, now: Moment, key: AttemptKey) -> Next {
+        if let Some(group) = self.groups.arena.get_mut(self.attempts[key].group) {
+            group.suspend(now);
+            let (group, epoch) = (group.route.group, group.route.epoch);
+            self.tell(Fact::Failed { group, epoch });
+        }
+        self.fail_attempt(now, key, Failure::TimedOut)
+    }
+
     fn finished(&mut self, now: Moment, key: AttemptKey, tokens: Option<u32>) -> Next {
         let next = self.first_byte(now, key);
         let Some(attempt) = self.end_attempt(key) else {
@@ -296,7 +305,7 @@
         {
             return Some(Reason::Crashes);
         }
-        if request.sent >= ATTEMPTS_LIMIT || !self.takes_work {
+        if request.sent >= request.info.attempts.unwrap_or(self.settings.attempts) || !self.takes_work {
             return Some(Reason::BackendFailed);
         }
         let granted = self
@@ -333,12 +342,18 @@
         self.count_failure(outcome);
         Next::Fail(Refusal {
             reason,
-            retry_after: retry_after(reason, outcome, request.info.repeat),
+            retry_after: self.retry_after(reason, outcome, request.info.repeat),
             outcome,
             status: status_of(reason, outcome),
         })
     }
 
+    /// When the caller may ask again; never, where asking again could run the work twice.
+    fn retry_after(&self, reason: Reason, outcome: Outcome, repeat: Repeat) -> Option<Duration> {
+        let safe = outcome == Outcome::NotRun || repeat != Repeat::Never;
+        (safe && reason != Reason::Crashes).then_some(self.settings.retry_floor)
+    }
+
     pub(super) const fn count_failure(&mut self, outcome: Outcome) {
         match outcome {
             Outcome::NotRun => self.counters.failed_not_run += 1,
@@ -356,9 +371,3 @@
         (Failure::Broke | Failure::TimedOut, false) => Outcome::Unknown,
     }
 }
-
-/// When the caller may ask again; never, where asking again could run the work twice.
-fn retry_after(reason: Reason, outcome: Outcome, repeat: Repeat) -> Option<Duration> {
-    let safe = outcome == Outcome::NotRun || repeat != Repeat::Never;
-    (safe && reason != Reason::Crashes).then_some(RETRY_FLOOR)
-}
