Load all models before the first request, and date what probes tell

And the row's and the report's 'seq' count different things, so that answers to probes were taken for old ones.

--- a/crates/tanagerhub/src/gateway/control.rs
+++ b/crates/tanagerhub/src/gateway/control.rs
@@ -16,6 +16,7 @@
 
 use crate::gateway::control_store::ControlStore;
 use crate::gateway::feed::FeedNews;
+use crate::gateway::pulse::Pulses;
 use crate::gateway::shared::Shared;
 use crate::gateway::state_dump::StateDump;
 use crate::gateway::{Configuration, Edges, GatewayMetrics, OperatorRow};
@@ -65,6 +66,8 @@
     pub(crate) presence: Presence,
     /// Set while this node plans, which makes it follow the VMs more closely.
     pub(crate) hurry: Arc<AtomicBool>,
+    /// The pulses of groups with requests, to wake those of a group that lost a member.
+    pub(crate) pulses: Arc<Pulses>,
     pub(crate) view: ControlView,
 }
 
@@ -79,6 +82,7 @@
     /// Whether the last call for the operators' rows had no answer.
     store_lost: bool,
     draining: bool,
+    in_use: bool,
     heads: Vec<Head>,
     live: usize,
     generation: u64,
@@ -132,6 +136,10 @@
     }
 
     fn tick(&mut self, now: Moment) {
+        if !self.view.in_use && self.shared.is_in_use() {
+            self.view.in_use = true;
+            self.tell_groups(now, GroupsEvent::InUse);
+        }
         self.tell_groups(now, GroupsEvent::Tick);
         self.tend_presence(now);
         self.publish_routes(now);
@@ -313,6 +321,13 @@
         for decision in self.groups.take_decisions() {
             log_decision(&decision);
         }
+        let lost = self.groups.take_lost();
+        if !lost.is_empty() {
+            self.publish_routes(now);
+        }
+        for (group, epoch) in lost {
+            self.pulses.alarm(group, epoch);
+        }
         let plans = self.groups.is_planning();
         self.presence.plans(plans);
         self.hurry.store(plans, Ordering::Relaxed);
--- a/crates/tanagerhub/src/gateway/exchange.rs
+++ b/crates/tanagerhub/src/gateway/exchange.rs
@@ -16,6 +16,7 @@
 };
 
 use crate::gateway::call::Call;
+use crate::gateway::control::GatewayEvent;
 use crate::gateway::front::Front;
 use crate::gateway::pulse::Watch;
 use crate::gateway::reply::Failure;
@@ -27,6 +28,12 @@
 const WHOLE_LIMIT: usize = 8 << 20;
 /// The least time after which a request without a first byte is tried elsewhere.
 const MIN_PATIENCE: Duration = Duration::from_millis(150);
+/// The same, as a multiple of the objective.
+const PATIENCE: u32 = 2;
+/// The same for a stream, whose first event waits for the prompts of others.
+const STREAM_PATIENCE: u32 = 3;
+/// The least time after which a group that shows no sign of life is suspected.
+const MIN_QUIET: Duration = Duration::from_millis(250);
 /// The urgency of a stream that is resumed: its caller sees the pause.
 const RESUME_URGENCY: u8 = 0;
 
@@ -242,7 +249,7 @@
             if !self.call.is_repeatable() {
                 future::pending::<()>().await;
             }
-            Err(self.impatience(&watch, sent).await)
+            Err(self.impatience(dispatch, &watch, sent).await)
         };
         let work = self.exchange(dispatch, last_event);
         let answered = future::or(work, future::or(hurried, expired)).await;
@@ -265,19 +272,23 @@
     }
 
     /// Waits until the request is better tried elsewhere.
-    async fn impatience(&self, watch: &Watch, sent: Moment) -> AttemptError {
-        let patience = (self.call.objective * 2 / 3).max(MIN_PATIENCE);
+    ///
+    /// A group that shows no sign of life is suspected on the way, so that its members are probed.
+    async fn impatience(&self, dispatch: Dispatch, watch: &Watch, sent: Moment) -> AttemptError {
+        let factor = if self.call.kind.is_stream() {
+            STREAM_PATIENCE
+        } else {
+            PATIENCE
+        };
+        let patience = (self.call.objective * factor).max(MIN_PATIENCE);
         let overdue = async {
-            let mut since = sent;
-            loop {
-                let waited = self.front.clock.now().since(since);
-                if waited >= patience {
-                    return AttemptError::Overdue;
-                }
-                self.front.clock.sleep(patience.saturating_sub(waited)).await;
-                // A group that works on other requests will come to this one.
-                since = since.max(watch.heard());
+            let quiet = watch.patience().max(MIN_QUIET).min(patience);
+            self.front.clock.sleep(quiet).await;
+            if watch.heard() < sent {
+                self.suspect(dispatch);
             }
+            self.front.clock.sleep(patience.saturating_sub(quiet)).await;
+            AttemptError::Overdue
         };
         let silent = async {
             watch.alarm().await;
@@ -286,6 +297,12 @@
         future::or(overdue, silent).await
     }
 
+    fn suspect(&self, dispatch: Dispatch) {
+        let event = GatewayEvent::Suspected(dispatch.group, dispatch.epoch);
+        // A suspicion that finds no room comes again with the next request.
+        drop(self.front.suspicions.try_send(event));
+    }
+
     async fn exchange(
         &self,
         dispatch: Dispatch,
--- a/crates/tanagerhub/src/gateway/front.rs
+++ b/crates/tanagerhub/src/gateway/front.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use async_channel::Sender;
 use bytes::Bytes;
 use http::header::{AUTHORIZATION, CONTENT_LENGTH, HOST};
 use http::request::Parts;
@@ -16,6 +17,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::gateway::call::Call;
+use crate::gateway::control::GatewayEvent;
 use crate::gateway::exchange::Exchange;
 use crate::gateway::pulse::Pulses;
 use crate::gateway::reply::Failure;
@@ -40,7 +42,9 @@
     pub(crate) shared: Arc<Shared>,
     pub(crate) traffic: Arc<TrafficHandle>,
     pub(crate) client: Client,
-    pub(crate) pulses: Pulses,
+    pub(crate) pulses: Arc<Pulses>,
+    /// Takes groups that should be probed to control.
+    pub(crate) suspicions: Sender<GatewayEvent>,
     pub(crate) metrics: GatewayMetrics,
 }
 
@@ -48,6 +52,7 @@
     /// Answers one request.
     pub(crate) async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Response<ReplyBody> {
         let arrived = self.clock.now();
+        self.shared.use_now();
         match self.accept(arrived, request).await {
             Ok((call, info)) => {
                 let exchange = Exchange::new(Arc::clone(&self), call);
--- a/crates/tanagerhub/src/gateway/gateway_settings.rs
+++ b/crates/tanagerhub/src/gateway/gateway_settings.rs
@@ -28,8 +28,6 @@
     pub grace: Duration,
     /// Time after the signal to stop in which callers may still open connections.
     pub drain: Duration,
-    /// Silence of all streams of a group after which it is avoided.
-    pub silence: Duration,
     /// Settings of the decisions on groups.
     pub groups: GroupsSettings,
 }
@@ -49,7 +47,6 @@
             retry_slack: 100.0,
             grace: Duration::from_secs(8),
             drain: Duration::from_millis(2_500),
-            silence: Duration::from_millis(180),
             groups: GroupsSettings::default(),
         }
     }
--- a/crates/tanagerhub/src/gateway/pulse.rs
+++ b/crates/tanagerhub/src/gateway/pulse.rs
@@ -1,7 +1,8 @@
 //! Notices when all streams of a group fall silent together.
 //!
-//! A group that lost a member accepts requests and sends nothing. One stream alone may pause for
-//! good reasons; all of them together don't.
+//! A group that lost a member accepts requests and sends nothing. It also pauses while it reads a
+//! long prompt, so silence is a reason to probe the members, and only a lost member is a reason to
+//! move the streams.
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
@@ -12,6 +13,17 @@
 use tanagerhub_catalogue::{Epoch, GroupId};
 use tanagerhub_clock::Moment;
 
+/// The shortest silence that counts, whatever is usual.
+const MIN_SILENCE: Duration = Duration::from_millis(150);
+/// The longest silence that is waited for, whatever is usual.
+const MAX_SILENCE: Duration = Duration::from_millis(600);
+/// What a silence may exceed the usual pauses by.
+const SILENCE_SLACK: Duration = Duration::from_millis(40);
+/// Time between two suspicions of the same group.
+const SUSPECT_AGAIN: Duration = Duration::from_millis(250);
+/// The part by which the usual pause shrinks with each event.
+const PAUSE_DECAY: u64 = 64;
+
 /// The pulses of all groups with requests from this node.
 #[derive(Debug, Default)]
 pub(crate) struct Pulses {
@@ -23,6 +35,10 @@
 struct Pulse {
     /// In nanoseconds of the clock.
     heard: AtomicU64,
+    /// The longest pause of late, in nanoseconds.
+    pause: AtomicU64,
+    /// When the group was last suspected, in nanoseconds of the clock.
+    suspected: AtomicU64,
     /// Streams that have begun and not ended.
     streams: AtomicUsize,
     alarm: Mutex<Alarm>,
@@ -59,6 +75,8 @@
         let pulse = groups.entry((group, epoch)).or_insert_with(|| {
             Arc::new(Pulse {
                 heard: AtomicU64::new(0),
+                pause: AtomicU64::new(0),
+                suspected: AtomicU64::new(0),
                 streams: AtomicUsize::new(0),
                 alarm: Mutex::default(),
             })
@@ -70,20 +88,29 @@
         }
     }
 
-    /// Raises the alarm of groups whose streams have all been silent for `limit`, and names them.
-    pub(crate) fn sweep(&self, now: Moment, limit: Duration) -> Vec<(GroupId, Epoch)> {
+    /// The groups whose streams have all been silent for unusually long.
+    pub(crate) fn suspects(&self, now: Moment) -> Vec<(GroupId, Epoch)> {
         let mut groups = self.lock();
-        let mut silent = Vec::new();
-        for (key, pulse) in groups.iter() {
-            let streams = pulse.streams.load(Ordering::Relaxed);
-            if streams > 0 && now.since(pulse.heard()) >= limit {
-                *pulse.alarm() = Alarm::default();
-                pulse.heard.store(now.as_nanos(), Ordering::Relaxed);
-                silent.push(*key);
-            }
-        }
         groups.retain(|_, pulse| Arc::strong_count(pulse) > 1);
-        silent
+        groups
+            .iter()
+            .filter(|(_, pulse)| pulse.is_suspect(now))
+            .map(|(key, _)| *key)
+            .collect()
+    }
+
+    /// Takes all groups for alive as of now, after this node itself stood still.
+    pub(crate) fn forgive(&self, now: Moment) {
+        for pulse in self.lock().values() {
+            pulse.heard.fetch_max(now.as_nanos(), Ordering::Relaxed);
+        }
+    }
+
+    /// Wakes the requests of a group that lost a member.
+    pub(crate) fn alarm(&self, group: GroupId, epoch: Epoch) {
+        if let Some(pulse) = self.lock().get(&(group, epoch)) {
+            *pulse.alarm() = Alarm::default();
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<(GroupId, Epoch), Arc<Pulse>>> {
@@ -92,6 +119,36 @@
 }
 
 impl Pulse {
+    /// Whether its streams have been silent for unusually long; notes that it was suspected.
+    fn is_suspect(&self, now: Moment) -> bool {
+        let again = Moment::from_nanos(self.suspected.load(Ordering::Relaxed)) + SUSPECT_AGAIN;
+        let silent = self.streams.load(Ordering::Relaxed) > 0
+            && now >= again
+            && now.since(self.heard()) >= self.patience();
+        if silent {
+            self.suspected.store(now.as_nanos(), Ordering::Relaxed);
+        }
+        silent
+    }
+
+    /// The silence from which on the group is suspected.
+    fn patience(&self) -> Duration {
+        let usual = Duration::from_nanos(self.pause.load(Ordering::Relaxed));
+        (usual * 3 / 2 + SILENCE_SLACK).clamp(MIN_SILENCE, MAX_SILENCE)
+    }
+
+    /// Notes that the group sent something.
+    fn hear(&self, now: Moment) {
+        let before = self.heard.fetch_max(now.as_nanos(), Ordering::Relaxed);
+        if before == 0 {
+            return;
+        }
+        let pause = now.as_nanos().saturating_sub(before);
+        let usual = self.pause.load(Ordering::Relaxed);
+        let faded = usual - usual / PAUSE_DECAY;
+        self.pause.store(faded.max(pause), Ordering::Relaxed);
+    }
+
     fn heard(&self) -> Moment {
         Moment::from_nanos(self.heard.load(Ordering::Relaxed))
     }
@@ -104,9 +161,7 @@
 impl Watch {
     /// Notes that the group sent something.
     pub(crate) fn hear(&mut self, now: Moment) {
-        self.pulse
-            .heard
-            .fetch_max(now.as_nanos(), Ordering::Relaxed);
+        self.pulse.hear(now);
         if !self.streaming {
             self.streaming = true;
             self.pulse.streams.fetch_add(1, Ordering::Relaxed);
@@ -118,7 +173,12 @@
         self.pulse.heard()
     }
 
-    /// Waits until the group is found silent.
+    /// How long the group may be silent without being suspected.
+    pub(crate) fn patience(&self) -> Duration {
+        self.pulse.patience()
+    }
+
+    /// Waits until the group is found to have lost a member.
     pub(crate) async fn alarm(&self) {
         let _: Result<(), _> = self.alarm.recv().await;
     }
--- a/crates/tanagerhub/src/gateway/shared.rs
+++ b/crates/tanagerhub/src/gateway/shared.rs
@@ -22,6 +22,8 @@
     /// The moment as of which the operators' rows are known, in nanoseconds of the clock.
     proved: AtomicU64,
     draining: AtomicBool,
+    /// Whether a request has come.
+    in_use: AtomicBool,
 }
 
 impl Shared {
@@ -33,6 +35,7 @@
             names: ArcSwap::default(),
             proved: AtomicU64::new(0),
             draining: AtomicBool::new(false),
+            in_use: AtomicBool::new(false),
         }
     }
 
@@ -69,6 +72,15 @@
         known && self.age() < self.key_life
     }
 
+    /// Notes that a request has come.
+    pub(crate) fn use_now(&self) {
+        self.in_use.store(true, Ordering::Relaxed);
+    }
+
+    pub(crate) fn is_in_use(&self) -> bool {
+        self.in_use.load(Ordering::Relaxed)
+    }
+
     pub(crate) fn drain(&self) {
         self.draining.store(true, Ordering::Relaxed);
     }
--- a/crates/tanagerhub/src/gateway/start.rs
+++ b/crates/tanagerhub/src/gateway/start.rs
@@ -35,6 +35,8 @@
 const CONNECT_LIMIT: Duration = Duration::from_millis(250);
 /// Time between two looks at the pulses of groups.
 const PULSE_PERIOD: Duration = Duration::from_millis(30);
+/// How late a look may come before this node itself is taken to have stood still.
+const STANDSTILL: Duration = Duration::from_millis(60);
 /// Time between two sweeps of idle connections to back ends.
 const SWEEP_PERIOD: Duration = Duration::from_secs(1);
 /// Time between two looks at whether a stopping node is done.
@@ -100,9 +102,11 @@
         let shared = Arc::new(Shared::new(clock.clone(), settings.key_life));
         let traffic = Arc::new(traffic_handle(&settings, &clock, &events));
         let hurry = Arc::new(AtomicBool::new(false));
-        let control = control(
+        let pulses = Arc::new(Pulses::default());
+        let mut control = control(
             &settings, &edges, &clock, &metrics, &shared, &traffic, &events, &hurry,
         );
+        control.pulses = Arc::clone(&pulses);
         let thread = std::thread::Builder::new()
             .name("control".to_owned())
             .spawn(move || future::block_on(control.run(received)))
@@ -115,7 +119,8 @@
             shared: Arc::clone(&shared),
             traffic: Arc::clone(&traffic),
             client: client.clone(),
-            pulses: Pulses::default(),
+            pulses: Arc::clone(&pulses),
+            suspicions: events.clone(),
             metrics: metrics.clone(),
         });
         let mut tasks = feeds(&edges, &clock, &events, &hurry);
@@ -123,8 +128,7 @@
         tasks.push(task::spawn(sweep_connections(clock.clone(), client)));
         tasks.push(task::spawn(sweep_pulses(
             clock.clone(),
-            Arc::clone(&front),
-            settings.silence,
+            Arc::clone(&pulses),
             events.clone(),
         )));
         let mut others = vec![serve_ready(ready, &clock, &shared, settings.ready)?];
@@ -264,6 +268,7 @@
         groups: Groups::new(groups, rand::random()),
         presence: Presence::new(settings.node.clone(), boot, rand::random()),
         hurry: Arc::clone(hurry),
+        pulses: Arc::default(),
         view: ControlView::default(),
     }
 }
@@ -307,14 +312,19 @@
 /// Looks for groups whose streams have all fallen silent.
 async fn sweep_pulses(
     clock: Clock,
-    front: Arc<Front>,
-    silence: Duration,
+    pulses: Arc<Pulses>,
     events: Sender<GatewayEvent>,
 ) {
     loop {
+        let before = clock.now();
         clock.sleep(PULSE_PERIOD).await;
-        for (group, epoch) in front.pulses.sweep(clock.now(), silence) {
-            log::info!(group:%, epoch = epoch.0; "all streams of a group are silent");
+        let now = clock.now();
+        if now.since(before) >= PULSE_PERIOD + STANDSTILL {
+            pulses.forgive(now);
+            continue;
+        }
+        for (group, epoch) in pulses.suspects(now) {
+            // A suspicion that finds no room comes again with the next look.
             drop(events.try_send(GatewayEvent::Suspected(group, epoch)));
         }
     }
--- a/crates/tanagerhub_groups/src/event.rs
+++ b/crates/tanagerhub_groups/src/event.rs
@@ -22,6 +22,8 @@
     VmChanged(VmReport),
     /// The store no longer lists a VM.
     VmGone(VmId),
+    /// A request has come: the system is in use.
+    InUse,
     /// The store failed this node's calls until now.
     StoreReturned,
     /// No other node plans, so this one shall try.
--- a/crates/tanagerhub_groups/src/groups.rs
+++ b/crates/tanagerhub_groups/src/groups.rs
@@ -13,7 +13,7 @@
 
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use tanagerhub_catalogue::{DataCentreId, GroupId, VmId};
+use tanagerhub_catalogue::{DataCentreId, Epoch, GroupId, VmId};
 use tanagerhub_clock::Moment;
 
 use crate::load_limit::LoadMeter;
@@ -50,6 +50,10 @@
     known: BTreeMap<GroupId, Group>,
     ledger: Ledger,
     loads: LoadMeter,
+    /// Whether requests come, which makes loads slow and dear.
+    in_use: bool,
+    /// Groups that lost a member, for those who use them.
+    lost: Vec<(GroupId, Epoch)>,
     decisions: Vec<Decision>,
     out: Vec<GroupsAction>,
 }
@@ -59,7 +63,6 @@
     #[must_use]
     pub fn new(settings: GroupsSettings, seed: u64) -> Self {
         Self {
-            settings,
             rng: ChaCha8Rng::seed_from_u64(seed),
             engines: Vec::new(),
             evacuated: BTreeSet::new(),
@@ -67,8 +70,11 @@
             known: BTreeMap::new(),
             ledger: Ledger::default(),
             loads: LoadMeter::default(),
+            in_use: !settings.first_start,
+            lost: Vec::new(),
             decisions: Vec::new(),
             out: Vec::new(),
+            settings,
         }
     }
 
@@ -80,7 +86,8 @@
             GroupsEvent::Evacuated(centres) => self.evacuated = centres.into_iter().collect(),
             GroupsEvent::AllVms(reports) => self.vms.replace(now, reports, &self.settings),
             GroupsEvent::VmChanged(report) => self.vms.upsert(now, report),
-            GroupsEvent::VmGone(vm) => self.vms.gone(now, vm, &self.settings),
+            GroupsEvent::VmGone(vm) => self.vm_gone(now, vm),
+            GroupsEvent::InUse => self.in_use = true,
             GroupsEvent::StoreReturned => self.vms.expect_lapses(now, &self.settings),
             GroupsEvent::Plan(boots) => self.try_to_plan(boots),
             GroupsEvent::YieldPlan => self.yield_plan(),
@@ -105,6 +112,11 @@
         self.vms.get(vm).map(|entry| &entry.report)
     }
 
+    /// Takes the groups that lost a member since the last call.
+    pub fn take_lost(&mut self) -> Vec<(GroupId, Epoch)> {
+        std::mem::take(&mut self.lost)
+    }
+
     /// Takes the decisions since the last call.
     pub fn take_decisions(&mut self) -> Vec<Decision> {
         std::mem::take(&mut self.decisions)
@@ -112,10 +124,10 @@
 
     fn tick(&mut self, now: Moment) {
         self.vms.forget_gone(now);
+        self.probe_members(now);
         if !self.ledger.is_held() {
             return;
         }
-        self.probe_members(now);
         self.drive_groups(now);
         self.stage_models(now);
         self.plan_changes(now);
--- a/crates/tanagerhub_groups/src/groups/drive.rs
+++ b/crates/tanagerhub_groups/src/groups/drive.rs
@@ -1,5 +1,7 @@
 //! Brings groups into service: joins, readiness, opening; and probes their members.
 
+use std::collections::BTreeSet;
+
 use tanagerhub_catalogue::{Epoch, GroupId, VmId};
 use tanagerhub_clock::Moment;
 
@@ -12,14 +14,15 @@
 use super::vms::Verdict;
 
 impl Groups {
-    /// Probes the members of all groups in turn, and those that failed more often.
+    /// Probes VMs that did not answer; on the node that plans, also the members of all groups.
     pub(super) fn probe_members(&mut self, now: Moment) {
-        let members: Vec<VmId> = self
-            .known
-            .values()
-            .flat_map(|group| group.members.iter().copied())
-            .collect();
-        for vm in members {
+        let mut due: BTreeSet<VmId> = self.vms.failing().collect();
+        if self.ledger.is_held() {
+            let members = self.known.values().flat_map(|group| &group.members);
+            due.extend(members);
+            due.extend(self.vms.unclear());
+        }
+        for vm in due {
             let Some(entry) = self.vms.get(vm) else {
                 continue;
             };
@@ -54,16 +57,21 @@
         &mut self,
         now: Moment,
         vm: VmId,
-        _sent: Moment,
+        sent: Moment,
         result: Result<VmReport, ProbeFailure>,
     ) {
-        let verdict = self.vms.probed(now, vm, result, &self.settings);
+        let verdict = self.vms.probed(now, vm, sent, result, &self.settings);
         let Some(entry) = self.vms.get(vm) else {
             return;
         };
         let (name, probes) = (entry.report.vm.name.clone(), entry.failures);
         match verdict {
-            Some(Verdict::Lost) => self.note(Decision::VmLost { vm: name, probes }),
+            Some(Verdict::Lost) => {
+                let place = entry.report.group;
+                self.lost
+                    .extend(place.map(|place| (place.group, place.epoch)));
+                self.note(Decision::VmLost { vm: name, probes });
+            }
             Some(Verdict::Back) => self.note(Decision::VmBack { vm: name }),
             None => {}
         }
@@ -71,17 +79,33 @@
 
     /// Probes all members of a group at once, since its requests failed.
     pub(super) fn suspected(&mut self, now: Moment, id: GroupId, epoch: Epoch) {
-        let Some(group) = self.known.get(&id) else {
-            return;
+        let takes_part = |report: &VmReport| {
+            report
+                .group
+                .is_some_and(|place| place.group == id && place.epoch == epoch)
         };
-        if group.epoch != epoch || !self.ledger.is_held() {
-            return;
-        }
-        for vm in group.members.clone() {
+        let members: Vec<VmId> = self
+            .vms
+            .list
+            .iter()
+            .filter(|(_, entry)| takes_part(&entry.report))
+            .map(|(vm, _)| *vm)
+            .collect();
+        for vm in members {
+            if let Some(entry) = self.vms.list.get_mut(&vm) {
+                entry.suspected = now;
+            }
             self.probe(now, vm);
         }
     }
 
+    pub(super) fn vm_gone(&mut self, now: Moment, vm: VmId) {
+        let place = self.vms.get(vm).and_then(|entry| entry.report.group);
+        self.lost
+            .extend(place.map(|place| (place.group, place.epoch)));
+        self.vms.gone(now, vm, &self.settings);
+    }
+
     pub(super) fn drive_groups(&mut self, now: Moment) {
         let ids: Vec<GroupId> = self.known.keys().copied().collect();
         for id in ids {
--- a/crates/tanagerhub_groups/src/groups/repair.rs
+++ b/crates/tanagerhub_groups/src/groups/repair.rs
@@ -14,8 +14,6 @@
 
 /// How long a broken group waits for a spare VM before it is dissolved.
 const SPARE_WAIT: Duration = Duration::from_millis(300);
-/// How long a load may still take for a group to wait for it rather than be dissolved.
-const STAGE_WAIT: Duration = Duration::from_secs(2);
 
 /// The VMs that no group holds, as changes of this round leave them.
 pub(super) struct FreeVms {
@@ -92,7 +90,7 @@
         }
         match self.renewed_members(id, free) {
             Some(members) => changes.push(self.renew(id, &members)),
-            None => self.consider_dissolving(now, id, since),
+            None => self.consider_dissolving(now, id, since, free),
         }
     }
 
@@ -184,7 +182,23 @@
         model: &str,
         count: usize,
     ) -> Option<Vec<VmId>> {
-        let fits = |vm: &&VmId| {
+        let mut spares = self.fitting(free, domain, service, model);
+        let spares: Vec<VmId> = spares.by_ref().take(count).collect();
+        (spares.len() == count).then_some(spares)
+    }
+
+    fn count_spares(&self, free: &FreeVms, domain: DomainId, service: &str, model: &str) -> usize {
+        self.fitting(free, domain, service, model).count()
+    }
+
+    fn fitting(
+        &self,
+        free: &FreeVms,
+        domain: DomainId,
+        service: &str,
+        model: &str,
+    ) -> impl Iterator<Item = VmId> {
+        let fits = move |vm: &&VmId| {
             self.vms.get(**vm).is_some_and(|entry| {
                 entry.report.vm.domain_id() == domain
                     && entry.report.vm.service.as_deref() == Some(service)
@@ -192,8 +206,7 @@
                     && entry.staging.is_none()
             })
         };
-        let spares: Vec<VmId> = free.list.iter().filter(fits).take(count).copied().collect();
-        (spares.len() == count).then_some(spares)
+        free.list.iter().filter(fits).copied()
     }
 
     fn renew(&self, id: GroupId, members: &[VmId]) -> (Change, Option<GroupRow>) {
@@ -218,12 +231,12 @@
             .collect()
     }
 
-    /// Dissolves a group for which there is no spare VM, so that its members can serve elsewhere.
-    fn consider_dissolving(&mut self, now: Moment, id: GroupId, since: Moment) {
+    /// Dissolves a group for which there is no spare VM, if its members complete another one.
+    fn consider_dissolving(&mut self, now: Moment, id: GroupId, since: Moment, free: &FreeVms) {
         let Some(group) = self.known.get(&id) else {
             return;
         };
-        if now.since(since) < SPARE_WAIT || self.spare_is_coming(now, group) {
+        if now.since(since) < SPARE_WAIT || !self.completes_another(group, free) {
             return;
         }
         if let Some(group) = self.known.get_mut(&id) {
@@ -231,23 +244,31 @@
         }
     }
 
-    /// Whether a VM of the domain will have the model in a moment.
-    fn spare_is_coming(&self, now: Moment, group: &Group) -> bool {
+    /// Whether the usable members of a group are what another broken one of the domain lacks.
+    fn completes_another(&self, group: &Group, free: &FreeVms) -> bool {
         let Some(domain) = self.domain_of(&group.members) else {
             return false;
         };
-        let load = self
-            .engines
-            .iter()
-            .filter(|engine| engine.service == group.row.service)
-            .find_map(|engine| engine.model(&group.row.model))
-            .map_or(Duration::MAX, |model| model.load);
-        self.vms.list.values().any(|entry| {
-            let staging = entry.staging.as_ref();
-            let soon = |(model, at): &(String, Moment)| {
-                *model == group.row.model && now.since(*at) + STAGE_WAIT >= load
-            };
-            entry.report.vm.domain_id() == domain && staging.is_some_and(soon)
+        let usable = |group: &Group| {
+            let members = group.members.iter();
+            members.filter(|vm| !self.is_unusable(**vm)).count()
+        };
+        let idle = self.count_spares(free, domain, &group.row.service, &group.row.model);
+        let spare = usable(group) + idle;
+        self.known.values().any(|other| {
+            let alike = other.id != group.id
+                && other.row.model == group.row.model
+                && other.row.service == group.row.service
+                && self.domain_of(&other.members) == Some(domain);
+            let missing = other.members.len() - usable(other);
+            // Of two groups that could complete each other, the one that has more goes on.
+            let later = (usable(other), other.id) > (usable(group), group.id);
+            alike
+                && later
+                && other.broken.is_some()
+                && other.dissolving.is_none()
+                && missing > 0
+                && missing <= spare
         })
     }
 
--- a/crates/tanagerhub_groups/src/groups/stage.rs
+++ b/crates/tanagerhub_groups/src/groups/stage.rs
@@ -21,7 +21,7 @@
         for engine in &engines {
             self.forget_late_loads(now, engine);
             let mut running = self.running_loads(engine);
-            while self.loads.allows(now, engine.loads, running) {
+            while self.loads.allows(now, engine.loads, running, self.in_use) {
                 let Some((vm, model)) = self.next_load(engine) else {
                     break;
                 };
@@ -48,7 +48,8 @@
             .list
             .values()
             .filter(|entry| entry.report.vm.service.as_deref() == Some(&engine.service))
-            .filter(|entry| entry.staging.is_some() && !entry.is_lost(&self.settings))
+            .filter(|entry| entry.staging.is_some() || entry.report.busy == Some(true))
+            .filter(|entry| !entry.is_lost(&self.settings) && entry.report.staged.is_empty())
             .count()
     }
 
@@ -58,6 +59,10 @@
         let compositions = self.compositions(engine);
         let mut supply = vec![0_usize; engine.models.len()];
         let mut gaps = Vec::new();
+        let wanted_groups = |place: usize| -> usize {
+            let groups = compositions.values().map(|wanted| wanted.groups[place]);
+            groups.sum()
+        };
         for (domain, wanted) in &compositions {
             for (place, model) in engine.models.iter().enumerate() {
                 let have = self.staged_in(*domain, model);
@@ -69,7 +74,9 @@
         let rank = |gap: &Gap| {
             let share = engine.models[gap.place].share.max(f64::MIN_POSITIVE);
             let supplied = f64::from(u32::try_from(supply[gap.place]).unwrap_or(u32::MAX));
-            (gap.kind, supplied / share)
+            let size = engine.models[gap.place].size;
+            let enough = supply[gap.place] * ENOUGH.1 >= wanted_groups(gap.place) * size * ENOUGH.0;
+            (gap.kind.urgency(enough), supplied / share)
         };
         let next = gaps.iter().min_by(|one, other| {
             let ((kind, supplied), (other_kind, other_supplied)) = (rank(one), rank(other));
@@ -84,6 +91,7 @@
         let is_idle = |entry: &VmEntry| {
             entry.report.vm.service.as_deref() == Some(&engine.service)
                 && entry.staging.is_none()
+                && entry.report.busy == Some(false)
                 && !engine
                     .models
                     .iter()
@@ -146,8 +154,11 @@
     kind: GapKind,
 }
 
-/// What a load would be good for; earlier variants go first.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+/// The part of a model's groups, as a fraction, after which spares go before further groups.
+const ENOUGH: (usize, usize) = (3, 5);
+
+/// What a load would be good for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum GapKind {
     /// It completes a group of which other members have the model.
     Begun,
@@ -157,6 +168,18 @@
     Spare,
 }
 
+impl GapKind {
+    /// The rank of a load among others; lower ones go first.
+    const fn urgency(self, enough: bool) -> u8 {
+        match (self, enough) {
+            (Self::Begun, _) => 0,
+            (Self::New, false) => 1,
+            (Self::Spare, _) => 2,
+            (Self::New, true) => 3,
+        }
+    }
+}
+
 fn gap(
     vm: VmId,
     place: usize,
--- a/crates/tanagerhub_groups/src/groups/vms.rs
+++ b/crates/tanagerhub_groups/src/groups/vms.rs
@@ -23,8 +23,12 @@
     gone: Option<Gone>,
     /// Unanswered probes in a row.
     pub(super) failures: u32,
+    /// When the store last told of a change.
+    pub(super) changed: Moment,
     pub(super) probed: Moment,
     pub(super) waiting: bool,
+    /// When requests at its group last gave a reason to probe it.
+    pub(super) suspected: Moment,
     /// The model that it was told to load, and when.
     pub(super) staging: Option<(String, Moment)>,
 }
@@ -41,8 +45,10 @@
             report,
             gone: None,
             failures: 0,
+            changed: Moment::ZERO,
             probed: Moment::ZERO,
             waiting: false,
+            suspected: Moment::ZERO,
             staging: None,
         }
     }
@@ -61,12 +67,17 @@
         self.gone.is_none_or(|gone| now < gone.until)
     }
 
+    /// Takes in the answer to a probe, which tells of a moment somewhat before it was sent.
+    fn take_probed(&mut self, sent: Moment, report: VmReport) {
+        if sent >= self.changed + REPORT_LAG {
+            self.take(report);
+        } else {
+            self.report.busy = report.busy;
+        }
+    }
+
     fn take(&mut self, report: VmReport) {
         let restarted = report.started != self.report.started;
-        let older = !restarted && report.orders < self.report.orders;
-        if older {
-            return;
-        }
         if restarted {
             self.failures = 0;
         }
@@ -77,7 +88,9 @@
         {
             self.staging = None;
         }
+        let busy = report.busy.or(self.report.busy.filter(|_| !restarted));
         self.report = report;
+        self.report.busy = busy;
     }
 }
 
@@ -86,14 +99,35 @@
         self.list.get(&vm)
     }
 
-    pub(super) fn upsert(&mut self, _now: Moment, report: VmReport) {
+    /// VMs that did not answer their last probe.
+    pub(super) fn failing(&self) -> impl Iterator<Item = VmId> {
+        let failing = self.list.iter().filter(|(_, entry)| entry.failures > 0);
+        failing.map(|(vm, _)| *vm)
+    }
+
+    /// VMs without a model of which it is not known whether they load one.
+    pub(super) fn unclear(&self) -> impl Iterator<Item = VmId> {
+        let unclear = |entry: &VmEntry| {
+            entry.report.staged.is_empty()
+                && entry.staging.is_none()
+                && entry.report.busy != Some(false)
+        };
+        let list = self.list.iter();
+        list.filter(move |(_, entry)| unclear(entry))
+            .map(|(vm, _)| *vm)
+    }
+
+    pub(super) fn upsert(&mut self, now: Moment, report: VmReport) {
         match self.list.get_mut(&report.vm.id()) {
             Some(entry) => {
                 entry.gone = None;
+                entry.changed = now;
                 entry.take(report);
             }
             None => {
-                self.list.insert(report.vm.id(), VmEntry::new(report));
+                let mut entry = VmEntry::new(report);
+                entry.changed = now;
+                self.list.insert(entry.report.vm.id(), entry);
             }
         }
     }
@@ -150,6 +184,7 @@
         &mut self,
         now: Moment,
         vm: VmId,
+        sent: Moment,
         result: Result<VmReport, ProbeFailure>,
         settings: &GroupsSettings,
     ) -> Option<Verdict> {
@@ -160,12 +195,15 @@
         match result {
             Ok(report) => {
                 entry.failures = 0;
-                entry.take(report);
+                entry.take_probed(sent, report);
                 was_lost.then_some(Verdict::Back)
             }
             Err(ProbeFailure::Malformed) => None,
             Err(ProbeFailure::Unanswered | ProbeFailure::Misdirected) => {
-                entry.failures = entry.failures.saturating_add(1);
+                // Two signs that don't depend on each other count like two unanswered probes.
+                let suspected = now.since(entry.suspected) < SUSPICION && now > Moment::ZERO;
+                let weight = if suspected { settings.probe_failures } else { 1 };
+                entry.failures = entry.failures.saturating_add(weight);
                 let is_lost = entry.failures >= settings.probe_failures;
                 (is_lost && !was_lost).then_some(Verdict::Lost)
             }
@@ -180,5 +218,9 @@
     Back,
 }
 
+/// How old the answer to a probe may be.
+const REPORT_LAG: std::time::Duration = std::time::Duration::from_millis(400);
+/// For how long a suspicion counts.
+const SUSPICION: std::time::Duration = std::time::Duration::from_millis(500);
 /// How long a VM is remembered after the store stopped listing it.
 const GONE_MEMORY: std::time::Duration = std::time::Duration::from_secs(10);
--- a/crates/tanagerhub_groups/src/load_limit.rs
+++ b/crates/tanagerhub_groups/src/load_limit.rs
@@ -25,7 +25,18 @@
 
 impl LoadMeter {
     /// Whether one more load may start while `running` are under way.
-    pub(crate) fn allows(&mut self, now: Moment, limit: LoadLimit, running: usize) -> bool {
+    ///
+    /// Before the first request no limit holds: loads are quick then, whenever they end.
+    pub(crate) fn allows(
+        &mut self,
+        now: Moment,
+        limit: LoadLimit,
+        running: usize,
+        in_use: bool,
+    ) -> bool {
+        if !in_use {
+            return true;
+        }
         while self
             .starts
             .front()
--- a/crates/tanagerhub_groups/src/settings.rs
+++ b/crates/tanagerhub_groups/src/settings.rs
@@ -7,6 +7,8 @@
 pub struct GroupsSettings {
     /// Drawn at each start of the node, and written into the planner's row.
     pub boot: u64,
+    /// Whether the whole system starts for the first time.
+    pub first_start: bool,
     /// How long the planner's row of an unknown node must stay as it is to be taken.
     pub unknown_wait: Duration,
     /// Time between two probes of a member that is believed healthy.
@@ -31,6 +33,7 @@
     fn default() -> Self {
         Self {
             boot: 0,
+            first_start: false,
             unknown_wait: Duration::from_millis(1_500),
             probe_every: Duration::from_secs(2),
             probe_again: Duration::from_millis(50),
@@ -52,6 +55,13 @@
         self
     }
 
+    /// Sets whether the whole system starts for the first time.
+    #[must_use]
+    pub const fn first_start(mut self, first: bool) -> Self {
+        self.first_start = first;
+        self
+    }
+
     /// Sets how long a head that is out of reach may go on serving by itself.
     #[must_use]
     pub const fn stall(mut self, stall: Duration) -> Self {
--- a/crates/tanagerhub_groups/src/vm_report.rs
+++ b/crates/tanagerhub_groups/src/vm_report.rs
@@ -12,8 +12,6 @@
     pub vm: Vm,
     /// When its backend server started, in Unix milliseconds; tells one start from the next.
     pub started: u64,
-    /// Orders that it has accepted since its start.
-    pub orders: u64,
     /// Requests that it runs at once.
     pub slots: u32,
     /// How much longer it is cold.
@@ -22,6 +20,8 @@
     pub staged: Vec<String>,
     /// The model that it serves or prepares to serve.
     pub serves: Option<String>,
+    /// Whether it carries out an order; `None` where the report does not say.
+    pub busy: Option<bool>,
     /// Its group, if it is in one.
     pub group: Option<GroupReport>,
 }
--- /dev/null
+++ b/crates/tanagerhub_groups/tests/support.rs
@@ -0,0 +1,3 @@
+//! What the tests of this crate share.
+
+pub mod world;
--- /dev/null
+++ b/crates/tanagerhub_groups/tests/support/world.rs
@@ -0,0 +1,526 @@
+//! A store and VMs in memory, with a paused clock.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tanagerhub_catalogue::{EntryId, Epoch, GroupId, Vm, VmId, VmState};
+use tanagerhub_clock::Moment;
+use tanagerhub_groups::{
+    EngineSpec, GroupReport, GroupState, Groups, GroupsAction, GroupsEvent, GroupsSettings,
+    KnownBoots, LoadLimit, ModelSpec, Order, OrderResult, ProbeFailure, VmReport,
+};
+use tanagerhub_table::{
+    Commit, Condition, FeedPage, RowKey, RowVersion, StoreTime, Transaction, VersionedRow, Write,
+};
+
+/// Time between two ticks of the nodes.
+pub const TICK: Duration = Duration::from_millis(100);
+/// How long an open head takes to serve.
+const OPEN_TIME: Duration = Duration::from_millis(300);
+/// How long a join of a member takes that was in a group of the model before.
+const REJOIN_TIME: Duration = Duration::from_millis(200);
+
+/// The model `big`, with groups of 4, and the model `small`, with groups of 2.
+pub fn engine() -> EngineSpec {
+    let model = |name: &str, size, load, warm| ModelSpec {
+        name: name.to_owned(),
+        entry: EntryId::of(name),
+        size,
+        share: 0.5,
+        load: Duration::from_secs(load),
+        warm: Duration::from_millis(warm),
+    };
+    EngineSpec {
+        service: "llm".to_owned(),
+        slots: 17,
+        models: vec![model("big", 4, 16, 1_600), model("small", 2, 12, 1_100)],
+        loads: LoadLimit {
+            per_second: 5.0,
+            at_once: 7,
+        },
+    }
+}
+
+/// One VM and its backend server.
+#[derive(Debug)]
+pub struct Machine {
+    pub report: VmReport,
+    /// Whether it answers and listens.
+    pub alive: bool,
+    /// The highest epoch that it has seen.
+    seen: Epoch,
+    /// The members of its group, the head first.
+    members: Vec<String>,
+    last_model: Option<String>,
+    /// What it is about to have done, and when.
+    doing: Vec<(Moment, Done)>,
+}
+
+#[derive(Debug, Clone)]
+enum Done {
+    Staged(String),
+    Ready(GroupId, Epoch),
+    Open(GroupId, Epoch),
+}
+
+/// A store, VMs and one or more nodes.
+#[derive(Debug)]
+pub struct World {
+    pub now: Moment,
+    pub machines: BTreeMap<VmId, Machine>,
+    pub nodes: Vec<Node>,
+    rows: BTreeMap<RowKey, VersionedRow>,
+    version: u64,
+    /// What became of the next transactions, in place of the usual.
+    pub fates: VecDeque<Fate>,
+    /// Transactions that the store has received and not applied.
+    pub delayed: Vec<Transaction>,
+    /// Whether loads are quick.
+    pub lead: bool,
+    pub violations: BTreeSet<String>,
+}
+
+/// What the store does with a transaction.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fate {
+    /// It applies it, and the answer is lost.
+    AnswerLost,
+    /// It applies it later, and there is no answer.
+    Late,
+    /// It refuses.
+    Refused,
+}
+
+/// One node's decisions.
+#[derive(Debug)]
+pub struct Node {
+    pub groups: Groups,
+    pub boot: u64,
+    pub alive: bool,
+    events: Vec<GroupsEvent>,
+}
+
+impl World {
+    /// A world with `domains` fabric domains of `size` empty VMs each, and one node.
+    pub fn new(domains: usize, size: usize) -> Self {
+        let mut world = Self {
+            now: Moment::from_millis(1_000),
+            machines: BTreeMap::new(),
+            nodes: Vec::new(),
+            rows: BTreeMap::new(),
+            version: 10,
+            fates: VecDeque::new(),
+            delayed: Vec::new(),
+            lead: true,
+            violations: BTreeSet::new(),
+        };
+        for domain in 0..domains {
+            for place in 0..size {
+                world.add_machine(&format!("vm-{domain}-{place}"), domain);
+            }
+        }
+        world.add_node(1);
+        world
+    }
+
+    pub fn add_machine(&mut self, name: &str, domain: usize) {
+        let address: SocketAddr = format!("10.0.{domain}.1:{}", 1_000 + self.machines.len())
+            .parse()
+            .unwrap();
+        let vm = Vm {
+            name: name.to_owned(),
+            address,
+            data_centre: format!("dc-{domain}"),
+            domain: format!("domain-{domain}"),
+            service: Some("llm".to_owned()),
+            state: VmState::Live,
+        };
+        let report = VmReport {
+            vm,
+            started: 1,
+            slots: 17,
+            cold: Duration::ZERO,
+            staged: Vec::new(),
+            serves: None,
+            busy: None,
+            group: None,
+        };
+        let machine = Machine {
+            report,
+            alive: true,
+            seen: Epoch(0),
+            members: Vec::new(),
+            last_model: None,
+            doing: Vec::new(),
+        };
+        self.machines.insert(VmId::of(name), machine);
+    }
+
+    pub fn add_node(&mut self, boot: u64) {
+        let settings = GroupsSettings::default().boot(boot).first_start(self.lead);
+        let mut groups = Groups::new(settings, boot);
+        groups.on_event(self.now, GroupsEvent::Engines(vec![engine()]));
+        self.nodes.push(Node {
+            groups,
+            boot,
+            alive: true,
+            events: vec![GroupsEvent::AllVms(self.reports())],
+        });
+    }
+
+    fn reports(&self) -> Vec<VmReport> {
+        let listed = self.machines.values();
+        listed
+            .map(|machine| VmReport {
+                // The store's rows don't say whether a VM is busy.
+                busy: None,
+                ..machine.report.clone()
+            })
+            .collect()
+    }
+
+    /// Ends the time in which loads are quick.
+    pub fn begin_traffic(&mut self) {
+        self.lead = false;
+        for node in &mut self.nodes {
+            node.events.push(GroupsEvent::InUse);
+        }
+    }
+
+    /// Lets a node try to plan.
+    pub fn plan(&mut self, node: usize, boots: KnownBoots) {
+        self.nodes[node].events.push(GroupsEvent::Plan(boots));
+    }
+
+    /// Runs for a while.
+    pub fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now = self.now + TICK;
+            self.advance_machines();
+            for place in 0..self.nodes.len() {
+                if self.nodes[place].alive {
+                    self.tick_node(place);
+                }
+            }
+            self.check();
+        }
+    }
+
+    /// Runs until `done` holds; panics when it does not in time.
+    pub fn run_until(&mut self, limit: Duration, what: &str, done: impl Fn(&Self) -> bool) {
+        let end = self.now + limit;
+        while !done(self) {
+            assert!(self.now < end, "not in time: {what}");
+            self.run(TICK);
+        }
+    }
+
+    /// Applies the transactions that the store held back.
+    pub fn deliver_late(&mut self) {
+        for transaction in std::mem::take(&mut self.delayed) {
+            let _: Commit = self.apply(&transaction);
+        }
+    }
+
+    /// A VM falls silent; with `listed` false the store soon forgets it.
+    pub fn silence(&mut self, name: &str) {
+        self.machine(name).alive = false;
+    }
+
+    pub fn machine(&mut self, name: &str) -> &mut Machine {
+        self.machines.get_mut(&VmId::of(name)).unwrap()
+    }
+
+    /// The store stops listing a VM.
+    pub fn unlist(&mut self, name: &str) {
+        for node in &mut self.nodes {
+            node.events.push(GroupsEvent::VmGone(VmId::of(name)));
+        }
+    }
+
+    /// Names of the heads that serve a model, by the VMs themselves.
+    pub fn open_heads(&self, model: &str) -> Vec<String> {
+        let serves = |machine: &&Machine| {
+            machine.alive
+                && machine.report.serves.as_deref() == Some(model)
+                && machine
+                    .report
+                    .group
+                    .is_some_and(|place| place.state == GroupState::Open)
+        };
+        let heads = self.machines.values().filter(serves);
+        heads
+            .map(|machine| machine.report.vm.name.clone())
+            .collect()
+    }
+
+    /// Names of the members of a head's group.
+    pub fn members(&self, head: &str) -> Vec<String> {
+        self.machines[&VmId::of(head)].members.clone()
+    }
+
+    fn tick_node(&mut self, place: usize) {
+        let mut events = std::mem::take(&mut self.nodes[place].events);
+        events.push(GroupsEvent::Tick);
+        // Actions are carried out at once, and their results are seen in the same tick.
+        while !events.is_empty() {
+            let mut results = Vec::new();
+            for event in events {
+                let actions = self.nodes[place].groups.on_event(self.now, event);
+                for action in actions {
+                    results.push(self.carry_out(action));
+                }
+            }
+            events = results;
+        }
+        self.nodes[place].groups.take_decisions();
+        self.nodes[place].groups.take_lost();
+    }
+
+    fn carry_out(&mut self, action: GroupsAction) -> GroupsEvent {
+        match action {
+            GroupsAction::Commit(transaction) => GroupsEvent::Committed(self.commit(transaction)),
+            GroupsAction::ReadRows => GroupsEvent::RowsRead(Some(FeedPage {
+                rows: self.rows.values().cloned().collect(),
+                version: RowVersion(self.version),
+                at: StoreTime(self.now.as_millis()),
+            })),
+            GroupsAction::Order { vm, order, .. } => {
+                let result = self.obey(vm, &order);
+                GroupsEvent::Ordered { vm, order, result }
+            }
+            GroupsAction::Probe { vm, .. } => {
+                let machine = &self.machines[&vm];
+                let result = if machine.alive {
+                    Ok(VmReport {
+                        busy: Some(!machine.doing.is_empty()),
+                        ..machine.report.clone()
+                    })
+                } else {
+                    Err(ProbeFailure::Unanswered)
+                };
+                GroupsEvent::Probed {
+                    vm,
+                    sent: self.now,
+                    result,
+                }
+            }
+        }
+    }
+
+    fn commit(&mut self, transaction: Transaction) -> Commit {
+        match self.fates.pop_front() {
+            None => self.apply(&transaction),
+            Some(Fate::AnswerLost) => {
+                let _: Commit = self.apply(&transaction);
+                Commit::Unknown
+            }
+            Some(Fate::Late) => {
+                self.delayed.push(transaction);
+                Commit::Unknown
+            }
+            Some(Fate::Refused) => Commit::NotApplied,
+        }
+    }
+
+    fn apply(&mut self, transaction: &Transaction) -> Commit {
+        let holds = transaction.conditions.iter().all(|condition| {
+            let found = self.rows.get(condition.key()).map(|row| row.version);
+            match condition {
+                Condition::Absent { .. } => found.is_none(),
+                Condition::Version { version, .. } => found == Some(*version),
+            }
+        });
+        if !holds {
+            return Commit::Conflict;
+        }
+        self.version += 1;
+        let version = RowVersion(self.version);
+        for write in &transaction.writes {
+            match write {
+                Write::Put { key, value } => {
+                    let row = VersionedRow {
+                        key: key.clone(),
+                        version,
+                        value: Some(value.clone()),
+                    };
+                    self.rows.insert(key.clone(), row);
+                }
+                Write::Delete { key } => {
+                    self.rows.remove(key);
+                }
+            }
+        }
+        Commit::Applied(version)
+    }
+
+    /// Carries out an order as an engine does.
+    pub fn obey(&mut self, vm: VmId, order: &Order) -> OrderResult {
+        let (now, lead) = (self.now, self.lead);
+        self.check_join(vm, order);
+        let Some(machine) = self.machines.get_mut(&vm).filter(|machine| machine.alive) else {
+            return OrderResult::Unknown;
+        };
+        let quick = if lead { 10 } else { 1 };
+        match order {
+            Order::Stage { model } => {
+                let load = engine().model(model).unwrap().load / quick;
+                machine.doing.push((now + load, Done::Staged(model.clone())));
+            }
+            Order::Join {
+                group,
+                epoch,
+                model,
+                members,
+            } => return machine.join(now, (*group, *epoch), model, members),
+            Order::Open { group, epoch } => {
+                if machine.report.state_in(*group, *epoch) != Some(GroupState::Ready) {
+                    return OrderResult::Unfit;
+                }
+                let done = Done::Open(*group, *epoch);
+                machine.doing.push((now + OPEN_TIME, done));
+            }
+            Order::Close { group, epoch } => {
+                if machine.report.state_in(*group, *epoch).is_some() {
+                    machine.set_state(GroupState::Ready);
+                }
+            }
+            Order::Leave { group, epoch } => {
+                if machine.report.state_in(*group, *epoch).is_some() {
+                    machine.report.group = None;
+                    machine.report.serves = None;
+                }
+            }
+        }
+        OrderResult::Accepted
+    }
+
+    /// A VM must not join another group while the head of its own serves.
+    fn check_join(&mut self, vm: VmId, order: &Order) {
+        let Order::Join { group, .. } = order else {
+            return;
+        };
+        let machine = &self.machines[&vm];
+        let Some(place) = machine.report.group.filter(|place| place.group != *group) else {
+            return;
+        };
+        let head = machine.members.first().map(|name| VmId::of(name));
+        let head = head.and_then(|head| self.machines.get(&head));
+        let serves = head.is_some_and(|head| {
+            let state = head.report.state_in(place.group, place.epoch);
+            head.alive && matches!(state, Some(GroupState::Open | GroupState::Closing))
+        });
+        if serves {
+            let name = &machine.report.vm.name;
+            let text = format!("{name} was told to leave a group that serves");
+            self.violations.insert(text);
+        }
+    }
+
+    fn advance_machines(&mut self) {
+        let now = self.now;
+        let mut changed = Vec::new();
+        for machine in self.machines.values_mut().filter(|machine| machine.alive) {
+            if machine.advance(now) {
+                changed.push(VmReport {
+                    busy: None,
+                    ..machine.report.clone()
+                });
+            }
+        }
+        for node in &mut self.nodes {
+            let reports = changed.iter().cloned();
+            node.events.extend(reports.map(GroupsEvent::VmChanged));
+        }
+    }
+
+    /// No group serves unless each member was ready under its name, epoch and list.
+    fn check(&mut self) {
+        let mut found = Vec::new();
+        for machine in self.machines.values() {
+            let Some(place) = machine.report.group else {
+                continue;
+            };
+            if place.state != GroupState::Open || !machine.alive {
+                continue;
+            }
+            let model = machine.report.serves.clone().unwrap_or_default();
+            let size = engine().model(&model).map_or(0, |model| model.size);
+            if machine.members.len() != size {
+                found.push(format!("{place:?} serves with {:?}", machine.members));
+            }
+        }
+        self.violations.extend(found);
+    }
+}
+
+impl Machine {
+    fn join(
+        &mut self,
+        now: Moment,
+        place: (GroupId, Epoch),
+        model: &str,
+        members: &[String],
+    ) -> OrderResult {
+        let (group, epoch) = place;
+        if epoch < self.seen {
+            return OrderResult::Stale;
+        }
+        if self.report.state_in(group, epoch).is_some() {
+            return OrderResult::Accepted;
+        }
+        assert!(self.report.has_staged(model), "{model} is not staged");
+        self.seen = epoch;
+        self.members = members.to_vec();
+        let name = &self.report.vm.name;
+        let rank = members.iter().position(|member| member == name).unwrap();
+        self.report.group = Some(GroupReport {
+            group,
+            epoch,
+            rank: u32::try_from(rank).unwrap(),
+            state: GroupState::Joining,
+        });
+        self.report.serves = Some(model.to_owned());
+        let time = if self.last_model.as_deref() == Some(model) {
+            REJOIN_TIME
+        } else {
+            engine().model(model).unwrap().warm
+        };
+        self.last_model = Some(model.to_owned());
+        self.doing.push((now + time, Done::Ready(group, epoch)));
+        OrderResult::Accepted
+    }
+
+    fn set_state(&mut self, state: GroupState) {
+        if let Some(place) = &mut self.report.group {
+            place.state = state;
+        }
+    }
+
+    /// Does what is due; says whether its report changed.
+    fn advance(&mut self, now: Moment) -> bool {
+        let (due, later) = std::mem::take(&mut self.doing)
+            .into_iter()
+            .partition::<Vec<_>, _>(|(at, _)| *at <= now);
+        self.doing = later;
+        let changed = !due.is_empty();
+        for (_, done) in due {
+            match done {
+                Done::Staged(model) => self.report.staged = vec![model],
+                Done::Ready(group, epoch) => {
+                    if self.report.state_in(group, epoch) == Some(GroupState::Joining) {
+                        self.set_state(GroupState::Ready);
+                    }
+                }
+                Done::Open(group, epoch) => {
+                    if self.report.state_in(group, epoch) == Some(GroupState::Ready) {
+                        self.set_state(GroupState::Open);
+                    }
+                }
+            }
+        }
+        changed
+    }
+}
