--- a/crates/tanagerhub/src/gateway/control.rs
+++ b/crates/tanagerhub/src/gateway/control.rs
@@ -143,8 +143,7 @@
         self.tell_groups(now, GroupsEvent::Tick);
         self.tend_presence(now);
         self.publish_routes(now);
-        self.metrics
-            .view(self.view.heads.len(), self.shared.age());
+        self.metrics.view(self.view.heads.len(), self.shared.age());
     }
 
     /// Takes in the operators' rows, and dates what is known of them.
--- a/crates/tanagerhub/src/gateway/control_store.rs
+++ b/crates/tanagerhub/src/gateway/control_store.rs
@@ -66,7 +66,11 @@
                     None
                 }
             };
-            metrics.store_call(if page.is_some() { "read" } else { "read_failed" });
+            metrics.store_call(if page.is_some() {
+                "read"
+            } else {
+                "read_failed"
+            });
             GatewayEvent::Groups(GroupsEvent::RowsRead(page))
         });
     }
--- a/crates/tanagerhub/src/gateway/exchange.rs
+++ b/crates/tanagerhub/src/gateway/exchange.rs
@@ -354,7 +354,8 @@
         let urgency = if resumed {
             Some(RESUME_URGENCY)
         } else {
-            call.urgency.map(|priority| priority.saturating_add(3).min(9))
+            call.urgency
+                .map(|priority| priority.saturating_add(3).min(9))
         };
         let upstream = Upstream {
             vm: name,
@@ -433,9 +434,7 @@
         *response.status_mut() = self.status;
         *response.headers_mut() = self.headers;
         strip_hop_headers(response.headers_mut());
-        response
-            .headers_mut()
-            .remove(http::header::CONTENT_LENGTH);
+        response.headers_mut().remove(http::header::CONTENT_LENGTH);
         response
     }
 }
--- a/crates/tanagerhub/src/gateway/front.rs
+++ b/crates/tanagerhub/src/gateway/front.rs
@@ -101,7 +101,10 @@
         let entry = configuration
             .entry(service, head.model.as_deref())
             .ok_or_else(|| {
-                refused(Failure::new(StatusCode::NOT_FOUND, "the service has no such model"))
+                refused(Failure::new(
+                    StatusCode::NOT_FOUND,
+                    "the service has no such model",
+                ))
             })?;
         let limit = head.deadline.unwrap_or(LONGEST).min(route.timeout);
         let priority = holder
@@ -201,12 +204,7 @@
     http::uri::PathAndQuery::from_static("/")
 }
 
-fn request_info(
-    call: &Call,
-    head: &CallHead,
-    route: &IngressRoute,
-    priority: u8,
-) -> RequestInfo {
+fn request_info(call: &Call, head: &CallHead, route: &IngressRoute, priority: u8) -> RequestInfo {
     let organisation = call.organisation.as_deref().unwrap_or_default();
     let mut content = Vec::with_capacity(call.body.len() + 64);
     content.extend_from_slice(call.target.as_str().as_bytes());
--- a/crates/tanagerhub/src/gateway/gateway_metrics.rs
+++ b/crates/tanagerhub/src/gateway/gateway_metrics.rs
@@ -58,15 +58,35 @@
             metric.register(&mut registry, name, help);
         };
         add("requests", "Answers to callers, by status", &requests);
-        add("attempts", "Attempts at back ends, by what became of them", &attempts);
-        add("store_calls", "Calls of the store, by outcome", &store_calls);
+        add(
+            "attempts",
+            "Attempts at back ends, by what became of them",
+            &attempts,
+        );
+        add(
+            "store_calls",
+            "Calls of the store, by outcome",
+            &store_calls,
+        );
         add("orders", "Orders to VMs, by outcome", &orders);
         add("probes", "Probes of VMs, by outcome", &probes);
-        add("first_byte_seconds", "Time to the first byte of an answer", &first_byte);
+        add(
+            "first_byte_seconds",
+            "Time to the first byte of an answer",
+            &first_byte,
+        );
         add("request_seconds", "Time to the end of an answer", &duration);
         add("routes", "Back ends that requests may be sent to", &routes);
-        add("store_age_ms", "Age of what is known of the operators' rows", &store_age);
-        add("log_lines_dropped", "Lines that the log had no room for", &log_drops);
+        add(
+            "store_age_ms",
+            "Age of what is known of the operators' rows",
+            &store_age,
+        );
+        add(
+            "log_lines_dropped",
+            "Lines that the log had no room for",
+            &log_drops,
+        );
         Self {
             registry: Arc::new(Mutex::new(registry)),
             requests,
--- a/crates/tanagerhub/src/gateway/start.rs
+++ b/crates/tanagerhub/src/gateway/start.rs
@@ -310,11 +310,7 @@
 }
 
 /// Looks for groups whose streams have all fallen silent.
-async fn sweep_pulses(
-    clock: Clock,
-    pulses: Arc<Pulses>,
-    events: Sender<GatewayEvent>,
-) {
+async fn sweep_pulses(clock: Clock, pulses: Arc<Pulses>, events: Sender<GatewayEvent>) {
     loop {
         let before = clock.now();
         clock.sleep(PULSE_PERIOD).await;
@@ -398,7 +394,11 @@
 async fn state(events: &Sender<GatewayEvent>) -> Response<ReplyBody> {
     let (reply, answer) = async_channel::bounded(1);
     let asked = events.send(GatewayEvent::Dump(reply)).await.is_ok();
-    let dump = if asked { answer.recv().await.ok() } else { None };
+    let dump = if asked {
+        answer.recv().await.ok()
+    } else {
+        None
+    };
     match dump {
         Some(dump) => text(dump, "application/json"),
         None => {
--- a/crates/tanagerhub_daemon/src/json_log.rs
+++ b/crates/tanagerhub_daemon/src/json_log.rs
@@ -65,7 +65,11 @@
         while let Ok(line) = lines.try_recv() {
             block.extend_from_slice(&line);
         }
-        if output.write_all(&block).and_then(|()| output.flush()).is_err() {
+        if output
+            .write_all(&block)
+            .and_then(|()| output.flush())
+            .is_err()
+        {
             // Nobody reads the log any more, and there is no other place to say so.
             return;
         }
@@ -76,7 +80,10 @@
     let mut line = Map::new();
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     let millis = since.map_or(0, |since| since.as_millis());
-    line.insert("time_ms".to_owned(), u64::try_from(millis).unwrap_or(u64::MAX).into());
+    line.insert(
+        "time_ms".to_owned(),
+        u64::try_from(millis).unwrap_or(u64::MAX).into(),
+    );
     line.insert("level".to_owned(), record.level().as_str().into());
     line.insert("target".to_owned(), record.target().into());
     line.insert("message".to_owned(), record.args().to_string().into());
--- a/crates/tanagerhub_groups/src/groups.rs
+++ b/crates/tanagerhub_groups/src/groups.rs
@@ -34,7 +34,7 @@
 ///
 /// ```
 /// use tanagerhub_clock::Moment;
-/// use tanagerhub_groups::{Groups, GroupsAction, GroupsEvent, GroupsSettings, VmReport};
+/// use tanagerhub_groups::{Groups, GroupsAction, GroupsEvent, GroupsSettings, KnownBoots};
 ///
 /// let mut groups = Groups::new(GroupsSettings::default().boot(7), 1);
 /// let actions = groups.on_event(Moment::ZERO, GroupsEvent::Plan(KnownBoots::default()));
--- a/crates/tanagerhub_groups/src/groups/compose.rs
+++ b/crates/tanagerhub_groups/src/groups/compose.rs
@@ -149,10 +149,12 @@
     let mut spares = vec![0; models.len()];
     let at_risk = |place: usize| groups[place] * models[place].size;
     while left > 0 {
-        let next = (0..models.len()).filter(|place| at_risk(*place) > 0).max_by(|a, b| {
-            let need = |place: usize| at_risk(place) * 1_000 / (spares[place] + 1);
-            need(*a).cmp(&need(*b)).then(b.cmp(a))
-        });
+        let next = (0..models.len())
+            .filter(|place| at_risk(*place) > 0)
+            .max_by(|a, b| {
+                let need = |place: usize| at_risk(place) * 1_000 / (spares[place] + 1);
+                need(*a).cmp(&need(*b)).then(b.cmp(a))
+            });
         let Some(place) = next else {
             break;
         };
--- a/crates/tanagerhub_groups/src/groups/drive.rs
+++ b/crates/tanagerhub_groups/src/groups/drive.rs
@@ -5,9 +5,7 @@
 use tanagerhub_catalogue::{Epoch, GroupId, VmId};
 use tanagerhub_clock::Moment;
 
-use crate::{
-    Decision, GroupState, GroupsAction, Order, OrderResult, ProbeFailure, VmReport,
-};
+use crate::{Decision, GroupState, GroupsAction, Order, OrderResult, ProbeFailure, VmReport};
 
 use super::Groups;
 use super::group::{Dissolving, Group, Sent};
--- a/crates/tanagerhub_groups/src/groups/ledger.rs
+++ b/crates/tanagerhub_groups/src/groups/ledger.rs
@@ -145,8 +145,8 @@
     fn send(&mut self, version: RowVersion, boot: u64, changes: &[(Change, Option<GroupRow>)]) {
         let nonce = self.rng.next_u64();
         let row = PlannerRow { boot, nonce };
-        let mut transaction = Transaction::new(TransactionId(u128::from(nonce)))
-            .put(planner_key(), encode(&row));
+        let mut transaction =
+            Transaction::new(TransactionId(u128::from(nonce))).put(planner_key(), encode(&row));
         transaction = if version == RowVersion(0) {
             transaction.absent(planner_key())
         } else {
@@ -248,7 +248,11 @@
 
     fn load_group(&mut self, now: Moment, id: GroupId, row: &VersionedRow, value: &[u8]) {
         let epoch = Epoch(row.version.0);
-        if self.known.get(&id).is_some_and(|known| known.epoch == epoch) {
+        if self
+            .known
+            .get(&id)
+            .is_some_and(|known| known.epoch == epoch)
+        {
             return;
         }
         match decode(&row.key, value) {
--- a/crates/tanagerhub_groups/src/groups/repair.rs
+++ b/crates/tanagerhub_groups/src/groups/repair.rs
@@ -57,13 +57,7 @@
         FreeVms { list }
     }
 
-    fn plan_group(
-        &mut self,
-        now: Moment,
-        id: GroupId,
-        free: &mut FreeVms,
-        changes: &mut Planned,
-    ) {
+    fn plan_group(&mut self, now: Moment, id: GroupId, free: &mut FreeVms, changes: &mut Planned) {
         let Some(group) = self.known.get(&id) else {
             return;
         };
@@ -158,7 +152,8 @@
         let missing = group.members.len() - members.len();
         if missing > 0 {
             let domain = self.domain_of(&group.members)?;
-            let spares = self.spares(free, domain, &group.row.service, &group.row.model, missing)?;
+            let spares =
+                self.spares(free, domain, &group.row.service, &group.row.model, missing)?;
             for vm in &spares {
                 free.list.remove(vm);
             }
--- a/crates/tanagerhub_groups/src/groups/view.rs
+++ b/crates/tanagerhub_groups/src/groups/view.rs
@@ -90,9 +90,8 @@
     /// The groups whose rows this node has read; complete on the node that plans.
     #[must_use]
     pub fn group_statuses(&self, now: Moment) -> Vec<GroupStatus> {
-        let millis = |since: Moment| {
-            u64::try_from(now.since(since).as_millis()).unwrap_or(u64::MAX)
-        };
+        let millis =
+            |since: Moment| u64::try_from(now.since(since).as_millis()).unwrap_or(u64::MAX);
         self.known
             .values()
             .map(|group| GroupStatus {
--- a/crates/tanagerhub_groups/src/groups/vms.rs
+++ b/crates/tanagerhub_groups/src/groups/vms.rs
@@ -202,7 +202,11 @@
             Err(ProbeFailure::Unanswered | ProbeFailure::Misdirected) => {
                 // Two signs that don't depend on each other count like two unanswered probes.
                 let suspected = now.since(entry.suspected) < SUSPICION && now > Moment::ZERO;
-                let weight = if suspected { settings.probe_failures } else { 1 };
+                let weight = if suspected {
+                    settings.probe_failures
+                } else {
+                    1
+                };
                 entry.failures = entry.failures.saturating_add(weight);
                 let is_lost = entry.failures >= settings.probe_failures;
                 (is_lost && !was_lost).then_some(Verdict::Lost)
--- /dev/null
+++ b/crates/tanagerhub_groups/tests/repair.rs
@@ -0,0 +1,147 @@
+//! Groups that lost a member are repaired.
+
+#[path = "support/world.rs"]
+mod world;
+
+use std::time::Duration;
+
+use tanagerhub_catalogue::VmState;
+use tanagerhub_groups::{GroupsEvent, KnownBoots};
+use world::World;
+use yare::parameterized;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Six domains in service, before the first request.
+fn served() -> World {
+    let mut world = World::new(6, 10);
+    world.plan(0, KnownBoots::default());
+    world.run(9 * SECOND);
+    world.begin_traffic();
+    world
+}
+
+#[parameterized(
+    head_of_big = { "big", 0 },
+    member_of_big = { "big", 2 },
+    head_of_small = { "small", 0 },
+    member_of_small = { "small", 1 },
+)]
+fn replace_lost(model: &str, rank: usize) {
+    let mut world = served();
+    let head = world.open_heads(model).remove(0);
+    let members = world.members(&head);
+    let lost = members[rank].clone();
+    world.silence(&lost);
+    world.suspect(0, &head);
+    world.run(4 * SECOND);
+    let heads = world.open_heads(model);
+    let repaired = heads.iter().any(|head| {
+        let now = world.members(head);
+        !now.contains(&lost)
+            && members.iter().filter(|name| now.contains(name)).count() + 1 == members.len()
+    });
+    assert!(repaired, "{heads:?}");
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
+
+#[test]
+fn replace_lost_without_suspicion() {
+    let mut world = served();
+    let head = world.open_heads("small").remove(0);
+    let lost = world.members(&head)[1].clone();
+    world.silence(&lost);
+    // No request went there, so the probes in turn must find out.
+    world.run(8 * SECOND);
+    let serves = |head: &String| world.members(head).contains(&lost);
+    assert!(!world.open_heads("small").iter().any(serves));
+}
+
+#[test]
+fn complete_one_of_two() {
+    let mut world = World::new(1, 10);
+    world.plan(0, KnownBoots::default());
+    world.run(9 * SECOND);
+    world.begin_traffic();
+    let held = world.held(0);
+    let spares: Vec<String> = world
+        .machines
+        .values()
+        .map(|machine| machine.report.vm.name.clone())
+        .filter(|name| !held.contains(name))
+        .collect();
+    let heads = world.open_heads("small");
+    assert_eq!(heads.len(), 2);
+    for name in &spares {
+        world.silence(name);
+        world.unlist(name);
+    }
+    for head in &heads {
+        let lost = world.members(head)[1].clone();
+        world.silence(&lost);
+        world.suspect(0, head);
+    }
+    world.run(4 * SECOND);
+    assert_eq!(world.open_heads("small").len(), 1);
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
+
+#[test]
+fn finish_before_member_leaves() {
+    let mut world = served();
+    let head = world.open_heads("small").remove(0);
+    let leaving = world.members(&head)[1].clone();
+    world.report(&leaving, |report| report.vm.state = VmState::Leaving);
+    world.run(Duration::from_millis(500));
+    let listed = world.nodes[0].groups.heads(world.now);
+    assert!(listed.iter().all(|listed| listed.name != head));
+    world.run(8 * SECOND);
+    let serves = |head: &String| world.members(head).contains(&leaving);
+    assert!(!world.open_heads("small").iter().any(serves));
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
+
+#[test]
+fn keep_vm_that_store_lost_sight_of() {
+    let mut world = served();
+    let head = world.open_heads("small").remove(0);
+    let before = world.nodes[0].groups.heads(world.now).len();
+    world.tell(0, GroupsEvent::StoreReturned);
+    world.unlist(&head);
+    world.run(SECOND);
+    let report = world.machine(&head).report.clone();
+    world.tell(0, GroupsEvent::VmChanged(report));
+    world.run(SECOND);
+    assert!(world.nodes[0].groups.heads(world.now).len() >= before - 1);
+    world.run(4 * SECOND);
+    assert_eq!(world.nodes[0].groups.heads(world.now).len(), before);
+}
+
+#[test]
+fn forget_vm_that_is_not_listed_again() {
+    let mut world = served();
+    let head = world.open_heads("small").remove(0);
+    world.tell(0, GroupsEvent::StoreReturned);
+    world.unlist(&head);
+    world.run(4 * SECOND);
+    let listed = world.nodes[0].groups.heads(world.now);
+    assert!(listed.iter().all(|listed| listed.name != head));
+}
+
+#[test]
+fn ignore_late_orders_of_older_epoch() {
+    let mut world = served();
+    let head = world.open_heads("small").remove(0);
+    let members = world.members(&head);
+    // The orders of the renewed group reach a member late, after it was given up again.
+    world.mute(&members[0]);
+    world.silence(&members[1]);
+    world.suspect(0, &head);
+    world.run(6 * SECOND);
+    world.silence(&members[0]);
+    world.run(6 * SECOND);
+    world.machine(&members[0]).alive = true;
+    world.deliver_orders();
+    world.run(10 * SECOND);
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
--- a/crates/tanagerhub_groups/tests/support.rs
+++ /dev/null
@@ -1,3 +0,0 @@
-//! What the tests of this crate share.
-
-pub mod world;
--- a/crates/tanagerhub_groups/tests/support/world.rs
+++ b/crates/tanagerhub_groups/tests/support/world.rs
@@ -1,3 +1,4 @@
+#![expect(dead_code, reason = "each test file uses a part of it")]
 //! A store and VMs in memory, with a paused clock.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -76,6 +77,11 @@
     pub fates: VecDeque<Fate>,
     /// Transactions that the store has received and not applied.
     pub delayed: Vec<Transaction>,
+    /// VMs that leave orders unanswered; they carry them out when told to.
+    pub mute: BTreeSet<VmId>,
+    pub late_orders: Vec<(VmId, Order)>,
+    /// The most loads that ran at once since traffic began.
+    pub most_loads: usize,
     /// Whether loads are quick.
     pub lead: bool,
     pub violations: BTreeSet<String>,
@@ -112,6 +118,9 @@
             version: 10,
             fates: VecDeque::new(),
             delayed: Vec::new(),
+            mute: BTreeSet::new(),
+            late_orders: Vec::new(),
+            most_loads: 0,
             lead: true,
             violations: BTreeSet::new(),
         };
@@ -224,7 +233,48 @@
         }
     }
 
-    /// A VM falls silent; with `listed` false the store soon forgets it.
+    /// Lets the VMs carry out the orders that they left unanswered.
+    pub fn deliver_orders(&mut self) {
+        self.mute.clear();
+        for (vm, order) in std::mem::take(&mut self.late_orders) {
+            let _: OrderResult = self.obey(vm, &order);
+        }
+    }
+
+    /// Makes a VM leave orders unanswered.
+    pub fn mute(&mut self, name: &str) {
+        self.mute.insert(VmId::of(name));
+    }
+
+    /// Tells a node that the requests at a head's group failed.
+    pub fn suspect(&mut self, node: usize, head: &str) {
+        let place = self.machine(head).report.group.unwrap();
+        let (group, epoch) = (place.group, place.epoch);
+        let event = GroupsEvent::Suspected { group, epoch };
+        self.nodes[node].events.push(event);
+    }
+
+    /// Changes what a VM reports, and tells the nodes.
+    pub fn report(&mut self, name: &str, change: impl FnOnce(&mut VmReport)) {
+        change(&mut self.machine(name).report);
+        let report = self.machine(name).report.clone();
+        for node in &mut self.nodes {
+            node.events.push(GroupsEvent::VmChanged(report.clone()));
+        }
+    }
+
+    /// Tells a node something.
+    pub fn tell(&mut self, node: usize, event: GroupsEvent) {
+        self.nodes[node].events.push(event);
+    }
+
+    /// Names of all members of all groups, by the rows that a node knows.
+    pub fn held(&self, node: usize) -> Vec<String> {
+        let groups = self.nodes[node].groups.group_statuses(self.now);
+        groups.into_iter().flat_map(|group| group.members).collect()
+    }
+
+    /// A VM falls silent.
     pub fn silence(&mut self, name: &str) {
         self.machine(name).alive = false;
     }
@@ -288,7 +338,12 @@
                 at: StoreTime(self.now.as_millis()),
             })),
             GroupsAction::Order { vm, order, .. } => {
-                let result = self.obey(vm, &order);
+                let result = if self.mute.contains(&vm) {
+                    self.late_orders.push((vm, order.clone()));
+                    OrderResult::Unknown
+                } else {
+                    self.obey(vm, &order)
+                };
                 GroupsEvent::Ordered { vm, order, result }
             }
             GroupsAction::Probe { vm, .. } => {
@@ -367,7 +422,9 @@
         match order {
             Order::Stage { model } => {
                 let load = engine().model(model).unwrap().load / quick;
-                machine.doing.push((now + load, Done::Staged(model.clone())));
+                machine
+                    .doing
+                    .push((now + load, Done::Staged(model.clone())));
             }
             Order::Join {
                 group,
@@ -438,6 +495,14 @@
 
     /// No group serves unless each member was ready under its name, epoch and list.
     fn check(&mut self) {
+        let loads = |machine: &Machine| {
+            let staging = |(_, done): &&(Moment, Done)| matches!(done, Done::Staged(_));
+            machine.doing.iter().filter(staging).count()
+        };
+        let running = self.machines.values().map(loads).sum();
+        if !self.lead {
+            self.most_loads = self.most_loads.max(running);
+        }
         let mut found = Vec::new();
         for machine in self.machines.values() {
             let Some(place) = machine.report.group else {
@@ -448,7 +513,13 @@
             }
             let model = machine.report.serves.clone().unwrap_or_default();
             let size = engine().model(&model).map_or(0, |model| model.size);
-            if machine.members.len() != size {
+            let ready = machine.members.iter().filter(|name| {
+                let member = &self.machines[&VmId::of(name)];
+                let state = member.report.state_in(place.group, place.epoch);
+                let lost = !member.alive || member.seen > place.epoch;
+                lost || state.is_some_and(|state| state != GroupState::Joining)
+            });
+            if ready.count() != size {
                 found.push(format!("{place:?} serves with {:?}", machine.members));
             }
         }
--- a/crates/tanagerhub_traffic/src/request.rs
+++ b/crates/tanagerhub_traffic/src/request.rs
@@ -105,7 +105,8 @@
 
     /// Until when it may wait from now on, if it may until `latest`.
     pub(crate) fn wait_until(&self, now: Moment, latest: Moment) -> Moment {
-        self.patience.map_or(latest, |patience| latest.min(now + patience))
+        self.patience
+            .map_or(latest, |patience| latest.min(now + patience))
     }
 
     /// Sets how many attempts it may have.
--- a/crates/tanagerhub_traffic/src/traffic/admission.rs
+++ b/crates/tanagerhub_traffic/src/traffic/admission.rs
@@ -29,7 +29,10 @@
     /// Checks everything that does not depend on the queue, and charges the organisation.
     fn admit(&mut self, now: Moment, info: &RequestInfo) -> Result<Place, Refusal> {
         if !self.drain.accepts(now) {
-            return Err(refusal(Reason::ShuttingDown, Some(self.settings.retry_floor)));
+            return Err(refusal(
+                Reason::ShuttingDown,
+                Some(self.settings.retry_floor),
+            ));
         }
         if !self.takes_work {
             return Err(refusal(Reason::Stale, Some(self.settings.retry_floor)));
@@ -115,10 +118,7 @@
             Reason::RequestRate | Reason::TokenRate | Reason::Concurrency => {
                 self.counters.over_limit += 1;
             }
-            Reason::Overloaded
-            | Reason::NoGroup
-            | Reason::QueueFull
-            | Reason::DeadlinePassed => {
+            Reason::Overloaded | Reason::NoGroup | Reason::QueueFull | Reason::DeadlinePassed => {
                 self.counters.overloaded += 1;
             }
             _ => self.counters.refused += 1,
--- a/crates/tanagerhub_traffic/src/traffic/queueing.rs
+++ b/crates/tanagerhub_traffic/src/traffic/queueing.rs
@@ -138,7 +138,10 @@
             return;
         }
         self.unqueue(key);
-        self.refuse_waiter(key, refusal(Reason::DeadlinePassed, Some(self.settings.retry_floor)));
+        self.refuse_waiter(
+            key,
+            refusal(Reason::DeadlinePassed, Some(self.settings.retry_floor)),
+        );
     }
 
     /// Sends a second attempt if the first still has no answer and the budget allows it.
--- a/crates/tanagerhub_traffic/src/traffic/reports.rs
+++ b/crates/tanagerhub_traffic/src/traffic/reports.rs
@@ -305,7 +305,9 @@
         {
             return Some(Reason::Crashes);
         }
-        if request.sent >= request.info.attempts.unwrap_or(self.settings.attempts) || !self.takes_work {
+        if request.sent >= request.info.attempts.unwrap_or(self.settings.attempts)
+            || !self.takes_work
+        {
             return Some(Reason::BackendFailed);
         }
         let granted = self
