--- /dev/null
+++ b/crates/tanagerhub/tests/support/deployment.rs
@@ -0,0 +1,536 @@
+//! A deployment in memory: a store, plain back ends on loopback, and a dialect of its own.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use async_std::io::prelude::*;
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task;
+use http::request::Parts;
+use http::{HeaderMap, StatusCode};
+use tanagerhub::gateway::{
+    AnswerKind, CallHead, Configuration, Dialect, Edges, Engines, Gateway, GatewayMetrics,
+    GatewaySettings, HeadError, KeyHolder, OperatorRow, Pending, Store, Upstream,
+};
+use tanagerhub_catalogue::{
+    Catalogue, CatalogueVersion, Class, Entry, EntryKind, Ingress, IngressRoute, KeyHash, Limits,
+    RouteKind, RouteTarget, ServiceEntry, Vm, VmState,
+};
+use tanagerhub_clock::{Clock, ManualClock};
+use tanagerhub_groups::{Order, OrderResult, ProbeFailure, VmReport};
+use tanagerhub_proxy::ServerLimits;
+use tanagerhub_table::{
+    Commit, FeedError, FeedPage, RowKey, RowVersion, StoreTime, Transaction, VersionedRow, Write,
+};
+
+/// Real time between two steps of the paused clock.
+const PUMP_STEP: Duration = Duration::from_millis(1);
+
+/// A store in memory.
+#[derive(Debug, Default)]
+pub struct MemoryStore {
+    rows: Mutex<Rows>,
+    /// Whether it answers nothing.
+    pub down: AtomicBool,
+}
+
+#[derive(Debug, Default)]
+struct Rows {
+    list: BTreeMap<RowKey, VersionedRow>,
+    version: u64,
+}
+
+impl MemoryStore {
+    pub fn put(&self, table: &str, name: &str, value: &str) {
+        let mut rows = self.rows();
+        rows.put(
+            RowKey::in_table(table, name),
+            Some(value.as_bytes().to_vec()),
+        );
+    }
+
+    pub fn remove(&self, table: &str, name: &str) {
+        self.rows().put(RowKey::in_table(table, name), None);
+    }
+
+    fn rows(&self) -> MutexGuard<'_, Rows> {
+        self.rows.lock().unwrap()
+    }
+
+    fn page(&self, table: &str, after: Option<RowVersion>) -> Result<FeedPage, FeedError> {
+        if self.down.load(Ordering::SeqCst) {
+            let reason = "down".to_owned();
+            return Err(FeedError::Unavailable { reason });
+        }
+        let rows = self.rows();
+        let list = rows
+            .list
+            .values()
+            .filter(|row| row.key.table() == table)
+            .filter(|row| match after {
+                Some(after) => row.version > after,
+                None => row.value.is_some(),
+            });
+        Ok(FeedPage {
+            rows: list.cloned().collect(),
+            version: RowVersion(rows.version),
+            at: StoreTime(0),
+        })
+    }
+}
+
+impl Rows {
+    fn put(&mut self, key: RowKey, value: Option<Vec<u8>>) {
+        self.version += 1;
+        let version = RowVersion(self.version);
+        let row = VersionedRow {
+            key: key.clone(),
+            version,
+            value,
+        };
+        self.list.insert(key, row);
+    }
+}
+
+impl Store for MemoryStore {
+    fn commit(&self, transaction: Transaction) -> Pending<'_, Commit> {
+        let mut rows = self.rows();
+        for write in transaction.writes {
+            match write {
+                Write::Put { key, value } => rows.put(key, Some(value)),
+                Write::Delete { key } => rows.put(key, None),
+            }
+        }
+        let version = RowVersion(rows.version);
+        Box::pin(async move { Commit::Applied(version) })
+    }
+
+    fn read(&self, table: &'static str) -> Pending<'_, Result<FeedPage, FeedError>> {
+        Box::pin(async move { self.page(table, None) })
+    }
+
+    fn follow(
+        &self,
+        table: &'static str,
+        after: RowVersion,
+        _wait: Duration,
+    ) -> Pending<'_, Result<FeedPage, FeedError>> {
+        Box::pin(async move { self.page(table, Some(after)) })
+    }
+}
+
+/// Engines that nobody asks.
+#[derive(Debug)]
+struct NoEngines;
+
+impl Engines for NoEngines {
+    fn order<'a>(
+        &'a self,
+        _name: &'a str,
+        _address: SocketAddr,
+        _order: &'a Order,
+    ) -> Pending<'a, OrderResult> {
+        Box::pin(async { OrderResult::NotSent })
+    }
+
+    fn report<'a>(
+        &'a self,
+        known: &'a VmReport,
+        _limit: Duration,
+    ) -> Pending<'a, Result<VmReport, ProbeFailure>> {
+        Box::pin(async { Ok(known.clone()) })
+    }
+}
+
+/// A dialect whose rows name what was prepared by the test.
+#[derive(Debug, Default)]
+pub struct TestDialect {
+    configurations: Mutex<HashMap<u64, Configuration>>,
+}
+
+impl TestDialect {
+    pub fn add(&self, configuration: Configuration) {
+        let mut known = self.configurations.lock().unwrap();
+        known.insert(configuration.version, configuration);
+    }
+}
+
+impl Dialect for TestDialect {
+    fn operator_table(&self) -> &'static str {
+        "operators"
+    }
+
+    fn vm_table(&self) -> &'static str {
+        "vms"
+    }
+
+    fn operator_row(&self, name: &str) -> OperatorRow {
+        match name {
+            "configuration" => OperatorRow::Configuration,
+            zone => OperatorRow::Evacuation(zone.to_owned()),
+        }
+    }
+
+    fn configuration(&self, value: &[u8]) -> Result<Configuration, String> {
+        let version: Option<u64> = String::from_utf8_lossy(value).parse().ok();
+        let known = self.configurations.lock().unwrap();
+        let found = version.and_then(|version| known.get(&version).cloned());
+        found.ok_or_else(|| "no such version".to_owned())
+    }
+
+    fn vm(&self, name: &str, value: &[u8]) -> Result<VmReport, String> {
+        let text = String::from_utf8_lossy(value);
+        let mut words = text.split(' ');
+        let mut word = || words.next().unwrap_or_default();
+        let vm = Vm {
+            name: name.to_owned(),
+            service: Some(word().to_owned()),
+            address: word().parse().map_err(|error| format!("{error}"))?,
+            data_centre: "here".to_owned(),
+            domain: String::new(),
+            state: if word() == "leaving" {
+                VmState::Leaving
+            } else {
+                VmState::Live
+            },
+        };
+        Ok(VmReport {
+            vm,
+            started: 1,
+            slots: 4,
+            cold: Duration::ZERO,
+            staged: Vec::new(),
+            serves: None,
+            busy: None,
+            group: None,
+        })
+    }
+
+    fn head(&self, request: &Parts) -> Result<CallHead, HeadError> {
+        let text = |name: &str| {
+            let value = request.headers.get(name)?;
+            value.to_str().ok().map(str::to_owned)
+        };
+        Ok(CallHead {
+            id: text("id").ok_or_else(|| HeadError {
+                reason: "no id".to_owned(),
+            })?,
+            host: text("host").unwrap_or_default(),
+            key: text("key"),
+            deadline: text("deadline")
+                .and_then(|millis| millis.parse().ok())
+                .map(Duration::from_millis),
+            model: None,
+            prompt_tokens: 0,
+            max_tokens: 0,
+            last_event: 0,
+        })
+    }
+
+    fn upstream(&self, headers: &mut HeaderMap, upstream: &Upstream<'_>) {
+        let mut set = |name: &'static str, value: String| {
+            headers.insert(name, value.parse().unwrap());
+        };
+        set("after", upstream.last_event.to_string());
+        set("left", upstream.left.as_millis().to_string());
+        set("vm", upstream.vm.to_owned());
+        if let Some(organisation) = upstream.organisation {
+            set("organisation", organisation.to_owned());
+        }
+    }
+
+    fn answer(&self, id: &str, status: StatusCode, headers: &HeaderMap) -> AnswerKind {
+        if headers.get("id").is_some_and(|echoed| echoed != id) {
+            return AnswerKind::Foreign;
+        }
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            return AnswerKind::Misdirected;
+        }
+        if headers.contains_key("not-run") {
+            return AnswerKind::NotRun;
+        }
+        AnswerKind::Answer
+    }
+}
+
+/// What a back end does with a request: bytes to write one after the other, then it closes, or
+/// keeps the connection open in silence.
+#[derive(Debug, Clone, Default)]
+pub struct Script {
+    pub parts: Vec<Vec<u8>>,
+    pub stay: bool,
+}
+
+impl Script {
+    /// An answer with this status and body.
+    pub fn answer(status: u16, headers: &str, body: &str) -> Self {
+        let length = body.len();
+        let text =
+            format!("HTTP/1.1 {status} X\r\n{headers}Content-Length: {length}\r\n\r\n{body}");
+        Self {
+            parts: vec![text.into_bytes()],
+            stay: false,
+        }
+    }
+
+    /// A stream of the events `from..=to`; whole, or broken off after the last of them.
+    pub fn events(from: u32, to: u32, whole: bool) -> Self {
+        let mut parts = vec![b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n".to_vec()];
+        for id in from..=to {
+            let event = format!("id: {id}\ndata: {id}\n\n");
+            parts.push(format!("{:x}\r\n{event}\r\n", event.len()).into_bytes());
+        }
+        if whole {
+            parts.push(b"0\r\n\r\n".to_vec());
+        }
+        Self { parts, stay: false }
+    }
+
+    /// Silence.
+    pub fn silence() -> Self {
+        Self {
+            parts: Vec::new(),
+            stay: true,
+        }
+    }
+}
+
+/// A back end on loopback that notes the requests that it gets.
+#[derive(Debug, Clone)]
+pub struct Backend {
+    pub address: SocketAddr,
+    heads: Arc<Mutex<Vec<String>>>,
+    scripts: Arc<Mutex<Vec<Script>>>,
+}
+
+impl Backend {
+    /// A back end that follows one script a request, and the last one from then on.
+    pub async fn start(scripts: Vec<Script>) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let backend = Self {
+            address: listener.local_addr().unwrap(),
+            heads: Arc::default(),
+            scripts: Arc::new(Mutex::new(scripts)),
+        };
+        let serving = backend.clone();
+        task::spawn(async move {
+            loop {
+                let (stream, _) = listener.accept().await.unwrap();
+                task::spawn(serving.clone().serve(stream));
+            }
+        });
+        backend
+    }
+
+    /// The heads of the requests that came, in lower case.
+    pub fn heads(&self) -> Vec<String> {
+        self.heads.lock().unwrap().clone()
+    }
+
+    fn script(&self) -> Script {
+        let mut scripts = self.scripts.lock().unwrap();
+        if scripts.len() > 1 {
+            return scripts.remove(0);
+        }
+        scripts[0].clone()
+    }
+
+    async fn serve(self, mut stream: TcpStream) {
+        let mut request = Vec::new();
+        let mut buffer = [0; 4_096];
+        while !request.windows(4).any(|end| end == b"\r\n\r\n") {
+            let count = stream.read(&mut buffer).await.unwrap_or(0);
+            if count == 0 {
+                return;
+            }
+            request.extend_from_slice(&buffer[..count]);
+        }
+        let head = String::from_utf8_lossy(&request).to_lowercase();
+        self.heads.lock().unwrap().push(head);
+        let script = self.script();
+        for part in script.parts {
+            if stream.write_all(&part).await.is_err() {
+                return;
+            }
+            task::sleep(Duration::from_millis(2)).await;
+        }
+        if script.stay {
+            let _: Result<usize, _> = stream.read(&mut buffer).await;
+        }
+    }
+}
+
+/// A gateway before its deployment, on a clock that runs by itself until it is frozen.
+pub struct Site {
+    pub store: Arc<MemoryStore>,
+    pub dialect: Arc<TestDialect>,
+    pub gateway: Option<Gateway>,
+    pub settings: GatewaySettings,
+    pub hand: Arc<ManualClock>,
+    version: u64,
+}
+
+impl Site {
+    pub async fn start() -> Self {
+        let store = Arc::new(MemoryStore::default());
+        let dialect = Arc::new(TestDialect::default());
+        let (clock, hand) = Clock::manual();
+        // An answer that is dated at the very start would count as none.
+        hand.advance(Duration::from_secs(100));
+        let settings = GatewaySettings::new("node", "here", free().await, free().await)
+            .metrics(free().await)
+            .retries(1.0, 1_000.0);
+        let edges = Edges {
+            store: Arc::clone(&store) as Arc<dyn Store>,
+            engines: Arc::new(NoEngines),
+            dialect: Arc::clone(&dialect) as Arc<dyn Dialect>,
+        };
+        let metrics = GatewayMetrics::default();
+        let gateway = Gateway::start(settings.clone(), edges, clock, metrics)
+            .await
+            .unwrap();
+        let pumped = Arc::clone(&hand);
+        task::spawn(async move {
+            loop {
+                task::sleep(PUMP_STEP).await;
+                pumped.advance(PUMP_STEP);
+            }
+        });
+        Self {
+            store,
+            dialect,
+            gateway: Some(gateway),
+            settings,
+            hand,
+            version: 0,
+        }
+    }
+
+    /// Puts routes into force, under `/KIND/`, with the given keys.
+    pub fn configure(&mut self, keys: &[&str]) {
+        self.version += 1;
+        let route = |prefix: &str, kind, service: &str, public| {
+            let mut route = IngressRoute::new("shop", prefix);
+            route.kind = kind;
+            route.timeout = Duration::from_secs(5);
+            route.objective = Duration::from_millis(200);
+            route.attempts = 2;
+            route.public = public;
+            route.targets = vec![RouteTarget {
+                service: service.to_owned(),
+                weight: 1,
+            }];
+            route
+        };
+        let entry = |name: &str| Entry {
+            name: name.to_owned(),
+            owner: String::new(),
+            class: Class::Interactive,
+            limits: Limits {
+                first_byte: Duration::from_mins(1),
+                ..Limits::default()
+            },
+            kind: EntryKind::Service(ServiceEntry {
+                routes: Vec::new(),
+                deduplicates: false,
+            }),
+        };
+        let holder = KeyHolder {
+            organisation: Arc::from("fit"),
+            priority: None,
+        };
+        self.dialect.add(Configuration {
+            version: self.version,
+            catalogue: Arc::new(Catalogue {
+                version: CatalogueVersion(self.version),
+                entries: vec![entry("desk"), entry("llm")],
+                ..Catalogue::default()
+            }),
+            ingress: Ingress::new(vec![
+                route("/safe/", RouteKind::Idempotent, "desk", false),
+                route("/unsafe/", RouteKind::Unrepeatable, "desk", false),
+                route("/public/", RouteKind::Idempotent, "desk", true),
+                route("/stream/", RouteKind::ResumableStream, "llm", false),
+                route("/once/", RouteKind::Stream, "llm", false),
+            ]),
+            engines: Vec::new(),
+            starts: HashMap::new(),
+            keys: keys
+                .iter()
+                .map(|key| (KeyHash::of(key), holder.clone()))
+                .collect(),
+            limits: ServerLimits::default(),
+            body_bytes: 1_000,
+        });
+        let version = self.version.to_string();
+        self.store.put("operators", "configuration", &version);
+    }
+
+    /// Lists a back end.
+    pub fn list(&self, name: &str, service: &str, backend: &Backend) {
+        let row = format!("{service} {}", backend.address);
+        self.store.put("vms", name, &row);
+    }
+
+    /// Waits until the node takes requests and knows all back ends.
+    pub async fn settle(&self) {
+        while self.ready().await != 200 {
+            task::sleep(Duration::from_millis(5)).await;
+        }
+        task::sleep(Duration::from_millis(1_300)).await;
+    }
+
+    /// The status of the balancer's check.
+    pub async fn ready(&self) -> u16 {
+        let answer = exchange(
+            self.settings.ready,
+            "GET /ready HTTP/1.1\r\nHost: a\r\n\r\n",
+        )
+        .await;
+        status(&answer)
+    }
+
+    /// Sends a request with a key, and reads all that comes back.
+    pub async fn ask(&self, method: &str, path: &str) -> String {
+        self.ask_with(method, path, "key: k1\r\n").await
+    }
+
+    pub async fn ask_with(&self, method: &str, path: &str, headers: &str) -> String {
+        let request = format!(
+            "{method} {path} HTTP/1.1\r\nHost: shop\r\nid: 1\r\n{headers}Connection: close\r\n\r\n"
+        );
+        exchange(self.settings.callers, &request).await
+    }
+}
+
+async fn exchange(address: SocketAddr, request: &str) -> String {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut answer = Vec::new();
+    let mut buffer = [0; 1_024];
+    loop {
+        match stream.read(&mut buffer).await {
+            Ok(0) | Err(_) => break,
+            Ok(count) => answer.extend_from_slice(&buffer[..count]),
+        }
+        // Connections of the check stay open; one answer without a body is all.
+        if answer.ends_with(b"\r\n\r\n") && !request.contains("close") {
+            break;
+        }
+    }
+    String::from_utf8(answer).unwrap()
+}
+
+/// The status of an answer; zero where there is none.
+pub fn status(answer: &str) -> u16 {
+    let code = answer.split(' ').nth(1);
+    code.and_then(|code| code.parse().ok()).unwrap_or_default()
+}
+
+async fn free() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    listener.local_addr().unwrap()
+}
