Keep the streams of a group whose member only left the list

Cause: a VM that the store no longer lists was taken for dead, so the streams of its group moved, and moved again with the next one; at the third loss a stream was cut. A VM may leave without notice and serve on. Ruled out: the configuration change, which only stood beside it. Now it is probed, its group finishes its requests before it is renewed, and a VM that an outage of the store made vanish is not replaced at once.

Test: keep_streams_of_unlisted, failed first.

--- a/crates/tanagerhub/src/gateway/control.rs
+++ b/crates/tanagerhub/src/gateway/control.rs
@@ -337,7 +337,7 @@
         let Some(configuration) = self.view.configuration.clone() else {
             return;
         };
-        let mut heads = self.groups.heads(now);
+        let mut heads = self.groups.heads();
         for head in &mut heads {
             // Only whether it is cold matters, and that is covered by the limit that always holds.
             head.cold = Duration::ZERO;
--- a/crates/tanagerhub_groups/src/groups/drive.rs
+++ b/crates/tanagerhub_groups/src/groups/drive.rs
@@ -98,10 +98,12 @@
     }
 
     pub(super) fn vm_gone(&mut self, now: Moment, vm: VmId) {
-        let place = self.vms.get(vm).and_then(|entry| entry.report.group);
-        self.lost
-            .extend(place.map(|place| (place.group, place.epoch)));
         self.vms.gone(now, vm, &self.settings);
+        // It may be dead, or leave without notice and serve on for a while.
+        if let Some(entry) = self.vms.list.get_mut(&vm) {
+            entry.suspected = now;
+        }
+        self.probe(now, vm);
     }
 
     pub(super) fn drive_groups(&mut self, now: Moment) {
--- a/crates/tanagerhub_groups/src/groups/repair.rs
+++ b/crates/tanagerhub_groups/src/groups/repair.rs
@@ -72,6 +72,7 @@
         if !self.is_broken(group) {
             if let Some(group) = self.known.get_mut(&id) {
                 group.broken = None;
+                group.closing = None;
             }
             return;
         }
@@ -111,7 +112,7 @@
         })
     }
 
-    /// Lets the head of a group finish its requests when members leave but none is lost.
+    /// Lets the head of a group finish its requests when members leave but all answer.
     ///
     /// Says whether the group may be changed now.
     fn finish_requests(&mut self, now: Moment, id: GroupId) -> bool {
@@ -120,7 +121,7 @@
         };
         let lost = group.members.iter().any(|vm| {
             let entry = self.vms.get(*vm);
-            entry.is_none_or(|entry| entry.is_lost(&self.settings))
+            entry.is_none_or(|entry| entry.is_silent(&self.settings))
         });
         let Some(head) = group.head().filter(|_| !lost) else {
             return true;
--- a/crates/tanagerhub_groups/src/groups/view.rs
+++ b/crates/tanagerhub_groups/src/groups/view.rs
@@ -77,12 +77,12 @@
 impl Groups {
     /// The VMs that requests may be sent to now.
     #[must_use]
-    pub fn heads(&self, now: Moment) -> Vec<Head> {
-        let reported = self.reported_members(now);
+    pub fn heads(&self) -> Vec<Head> {
+        let reported = self.reported_members();
         self.vms
             .list
             .values()
-            .filter(|entry| self.takes_requests(now, entry))
+            .filter(|entry| self.takes_requests(entry))
             .filter_map(|entry| self.head(entry, &reported))
             .collect()
     }
@@ -123,20 +123,20 @@
             .collect()
     }
 
-    fn takes_requests(&self, now: Moment, entry: &VmEntry) -> bool {
+    fn takes_requests(&self, entry: &VmEntry) -> bool {
         let centre = entry.report.vm.data_centre_id();
-        entry.is_listed(now) && !entry.is_leaving() && !self.evacuated.contains(&centre)
+        entry.is_listed() && !entry.is_leaving() && !self.evacuated.contains(&centre)
     }
 
     /// How many VMs that take part report each group and epoch.
-    fn reported_members(&self, now: Moment) -> BTreeMap<(GroupId, Epoch), usize> {
+    fn reported_members(&self) -> BTreeMap<(GroupId, Epoch), usize> {
         let mut counts = BTreeMap::new();
         for entry in self.vms.list.values() {
             let Some(report) = entry.report.group else {
                 continue;
             };
             let present = entry.failures < self.settings.probe_failures;
-            if present && self.takes_requests(now, entry) && report.state != GroupState::Joining {
+            if present && self.takes_requests(entry) && report.state != GroupState::Joining {
                 *counts.entry((report.group, report.epoch)).or_default() += 1;
             }
         }
--- a/crates/tanagerhub_groups/src/groups/vms.rs
+++ b/crates/tanagerhub_groups/src/groups/vms.rs
@@ -37,6 +37,8 @@
 struct Gone {
     since: Moment,
     until: Moment,
+    /// Whether the time in which it could have been listed again is over.
+    certain: bool,
 }
 
 impl VmEntry {
@@ -54,8 +56,13 @@
     }
 
     /// Whether it is lost, as far as the store and the probes show.
-    pub(super) const fn is_lost(&self, settings: &GroupsSettings) -> bool {
-        self.gone.is_some() || self.failures >= settings.probe_failures
+    pub(super) fn is_lost(&self, settings: &GroupsSettings) -> bool {
+        self.gone.is_some_and(|gone| gone.certain) || self.is_silent(settings)
+    }
+
+    /// Whether it does not answer.
+    pub(super) const fn is_silent(&self, settings: &GroupsSettings) -> bool {
+        self.failures >= settings.probe_failures
     }
 
     pub(super) fn is_leaving(&self) -> bool {
@@ -63,8 +70,8 @@
     }
 
     /// Whether the store lists it, or may list it again in a moment.
-    pub(super) fn is_listed(&self, now: Moment) -> bool {
-        self.gone.is_none_or(|gone| now < gone.until)
+    pub(super) fn is_listed(&self) -> bool {
+        self.gone.is_none_or(|gone| !gone.certain)
     }
 
     /// Takes in the answer to a probe, which tells of a moment somewhat before it was sent.
@@ -161,7 +168,11 @@
             now
         };
         if let Some(entry) = self.list.get_mut(&vm) {
-            entry.gone.get_or_insert(Gone { since: now, until });
+            entry.gone.get_or_insert(Gone {
+                since: now,
+                until,
+                certain: until <= now,
+            });
         }
     }
 
@@ -172,10 +183,17 @@
 
     /// Drops VMs that have been gone for so long that nothing depends on them.
     pub(super) fn forget_gone(&mut self, now: Moment) {
+        for gone in self
+            .list
+            .values_mut()
+            .filter_map(|entry| entry.gone.as_mut())
+        {
+            gone.certain |= gone.until <= now;
+        }
         self.list.retain(|_, entry| {
             entry
                 .gone
-                .is_none_or(|gone| now < gone.until || now.since(gone.since) < GONE_MEMORY)
+                .is_none_or(|gone| now.since(gone.since) < GONE_MEMORY)
         });
     }
 
--- a/crates/tanagerhub_groups/tests/formation.rs
+++ b/crates/tanagerhub_groups/tests/formation.rs
@@ -89,7 +89,7 @@
     let mut world = World::new(2, 10);
     world.plan(0, KnownBoots::default());
     world.run(9 * SECOND);
-    let heads = |world: &World| world.nodes[0].groups.heads(world.now).len();
+    let heads = |world: &World| world.nodes[0].groups.heads().len();
     let all = heads(&world);
     let centre = tanagerhub_catalogue::DataCentreId::of("dc-0");
     world.tell(0, GroupsEvent::Evacuated(vec![centre]));
--- a/crates/tanagerhub_groups/tests/repair.rs
+++ b/crates/tanagerhub_groups/tests/repair.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use tanagerhub_catalogue::VmState;
-use tanagerhub_groups::{GroupsEvent, KnownBoots};
+use tanagerhub_groups::{GroupState, GroupsEvent, KnownBoots};
 use world::World;
 use yare::parameterized;
 
@@ -93,7 +93,7 @@
     let leaving = world.members(&head)[1].clone();
     world.report(&leaving, |report| report.vm.state = VmState::Leaving);
     world.run(Duration::from_millis(500));
-    let listed = world.nodes[0].groups.heads(world.now);
+    let listed = world.nodes[0].groups.heads();
     assert!(listed.iter().all(|listed| listed.name != head));
     world.run(8 * SECOND);
     let serves = |head: &String| world.members(head).contains(&leaving);
@@ -101,20 +101,51 @@
     assert!(world.violations.is_empty(), "{:?}", world.violations);
 }
 
+/// A VM may leave the list without notice, and serves on for a while.
+#[test]
+fn keep_streams_of_unlisted() {
+    let mut world = served();
+    let head = world.open_heads("big").remove(0);
+    let leaving = world.members(&head)[2].clone();
+    world.unlist(&leaving);
+    world.run(Duration::from_millis(400));
+    assert!(world.lost.is_empty(), "{:?}", world.lost);
+    let listed = world.nodes[0].groups.heads();
+    assert!(listed.iter().all(|listed| listed.name != head));
+    // The head finishes its requests before its group is renewed.
+    let state = world.machine(&head).report.group.unwrap().state;
+    assert_ne!(state, GroupState::Joining);
+    world.run(8 * SECOND);
+    let serves = |head: &String| world.members(head).contains(&leaving);
+    assert!(!world.open_heads("big").iter().any(serves));
+}
+
+#[test]
+fn move_streams_of_silent() {
+    let mut world = served();
+    let head = world.open_heads("big").remove(0);
+    let place = world.machine(&head).report.group.unwrap();
+    let lost = world.members(&head)[2].clone();
+    world.silence(&lost);
+    world.suspect(0, &head);
+    world.run(Duration::from_millis(300));
+    assert_eq!(world.lost, [(place.group, place.epoch)]);
+}
+
 #[test]
 fn keep_vm_that_store_lost_sight_of() {
     let mut world = served();
     let head = world.open_heads("small").remove(0);
-    let before = world.nodes[0].groups.heads(world.now).len();
+    let before = world.nodes[0].groups.heads().len();
     world.tell(0, GroupsEvent::StoreReturned);
     world.unlist(&head);
     world.run(SECOND);
     let report = world.machine(&head).report.clone();
     world.tell(0, GroupsEvent::VmChanged(report));
     world.run(SECOND);
-    assert!(world.nodes[0].groups.heads(world.now).len() >= before - 1);
+    assert!(world.nodes[0].groups.heads().len() >= before - 1);
     world.run(4 * SECOND);
-    assert_eq!(world.nodes[0].groups.heads(world.now).len(), before);
+    assert_eq!(world.nodes[0].groups.heads().len(), before);
 }
 
 #[test]
@@ -124,7 +155,7 @@
     world.tell(0, GroupsEvent::StoreReturned);
     world.unlist(&head);
     world.run(4 * SECOND);
-    let listed = world.nodes[0].groups.heads(world.now);
+    let listed = world.nodes[0].groups.heads();
     assert!(listed.iter().all(|listed| listed.name != head));
 }
 
--- a/crates/tanagerhub_groups/tests/support/world.rs
+++ b/crates/tanagerhub_groups/tests/support/world.rs
@@ -85,6 +85,8 @@
     /// Whether loads are quick.
     pub lead: bool,
     pub violations: BTreeSet<String>,
+    /// Groups that a node said to have lost a member.
+    pub lost: Vec<(GroupId, Epoch)>,
 }
 
 /// What the store does with a transaction.
@@ -123,6 +125,7 @@
             most_loads: 0,
             lead: true,
             violations: BTreeSet::new(),
+            lost: Vec::new(),
         };
         for domain in 0..domains {
             for place in 0..size {
@@ -326,7 +329,8 @@
             events = results;
         }
         self.nodes[place].groups.take_decisions();
-        self.nodes[place].groups.take_lost();
+        let lost = self.nodes[place].groups.take_lost();
+        self.lost.extend(lost);
     }
 
     fn carry_out(&mut self, action: GroupsAction) -> GroupsEvent {
