Ask the store less the larger the fleet

Now what a node may ask shrinks with the fleet, and only the first three nodes by name watch the planner closely.

--- a/crates/tanagerhub/src/gateway.rs
+++ b/crates/tanagerhub/src/gateway.rs
@@ -10,6 +10,7 @@
 pub mod edges;
 mod exchange;
 mod feed;
+mod feed_pace;
 mod front;
 mod gateway_metrics;
 mod gateway_settings;
--- a/crates/tanagerhub/src/gateway/control.rs
+++ b/crates/tanagerhub/src/gateway/control.rs
@@ -2,7 +2,6 @@
 
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
@@ -16,6 +15,7 @@
 
 use crate::gateway::control_store::ControlStore;
 use crate::gateway::feed::FeedNews;
+use crate::gateway::feed_pace::{FeedPaces, paces};
 use crate::gateway::pulse::Pulses;
 use crate::gateway::shared::Shared;
 use crate::gateway::state_dump::StateDump;
@@ -64,8 +64,8 @@
     pub(crate) metrics: GatewayMetrics,
     pub(crate) groups: Groups,
     pub(crate) presence: Presence,
-    /// Set while this node plans, which makes it follow the VMs more closely.
-    pub(crate) hurry: Arc<AtomicBool>,
+    /// How often the feeds ask the store.
+    pub(crate) paces: FeedPaces,
     /// The pulses of groups with requests, to wake those of a group that lost a member.
     pub(crate) pulses: Arc<Pulses>,
     pub(crate) view: ControlView,
@@ -143,6 +143,9 @@
         self.tell_groups(now, GroupsEvent::Tick);
         self.tend_presence(now);
         self.publish_routes(now);
+        let (nodes, place) = (self.presence.live(now), self.presence.place(now));
+        self.paces
+            .set(&paces(nodes, place, self.groups.is_planning()));
         self.metrics.view(self.view.heads.len(), self.shared.age());
     }
 
@@ -329,7 +332,6 @@
         }
         let plans = self.groups.is_planning();
         self.presence.plans(plans);
-        self.hurry.store(plans, Ordering::Relaxed);
     }
 
     /// Publishes where requests may go, if that has changed.
--- a/crates/tanagerhub/src/gateway/feed.rs
+++ b/crates/tanagerhub/src/gateway/feed.rs
@@ -1,7 +1,6 @@
 //! Follows a table of the store.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use async_channel::Sender;
@@ -9,6 +8,7 @@
 use tanagerhub_table::{FeedError, FeedPage, RowVersion};
 
 use crate::gateway::Store;
+use crate::gateway::feed_pace::FeedPace;
 
 /// The pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
@@ -31,13 +31,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct FeedPlan {
     pub(crate) table: &'static str,
-    /// The longest that one call waits for a change.
-    pub(crate) wait: Duration,
-    /// The least time between two calls.
-    pub(crate) interval: Duration,
-    /// The same while `hurry` is set.
-    pub(crate) hurried: Duration,
-    pub(crate) hurry: Arc<AtomicBool>,
+    pub(crate) pace: Arc<FeedPace>,
 }
 
 /// Follows a table until nobody listens.
@@ -61,10 +55,10 @@
         if events.send(wrap(news)).await.is_err() {
             return;
         }
-        let interval = match (failed, plan.hurry.load(Ordering::Relaxed)) {
-            (true, _) => RETRY_PAUSE,
-            (false, true) => plan.hurried,
-            (false, false) => plan.interval,
+        let interval = if failed {
+            RETRY_PAUSE
+        } else {
+            plan.pace.get().interval
         };
         let since = clock.now().since(sent);
         if since < interval {
@@ -80,11 +74,9 @@
     known: Option<RowVersion>,
 ) -> FeedNews {
     let sent = clock.now();
+    let wait = plan.pace.get().wait;
     let (limit, pending) = match known {
-        Some(after) => (
-            plan.wait + CALL_SLACK,
-            store.follow(plan.table, after, plan.wait),
-        ),
+        Some(after) => (wait + CALL_SLACK, store.follow(plan.table, after, wait)),
         None => (READ_LIMIT, store.read(plan.table)),
     };
     let late = || {
--- a/crates/tanagerhub/src/gateway/start.rs
+++ b/crates/tanagerhub/src/gateway/start.rs
@@ -3,7 +3,6 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
 use std::thread::JoinHandle;
 use std::time::Duration;
 
@@ -25,6 +24,7 @@
 use crate::gateway::control::{ControlView, GatewayControl, GatewayEvent};
 use crate::gateway::control_store::{ControlStore, NODES_TABLE};
 use crate::gateway::feed::{FeedPlan, follow};
+use crate::gateway::feed_pace::{FeedPace, FeedPaces};
 use crate::gateway::front::Front;
 use crate::gateway::pulse::Pulses;
 use crate::gateway::shared::Shared;
@@ -101,10 +101,10 @@
         let (events, received) = async_channel::unbounded();
         let shared = Arc::new(Shared::new(clock.clone(), settings.key_life));
         let traffic = Arc::new(traffic_handle(&settings, &clock, &events));
-        let hurry = Arc::new(AtomicBool::new(false));
+        let paces = FeedPaces::default();
         let pulses = Arc::new(Pulses::default());
         let mut control = control(
-            &settings, &edges, &clock, &metrics, &shared, &traffic, &events, &hurry,
+            &settings, &edges, &clock, &metrics, &shared, &traffic, &events, &paces,
         );
         control.pulses = Arc::clone(&pulses);
         let thread = std::thread::Builder::new()
@@ -123,7 +123,7 @@
             suspicions: events.clone(),
             metrics: metrics.clone(),
         });
-        let mut tasks = feeds(&edges, &clock, &events, &hurry);
+        let mut tasks = feeds(&edges, &clock, &events, &paces);
         tasks.push(task::spawn(Arc::clone(&traffic).run()));
         tasks.push(task::spawn(sweep_connections(clock.clone(), client)));
         tasks.push(task::spawn(sweep_pulses(
@@ -247,7 +247,7 @@
     shared: &Arc<Shared>,
     traffic: &Arc<TrafficHandle>,
     events: &Sender<GatewayEvent>,
-    hurry: &Arc<AtomicBool>,
+    paces: &FeedPaces,
 ) -> GatewayControl {
     let store = ControlStore {
         node: settings.node.clone(),
@@ -267,7 +267,7 @@
         metrics: metrics.clone(),
         groups: Groups::new(groups, rand::random()),
         presence: Presence::new(settings.node.clone(), boot, rand::random()),
-        hurry: Arc::clone(hurry),
+        paces: paces.clone(),
         pulses: Arc::default(),
         view: ControlView::default(),
     }
@@ -278,19 +278,15 @@
     edges: &Edges,
     clock: &Clock,
     events: &Sender<GatewayEvent>,
-    hurry: &Arc<AtomicBool>,
+    paces: &FeedPaces,
 ) -> Vec<task::JoinHandle<()>> {
-    let millis = Duration::from_millis;
-    let plan = |table, wait, interval, hurried| FeedPlan {
+    let plan = |table, pace: &Arc<FeedPace>| FeedPlan {
         table,
-        wait: millis(wait),
-        interval: millis(interval),
-        hurried: millis(hurried),
-        hurry: Arc::clone(hurry),
+        pace: Arc::clone(pace),
     };
-    let operators = plan(edges.dialect.operator_table(), 1_000, 100, 100);
-    let vms = plan(edges.dialect.vm_table(), 2_000, 500, 120);
-    let nodes = plan(NODES_TABLE, 2_000, 1_000, 1_000);
+    let operators = plan(edges.dialect.operator_table(), &paces.operators);
+    let vms = plan(edges.dialect.vm_table(), &paces.vms);
+    let nodes = plan(NODES_TABLE, &paces.nodes);
     let start = |plan, wrap: fn(_) -> GatewayEvent| {
         let store = Arc::clone(&edges.store);
         task::spawn(follow(store, plan, clock.clone(), events.clone(), wrap))
--- a/crates/tanagerhub_groups/src/presence.rs
+++ b/crates/tanagerhub_groups/src/presence.rs
@@ -12,14 +12,20 @@
 
 /// Time between two writes of the presence row of a node that plans.
 const PLANNER_PERIOD: Duration = Duration::from_secs(1);
-/// Time between two writes of the presence row of any other node.
+/// Nodes, the first by name, that watch closely whether another one plans.
+pub const SUCCESSORS: usize = 3;
+/// The least time between two writes of the presence row of any other node.
 const PERIOD: Duration = Duration::from_secs(5);
+/// What each node adds to that time, so that the writes of a large fleet stay few.
+const PERIOD_STEP: Duration = Duration::from_millis(250);
 /// Silence after which a planner is replaced.
 const PLANNER_LIMIT: Duration = Duration::from_millis(2_600);
-/// Silence after which a node that does not plan is not expected to begin to.
-const QUIET_LIMIT: Duration = Duration::from_millis(6_500);
-/// Silence after which a node no longer counts.
-const LIMIT: Duration = Duration::from_secs(13);
+/// Silence after which a planner is replaced by a node that looks rarely.
+const SLOW_LIMIT: Duration = Duration::from_secs(12);
+/// How much later than its period a row of a node that does not plan may be seen.
+const QUIET_SLACK: Duration = Duration::from_millis(1_500);
+/// Periods without a row after which a node no longer counts.
+const PERIODS: u32 = 3;
 /// The time over which nodes spread their attempts to plan.
 const SPREAD: Duration = Duration::from_millis(250);
 
@@ -144,9 +150,9 @@
         let mut boots = KnownBoots::default();
         for (name, seen) in &self.nodes {
             let limit = if seen.row.plans {
-                PLANNER_LIMIT
+                self.planner_limit(now)
             } else {
-                QUIET_LIMIT
+                self.period() + QUIET_SLACK
             };
             let list = if *name == self.node || seen.row.stops || now.since(seen.at) >= limit {
                 &mut boots.gone
@@ -161,19 +167,49 @@
     /// The nodes that are there, this one included.
     #[must_use]
     pub fn live(&self, now: Moment) -> usize {
+        let limit = self.period() * PERIODS;
         let others = self
             .nodes
             .iter()
-            .filter(|(name, seen)| **name != self.node && now.since(seen.at) < LIMIT);
+            .filter(|(name, seen)| **name != self.node && now.since(seen.at) < limit);
         others.count() + 1
     }
 
+    /// How many live nodes precede this one by name.
+    #[must_use]
+    pub fn place(&self, now: Moment) -> usize {
+        let limit = self.period() * PERIODS;
+        let before = |name: &String, seen: &Seen| *name < self.node && now.since(seen.at) < limit;
+        self.nodes
+            .iter()
+            .filter(|(name, seen)| before(name, seen))
+            .count()
+    }
+
+    /// Time between two writes of a node that does not plan.
+    fn period(&self) -> Duration {
+        let nodes = u32::try_from(self.nodes.len()).unwrap_or(u32::MAX);
+        PERIOD.max(PERIOD_STEP.saturating_mul(nodes))
+    }
+
     /// Whether another node plans, as far as is known.
     #[must_use]
     pub fn other_plans(&self, now: Moment) -> bool {
-        self.nodes.iter().any(|(name, seen)| {
-            *name != self.node && seen.row.plans && now.since(seen.at) < PLANNER_LIMIT
-        })
+        let limit = self.planner_limit(now);
+        self.nodes
+            .iter()
+            .any(|(name, seen)| *name != self.node && seen.row.plans && now.since(seen.at) < limit)
+    }
+
+    /// The silence after which this node takes a planner for gone.
+    ///
+    /// Only the first few nodes follow the rows closely, so that the others need not.
+    fn planner_limit(&self, now: Moment) -> Duration {
+        if self.place(now) < SUCCESSORS {
+            PLANNER_LIMIT
+        } else {
+            SLOW_LIMIT
+        }
     }
 
     /// What is due now; `knows` says that the rows of the nodes are known and up to date.
@@ -182,7 +218,7 @@
         let period = if self.own.plans {
             PLANNER_PERIOD
         } else {
-            PERIOD
+            self.period()
         };
         if self.written.is_none_or(|at| now.since(at) >= period) {
             self.written = Some(now);
--- /dev/null
+++ b/crates/tanagerhub_groups/tests/presence.rs
@@ -0,0 +1,130 @@
+//! Which nodes are there, and which of them may plan.
+
+use std::time::Duration;
+
+use tanagerhub_clock::Moment;
+use tanagerhub_groups::{Presence, PresenceAction, SUCCESSORS};
+use tanagerhub_table::{RowKey, RowVersion, VersionedRow};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Nodes that see each other's rows at once, as long as they live.
+struct Fleet {
+    now: Moment,
+    nodes: Vec<(String, Presence, bool)>,
+    version: u64,
+    /// Places of the nodes that tried to plan.
+    tried: Vec<usize>,
+}
+
+impl Fleet {
+    fn new(count: usize) -> Self {
+        let node = |place: usize| {
+            let name = format!("node-{place:03}");
+            let boot = u64::try_from(place + 1).unwrap();
+            (name.clone(), Presence::new(name, boot, boot * 37), true)
+        };
+        Self {
+            now: Moment::from_millis(1_000),
+            nodes: (0..count).map(node).collect(),
+            version: 0,
+            tried: Vec::new(),
+        }
+    }
+
+    fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now = self.now + Duration::from_millis(100);
+            for place in 0..self.nodes.len() {
+                self.tick(place);
+            }
+        }
+    }
+
+    fn tick(&mut self, place: usize) {
+        let (name, presence, alive) = &mut self.nodes[place];
+        if !*alive {
+            return;
+        }
+        let name = name.clone();
+        for action in presence.tick(self.now, true) {
+            match action {
+                PresenceAction::Write(value) => self.write(&name, value),
+                PresenceAction::Plan(_) => self.tried.push(place),
+            }
+        }
+    }
+
+    fn write(&mut self, name: &str, value: Vec<u8>) {
+        self.version += 1;
+        let row = VersionedRow {
+            key: RowKey::in_table("nodes", name),
+            version: RowVersion(self.version),
+            value: Some(value),
+        };
+        for (_, presence, _) in &mut self.nodes {
+            presence
+                .rows(self.now, std::slice::from_ref(&row), false)
+                .unwrap();
+        }
+    }
+
+    fn plan(&mut self, place: usize) {
+        self.nodes[place].1.plans(true);
+        self.tried.clear();
+    }
+}
+
+#[test]
+fn plan_where_nobody_does() {
+    let mut fleet = Fleet::new(4);
+    fleet.run(SECOND);
+    assert!(!fleet.tried.is_empty());
+}
+
+#[test]
+fn leave_planning_to_live_planner() {
+    let mut fleet = Fleet::new(4);
+    fleet.plan(2);
+    fleet.run(SECOND);
+    fleet.tried.clear();
+    fleet.run(30 * SECOND);
+    assert!(fleet.tried.is_empty(), "{:?}", fleet.tried);
+}
+
+#[test]
+fn replace_silent_planner() {
+    let mut fleet = Fleet::new(6);
+    fleet.plan(5);
+    fleet.run(5 * SECOND);
+    fleet.tried.clear();
+    fleet.nodes[5].2 = false;
+    fleet.run(2 * SECOND);
+    assert!(fleet.tried.is_empty(), "{:?}", fleet.tried);
+    fleet.run(2 * SECOND);
+    assert!(!fleet.tried.is_empty());
+    assert!(fleet.tried.iter().all(|place| *place < SUCCESSORS));
+}
+
+#[test]
+fn count_live_nodes() {
+    let mut fleet = Fleet::new(6);
+    fleet.run(6 * SECOND);
+    assert_eq!(fleet.nodes[0].1.live(fleet.now), 6);
+    fleet.nodes[3].2 = false;
+    fleet.run(20 * SECOND);
+    assert_eq!(fleet.nodes[0].1.live(fleet.now), 5);
+}
+
+#[test]
+fn write_rarely_in_large_fleet() {
+    let mut fleet = Fleet::new(60);
+    fleet.plan(0);
+    fleet.run(30 * SECOND);
+    let before = fleet.version;
+    fleet.run(30 * SECOND);
+    // One write a second by the planner, and one every 15 s by each other node.
+    let writes = fleet.version - before;
+    assert!(writes <= 30 + 2 * 59 + 5, "{writes}");
+}
