--- a/crates/tanagerhub/src/gateway/front.rs
+++ b/crates/tanagerhub/src/gateway/front.rs
@@ -210,18 +210,23 @@
     content.extend_from_slice(call.target.as_str().as_bytes());
     content.extend_from_slice(organisation.as_bytes());
     content.extend_from_slice(&call.body);
-    RequestInfo::new(
+    let info = RequestInfo::new(
         RequestId(rand::random()),
         OrganisationId::of(organisation),
         call.entry,
-    )
-    .deadline(call.give_up)
-    .repeat(Call::repeat(call.kind))
-    .tokens(head.prompt_tokens, head.max_tokens)
-    .fingerprint(xxh3_64(&content))
-    .class(class_of(priority))
-    .attempts(route.attempts)
-    .patience(route.objective.mul_f64(PATIENCE))
+    );
+    let info = if call.kind.is_stream() {
+        info.objective(call.objective)
+    } else {
+        info
+    };
+    info.deadline(call.give_up)
+        .repeat(Call::repeat(call.kind))
+        .tokens(head.prompt_tokens, head.max_tokens)
+        .fingerprint(xxh3_64(&content))
+        .class(class_of(priority))
+        .attempts(route.attempts)
+        .patience(route.objective.mul_f64(PATIENCE))
 }
 
 /// How long a stream may take to begin: callers leave one that shows nothing for long.
--- a/crates/tanagerhub_traffic/src/group.rs
+++ b/crates/tanagerhub_traffic/src/group.rs
@@ -32,6 +32,17 @@
     pub(crate) suspension: Duration,
 }
 
+/// Requests with an objective that wait for their first byte at a group that is not known yet.
+const FIRST_PACE: f64 = 4.0;
+/// The most of them.
+const MOST_PACE: f64 = 32.0;
+/// The part of the objective that first bytes should come within.
+const ON_TIME: f64 = 0.9;
+/// The part of its window that a group keeps when first bytes come late.
+const WINDOW_CUT: f64 = 0.7;
+/// Time between two cuts of a group's window; late first bytes come in bunches.
+const CUT_AGAIN: Duration = Duration::from_millis(200);
+
 /// One group, with what this node has in flight there.
 #[derive(Debug)]
 pub(crate) struct Group {
@@ -46,6 +57,9 @@
     pub(crate) suspects: u32,
     limits: GroupLimits,
     window: u32,
+    /// The same for requests with an objective, in steps smaller than one request.
+    pace: f64,
+    cut: Moment,
     others: u32,
     reported: Moment,
     own_reported: u32,
@@ -70,6 +84,8 @@
             suspects: 0,
             limits,
             window: limits.window,
+            pace: FIRST_PACE,
+            cut: Moment::ZERO,
             others: 0,
             reported: Moment::ZERO,
             own_reported: 0,
@@ -200,6 +216,21 @@
         }
     }
 
+    /// Whether one more request with an objective may wait for its first byte.
+    pub(crate) fn keeps_pace(&self) -> bool {
+        f64::from(self.unanswered) < self.pace
+    }
+
+    /// Takes in how long the first byte of a request with an objective took.
+    pub(crate) fn paced(&mut self, now: Moment, wait: Duration, objective: Duration) {
+        if wait <= objective.mul_f64(ON_TIME) {
+            self.pace = (self.pace + 1.0 / self.pace).min(MOST_PACE);
+        } else if now.since(self.cut) >= CUT_AGAIN {
+            self.cut = now;
+            self.pace = (self.pace * WINDOW_CUT).max(1.0);
+        }
+    }
+
     /// Takes in a first byte; the window opens.
     pub(crate) fn first_byte(&mut self, now: Moment, wait: Duration) {
         self.unanswered = self.unanswered.saturating_sub(1);
--- a/crates/tanagerhub_traffic/src/groups.rs
+++ b/crates/tanagerhub_traffic/src/groups.rs
@@ -40,6 +40,8 @@
     pub(crate) suspect: bool,
     /// The usual wait for a first byte, in seconds.
     pub(crate) usual: Option<f64>,
+    /// Whether it has an objective.
+    pub(crate) paced: bool,
 }
 
 /// The arena of groups.
@@ -158,6 +160,7 @@
             let group = &self.arena[*key];
             let centre = group.route.data_centre;
             let apart = !wish.suspect || group.suspects == 0;
+            let apart = apart && (!wish.paced || group.keeps_pace());
             if apart && group.has_room(now, wish.limit, live) && !wish.tried.contains(key) {
                 let distance = if centre == self.home {
                     0.0
--- a/crates/tanagerhub_traffic/src/in_flight.rs
+++ b/crates/tanagerhub_traffic/src/in_flight.rs
@@ -18,6 +18,8 @@
 #[derive(Debug)]
 pub(crate) struct Request {
     pub(crate) info: RequestInfo,
+    /// When it came.
+    pub(crate) arrived: Moment,
     pub(crate) place: Place,
     /// Attempts that still run: one, or two with a hedge.
     pub(crate) attempts: SmallVec<[AttemptKey; 2]>,
@@ -36,9 +38,10 @@
 }
 
 impl Request {
-    pub(crate) fn new(info: RequestInfo, place: Place) -> Self {
+    pub(crate) fn new(now: Moment, info: RequestInfo, place: Place) -> Self {
         Self {
             info,
+            arrived: now,
             place,
             attempts: SmallVec::new(),
             tried: SmallVec::new(),
--- a/crates/tanagerhub_traffic/src/request.rs
+++ b/crates/tanagerhub_traffic/src/request.rs
@@ -65,6 +65,8 @@
     pub attempts: Option<u32>,
     /// How long it may wait for a group; `None` for as long as its deadline allows.
     pub patience: Option<Duration>,
+    /// The time to the first byte that counts as on time, if any does.
+    pub objective: Option<Duration>,
 }
 
 impl RequestInfo {
@@ -84,6 +86,7 @@
             deadline: Moment::ZERO,
             attempts: None,
             patience: None,
+            objective: None,
         }
     }
 
@@ -103,6 +106,15 @@
         self
     }
 
+    /// Sets the time to the first byte that counts as on time.
+    ///
+    /// Where first bytes of a group come later than that, fewer requests wait there at once.
+    #[must_use]
+    pub const fn objective(mut self, objective: Duration) -> Self {
+        self.objective = Some(objective);
+        self
+    }
+
     /// Until when it may wait from now on, if it may until `latest`.
     pub(crate) fn wait_until(&self, now: Moment, latest: Moment) -> Moment {
         self.patience
--- a/crates/tanagerhub_traffic/src/traffic/admission.rs
+++ b/crates/tanagerhub_traffic/src/traffic/admission.rs
@@ -83,7 +83,7 @@
         let entry_id = info.entry;
         let work = info.cost();
         let weight = self.weight(place.organisation);
-        let key = self.requests.insert(Request::new(info, place));
+        let key = self.requests.insert(Request::new(now, info, place));
         let Some(entry) = self.entries.get_mut(&entry_id) else {
             return Decision::Wait(now);
         };
--- a/crates/tanagerhub_traffic/src/traffic/dispatch.rs
+++ b/crates/tanagerhub_traffic/src/traffic/dispatch.rs
@@ -32,6 +32,8 @@
             tried: &request.tried,
             suspect,
             usual: entry.first_byte.get(),
+            // A stream that is resumed goes on even where others would be late.
+            paced: request.info.objective.is_some() && request.tokens == 0,
         };
         let live = self.share.share().nodes;
         let choice = self.groups.pick(now, live, &wish, &mut self.random)?;
