Reload settings, set limits from the configuration, cut streams that go wrong

A stream whose events came out of order and that could not be resumed ended as if it were complete: an early return in the relay. It is cut now. Test: cut_stream_out_of_order, failed first. The limits of callers' connections come from the configuration.

--- a/crates/tanagerhub/src/gateway/control.rs
+++ b/crates/tanagerhub/src/gateway/control.rs
@@ -5,11 +5,12 @@
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
-use tanagerhub_catalogue::{Catalogue, DataCentreId, Epoch, GroupId};
+use tanagerhub_catalogue::{Catalogue, DataCentreId, Epoch, GroupId, VmId};
 use tanagerhub_clock::{Clock, Moment};
 use tanagerhub_groups::{
     Decision, Groups, GroupsAction, GroupsEvent, Head, Presence, PresenceAction, VmReport,
 };
+use tanagerhub_proxy::LimitsHandle;
 use tanagerhub_table::{Commit, FeedError, StoreClock, VersionedRow};
 use tanagerhub_traffic::{Route, RouteTable};
 
@@ -68,10 +69,16 @@
     pub(crate) paces: FeedPaces,
     /// The pulses of groups with requests, to wake those of a group that lost a member.
     pub(crate) pulses: Arc<Pulses>,
+    /// The limits of callers' connections, which the configuration sets.
+    pub(crate) limits: LimitsHandle,
     pub(crate) view: ControlView,
 }
 
 /// What the control thread knows and has published.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "facts that are independent of each other"
+)]
 #[derive(Debug, Default)]
 pub(crate) struct ControlView {
     store_clock: StoreClock,
@@ -237,6 +244,7 @@
         }
         log::info!(version = configuration.version, before:? = known; "configuration in force");
         let configuration = Arc::new(configuration);
+        self.limits.set(configuration.limits);
         self.shared.configure(Arc::clone(&configuration));
         let engines = configuration.engines.clone();
         self.view.configuration = Some(configuration);
@@ -252,16 +260,14 @@
         let mut reports: Vec<VmReport> = Vec::new();
         for row in &page.rows {
             let name = row.key.name();
-            let report = row.value.as_ref().map(|value| {
-                let decoded = self.edges.dialect.vm(name, value);
-                decoded.map_err(|error| log::warn!(vm = name, error:%; "a VM's row is ignored"))
-            });
-            match report {
+            let value = row.value.as_ref();
+            match value.map(|value| self.edges.dialect.vm(name, value)) {
                 Some(Ok(report)) => reports.push(report),
-                Some(Err(())) | None => {
-                    let vm = tanagerhub_catalogue::VmId::of(name);
-                    self.tell_groups(now, GroupsEvent::VmGone(vm));
+                Some(Err(error)) => {
+                    log::warn!(vm = name, error:%; "a VM's row is ignored");
+                    self.tell_groups(now, GroupsEvent::VmGone(VmId::of(name)));
                 }
+                None => self.tell_groups(now, GroupsEvent::VmGone(VmId::of(name))),
             }
         }
         if news.all {
--- a/crates/tanagerhub/src/gateway/exchange.rs
+++ b/crates/tanagerhub/src/gateway/exchange.rs
@@ -68,7 +68,7 @@
 
 /// What a back end answered.
 pub(crate) enum Answered {
-    Whole(Dispatch, WholeAnswer),
+    Whole(Dispatch, Box<WholeAnswer>),
     Stream(Box<Started>),
 }
 
@@ -108,7 +108,7 @@
         let (ticket, decision) = self.front.traffic.submit(info);
         self.ticket = Some(ticket);
         match self.start(decision, self.call.last_event).await {
-            Ok(Answered::Whole(_, answer)) => self.finish_whole(answer),
+            Ok(Answered::Whole(_, answer)) => self.finish_whole(*answer),
             Ok(Answered::Stream(started)) => Streaming::respond(self, *started),
             Err(failure) => self.fail(failure),
         }
@@ -123,7 +123,7 @@
         let mut decision = decision;
         loop {
             let dispatch = match decision {
-                Decision::Refuse(refusal) => return Err(self.refused(&refusal)),
+                Decision::Refuse(refusal) => return Err(Failure::of(&refusal)),
                 Decision::Wait(_) => {
                     decision = self.next_decision().await?;
                     continue;
@@ -137,17 +137,7 @@
                 },
                 Err(error) => self.failed_attempt(dispatch, &error)?,
             };
-            decision = self.after(next)?;
-        }
-    }
-
-    /// The decision that follows a failed attempt.
-    pub(crate) fn after(&mut self, next: Next) -> Result<Decision, Failure> {
-        match next {
-            Next::Retry(dispatch) => Ok(Decision::Dispatch(dispatch)),
-            Next::Wait(until) => Ok(Decision::Wait(until)),
-            Next::Fail(refusal) => Err(self.refused(&refusal)),
-            Next::Continue | Next::Done | Next::CancelOther(_) => Err(lost()),
+            decision = decision_after(&next)?;
         }
     }
 
@@ -172,7 +162,7 @@
         match answered {
             Answered::Whole(dispatch, answer) => {
                 if answer.status.is_server_error() && self.call.is_repeatable() {
-                    self.failed = Some(answer);
+                    self.failed = Some(*answer);
                     return Err(self.report(dispatch, AttemptEvent::Failed));
                 }
                 self.front.metrics.attempt("answered");
@@ -254,7 +244,7 @@
         let work = self.exchange(dispatch, last_event);
         let answered = future::or(work, future::or(hurried, expired)).await;
         answered.map(|answer| match answer {
-            Received::Whole(answer) => Answered::Whole(dispatch, answer),
+            Received::Whole(answer) => Answered::Whole(dispatch, Box::new(answer)),
             Received::Stream {
                 status,
                 headers,
@@ -374,11 +364,6 @@
         request
     }
 
-    /// The failure that a refusal means for the caller.
-    fn refused(&self, refusal: &Refusal) -> Failure {
-        Failure::of(refusal)
-    }
-
     fn finish_whole(&self, answer: WholeAnswer) -> Response<ReplyBody> {
         self.log_end(answer.status, "answered");
         answer.into_response()
@@ -407,6 +392,16 @@
     }
 }
 
+/// The decision that follows a failed attempt.
+pub(crate) fn decision_after(next: &Next) -> Result<Decision, Failure> {
+    match next {
+        Next::Retry(dispatch) => Ok(Decision::Dispatch(*dispatch)),
+        Next::Wait(until) => Ok(Decision::Wait(*until)),
+        Next::Fail(refusal) => Err(Failure::of(refusal)),
+        Next::Continue | Next::Done | Next::CancelOther(_) => Err(lost()),
+    }
+}
+
 /// What an exchange with a back end brought.
 enum Received {
     Whole(WholeAnswer),
--- a/crates/tanagerhub/src/gateway/feed_pace.rs
+++ b/crates/tanagerhub/src/gateway/feed_pace.rs
@@ -92,25 +92,25 @@
 /// The paces for a node of a fleet of `nodes`, which `place` others precede by name.
 pub(crate) fn paces(nodes: usize, place: usize, plans: bool) -> Paces {
     let large = nodes >= LARGE_FLEET;
-    let pace = |wait, interval| Pace {
+    let every = |wait, interval| Pace {
         wait: Duration::from_millis(wait),
         interval: Duration::from_millis(interval),
     };
     let operators = if large {
-        pace(2_000, 100)
+        every(2_000, 100)
     } else {
-        pace(1_000, 100)
+        every(1_000, 100)
     };
     let vms = match (plans, large) {
-        (true, _) => pace(2_000, 120),
-        (false, false) => pace(2_000, 600),
-        (false, true) => pace(3_000, 1_300),
+        (true, _) => every(2_000, 120),
+        (false, false) => every(2_000, 600),
+        (false, true) => every(3_000, 1_300),
     };
     let closely = plans || place < SUCCESSORS;
     let nodes = match (closely, large) {
-        (true, _) => pace(2_000, 1_000),
-        (false, false) => pace(4_000, 3_000),
-        (false, true) => pace(10_000, 8_000),
+        (true, _) => every(2_000, 1_000),
+        (false, false) => every(4_000, 3_000),
+        (false, true) => every(10_000, 8_000),
     };
     Paces {
         operators,
--- a/crates/tanagerhub/src/gateway/gateway_settings.rs
+++ b/crates/tanagerhub/src/gateway/gateway_settings.rs
@@ -51,6 +51,26 @@
         }
     }
 
+    /// Whether both are of the same node at the same addresses.
+    pub(crate) fn has_same_place(&self, other: &Self) -> bool {
+        self.node == other.node
+            && self.data_centre == other.data_centre
+            && self.callers == other.callers
+            && self.ready == other.ready
+    }
+
+    /// These settings with all that may change while a node runs taken from `other`.
+    pub(crate) fn renewed(self, other: Self) -> Self {
+        Self {
+            node: self.node,
+            data_centre: self.data_centre,
+            callers: self.callers,
+            ready: self.ready,
+            metrics: self.metrics,
+            ..other
+        }
+    }
+
     /// Sets where counters and the state are read.
     #[must_use]
     pub const fn metrics(mut self, address: SocketAddr) -> Self {
--- a/crates/tanagerhub/src/gateway/shared.rs
+++ b/crates/tanagerhub/src/gateway/shared.rs
@@ -15,7 +15,8 @@
 #[derive(Debug)]
 pub(crate) struct Shared {
     clock: Clock,
-    key_life: Duration,
+    /// For how long keys count without a word from the store, in milliseconds.
+    key_life: AtomicU64,
     configuration: ArcSwapOption<Configuration>,
     /// Names of the VMs that take the requests of groups.
     names: ArcSwap<HashMap<GroupId, Arc<str>>>,
@@ -30,7 +31,7 @@
     pub(crate) fn new(clock: Clock, key_life: Duration) -> Self {
         Self {
             clock,
-            key_life,
+            key_life: AtomicU64::new(millis(key_life)),
             configuration: ArcSwapOption::empty(),
             names: ArcSwap::default(),
             proved: AtomicU64::new(0),
@@ -60,6 +61,11 @@
         self.proved.fetch_max(at.as_nanos(), Ordering::Relaxed);
     }
 
+    /// Sets for how long keys count without a word from the store.
+    pub(crate) fn set_key_life(&self, life: Duration) {
+        self.key_life.store(millis(life), Ordering::Relaxed);
+    }
+
     /// How old the knowledge of the operators' rows is.
     pub(crate) fn age(&self) -> Duration {
         let proved = Moment::from_nanos(self.proved.load(Ordering::Relaxed));
@@ -69,7 +75,8 @@
     /// Whether a key that was valid at the last word of the store may still be used.
     pub(crate) fn keys_hold(&self) -> bool {
         let known = self.proved.load(Ordering::Relaxed) > 0;
-        known && self.age() < self.key_life
+        let life = Duration::from_millis(self.key_life.load(Ordering::Relaxed));
+        known && self.age() < life
     }
 
     /// Notes that a request has come.
@@ -91,3 +98,7 @@
         configured && !self.draining.load(Ordering::Relaxed) && self.keys_hold()
     }
 }
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/tanagerhub/src/gateway/start.rs
+++ b/crates/tanagerhub/src/gateway/start.rs
@@ -96,22 +96,10 @@
         clock: Clock,
         metrics: GatewayMetrics,
     ) -> Result<Self, GatewayError> {
-        let callers = listen("caller", settings.callers).await?;
-        let ready = listen("ready", settings.ready).await?;
         let (events, received) = async_channel::unbounded();
         let shared = Arc::new(Shared::new(clock.clone(), settings.key_life));
         let traffic = Arc::new(traffic_handle(&settings, &clock, &events));
-        let paces = FeedPaces::default();
         let pulses = Arc::new(Pulses::default());
-        let mut control = control(
-            &settings, &edges, &clock, &metrics, &shared, &traffic, &events, &paces,
-        );
-        control.pulses = Arc::clone(&pulses);
-        let thread = std::thread::Builder::new()
-            .name("control".to_owned())
-            .spawn(move || future::block_on(control.run(received)))
-            .map_err(|source| GatewayError::Thread { source })?;
-
         let client = Client::new(PoolLimits::default(), CONNECT_LIMIT, clock.clone());
         let front = Arc::new(Front {
             clock: clock.clone(),
@@ -123,20 +111,51 @@
             suspicions: events.clone(),
             metrics: metrics.clone(),
         });
+        let callers = listen("caller", settings.callers).await?;
+        let ready = listen("ready", settings.ready).await?;
+        let callers = serve_callers(callers, &clock, front, settings.callers)?;
+        let mut others = vec![serve_ready(ready, &clock, &shared, settings.ready)?];
+        if let Some(address) = settings.metrics {
+            let listener = listen("metrics", address).await?;
+            let metrics = metrics.clone();
+            others.push(serve_metrics(listener, &clock, metrics, &events, address)?);
+        }
+
+        let paces = FeedPaces::default();
+        let boot = rand::random_range(1..u64::MAX);
+        let control = GatewayControl {
+            clock: clock.clone(),
+            edges: edges.clone(),
+            store: ControlStore {
+                node: settings.node.clone(),
+                edges: edges.clone(),
+                clock: clock.clone(),
+                metrics: metrics.clone(),
+                events: events.clone(),
+            },
+            shared: Arc::clone(&shared),
+            traffic: Arc::clone(&traffic),
+            metrics,
+            groups: Groups::new(settings.groups.clone().boot(boot), rand::random()),
+            presence: Presence::new(settings.node.clone(), boot, rand::random()),
+            paces: paces.clone(),
+            pulses: Arc::clone(&pulses),
+            limits: callers.limits(),
+            view: ControlView::default(),
+        };
+        let thread = std::thread::Builder::new()
+            .name("control".to_owned())
+            .spawn(move || future::block_on(control.run(received)))
+            .map_err(|source| GatewayError::Thread { source })?;
+
         let mut tasks = feeds(&edges, &clock, &events, &paces);
         tasks.push(task::spawn(Arc::clone(&traffic).run()));
         tasks.push(task::spawn(sweep_connections(clock.clone(), client)));
         tasks.push(task::spawn(sweep_pulses(
             clock.clone(),
-            Arc::clone(&pulses),
+            pulses,
             events.clone(),
         )));
-        let mut others = vec![serve_ready(ready, &clock, &shared, settings.ready)?];
-        if let Some(address) = settings.metrics {
-            let listener = listen("metrics", address).await?;
-            others.push(serve_metrics(listener, &clock, metrics, &events, address)?);
-        }
-        let callers = serve_callers(callers, &clock, front, settings.callers)?;
         log::info!(node = settings.node.as_str(), callers:% = settings.callers; "started");
         Ok(Self {
             settings,
@@ -151,6 +170,26 @@
         })
     }
 
+    /// Takes in changed settings.
+    ///
+    /// Names and addresses hold from the next start on; the log says when they differ.
+    pub fn reload(&mut self, settings: GatewaySettings) {
+        if !self.settings.has_same_place(&settings) {
+            log::warn!("the node's name or addresses have changed: they hold from the next start");
+        }
+        self.shared.set_key_life(settings.key_life);
+        self.traffic
+            .with(|traffic, _| traffic.retries(settings.retry_ratio, settings.retry_slack));
+        log::info!(
+            key_life_ms = settings.key_life.as_millis(),
+            retry_ratio = settings.retry_ratio,
+            retry_slack = settings.retry_slack,
+            grace_ms = settings.grace.as_millis();
+            "settings reloaded"
+        );
+        self.settings = self.settings.clone().renewed(settings);
+    }
+
     /// Stops gracefully: nothing in flight is cut off before the time to stop is used up.
     ///
     /// The node first fails the balancer's check and goes on serving for a while. Then it closes
@@ -235,44 +274,6 @@
     TrafficHandle::new(clock.clone(), Traffic::new(traffic, seed), Box::new(facts))
 }
 
-#[expect(
-    clippy::too_many_arguments,
-    reason = "it joins the parts of a node, each of which it needs"
-)]
-fn control(
-    settings: &GatewaySettings,
-    edges: &Edges,
-    clock: &Clock,
-    metrics: &GatewayMetrics,
-    shared: &Arc<Shared>,
-    traffic: &Arc<TrafficHandle>,
-    events: &Sender<GatewayEvent>,
-    paces: &FeedPaces,
-) -> GatewayControl {
-    let store = ControlStore {
-        node: settings.node.clone(),
-        edges: edges.clone(),
-        clock: clock.clone(),
-        metrics: metrics.clone(),
-        events: events.clone(),
-    };
-    let boot = rand::random_range(1..u64::MAX);
-    let groups = settings.groups.clone().boot(boot);
-    GatewayControl {
-        clock: clock.clone(),
-        edges: edges.clone(),
-        store,
-        shared: Arc::clone(shared),
-        traffic: Arc::clone(traffic),
-        metrics: metrics.clone(),
-        groups: Groups::new(groups, rand::random()),
-        presence: Presence::new(settings.node.clone(), boot, rand::random()),
-        paces: paces.clone(),
-        pulses: Arc::default(),
-        view: ControlView::default(),
-    }
-}
-
 /// Follows the tables that the node depends on.
 fn feeds(
     edges: &Edges,
@@ -395,14 +396,12 @@
     } else {
         None
     };
-    match dump {
-        Some(dump) => text(dump, "application/json"),
-        None => {
-            let mut response = Response::new(empty_body());
-            *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-            response
-        }
+    if let Some(dump) = dump {
+        return text(dump, "application/json");
     }
+    let mut response = Response::new(empty_body());
+    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    response
 }
 
 fn text(content: String, kind: &'static str) -> Response<ReplyBody> {
--- a/crates/tanagerhub/src/gateway/streaming.rs
+++ b/crates/tanagerhub/src/gateway/streaming.rs
@@ -8,7 +8,7 @@
 use tanagerhub_proxy::{BodyError, CutBody, ReplyBody, stream_body, strip_hop_headers};
 use tanagerhub_traffic::{AttemptEvent, EventRelay, RelayError};
 
-use crate::gateway::exchange::{Answered, Exchange, Started};
+use crate::gateway::exchange::{Answered, Exchange, Started, decision_after};
 
 /// A stream under way.
 pub(crate) struct Streaming {
@@ -55,7 +55,7 @@
             expiry: Box::pin(async move { clock.sleep(left).await }),
             done: false,
         };
-        let events = stream::unfold(streaming, |streaming| streaming.next());
+        let events = stream::unfold(streaming, Self::next);
         let mut response = Response::new(stream_body(events));
         *response.status_mut() = status;
         *response.headers_mut() = headers;
@@ -68,33 +68,27 @@
             return None;
         }
         loop {
-            let step = self.step().await;
-            match step {
+            let broken = match self.step().await {
                 Step::Chunk(chunk) => match self.pass(&chunk) {
-                    Ok(events) if events.is_empty() => {}
+                    Ok(events) if events.is_empty() => continue,
                     Ok(events) => return Some((Ok(events), self)),
-                    Err(error) => self.go_on(Break::Relay(error)).await?,
+                    Err(error) => Break::Relay(error),
                 },
                 Step::End => match self.relay.end() {
                     Ok(()) => {
                         self.finish();
                         return None;
                     }
-                    Err(error) => {
-                        if self.go_on(Break::Relay(error)).await.is_none() {
-                            return Some((Err(CutBody), self));
-                        }
-                    }
+                    Err(error) => Break::Relay(error),
                 },
-                Step::Broken(cause) => {
-                    if self.go_on(cause).await.is_none() {
-                        return Some((Err(CutBody), self));
-                    }
-                }
+                Step::Broken(broken) => broken,
                 Step::Expired => {
                     self.cut("the time is up");
                     return Some((Err(CutBody), self));
                 }
+            };
+            if self.go_on(broken).await.is_none() {
+                return Some((Err(CutBody), self));
             }
         }
     }
@@ -151,7 +145,7 @@
             .report(dispatch, AttemptEvent::Token(self.relay.tokens()));
         let next = self.exchange.report(dispatch, cause.event());
         self.relay.resume();
-        let started = match self.exchange.after(next) {
+        let started = match decision_after(&next) {
             Ok(decision) => self.exchange.start(decision, self.relay.tokens()).await,
             Err(failure) => Err(failure),
         };
--- /dev/null
+++ b/crates/tanagerhub/tests/gateway.rs
@@ -0,0 +1,342 @@
+//! A gateway from end to end, over real sockets, before a deployment in memory.
+
+#[path = "support/deployment.rs"]
+mod deployment;
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use async_std::io::prelude::*;
+use async_std::net::TcpStream;
+use async_std::task;
+use deployment::{Backend, Script, Site, status};
+use yare::parameterized;
+
+#[test]
+fn refuse_without_configuration() {
+    task::block_on(async {
+        let site = Site::start().await;
+        assert_eq!(site.ready().await, 503);
+        let answer = site.ask("GET", "/safe/x").await;
+        assert_eq!(status(&answer), 503, "{answer}");
+        assert!(answer.to_lowercase().contains("retry-after: "), "{answer}");
+    });
+}
+
+#[parameterized(
+    no_route = { "GET", "/nowhere/", "key: k1\r\n", 404 },
+    unknown_key = { "GET", "/safe/", "key: k9\r\n", 401 },
+    no_key = { "GET", "/safe/", "", 401 },
+    public = { "GET", "/public/", "", 200 },
+    known_key = { "GET", "/safe/", "key: k1\r\n", 200 },
+)]
+fn check_request(method: &str, path: &str, headers: &str, expected: u16) {
+    task::block_on(async {
+        let mut site = Site::start().await;
+        let desk = Backend::start(vec![Script::answer(200, "id: 1\r\n", "hello")]).await;
+        site.configure(&["k1"]);
+        site.list("vm-1", "desk", &desk);
+        site.settle().await;
+        let answer = site.ask_with(method, path, headers).await;
+        assert_eq!(status(&answer), expected, "{answer}");
+        assert_eq!(desk.heads().len(), usize::from(expected == 200));
+    });
+}
+
+#[test]
+fn refuse_long_body() {
+    task::block_on(async {
+        let mut site = Site::start().await;
+        site.configure(&["k1"]);
+        site.settle().await;
+        let headers = "key: k1\r\nContent-Length: 1001\r\n";
+        let mut stream = TcpStream::connect(site.settings.callers).await.unwrap();
+        let head = format!("POST /unsafe/ HTTP/1.1\r\nHost: shop\r\nid: 1\r\n{headers}\r\n");
+        stream.write_all(head.as_bytes()).await.unwrap();
+        stream.write_all(&[b'a'; 1_001]).await.unwrap();
+        let mut buffer = [0; 1_024];
+        let count = stream.read(&mut buffer).await.unwrap();
+        let answer = String::from_utf8_lossy(&buffer[..count]).into_owned();
+        assert_eq!(status(&answer), 413, "{answer}");
+    });
+}
+
+#[test]
+fn retry_where_not_run() {
+    task::block_on(async {
+        let mut site = Site::start().await;
+        let full = Backend::start(vec![Script::answer(503, "not-run: 1\r\n", "")]).await;
+        let sound = Backend::start(vec![Script::answer(200, "", "booked")]).await;
+        site.configure(&["k1"]);
+        site.list("vm-1", "desk", &full);
+        site.list("vm-2", "desk", &sound);
+        site.settle().await;
+        // More than two attempts are not allowed, so each request gets through.
+        for _ in 0..4 {
+            let answer = site.ask("POST", "/unsafe/x").await;
+            assert!(answer.ends_with("booked"), "{answer}");
+        }
+    });
+}
+
+#[parameterized(
+    unrepeatable = { "/unsafe/x", 502, 1 },
+    idempotent = { "/safe/x", 502, 2 },
+)]
+fn break_before_answer(path: &str, expected: u16, sent: usize) {
+    task::block_on(async {
+        let mut site = Site::start().await;
+        let broken = Backend::start(vec![Script::default()]).await;
+        site.configure(&["k1"]);
+        site.list("vm-1", "desk", &broken);
+        site.list("vm-2", "desk", &broken);
+        site.settle().await;
+        let answer = site.ask("POST", path).await;
+        assert_eq!(status(&answer), expected, "{answer}");
+        assert!(!answer.to_lowercase().contains("retry-after"), "{answer}");
+        assert_eq!(broken.heads().len(), sent);
+    });
+}
+
+#[test]
+fn pass_failure_unchanged() {
+    task::block_on(async {
+        let mut site = Site::start().await;
+        let failing = Backend::start(vec![Script::answer(500, "stamp: s\r\n", "sorry")]).await;
+        site.configure(&["k1"]);
+        site.list("vm-1", "desk", &failing);
+        site.settle().await;
+        let answer = site.ask("POST", "/unsafe/x").await;
+        assert_eq!(status(&answer), 500);
+        assert!(answer.to_lowercase().contains("stamp: s"), "{answer}");
+        assert!(answer.ends_with("sorry"), "{answer}");
+    });
+}
+
+#[test]
+fn ignore_answer_of_other_request() {
+    task::block_on(async {
+        let mut site = Site::start().await;
+        let foreign = Backend::start(vec![Script::answer(200, "id: 2\r\n", "not yours")]).await;
+        site.configure(&["k1"]);
+        site.list("vm-1", "desk", &foreign);
+        site.settle().await;
+        let answer = site.ask("POST", "/unsafe/x").await;
+        assert_eq!(status(&answer), 502, "{answer}");
+        assert!(!answer.contains("not yours"));
+    });
+}
+
+#[test]
+fn resume_broken_stream() {
+    task::block_on(async {
+        let mut site = Site::start().await;
+        let scripts = vec![Script::events(1, 3, false), Script::events(4, 6, true)];
+        let llm = Backend::start(scripts).await;
+        site.configure(&["k1"]);
+        site.list("vm-1", "llm", &llm);
+        site.list("vm-2", "llm", &llm);
+        site.settle().await;
+        let answer = site.ask("POST", "/stream/x").await;
+        let ids: Vec<&str> = answer
+            .lines()
+            .filter(|line| line.starts_with("id: "))
+            .collect();
+        let expected: Vec<String> = (1..=6).map(|id| format!("id: {id}")).collect();
+        assert_eq!(ids, expected, "{answer}");
+        assert!(answer.ends_with("0\r\n\r\n"), "{answer}");
+        let heads = llm.heads();
+        assert!(heads[1].contains("after: 3"), "{heads:?}");
+    });
+}
+
+#[test]
+fn cut_stream_that_must_not_resume() {
+    task::block_on(async {
+        let mut site = Site::start().await;
+        let llm = Backend::start(vec![Script::events(1, 3, false)]).await;
+        site.configure(&["k1"]);
+        site.list("vm-1", "llm", &llm);
+        site.list("vm-2", "llm", &llm);
+        site.settle().await;
+        let answer = site.ask("POST", "/once/x").await;
+        assert!(answer.contains("id: 3"), "{answer}");
+        assert!(!answer.ends_with("0\r\n\r\n"), "{answer}");
+        assert_eq!(llm.heads().len(), 1);
+    });
+}
+
+/// An event out of order is no event of this answer, and the answer must not look complete.
+#[test]
+fn cut_stream_out_of_order() {
+    task::block_on(async {
+        let mut site = Site::start().await;
+        let mut script = Script::events(1, 2, false);
+        script
+            .parts
+            .extend(Script::events(5, 6, true).parts.split_off(1));
+        let llm = Backend::start(vec![script]).await;
+        site.configure(&["k1"]);
+        site.list("vm-1", "llm", &llm);
+        site.settle().await;
+        let answer = site.ask("POST", "/once/x").await;
+        assert!(answer.contains("id: 2"), "{answer}");
+        assert!(!answer.contains("id: 5"), "{answer}");
+        assert!(!answer.ends_with("0\r\n\r\n"), "{answer}");
+    });
+}
+
+#[test]
+fn give_up_at_deadline() {
+    task::block_on(async {
+        let mut site = Site::start().await;
+        let silent = Backend::start(vec![Script::silence()]).await;
+        site.configure(&["k1"]);
+        site.list("vm-1", "desk", &silent);
+        site.settle().await;
+        let headers = "key: k1\r\ndeadline: 300\r\n";
+        let answer = site.ask_with("POST", "/unsafe/x", headers).await;
+        assert_eq!(status(&answer), 504, "{answer}");
+        let left = silent.heads()[0]
+            .lines()
+            .find_map(|line| line.strip_prefix("left: ").map(str::to_owned));
+        let left: u64 = left.unwrap().parse().unwrap();
+        assert!(left <= 300, "{left}");
+    });
+}
+
+#[test]
+fn refuse_at_once_without_back_end() {
+    task::block_on(async {
+        let mut site = Site::start().await;
+        site.configure(&["k1"]);
+        site.settle().await;
+        let answer = site.ask("GET", "/safe/x").await;
+        assert_eq!(status(&answer), 503, "{answer}");
+        assert!(answer.to_lowercase().contains("retry-after: "), "{answer}");
+    });
+}
+
+#[test]
+fn revoked_key_is_refused() {
+    task::block_on(async {
+        let mut site = Site::start().await;
+        let desk = Backend::start(vec![Script::answer(200, "", "hello")]).await;
+        site.configure(&["k1"]);
+        site.list("vm-1", "desk", &desk);
+        site.settle().await;
+        assert_eq!(status(&site.ask("GET", "/safe/x").await), 200);
+        site.configure(&["k2"]);
+        task::sleep(Duration::from_millis(500)).await;
+        assert_eq!(status(&site.ask("GET", "/safe/x").await), 401);
+    });
+}
+
+#[test]
+fn stale_keys_are_refused() {
+    task::block_on(async {
+        let mut site = Site::start().await;
+        let desk = Backend::start(vec![Script::answer(200, "", "hello")]).await;
+        site.configure(&["k1"]);
+        site.list("vm-1", "desk", &desk);
+        site.settle().await;
+        site.store.down.store(true, Ordering::SeqCst);
+        task::sleep(Duration::from_millis(100)).await;
+        site.hand.advance(site.settings.key_life);
+        assert_eq!(status(&site.ask("GET", "/safe/x").await), 503);
+        assert_eq!(site.ready().await, 503);
+        // What needs no key goes on.
+        assert_eq!(status(&site.ask("GET", "/public/x").await), 200);
+        site.store.down.store(false, Ordering::SeqCst);
+        site.settle().await;
+        assert_eq!(status(&site.ask("GET", "/safe/x").await), 200);
+    });
+}
+
+/// A request that was read before a freeze must not run after it: its key may be gone by then.
+#[test]
+fn freeze_between_read_and_dispatch() {
+    task::block_on(async {
+        let mut site = Site::start().await;
+        let desk = Backend::start(vec![Script::answer(200, "", "hello")]).await;
+        site.configure(&["k1"]);
+        site.list("vm-1", "desk", &desk);
+        site.settle().await;
+        let mut stream = TcpStream::connect(site.settings.callers).await.unwrap();
+        let head = "POST /unsafe/x HTTP/1.1\r\nHost: shop\r\nid: 1\r\nkey: k1\r\n";
+        let head = format!("{head}Content-Length: 2\r\n\r\na");
+        stream.write_all(head.as_bytes()).await.unwrap();
+        // The head has been read and the key was good.
+        task::sleep(Duration::from_millis(100)).await;
+        site.store.down.store(true, Ordering::SeqCst);
+        task::sleep(Duration::from_millis(100)).await;
+        // Short enough for the request's own deadline, too long for the key.
+        let freeze = site.settings.key_life + Duration::from_millis(200);
+        site.hand.advance(freeze);
+        stream.write_all(b"b").await.unwrap();
+        let mut buffer = [0; 1_024];
+        let count = stream.read(&mut buffer).await.unwrap();
+        let answer = String::from_utf8_lossy(&buffer[..count]).into_owned();
+        assert_eq!(status(&answer), 503, "{answer}");
+        assert!(desk.heads().is_empty(), "{:?}", desk.heads());
+    });
+}
+
+#[test]
+fn leaving_back_end_gets_nothing() {
+    task::block_on(async {
+        let mut site = Site::start().await;
+        let desk = Backend::start(vec![Script::answer(200, "", "hello")]).await;
+        site.configure(&["k1"]);
+        site.list("vm-1", "desk", &desk);
+        site.settle().await;
+        let row = format!("desk {} leaving", desk.address);
+        site.store.put("vms", "vm-1", &row);
+        task::sleep(Duration::from_millis(900)).await;
+        assert_eq!(status(&site.ask("GET", "/safe/x").await), 503);
+        assert!(desk.heads().is_empty());
+    });
+}
+
+#[test]
+fn evacuated_centre_gets_nothing() {
+    task::block_on(async {
+        let mut site = Site::start().await;
+        let desk = Backend::start(vec![Script::answer(200, "", "hello")]).await;
+        site.configure(&["k1"]);
+        site.list("vm-1", "desk", &desk);
+        site.settle().await;
+        site.store.put("operators", "here", "");
+        task::sleep(Duration::from_millis(500)).await;
+        assert_eq!(status(&site.ask("GET", "/safe/x").await), 503);
+        site.store.remove("operators", "here");
+        task::sleep(Duration::from_millis(500)).await;
+        assert_eq!(status(&site.ask("GET", "/safe/x").await), 200);
+    });
+}
+
+#[test]
+fn stop_finishes_stream() {
+    task::block_on(async {
+        let mut site = Site::start().await;
+        let llm = Backend::start(vec![Script::events(1, 300, true)]).await;
+        site.configure(&["k1"]);
+        site.list("vm-1", "llm", &llm);
+        site.settle().await;
+        let gateway = site.gateway.take().unwrap();
+        let callers = site.settings.callers;
+        let stream = task::spawn(async move {
+            let mut stream = TcpStream::connect(callers).await.unwrap();
+            let request = "POST /stream/x HTTP/1.1\r\nHost: shop\r\nid: 1\r\nkey: k1\r\n\r\n";
+            stream.write_all(request.as_bytes()).await.unwrap();
+            let mut answer = Vec::new();
+            stream.read_to_end(&mut answer).await.unwrap();
+            String::from_utf8(answer).unwrap()
+        });
+        task::sleep(Duration::from_millis(100)).await;
+        gateway.stop().await;
+        let answer = stream.await;
+        assert!(answer.contains("id: 300\n"), "the stream was cut");
+        assert!(answer.ends_with("0\r\n\r\n"));
+    });
+}
--- a/crates/tanagerhub_groups/src/groups/vms.rs
+++ b/crates/tanagerhub_groups/src/groups/vms.rs
@@ -125,18 +125,13 @@
     }
 
     pub(super) fn upsert(&mut self, now: Moment, report: VmReport) {
-        match self.list.get_mut(&report.vm.id()) {
-            Some(entry) => {
-                entry.gone = None;
-                entry.changed = now;
-                entry.take(report);
-            }
-            None => {
-                let mut entry = VmEntry::new(report);
-                entry.changed = now;
-                self.list.insert(entry.report.vm.id(), entry);
-            }
-        }
+        let entry = self
+            .list
+            .entry(report.vm.id())
+            .or_insert_with(|| VmEntry::new(report.clone()));
+        entry.gone = None;
+        entry.changed = now;
+        entry.take(report);
     }
 
     /// Takes in the whole list; a VM that is missing from it is gone.
--- a/crates/tanagerhub_groups/tests/support/world.rs
+++ b/crates/tanagerhub_groups/tests/support/world.rs
@@ -232,7 +232,7 @@
     /// Applies the transactions that the store held back.
     pub fn deliver_late(&mut self) {
         for transaction in std::mem::take(&mut self.delayed) {
-            let _: Commit = self.apply(&transaction);
+            self.apply(&transaction);
         }
     }
 
@@ -240,7 +240,7 @@
     pub fn deliver_orders(&mut self) {
         self.mute.clear();
         for (vm, order) in std::mem::take(&mut self.late_orders) {
-            let _: OrderResult = self.obey(vm, &order);
+            self.obey(vm, &order);
         }
     }
 
@@ -373,7 +373,7 @@
         match self.fates.pop_front() {
             None => self.apply(&transaction),
             Some(Fate::AnswerLost) => {
-                let _: Commit = self.apply(&transaction);
+                self.apply(&transaction);
                 Commit::Unknown
             }
             Some(Fate::Late) => {
@@ -425,10 +425,10 @@
         let quick = if lead { 10 } else { 1 };
         match order {
             Order::Stage { model } => {
-                let load = engine().model(model).unwrap().load / quick;
+                let time = engine().model(model).unwrap().load / quick;
                 machine
                     .doing
-                    .push((now + load, Done::Staged(model.clone())));
+                    .push((now + time, Done::Staged(model.clone())));
             }
             Order::Join {
                 group,
--- a/crates/tanagerhub_proxy/src/lib.rs
+++ b/crates/tanagerhub_proxy/src/lib.rs
@@ -18,4 +18,4 @@
 pub use hop::strip_hop_headers;
 pub use pool::PoolLimits;
 pub use send_error::SendError;
-pub use server::{Server, ServerLimits, serve};
+pub use server::{LimitsHandle, Server, ServerLimits, serve};
--- a/crates/tanagerhub_proxy/src/server.rs
+++ b/crates/tanagerhub_proxy/src/server.rs
@@ -59,6 +59,17 @@
     tasks: Vec<JoinHandle<()>>,
 }
 
+/// Changes the limits of a running server.
+#[derive(Debug, Clone)]
+pub struct LimitsHandle(Arc<Shared>);
+
+impl LimitsHandle {
+    /// Sets the limits that hold from now on; the size of heads holds for new connections.
+    pub fn set(&self, limits: ServerLimits) {
+        *self.0.limits() = limits;
+    }
+}
+
 #[derive(Debug)]
 struct Shared {
     clock: Clock,
@@ -151,9 +162,10 @@
         self.shared.accepted.load(Ordering::Relaxed)
     }
 
-    /// Sets the limits that hold from now on.
-    pub fn set_limits(&self, limits: ServerLimits) {
-        *self.shared.limits() = limits;
+    /// A way to set the limits that hold from now on.
+    #[must_use]
+    pub fn limits(&self) -> LimitsHandle {
+        LimitsHandle(Arc::clone(&self.shared))
     }
 
     /// Goes on serving, but closes each connection after its next answer.
--- a/crates/tanagerhub_proxy/tests/server.rs
+++ b/crates/tanagerhub_proxy/tests/server.rs
@@ -91,7 +91,7 @@
             async move {
                 count.fetch_add(1, Ordering::SeqCst);
                 let _working = Working(count);
-                task::sleep(Duration::from_secs(60)).await;
+                task::sleep(Duration::from_mins(1)).await;
                 Response::new(full_body(""))
             }
         };
--- a/crates/tanagerhub_traffic/src/retry_budget.rs
+++ b/crates/tanagerhub_traffic/src/retry_budget.rs
@@ -34,6 +34,11 @@
         }
     }
 
+    /// Sets what each request adds.
+    pub const fn set_ratio(&mut self, ratio: f64) {
+        self.ratio = ratio;
+    }
+
     /// Sets how many attempts may be saved up.
     pub const fn set_burst(&mut self, burst: f64) {
         self.burst = burst;
--- a/crates/tanagerhub_traffic/src/settings.rs
+++ b/crates/tanagerhub_traffic/src/settings.rs
@@ -19,6 +19,10 @@
 ///     .nodes(8);
 /// assert_eq!(settings.nodes, 8);
 /// ```
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "switches that are independent of each other"
+)]
 #[serde_as]
 #[derive(Debug, Clone, Serialize)]
 pub struct TrafficSettings {
--- a/crates/tanagerhub_traffic/src/traffic.rs
+++ b/crates/tanagerhub_traffic/src/traffic.rs
@@ -201,6 +201,17 @@
         }
     }
 
+    /// Sets what may be retried: a share of the requests, and attempts beyond it.
+    pub fn retries(&mut self, ratio: f64, burst: f64) {
+        self.settings.retry_ratio = ratio;
+        self.settings.retry_burst = burst;
+        for entry in self.entries.values_mut() {
+            entry.budget.set_ratio(ratio);
+            entry.budget.set_burst(burst);
+        }
+        self.share_budgets();
+    }
+
     /// Begins a graceful shutdown; new requests are still accepted for `grace`.
     pub fn begin_drain(&mut self, now: Moment, grace: Duration) {
         self.drain.begin(now, grace);
