--- a/crates/tanagerhub/src/gateway/feed_pace.rs
+++ b/crates/tanagerhub/src/gateway/feed_pace.rs
@@ -122,3 +122,6 @@
 fn millis(span: Duration) -> u64 {
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/tanagerhub/src/gateway/pulse.rs
+++ b/crates/tanagerhub/src/gateway/pulse.rs
@@ -191,3 +191,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/tanagerhub_traffic/tests/routes.rs
@@ -0,0 +1,226 @@
+//! Routes with limits of their own, and requests with little time.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tanagerhub_catalogue::{
+    Catalogue, Class, Entry, EntryId, EntryKind, Epoch, GroupId, Limits, OrganisationId, RequestId,
+    ServiceEntry,
+};
+use tanagerhub_clock::Moment;
+use tanagerhub_traffic::{
+    AttemptEvent, Decision, Dispatch, Freshness, Next, Reason, Repeat, RequestInfo, Route,
+    RouteTable, Selection, Traffic, TrafficSettings,
+};
+
+const START: Moment = Moment::from_millis(1_000);
+
+fn at(millis: u64) -> Moment {
+    START + Duration::from_millis(millis)
+}
+
+fn settings() -> TrafficSettings {
+    TrafficSettings {
+        selection: Selection::LeastLoaded,
+        first_window: u32::MAX,
+        hedges: false,
+        failures: 3,
+        suspension: Duration::from_secs(1),
+        ..TrafficSettings::default()
+    }
+}
+
+fn traffic(settings: TrafficSettings, routes: &[(u64, u32, Option<u32>)]) -> Traffic {
+    let mut traffic = Traffic::new(settings, 1);
+    let entry = Entry {
+        name: "advisor".to_owned(),
+        owner: String::new(),
+        class: Class::Interactive,
+        limits: Limits {
+            queue: 1_000,
+            first_byte: Duration::from_mins(1),
+            ..Limits::default()
+        },
+        kind: EntryKind::Service(ServiceEntry {
+            routes: Vec::new(),
+            deduplicates: false,
+        }),
+    };
+    let catalogue = Arc::new(Catalogue {
+        entries: vec![entry],
+        ..Catalogue::default()
+    });
+    traffic.catalogue(START, &catalogue);
+    let fresh = Freshness {
+        takes_work: true,
+        live_nodes: 1,
+        place: 0,
+    };
+    traffic.freshness(START, fresh);
+    let route = |(group, slots, starts): &(u64, u32, Option<u32>)| {
+        let address = format!("127.0.0.1:{}", 9_000 + group).parse().unwrap();
+        let entry = EntryId::of("advisor");
+        let mut route = Route::new(GroupId(*group), Epoch(1), entry, address);
+        route.slots = Some(*slots);
+        route.starts = *starts;
+        route
+    };
+    let routes = routes.iter().map(route).collect();
+    traffic.routes(START, RouteTable { routes });
+    traffic
+}
+
+fn info(id: u64, now: Moment) -> RequestInfo {
+    let entry = EntryId::of("advisor");
+    RequestInfo::new(RequestId(id), OrganisationId::of("shop"), entry)
+        .deadline(now + Duration::from_secs(8))
+        .patience(Duration::from_millis(200))
+}
+
+fn dispatched(decision: &Decision) -> Dispatch {
+    match decision {
+        Decision::Dispatch(dispatch) => *dispatch,
+        other => panic!("not dispatched: {other:?}"),
+    }
+}
+
+#[test]
+fn slots_of_route_are_the_limit() {
+    let mut traffic = traffic(settings(), &[(1, 3, None)]);
+    for id in 0..3 {
+        dispatched(&traffic.submit(START, info(id, START)));
+    }
+    let fourth = traffic.submit(START, info(3, START));
+    assert!(matches!(fourth, Decision::Wait(_)), "{fourth:?}");
+}
+
+#[test]
+fn starts_of_route_hold_in_any_second() {
+    let mut traffic = traffic(settings(), &[(1, 100, Some(5))]);
+    let mut starts: Vec<u64> = Vec::new();
+    for millis in (0..3_000).step_by(50) {
+        let decision = traffic.submit(at(millis), info(millis, at(millis)));
+        if let Decision::Dispatch(dispatch) = decision {
+            starts.push(millis);
+            let event = AttemptEvent::Finished { tokens: 1 };
+            traffic.report(at(millis), dispatch.attempt, event);
+        } else {
+            traffic.leave(RequestId(millis));
+        }
+    }
+    for from in &starts {
+        let within = starts
+            .iter()
+            .filter(|at| (*from..from + 1_000).contains(*at));
+        assert!(within.count() <= 5);
+    }
+    assert!(starts.len() >= 14, "{starts:?}");
+}
+
+#[test]
+fn least_loaded_is_chosen() {
+    let mut traffic = traffic(settings(), &[(1, 9, None), (2, 9, None), (3, 9, None)]);
+    let mut counts = [0; 3];
+    for id in 0..9 {
+        let dispatch = dispatched(&traffic.submit(START, info(id, START)));
+        counts[usize::try_from(dispatch.group.0 - 1).unwrap()] += 1;
+    }
+    assert_eq!(counts, [3, 3, 3]);
+}
+
+#[test]
+fn no_group_is_refused_at_once() {
+    let mut traffic = traffic(settings(), &[]);
+    let decision = traffic.submit(START, info(1, START));
+    let Decision::Refuse(refusal) = decision else {
+        panic!("not refused: {decision:?}");
+    };
+    assert_eq!(refusal.reason, Reason::NoGroup);
+    assert!(refusal.retry_after.is_some());
+}
+
+#[test]
+fn patience_ends_the_wait() {
+    let mut traffic = traffic(settings(), &[(1, 1, None)]);
+    dispatched(&traffic.submit(START, info(1, START)));
+    let Decision::Wait(until) = traffic.submit(START, info(2, START)) else {
+        panic!("it does not wait");
+    };
+    assert_eq!(until, at(200));
+    assert!(traffic.poll(at(199)).is_empty());
+    let ended = traffic.poll(at(200));
+    assert!(matches!(ended[..], [(RequestId(2), Decision::Refuse(_))]));
+}
+
+#[test]
+fn attempts_of_request_are_the_limit() {
+    let mut traffic = traffic(settings(), &[(1, 9, None), (2, 9, None), (3, 9, None)]);
+    let request = info(1, START).repeat(Repeat::Whole).attempts(2);
+    let first = dispatched(&traffic.submit(START, request));
+    let Next::Retry(second) = traffic.report(START, first.attempt, AttemptEvent::Broke) else {
+        panic!("no second attempt");
+    };
+    let next = traffic.report(START, second.attempt, AttemptEvent::Broke);
+    assert!(matches!(next, Next::Fail(_)), "{next:?}");
+}
+
+#[test]
+fn failed_answer_does_not_suspend() {
+    let mut traffic = traffic(settings(), &[(1, 9, None)]);
+    for id in 0..9 {
+        let dispatch = dispatched(&traffic.submit(START, info(id, START)));
+        traffic.report(START, dispatch.attempt, AttemptEvent::Failed);
+    }
+    dispatched(&traffic.submit(START, info(9, START)));
+}
+
+#[test]
+fn broken_answers_suspend_after_a_few() {
+    let mut traffic = traffic(settings(), &[(1, 9, None)]);
+    for id in 0..3 {
+        let dispatch = dispatched(&traffic.submit(START, info(id, START)));
+        traffic.report(START, dispatch.attempt, AttemptEvent::Broke);
+    }
+    let decision = traffic.submit(START, info(3, START));
+    assert!(!matches!(decision, Decision::Dispatch(_)), "{decision:?}");
+    traffic.leave(RequestId(3));
+    dispatched(&traffic.submit(at(1_000), info(4, at(1_000))));
+}
+
+#[test]
+fn silence_suspends_at_once() {
+    let mut traffic = traffic(settings(), &[(1, 9, None), (2, 9, None)]);
+    let request = info(1, START).repeat(Repeat::Resume);
+    let first = dispatched(&traffic.submit(START, request));
+    let next = traffic.report(START, first.attempt, AttemptEvent::Silent);
+    let Next::Retry(second) = next else {
+        panic!("not moved: {next:?}");
+    };
+    assert_ne!(second.group, first.group);
+    for id in 2..6 {
+        let dispatch = dispatched(&traffic.submit(START, info(id, START)));
+        assert_eq!(dispatch.group, second.group);
+    }
+}
+
+#[test]
+fn empty_budget_fills_by_requests() {
+    let settings = TrafficSettings {
+        filled: false,
+        retry_ratio: 0.2,
+        retry_burst: 10.0,
+        ..settings()
+    };
+    let mut traffic = traffic(settings, &[(1, 99, None), (2, 99, None)]);
+    let mut retried = 0;
+    for id in 0..20 {
+        let request = info(id, START).repeat(Repeat::Whole);
+        let dispatch = dispatched(&traffic.submit(START, request));
+        let event = AttemptEvent::Failed;
+        if let Next::Retry(again) = traffic.report(START, dispatch.attempt, event) {
+            retried += 1;
+            traffic.report(START, again.attempt, AttemptEvent::Answered);
+        }
+    }
+    assert_eq!(retried, 4);
+}
