Take the answer of another start for none, and let a refusing store rest

Their reports were taken for those of the old ones, so groups waited for members that no longer exist (25 orders 'misdirected'). A planner whom the store refused sent its change ten times a second. Ruled out: the outage of the store before, which ended 5 s earlier.

Tests: replace_displaced, refused_change_is_not_sent_at_once, both failed first.

--- a/crates/tanagerhub_groups/src/groups/drive.rs
+++ b/crates/tanagerhub_groups/src/groups/drive.rs
@@ -255,6 +255,11 @@
             (Order::Join { group, epoch, .. }, OrderResult::Stale) => {
                 self.outrun(now, *group, *epoch);
             }
+            (_, OrderResult::Misdirected) => {
+                if let Some(entry) = self.vms.list.get_mut(&vm) {
+                    entry.displace(&self.settings);
+                }
+            }
             (Order::Stage { .. }, OrderResult::Unfit | OrderResult::NotSent) => {
                 if let Some(entry) = self.vms.list.get_mut(&vm) {
                     entry.staging = None;
--- a/crates/tanagerhub_groups/src/groups/ledger.rs
+++ b/crates/tanagerhub_groups/src/groups/ledger.rs
@@ -24,6 +24,8 @@
     boots: KnownBoots,
     /// The planner's row of an unknown node, and since when it has been like that.
     unknown: Option<(RowVersion, Moment)>,
+    /// Before when the store, which refused the last change, is left alone.
+    pause: Moment,
     /// The changes in the transaction under way.
     changes: Vec<(Change, Option<GroupRow>)>,
 }
@@ -53,8 +55,9 @@
         )
     }
 
-    pub(super) const fn is_free(&self) -> bool {
-        matches!(self.state, State::Held(_))
+    /// Whether a change may be sent.
+    pub(super) fn is_free(&self, now: Moment) -> bool {
+        matches!(self.state, State::Held(_)) && now >= self.pause
     }
 }
 
@@ -181,6 +184,7 @@
             }
             (State::Changing(version), Commit::NotApplied) => {
                 self.ledger.state = State::Held(version);
+                self.ledger.pause = now + self.settings.change_again;
                 self.note_failure(commit);
             }
             (State::Changing(_), Commit::Conflict | Commit::Unknown) => {
--- a/crates/tanagerhub_groups/src/groups/repair.rs
+++ b/crates/tanagerhub_groups/src/groups/repair.rs
@@ -25,7 +25,7 @@
 impl Groups {
     /// Collects the changes that are due, and sends them in one transaction.
     pub(super) fn plan_changes(&mut self, now: Moment) {
-        if !self.ledger.is_free() {
+        if !self.ledger.is_free(now) {
             return;
         }
         let mut free = self.free_vms();
--- a/crates/tanagerhub_groups/src/groups/vms.rs
+++ b/crates/tanagerhub_groups/src/groups/vms.rs
@@ -205,6 +205,11 @@
         entry.waiting = false;
         entry.probed = now;
         let was_lost = entry.failures >= settings.probe_failures;
+        // Another start answers where this one did; the store will tell of it under its own name.
+        let result = result.and_then(|report| {
+            let same = report.started == entry.report.started;
+            same.then_some(report).ok_or(ProbeFailure::Misdirected)
+        });
         match result {
             Ok(report) => {
                 entry.failures = 0;
@@ -228,6 +233,13 @@
     }
 }
 
+impl VmEntry {
+    /// Takes in that something else answers at its address.
+    pub(super) const fn displace(&mut self, settings: &GroupsSettings) {
+        self.failures = settings.probe_failures;
+    }
+}
+
 /// What a probe changed in the belief about a VM.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Verdict {
--- a/crates/tanagerhub_groups/src/settings.rs
+++ b/crates/tanagerhub_groups/src/settings.rs
@@ -19,6 +19,8 @@
     pub probe_failures: u32,
     /// Time after which an order that had no effect is sent again.
     pub order_again: Duration,
+    /// Time after which a change that the store refused is tried again.
+    pub change_again: Duration,
     /// How long the head of a group may finish its requests before a member is replaced.
     pub close_limit: Duration,
     /// How long a head that is out of reach may go on serving by itself.
@@ -39,6 +41,7 @@
             probe_again: Duration::from_millis(50),
             probe_failures: 2,
             order_again: Duration::from_secs(1),
+            change_again: Duration::from_millis(500),
             close_limit: Duration::from_millis(2_500),
             stall: Duration::from_secs(6),
             relist: Duration::from_millis(2_500),
--- a/crates/tanagerhub_groups/tests/planner.rs
+++ b/crates/tanagerhub_groups/tests/planner.rs
@@ -87,6 +87,22 @@
     assert!(world.nodes[1].groups.is_planning());
 }
 
+#[test]
+fn refused_change_is_not_sent_at_once() {
+    let mut world = World::new(6, 10);
+    world.plan(0, KnownBoots::default());
+    world.run(9 * SECOND);
+    world.begin_traffic();
+    world.fates.extend([Fate::Refused; 100]);
+    let lost = world.open_heads("small").remove(0);
+    world.silence(&lost);
+    world.suspect(0, &lost);
+    let before = world.commits;
+    world.run(4 * SECOND);
+    let sent = world.commits - before;
+    assert!((4..=9).contains(&sent), "{sent}");
+}
+
 #[parameterized(
     answer_lost = { Fate::AnswerLost },
     late = { Fate::Late },
--- a/crates/tanagerhub_groups/tests/repair.rs
+++ b/crates/tanagerhub_groups/tests/repair.rs
@@ -102,6 +102,21 @@
 }
 
 /// A VM may leave the list without notice, and serves on for a while.
+/// A replica comes back under another name at the same address, and answers probes there.
+#[parameterized(
+    head = { 0 },
+    member = { 1 },
+)]
+fn replace_displaced(rank: usize) {
+    let mut world = served();
+    let head = world.open_heads("small").remove(0);
+    let displaced = world.members(&head)[rank].clone();
+    world.machine(&displaced).displaced = true;
+    world.suspect(0, &head);
+    world.run(4 * SECOND);
+    assert!(!world.held(0).contains(&displaced));
+}
+
 #[test]
 fn keep_streams_of_unlisted() {
     let mut world = served();
--- a/crates/tanagerhub_groups/tests/support/world.rs
+++ b/crates/tanagerhub_groups/tests/support/world.rs
@@ -49,6 +49,8 @@
     pub report: VmReport,
     /// Whether it answers and listens.
     pub alive: bool,
+    /// Whether another start has its address, and answers reports in its place.
+    pub displaced: bool,
     /// The highest epoch that it has seen.
     seen: Epoch,
     /// The members of its group, the head first.
@@ -82,6 +84,8 @@
     pub late_orders: Vec<(VmId, Order)>,
     /// The most loads that ran at once since traffic began.
     pub most_loads: usize,
+    /// Transactions that nodes have sent.
+    pub commits: usize,
     /// Whether loads are quick.
     pub lead: bool,
     pub violations: BTreeSet<String>,
@@ -123,6 +127,7 @@
             mute: BTreeSet::new(),
             late_orders: Vec::new(),
             most_loads: 0,
+            commits: 0,
             lead: true,
             violations: BTreeSet::new(),
             lost: Vec::new(),
@@ -161,6 +166,7 @@
         let machine = Machine {
             report,
             alive: true,
+            displaced: false,
             seen: Epoch(0),
             members: Vec::new(),
             last_model: None,
@@ -354,6 +360,7 @@
                 let machine = &self.machines[&vm];
                 let result = if machine.alive {
                     Ok(VmReport {
+                        started: machine.report.started + u64::from(machine.displaced),
                         busy: Some(!machine.doing.is_empty()),
                         ..machine.report.clone()
                     })
@@ -370,6 +377,7 @@
     }
 
     fn commit(&mut self, transaction: Transaction) -> Commit {
+        self.commits += 1;
         match self.fates.pop_front() {
             None => self.apply(&transaction),
             Some(Fate::AnswerLost) => {
@@ -422,6 +430,9 @@
         let Some(machine) = self.machines.get_mut(&vm).filter(|machine| machine.alive) else {
             return OrderResult::Unknown;
         };
+        if machine.displaced {
+            return OrderResult::Misdirected;
+        }
         let quick = if lead { 10 } else { 1 };
         match order {
             Order::Stage { model } => {
