Renew groups while the store is away

Cause: a planner that the store does not answer could change nothing, so members lost in an outage stayed lost until it ended. A group's epoch now stands in its row and is made from the version of the planner's row, so that a planner can renew a group under its own name before the store knows; every node asks the VMs themselves meanwhile, within a bound on probes. A later planner's epochs are higher, an order refused as stale makes the old one give way, and a VM that reports a group which serves is no spare.

--- a/crates/tanagerhub/src/gateway/control.rs
+++ b/crates/tanagerhub/src/gateway/control.rs
@@ -160,7 +160,7 @@
     fn operators(&mut self, now: Moment, news: FeedNews) {
         let page = match news.page {
             Ok(page) => page,
-            Err(error) => return self.note_store_failure(&error),
+            Err(error) => return self.note_store_failure(now, &error),
         };
         if std::mem::take(&mut self.view.store_lost) {
             log::info!(age_ms = self.shared.age().as_millis(); "the store answers again");
@@ -192,10 +192,11 @@
         self.shared.prove(proved);
     }
 
-    fn note_store_failure(&mut self, error: &FeedError) {
+    fn note_store_failure(&mut self, now: Moment, error: &FeedError) {
         if !std::mem::replace(&mut self.view.store_lost, true) {
             let age = self.shared.age();
             log::warn!(error:%, age_ms = age.as_millis(); "the store does not answer");
+            self.tell_groups(now, GroupsEvent::StoreLost);
         }
     }
 
--- a/crates/tanagerhub_groups/src/decision.rs
+++ b/crates/tanagerhub_groups/src/decision.rs
@@ -25,8 +25,8 @@
     Changed {
         /// The change.
         change: Change,
-        /// The new epoch.
-        epoch: Epoch,
+        /// The new epoch, unless the group is gone.
+        epoch: Option<Epoch>,
     },
     /// A VM is believed lost.
     VmLost {
--- a/crates/tanagerhub_groups/src/event.rs
+++ b/crates/tanagerhub_groups/src/event.rs
@@ -24,6 +24,8 @@
     VmGone(VmId),
     /// A request has come: the system is in use.
     InUse,
+    /// The store does not answer this node.
+    StoreLost,
     /// The store failed this node's calls until now.
     StoreReturned,
     /// No other node plans, so this one shall try.
--- a/crates/tanagerhub_groups/src/groups.rs
+++ b/crates/tanagerhub_groups/src/groups.rs
@@ -52,6 +52,8 @@
     loads: LoadMeter,
     /// Whether requests come, which makes loads slow and dear.
     in_use: bool,
+    /// Whether the store does not answer, so that VMs must be asked themselves.
+    blind: bool,
     /// Groups that lost a member, for those who use them.
     lost: Vec<(GroupId, Epoch)>,
     decisions: Vec<Decision>,
@@ -71,6 +73,7 @@
             ledger: Ledger::default(),
             loads: LoadMeter::default(),
             in_use: !settings.first_start,
+            blind: false,
             lost: Vec::new(),
             decisions: Vec::new(),
             out: Vec::new(),
@@ -88,7 +91,11 @@
             GroupsEvent::VmChanged(report) => self.vms.upsert(now, report),
             GroupsEvent::VmGone(vm) => self.vm_gone(now, vm),
             GroupsEvent::InUse => self.in_use = true,
-            GroupsEvent::StoreReturned => self.vms.expect_lapses(now, &self.settings),
+            GroupsEvent::StoreLost => self.blind = true,
+            GroupsEvent::StoreReturned => {
+                self.blind = false;
+                self.vms.expect_lapses(now, &self.settings);
+            }
             GroupsEvent::Plan(boots) => self.try_to_plan(boots),
             GroupsEvent::YieldPlan => self.yield_plan(),
             GroupsEvent::RowsRead(page) => self.rows_read(now, page),
--- a/crates/tanagerhub_groups/src/groups/drive.rs
+++ b/crates/tanagerhub_groups/src/groups/drive.rs
@@ -1,6 +1,7 @@
 //! Brings groups into service: joins, readiness, opening; and probes their members.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use tanagerhub_catalogue::{Epoch, GroupId, VmId};
 use tanagerhub_clock::Moment;
@@ -20,12 +21,16 @@
             due.extend(members);
             due.extend(self.vms.unclear());
         }
+        let blind = self.blind.then(|| self.blind_period());
+        if blind.is_some() {
+            due.extend(self.vms.list.keys());
+        }
         for vm in due {
             let Some(entry) = self.vms.get(vm) else {
                 continue;
             };
             let every = match entry.failures {
-                0 => self.settings.probe_every,
+                0 => blind.unwrap_or(self.settings.probe_every),
                 failures if failures < self.settings.probe_failures => self.settings.probe_again,
                 _ => self.settings.probe_every / 2,
             };
@@ -35,6 +40,13 @@
         }
     }
 
+    /// Time between two probes of each VM while the store does not answer.
+    fn blind_period(&self) -> Duration {
+        let vms = u32::try_from(self.vms.list.len()).unwrap_or(u32::MAX);
+        let spread = Duration::from_secs_f64(f64::from(vms) / self.settings.blind_rate);
+        self.settings.blind_every.max(spread)
+    }
+
     fn probe(&mut self, now: Moment, vm: VmId) {
         let Some(entry) = self.vms.list.get_mut(&vm) else {
             return;
@@ -281,6 +293,11 @@
 
     /// A member has seen a higher epoch than the group's: it needs a new one.
     fn outrun(&mut self, now: Moment, id: GroupId, epoch: Epoch) {
+        if self.blind && self.ledger.is_held() {
+            // Another planner has the store's word, which this node can't hear.
+            self.give_way();
+            return;
+        }
         if let Some(group) = self.known.get_mut(&id)
             && group.epoch == epoch
         {
--- a/crates/tanagerhub_groups/src/groups/group.rs
+++ b/crates/tanagerhub_groups/src/groups/group.rs
@@ -28,6 +28,8 @@
     pub(super) closing: Option<Moment>,
     /// Whether it is being dissolved, and whether its head is known to have left.
     pub(super) dissolving: Option<Dissolving>,
+    /// Whether the store does not know its epoch yet.
+    pub(super) provisional: bool,
     /// Whether the store's answer to a change of it is awaited.
     pub(super) changing: bool,
 }
@@ -49,11 +51,11 @@
 }
 
 impl Group {
-    pub(super) fn new(now: Moment, id: GroupId, epoch: Epoch, row: GroupRow) -> Self {
+    pub(super) fn new(now: Moment, id: GroupId, row: GroupRow) -> Self {
         let members = row.members.iter().map(|name| Groups::vm_id(name)).collect();
         Self {
             id,
-            epoch,
+            epoch: row.epoch,
             row,
             members,
             since: now,
@@ -62,6 +64,7 @@
             broken: None,
             closing: None,
             dissolving: None,
+            provisional: false,
             changing: false,
         }
     }
--- a/crates/tanagerhub_groups/src/groups/ledger.rs
+++ b/crates/tanagerhub_groups/src/groups/ledger.rs
@@ -16,10 +16,17 @@
 use super::Groups;
 use super::group::Group;
 
+/// Epochs that a planner can give out before its row gets a new version.
+const EPOCHS: u64 = 1 << 16;
+
 /// What this node knows of the planner's row.
 #[derive(Debug, Default)]
 pub(super) struct Ledger {
     state: State,
+    /// The last version at which this node held the row, from which epochs are made.
+    base: RowVersion,
+    /// Epochs made since.
+    steps: u64,
     /// What is known of the nodes, for the judgement on the planner's row.
     boots: KnownBoots,
     /// The planner's row of an unknown node, and since when it has been like that.
@@ -55,6 +62,18 @@
         )
     }
 
+    fn hold(&mut self, version: RowVersion) {
+        self.state = State::Held(version);
+        self.base = version;
+        self.steps = 0;
+    }
+
+    /// An epoch above all that were given out before, by any node.
+    pub(super) const fn next_epoch(&mut self) -> Epoch {
+        self.steps += 1;
+        Epoch(self.base.0 * EPOCHS + self.steps)
+    }
+
     /// Whether a change may be sent.
     pub(super) fn is_free(&self, now: Moment) -> bool {
         matches!(self.state, State::Held(_)) && now >= self.pause
@@ -98,7 +117,7 @@
                 let (version, row) = self.load_rows(now, &page);
                 self.ledger.changes.clear();
                 if row.boot == self.settings.boot {
-                    self.ledger.state = State::Held(version);
+                    self.ledger.hold(version);
                 } else {
                     self.yield_plan();
                 }
@@ -174,13 +193,13 @@
         }
         match (self.ledger.state, commit) {
             (State::Taking, Commit::Applied(version)) => {
-                self.ledger.state = State::Held(version);
+                self.ledger.hold(version);
                 self.note(Decision::PlannerTaken { version: version.0 });
             }
             (State::Taking, _) => self.ledger.state = State::Idle,
             (State::Changing(_), Commit::Applied(version)) => {
-                self.ledger.state = State::Held(version);
-                self.apply(now, version, changes);
+                self.ledger.hold(version);
+                self.apply(now, changes);
             }
             (State::Changing(version), Commit::NotApplied) => {
                 self.ledger.state = State::Held(version);
@@ -201,27 +220,46 @@
         self.note(Decision::ChangeFailed { answer });
     }
 
-    fn apply(
-        &mut self,
-        now: Moment,
-        version: RowVersion,
-        changes: Vec<(Change, Option<GroupRow>)>,
-    ) {
-        let epoch = Epoch(version.0);
+    fn apply(&mut self, now: Moment, changes: Vec<(Change, Option<GroupRow>)>) {
         for (change, row) in changes {
-            let id = change.group();
-            match row {
-                Some(row) => {
-                    self.known.insert(id, Group::new(now, id, epoch, row));
-                }
-                None => {
-                    self.known.remove(&id);
-                }
-            }
+            let epoch = row.as_ref().map(|row| row.epoch);
+            self.adopt(now, change.group(), row);
             self.note(Decision::Changed { change, epoch });
         }
     }
 
+    fn adopt(&mut self, now: Moment, id: GroupId, row: Option<GroupRow>) {
+        let Some(row) = row else {
+            self.known.remove(&id);
+            return;
+        };
+        match self.known.get_mut(&id) {
+            Some(known) if known.epoch == row.epoch => known.provisional = false,
+            _ => {
+                self.known.insert(id, Group::new(now, id, row));
+            }
+        }
+    }
+
+    /// Renews a group before the store can know of it.
+    ///
+    /// The epoch is above all that the store knows, and below all that a later planner makes.
+    pub(super) fn renew_blind(&mut self, now: Moment, change: Change, row: GroupRow) {
+        let id = change.group();
+        let epoch = Some(row.epoch);
+        let mut group = Group::new(now, id, row);
+        group.provisional = true;
+        self.known.insert(id, group);
+        self.note(Decision::Changed { change, epoch });
+    }
+
+    /// Stops planning without a word to the store, since another planner is at work.
+    pub(super) fn give_way(&mut self) {
+        self.note(Decision::PlannerYielded);
+        self.ledger.state = State::Idle;
+        self.ledger.changes.clear();
+    }
+
     /// Takes in all rows; returns the planner's row and its version, zero when there is none.
     fn load_rows(&mut self, now: Moment, page: &FeedPage) -> (RowVersion, PlannerRow) {
         // A row that can't be read belongs to nobody.
@@ -251,17 +289,12 @@
     }
 
     fn load_group(&mut self, now: Moment, id: GroupId, row: &VersionedRow, value: &[u8]) {
-        let epoch = Epoch(row.version.0);
-        if self
-            .known
-            .get(&id)
-            .is_some_and(|known| known.epoch == epoch)
-        {
-            return;
-        }
-        match decode(&row.key, value) {
+        match decode::<GroupRow>(&row.key, value) {
             Ok(content) => {
-                self.known.insert(id, Group::new(now, id, epoch, content));
+                let newer = |known: &Group| known.provisional && known.epoch > content.epoch;
+                if !self.known.get(&id).is_some_and(newer) {
+                    self.adopt(now, id, Some(content));
+                }
             }
             Err(error) => self.ignore_row(&error),
         }
--- a/crates/tanagerhub_groups/src/groups/repair.rs
+++ b/crates/tanagerhub_groups/src/groups/repair.rs
@@ -11,6 +11,7 @@
 
 use super::Groups;
 use super::group::{Dissolving, Group};
+use super::vms::VmEntry;
 
 /// How long a broken group waits for a spare VM before it is dissolved.
 const SPARE_WAIT: Duration = Duration::from_millis(300);
@@ -25,6 +26,10 @@
 impl Groups {
     /// Collects the changes that are due, and sends them in one transaction.
     pub(super) fn plan_changes(&mut self, now: Moment) {
+        if self.blind && self.ledger.is_held() {
+            self.renew_groups_blind(now);
+            return;
+        }
         if !self.ledger.is_free(now) {
             return;
         }
@@ -40,6 +45,27 @@
         }
     }
 
+    /// Renews groups that lost a member while the store does not answer.
+    ///
+    /// Only a group's own name and free VMs are used, so that a planner who takes over, and knows
+    /// nothing of it, meets VMs that report where they are.
+    fn renew_groups_blind(&mut self, now: Moment) {
+        let mut free = self.free_vms();
+        let mut changes = Planned::new();
+        let ids: Vec<GroupId> = self.known.keys().copied().collect();
+        for id in ids {
+            let changing = self.known.get(&id).is_none_or(|group| group.changing);
+            if !changing {
+                self.plan_group(now, id, &mut free, &mut changes);
+            }
+        }
+        for (change, row) in changes {
+            if let (Change::Renew { .. }, Some(row)) = (&change, row) {
+                self.renew_blind(now, change, row);
+            }
+        }
+    }
+
     /// VMs that could become members now.
     pub(super) fn free_vms(&self) -> FreeVms {
         let held: BTreeSet<VmId> = self
@@ -70,10 +96,7 @@
             None => {}
         }
         if !self.is_broken(group) {
-            if let Some(group) = self.known.get_mut(&id) {
-                group.broken = None;
-                group.closing = None;
-            }
+            self.mend(id, changes);
             return;
         }
         let since = self
@@ -89,6 +112,20 @@
         }
     }
 
+    /// Notes that a group is sound, and tells the store of it if it does not know its epoch.
+    fn mend(&mut self, id: GroupId, changes: &mut Planned) {
+        let Some(group) = self.known.get_mut(&id) else {
+            return;
+        };
+        group.broken = None;
+        group.closing = None;
+        if group.provisional && !self.blind {
+            let members = group.row.members.clone();
+            let change = Change::Renew { group: id, members };
+            changes.push((change, Some(group.row.clone())));
+        }
+    }
+
     /// Whether a group can't go on at its epoch.
     fn is_broken(&self, group: &Group) -> bool {
         if self.has_loss(group) || group.broken.is_some() && !self.is_complete(group) {
@@ -187,6 +224,18 @@
         self.fitting(free, domain, service, model).count()
     }
 
+    /// Whether a VM reports a group whose head takes requests, though no row says so.
+    fn serves_elsewhere(&self, entry: &VmEntry) -> bool {
+        let Some(place) = entry.report.group else {
+            return false;
+        };
+        self.vms.list.values().any(|other| {
+            let state = other.report.state_in(place.group, place.epoch);
+            !other.is_silent(&self.settings)
+                && matches!(state, Some(GroupState::Open | GroupState::Closing))
+        })
+    }
+
     fn fitting(
         &self,
         free: &FreeVms,
@@ -200,21 +249,24 @@
                     && entry.report.vm.service.as_deref() == Some(service)
                     && entry.report.has_staged(model)
                     && entry.staging.is_none()
+                    && !self.serves_elsewhere(entry)
             })
         };
         free.list.iter().filter(fits).copied()
     }
 
-    fn renew(&self, id: GroupId, members: &[VmId]) -> (Change, Option<GroupRow>) {
-        let row = self.known.get(&id).map(|group| &group.row);
+    fn renew(&mut self, id: GroupId, members: &[VmId]) -> (Change, Option<GroupRow>) {
+        let row = self.known.get(&id).map(|group| group.row.clone());
         let names = self.names(members);
         let change = Change::Renew {
             group: id,
             members: names.clone(),
         };
+        let epoch = self.ledger.next_epoch();
         let row = row.map(|row| GroupRow {
             members: names,
-            ..row.clone()
+            epoch,
+            ..row
         });
         (change, row)
     }
@@ -290,6 +342,7 @@
                 service: wish.service,
                 model: wish.model,
                 members: names,
+                epoch: self.ledger.next_epoch(),
             };
             changes.push((change, Some(row)));
         }
--- a/crates/tanagerhub_groups/src/rows.rs
+++ b/crates/tanagerhub_groups/src/rows.rs
@@ -4,7 +4,7 @@
 use bincode::serde::{decode_from_slice, encode_to_vec};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use tanagerhub_catalogue::GroupId;
+use tanagerhub_catalogue::{Epoch, GroupId};
 use tanagerhub_table::RowKey;
 
 /// The table of the planner's row and of all groups.
@@ -21,7 +21,7 @@
     pub nonce: u64,
 }
 
-/// One group. The row's version is the group's epoch.
+/// One group.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GroupRow {
     /// The service whose VMs it spans.
@@ -30,6 +30,8 @@
     pub model: String,
     /// Names of the members, the head first.
     pub members: Vec<String>,
+    /// The epoch of their joins.
+    pub epoch: Epoch,
 }
 
 /// A row that can't be read.
--- a/crates/tanagerhub_groups/src/settings.rs
+++ b/crates/tanagerhub_groups/src/settings.rs
@@ -13,6 +13,10 @@
     pub unknown_wait: Duration,
     /// Time between two probes of a member that is believed healthy.
     pub probe_every: Duration,
+    /// Time between two probes of any VM while the store does not answer.
+    pub blind_every: Duration,
+    /// The most probes that a node sends in a second while the store does not answer.
+    pub blind_rate: f64,
     /// Time between two probes of a VM that did not answer.
     pub probe_again: Duration,
     /// Unanswered probes in a row after which a VM counts as lost.
@@ -38,6 +42,8 @@
             first_start: false,
             unknown_wait: Duration::from_millis(1_500),
             probe_every: Duration::from_secs(2),
+            blind_every: Duration::from_millis(500),
+            blind_rate: 120.0,
             probe_again: Duration::from_millis(50),
             probe_failures: 2,
             order_again: Duration::from_secs(1),
--- a/crates/tanagerhub_groups/tests/support/world.rs
+++ b/crates/tanagerhub_groups/tests/support/world.rs
@@ -84,6 +84,8 @@
     pub late_orders: Vec<(VmId, Order)>,
     /// The most loads that ran at once since traffic began.
     pub most_loads: usize,
+    /// Whether the store tells nothing and refuses all.
+    pub store_down: bool,
     /// Transactions that nodes have sent.
     pub commits: usize,
     /// Whether loads are quick.
@@ -128,6 +130,7 @@
             late_orders: Vec::new(),
             most_loads: 0,
             commits: 0,
+            store_down: false,
             lead: true,
             violations: BTreeSet::new(),
             lost: Vec::new(),
@@ -206,6 +209,20 @@
         }
     }
 
+    /// Takes the store away from all nodes, or gives it back with what happened meanwhile.
+    pub fn set_store_down(&mut self, down: bool) {
+        self.store_down = down;
+        let reports = self.reports();
+        for node in &mut self.nodes {
+            if down {
+                node.events.push(GroupsEvent::StoreLost);
+            } else {
+                node.events.push(GroupsEvent::StoreReturned);
+                node.events.push(GroupsEvent::AllVms(reports.clone()));
+            }
+        }
+    }
+
     /// Lets a node try to plan.
     pub fn plan(&mut self, node: usize, boots: KnownBoots) {
         self.nodes[node].events.push(GroupsEvent::Plan(boots));
@@ -342,6 +359,7 @@
     fn carry_out(&mut self, action: GroupsAction) -> GroupsEvent {
         match action {
             GroupsAction::Commit(transaction) => GroupsEvent::Committed(self.commit(transaction)),
+            GroupsAction::ReadRows if self.store_down => GroupsEvent::RowsRead(None),
             GroupsAction::ReadRows => GroupsEvent::RowsRead(Some(FeedPage {
                 rows: self.rows.values().cloned().collect(),
                 version: RowVersion(self.version),
@@ -378,6 +396,9 @@
 
     fn commit(&mut self, transaction: Transaction) -> Commit {
         self.commits += 1;
+        if self.store_down {
+            return Commit::NotApplied;
+        }
         match self.fates.pop_front() {
             None => self.apply(&transaction),
             Some(Fate::AnswerLost) => {
@@ -502,6 +523,9 @@
                 });
             }
         }
+        if self.store_down {
+            return;
+        }
         for node in &mut self.nodes {
             let reports = changed.iter().cloned();
             node.events.extend(reports.map(GroupsEvent::VmChanged));
--- a/crates/tanagerhub_table/src/row.rs
+++ b/crates/tanagerhub_table/src/row.rs
@@ -64,7 +64,9 @@
 }
 
 /// The version of a row; each write of the row raises it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
 #[serde(transparent)]
 pub struct RowVersion(pub u64);
 
