Keep no renewal whose spare another group has

Ruled out: late transactions, a freeze. What a node renewed in an outage now stays only if no other row holds its members, and a VM that reports a newer epoch of a known group is no spare for another.

Tests: two in outage, each failed first.

--- a/crates/tanagerhub_groups/src/groups/ledger.rs
+++ b/crates/tanagerhub_groups/src/groups/ledger.rs
@@ -3,12 +3,12 @@
 //! Each transaction holds the planner's row at the version that this node knows, and writes it. So
 //! changes come one after the other, and one whose answer was lost can't apply after a later one.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 
 use rand::Rng as _;
 use tanagerhub_catalogue::{Epoch, GroupId};
 use tanagerhub_clock::Moment;
-use tanagerhub_table::{Commit, FeedPage, RowVersion, Transaction, TransactionId, VersionedRow};
+use tanagerhub_table::{Commit, FeedPage, RowVersion, Transaction, TransactionId};
 
 use crate::rows::{Subject, decode, encode, group_key, planner_key, subject};
 use crate::{Change, Decision, GroupRow, GroupsAction, KnownBoots, PlannerRow};
@@ -264,7 +264,7 @@
     fn load_rows(&mut self, now: Moment, page: &FeedPage) -> (RowVersion, PlannerRow) {
         // A row that can't be read belongs to nobody.
         let mut planner = (RowVersion(0), PlannerRow::default());
-        let mut listed = BTreeSet::new();
+        let mut groups = BTreeMap::new();
         for row in &page.rows {
             let Some(value) = &row.value else {
                 continue;
@@ -277,26 +277,38 @@
                         self.ignore_row(&error);
                     }
                 },
-                Subject::Group(id) => {
-                    listed.insert(id);
-                    self.load_group(now, id, row, value);
-                }
+                Subject::Group(id) => match decode::<GroupRow>(&row.key, value) {
+                    Ok(content) => {
+                        groups.insert(id, Some(content));
+                    }
+                    Err(error) => {
+                        groups.insert(id, None);
+                        self.ignore_row(&error);
+                    }
+                },
                 Subject::Unknown => {}
             }
         }
-        self.known.retain(|id, _| listed.contains(id));
+        self.known.retain(|id, _| groups.contains_key(id));
+        self.load_groups(now, groups);
         planner
     }
 
-    fn load_group(&mut self, now: Moment, id: GroupId, row: &VersionedRow, value: &[u8]) {
-        match decode::<GroupRow>(&row.key, value) {
-            Ok(content) => {
-                let newer = |known: &Group| known.provisional && known.epoch > content.epoch;
-                if !self.known.get(&id).is_some_and(newer) {
-                    self.adopt(now, id, Some(content));
-                }
+    /// Takes in the groups' rows, except where this node has renewed a group since.
+    fn load_groups(&mut self, now: Moment, rows: BTreeMap<GroupId, Option<GroupRow>>) {
+        let held = holders(&rows);
+        for (id, row) in rows {
+            let Some(row) = row else {
+                continue;
+            };
+            let stays = |known: &Group| {
+                let mut members = known.row.members.iter();
+                let own = members.all(|name| held.get(name).is_none_or(|holder| *holder == id));
+                known.provisional && known.epoch > row.epoch && own
+            };
+            if !self.known.get(&id).is_some_and(stays) {
+                self.adopt(now, id, Some(row));
             }
-            Err(error) => self.ignore_row(&error),
         }
     }
 
@@ -305,3 +317,12 @@
         self.note(Decision::RowIgnored { reason });
     }
 }
+
+/// The group that holds each VM by the rows.
+fn holders(rows: &BTreeMap<GroupId, Option<GroupRow>>) -> BTreeMap<String, GroupId> {
+    let rows = rows
+        .iter()
+        .filter_map(|(id, row)| Some((*id, row.as_ref()?)));
+    rows.flat_map(|(id, row)| row.members.iter().map(move |name| (name.clone(), id)))
+        .collect()
+}
--- a/crates/tanagerhub_groups/src/groups/repair.rs
+++ b/crates/tanagerhub_groups/src/groups/repair.rs
@@ -190,8 +190,14 @@
         let missing = group.members.len() - members.len();
         if missing > 0 {
             let domain = self.domain_of(&group.members)?;
-            let spares =
-                self.spares(free, domain, &group.row.service, &group.row.model, missing)?;
+            let spares = self.spares(
+                free,
+                domain,
+                Some(id),
+                &group.row.service,
+                &group.row.model,
+                missing,
+            )?;
             for vm in &spares {
                 free.list.remove(vm);
             }
@@ -206,22 +212,32 @@
         known.map(|entry| entry.report.vm.domain_id())
     }
 
-    /// Free VMs of a domain with the model on their hosts.
-    pub(super) fn spares(
+    /// Free VMs of a domain with the model on their hosts, for a group or for a new one.
+    fn spares(
         &self,
         free: &FreeVms,
         domain: DomainId,
+        group: Option<GroupId>,
         service: &str,
         model: &str,
         count: usize,
     ) -> Option<Vec<VmId>> {
-        let mut spares = self.fitting(free, domain, service, model);
+        let mut spares = self.fitting(free, domain, group, service, model);
         let spares: Vec<VmId> = spares.by_ref().take(count).collect();
         (spares.len() == count).then_some(spares)
     }
 
     fn count_spares(&self, free: &FreeVms, domain: DomainId, service: &str, model: &str) -> usize {
-        self.fitting(free, domain, service, model).count()
+        self.fitting(free, domain, None, service, model).count()
+    }
+
+    /// Whether a VM reports another group, which a planner renewed with it before the store knew.
+    fn joined_elsewhere(&self, entry: &VmEntry, group: Option<GroupId>) -> bool {
+        let Some(place) = entry.report.group else {
+            return false;
+        };
+        let known = self.known.get(&place.group);
+        group != Some(place.group) && known.is_some_and(|known| known.epoch < place.epoch)
     }
 
     /// Whether a VM reports a group whose head takes requests, though no row says so.
@@ -240,6 +256,7 @@
         &self,
         free: &FreeVms,
         domain: DomainId,
+        group: Option<GroupId>,
         service: &str,
         model: &str,
     ) -> impl Iterator<Item = VmId> {
@@ -249,6 +266,7 @@
                     && entry.report.vm.service.as_deref() == Some(service)
                     && entry.report.has_staged(model)
                     && entry.staging.is_none()
+                    && !self.joined_elsewhere(entry, group)
                     && !self.serves_elsewhere(entry)
             })
         };
@@ -323,7 +341,7 @@
     fn plan_formations(&mut self, free: &mut FreeVms, changes: &mut Planned) {
         for wish in self.formations() {
             let size = wish.size + wish.reserve;
-            let spares = self.spares(free, wish.domain, &wish.service, &wish.model, size);
+            let spares = self.spares(free, wish.domain, None, &wish.service, &wish.model, size);
             let Some(mut members) = spares else {
                 continue;
             };
--- a/crates/tanagerhub_groups/tests/outage.rs
+++ b/crates/tanagerhub_groups/tests/outage.rs
@@ -107,3 +107,106 @@
     let distinct: BTreeSet<&String> = held.iter().collect();
     assert_eq!(distinct.len(), held.len());
 }
+
+/// Small groups of one domain by their heads, at least two, and the domain's free VMs.
+fn neighbours(world: &World) -> (Vec<String>, Vec<String>) {
+    let domain = |name: &str| name.rsplit_once('-').unwrap().0.to_owned();
+    let heads = world.open_heads("small");
+    let place = heads
+        .iter()
+        .map(|head| domain(head))
+        .find(|place| heads.iter().filter(|head| domain(head) == *place).count() > 1)
+        .unwrap();
+    let heads = heads.into_iter().filter(|head| domain(head) == place);
+    let held: BTreeSet<String> = world.held(0).into_iter().collect();
+    let all = (0..10).map(|number| format!("{place}-{number}"));
+    (
+        heads.collect(),
+        all.filter(|name| !held.contains(name)).collect(),
+    )
+}
+
+/// A spare that a planner without the store took was given to another group meanwhile.
+#[test]
+fn give_up_spare_taken_meanwhile() {
+    let mut world = served();
+    let (heads, free) = neighbours(&world);
+    for name in &free {
+        world.mute(name);
+    }
+    world.tell(0, GroupsEvent::StoreLost);
+    world.silence(&world.members(&heads[0])[1].clone());
+    world.suspect(0, &heads[0]);
+    world.run(SECOND);
+    let taken: Vec<String> = world
+        .held(0)
+        .into_iter()
+        .filter(|name| free.contains(name))
+        .collect();
+    assert_eq!(taken.len(), 1);
+    // The joins never arrive, the planner freezes, and only the taken spare is left.
+    world.nodes[0].alive = false;
+    world.late_orders.clear();
+    world.deliver_orders();
+    for name in free.iter().filter(|name| **name != taken[0]) {
+        world.silence(name);
+    }
+    world.silence(&heads[0]);
+    world.silence(&world.members(&heads[1])[1].clone());
+    let boots = |gone| KnownBoots {
+        live: Vec::new(),
+        gone: vec![gone],
+    };
+    world.plan(1, boots(1));
+    world.run(4 * SECOND);
+    assert!(world.members(&heads[1]).contains(&taken[0]));
+    world.nodes[1].alive = false;
+    world.nodes[0].alive = true;
+    world.tell(0, GroupsEvent::StoreReturned);
+    world.run(SECOND);
+    world.plan(0, boots(2));
+    world.run(2 * SECOND);
+    assert!(world.nodes[0].groups.is_planning());
+    let held = world.held(0);
+    let distinct: BTreeSet<&String> = held.iter().collect();
+    assert_eq!(distinct.len(), held.len());
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
+
+/// A VM that joined a group before the store knew is no spare for another group.
+#[test]
+fn leave_spare_to_its_group() {
+    let mut world = served();
+    let (heads, free) = neighbours(&world);
+    world.tell(0, GroupsEvent::StoreLost);
+    world.silence(&world.members(&heads[0])[1].clone());
+    world.suspect(0, &heads[0]);
+    world.run(Duration::from_millis(700));
+    let taken: Vec<String> = world
+        .held(0)
+        .into_iter()
+        .filter(|name| free.contains(name))
+        .collect();
+    assert_eq!(taken.len(), 1);
+    // The planner freezes before the group serves, and only the taken spare is left.
+    world.nodes[0].alive = false;
+    world.run(2 * SECOND);
+    for name in free.iter().filter(|name| **name != taken[0]) {
+        world.silence(name);
+    }
+    let lost = world.members(&heads[1])[1].clone();
+    world.silence(&lost);
+    world.suspect(1, &heads[1]);
+    let gone = vec![1];
+    world.plan(
+        1,
+        KnownBoots {
+            live: Vec::new(),
+            gone,
+        },
+    );
+    world.run(6 * SECOND);
+    assert!(world.members(&heads[0]).contains(&taken[0]));
+    assert!(world.open_heads("small").contains(&heads[0]));
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
