Know the former starts of a node, and log a failed take of the plan

Cause: a planner that restarts while the store is away writes its new presence before the others can see that its last start is gone, so the boot in the planner's row is neither live nor gone for them, and they wait for 1.5 s. A late write of the former start made it look alive again. Tests: two in presence, each failed first.

--- a/crates/tanagerhub_groups/src/groups/ledger.rs
+++ b/crates/tanagerhub_groups/src/groups/ledger.rs
@@ -196,7 +196,10 @@
                 self.ledger.hold(version);
                 self.note(Decision::PlannerTaken { version: version.0 });
             }
-            (State::Taking, _) => self.ledger.state = State::Idle,
+            (State::Taking, _) => {
+                self.ledger.state = State::Idle;
+                self.note_failure(commit);
+            }
             (State::Changing(_), Commit::Applied(version)) => {
                 self.ledger.hold(version);
                 self.apply(now, changes);
--- a/crates/tanagerhub_groups/src/presence.rs
+++ b/crates/tanagerhub_groups/src/presence.rs
@@ -68,6 +68,32 @@
     row: PresenceRow,
     version: RowVersion,
     at: Moment,
+    /// The start before this one, whose writes may still be applied late.
+    former: Option<u64>,
+}
+
+impl Seen {
+    fn new(row: PresenceRow, version: RowVersion, at: Moment) -> Self {
+        Self {
+            row,
+            version,
+            at,
+            former: None,
+        }
+    }
+
+    /// Takes in a newer row, unless it was written by the start before.
+    fn update(&mut self, row: PresenceRow, version: RowVersion, at: Moment) {
+        self.version = version;
+        if self.former == Some(row.boot) {
+            return;
+        }
+        if row.boot != self.row.boot {
+            self.former = Some(self.row.boot);
+        }
+        self.row = row;
+        self.at = at;
+    }
 }
 
 impl Presence {
@@ -116,20 +142,22 @@
                 continue;
             }
             match decode(&row.key, value) {
-                Ok(content) => {
-                    let seen = Seen {
-                        row: content,
-                        version: row.version,
-                        at: now,
-                    };
-                    self.nodes.insert(name.to_owned(), seen);
-                }
+                Ok(content) => self.see(now, name, content, row.version),
                 Err(error) => verdict = verdict.and(Err(error)),
             }
         }
         verdict
     }
 
+    fn see(&mut self, now: Moment, name: &str, row: PresenceRow, version: RowVersion) {
+        if let Some(seen) = self.nodes.get_mut(name) {
+            seen.update(row, version, now);
+            return;
+        }
+        let seen = Seen::new(row, version, now);
+        self.nodes.insert(name.to_owned(), seen);
+    }
+
     /// Takes in whether this node plans.
     pub fn plans(&mut self, plans: bool) {
         if self.own.plans != plans {
@@ -160,6 +188,7 @@
                 &mut boots.live
             };
             list.push(seen.row.boot);
+            boots.gone.extend(seen.former);
         }
         boots
     }
--- a/crates/tanagerhub_groups/tests/presence.rs
+++ b/crates/tanagerhub_groups/tests/presence.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use tanagerhub_clock::Moment;
-use tanagerhub_groups::{Presence, PresenceAction, SUCCESSORS};
+use tanagerhub_groups::{KnownBoots, Presence, PresenceAction, SUCCESSORS};
 use tanagerhub_table::{RowKey, RowVersion, VersionedRow};
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -129,3 +129,59 @@
     let writes = fleet.version - before;
     assert!(writes <= 30 + 2 * 59 + 5, "{writes}");
 }
+
+/// The row that a node writes at its start.
+fn row_of(node: &str, boot: u64, plans: bool, version: u64) -> VersionedRow {
+    let mut presence = Presence::new(node, boot, 0);
+    presence.plans(plans);
+    let actions = presence.tick(Moment::from_millis(1_000), false);
+    let Some(PresenceAction::Write(value)) = actions.into_iter().next() else {
+        panic!("a node writes its row at once");
+    };
+    VersionedRow {
+        key: RowKey::in_table("nodes", node),
+        version: RowVersion(version),
+        value: Some(value),
+    }
+}
+
+/// What a node knows of the others' starts when it tries to plan.
+fn boots(presence: &mut Presence, now: Moment) -> Option<KnownBoots> {
+    presence
+        .tick(now, true)
+        .into_iter()
+        .find_map(|action| match action {
+            PresenceAction::Plan(boots) => Some(boots),
+            PresenceAction::Write(_) => None,
+        })
+}
+
+#[test]
+fn former_start_of_a_node_is_gone() {
+    let now = Moment::from_millis(1_000);
+    let mut presence = Presence::new("node-b", 2, 0);
+    presence
+        .rows(now, &[row_of("node-a", 1, true, 1)], true)
+        .unwrap();
+    presence
+        .rows(now, &[row_of("node-a", 9, false, 2)], false)
+        .unwrap();
+    let boots = boots(&mut presence, now).unwrap();
+    assert_eq!(boots.gone, [1]);
+    assert_eq!(boots.live, [9]);
+}
+
+#[test]
+fn late_row_of_former_start_is_ignored() {
+    let now = Moment::from_millis(1_000);
+    let mut presence = Presence::new("node-b", 2, 0);
+    for row in [
+        row_of("node-a", 1, true, 1),
+        row_of("node-a", 9, false, 2),
+        row_of("node-a", 1, true, 3),
+    ] {
+        presence.rows(now, &[row], false).unwrap();
+    }
+    assert!(!presence.other_plans(now));
+    assert!(boots(&mut presence, now).unwrap().gone.contains(&1));
+}
