--- a/crates/tanagerhub_groups/src/groups.rs
+++ b/crates/tanagerhub_groups/src/groups.rs
@@ -87,7 +87,7 @@
             GroupsEvent::Tick => self.tick(now),
             GroupsEvent::Engines(engines) => self.engines = engines,
             GroupsEvent::Evacuated(centres) => self.evacuated = centres.into_iter().collect(),
-            GroupsEvent::AllVms(reports) => self.vms.replace(now, reports, &self.settings),
+            GroupsEvent::AllVms(reports) => self.vms.replace(now, reports),
             GroupsEvent::VmChanged(report) => self.vms.upsert(now, report),
             GroupsEvent::VmGone(vm) => self.vm_gone(now, vm),
             GroupsEvent::InUse => self.in_use = true,
--- a/crates/tanagerhub_groups/src/groups/drive.rs
+++ b/crates/tanagerhub_groups/src/groups/drive.rs
@@ -110,7 +110,7 @@
     }
 
     pub(super) fn vm_gone(&mut self, now: Moment, vm: VmId) {
-        self.vms.gone(now, vm, &self.settings);
+        self.vms.gone(now, vm);
         // It may be dead, or leave without notice and serve on for a while.
         if let Some(entry) = self.vms.list.get_mut(&vm) {
             entry.suspected = now;
--- a/crates/tanagerhub_groups/src/groups/vms.rs
+++ b/crates/tanagerhub_groups/src/groups/vms.rs
@@ -135,12 +135,7 @@
     }
 
     /// Takes in the whole list; a VM that is missing from it is gone.
-    pub(super) fn replace(
-        &mut self,
-        now: Moment,
-        reports: Vec<VmReport>,
-        settings: &GroupsSettings,
-    ) {
+    pub(super) fn replace(&mut self, now: Moment, reports: Vec<VmReport>) {
         let listed: Vec<VmId> = reports.iter().map(|report| report.vm.id()).collect();
         let missing: Vec<VmId> = self
             .list
@@ -149,19 +144,15 @@
             .copied()
             .collect();
         for vm in missing {
-            self.gone(now, vm, settings);
+            self.gone(now, vm);
         }
         for report in reports {
             self.upsert(now, report);
         }
     }
 
-    pub(super) fn gone(&mut self, now: Moment, vm: VmId, settings: &GroupsSettings) {
-        let until = if now < self.lapses_until {
-            now + settings.relist
-        } else {
-            now
-        };
+    pub(super) fn gone(&mut self, now: Moment, vm: VmId) {
+        let until = now.max(self.lapses_until);
         if let Some(entry) = self.list.get_mut(&vm) {
             entry.gone.get_or_insert(Gone {
                 since: now,
--- a/crates/tanagerhub_groups/src/settings.rs
+++ b/crates/tanagerhub_groups/src/settings.rs
@@ -29,7 +29,7 @@
     pub close_limit: Duration,
     /// How long a head that is out of reach may go on serving by itself.
     pub stall: Duration,
-    /// How long a VM that vanished in an outage of the store may take to be listed again.
+    /// How long after an outage of the store VMs that vanished in it may be listed again.
     pub relist: Duration,
     /// The share of a domain's VMs that is kept free for repairs.
     pub spare_share: f64,
@@ -50,7 +50,7 @@
             change_again: Duration::from_millis(500),
             close_limit: Duration::from_millis(2_500),
             stall: Duration::from_secs(6),
-            relist: Duration::from_millis(2_500),
+            relist: Duration::from_millis(1_800),
             spare_share: 0.2,
         }
     }
--- a/crates/tanagerhub_groups/tests/outage.rs
+++ b/crates/tanagerhub_groups/tests/outage.rs
@@ -210,3 +210,22 @@
     assert!(world.open_heads("small").contains(&heads[0]));
     assert!(world.violations.is_empty(), "{:?}", world.violations);
 }
+
+/// VMs that vanish in an outage may be listed again soon after it; those that are not, are gone.
+#[parameterized(
+    at_once = { 0, 1_500, true },
+    at_once_and_late = { 0, 2_000, false },
+    later = { 1_500, 600, false },
+)]
+fn vanish_after_outage(at: u64, wait: u64, listed: bool) {
+    let mut world = served();
+    let head = world.open_heads("big").remove(0);
+    world.set_store_down(true);
+    world.run(SECOND);
+    world.set_store_down(false);
+    world.run(Duration::from_millis(at + 100));
+    world.unlist(&head);
+    world.run(Duration::from_millis(wait));
+    let heads = world.nodes[1].groups.heads();
+    assert_eq!(heads.iter().any(|other| other.name == head), listed);
+}
