--- a/crates/tanagerhub_fleet/tests/support/world.rs
+++ b/crates/tanagerhub_fleet/tests/support/world.rs
@@ -17,9 +17,7 @@
     NotServing, Order, OrderAnswer, OrderFailure, OrderKind, Peer, ProbeFailure, RowQuery,
     StoreFailure, Temperature,
 };
-use tanagerhub_table::{
-    CommitOutcome, Condition, Row, RowKey, RowVersion, Transaction, TransactionId, Write,
-};
+use tanagerhub_table::{CommitOutcome, Row, RowKey, RowVersion, Transaction, TransactionId, Write};
 
 pub const SECOND: Duration = Duration::from_secs(1);
 const LATENCY: Duration = Duration::from_millis(5);
@@ -113,11 +111,7 @@
         self.commits += 1;
         for condition in &transaction.conditions {
             let found = self.rows.get(condition.key()).map(|row| row.version);
-            let wanted = match condition {
-                Condition::Absent { .. } => None,
-                Condition::Version { version, .. } => Some(*version),
-            };
-            if found != wanted {
+            if !condition.holds(found) {
                 return CommitOutcome::Conflict {
                     key: condition.key().clone(),
                 };
--- a/crates/tanagerhub_standins/src/platform_standin/table.rs
+++ b/crates/tanagerhub_standins/src/platform_standin/table.rs
@@ -75,13 +75,8 @@
     }
 
     fn holds(&self, condition: &Condition) -> bool {
-        match condition {
-            Condition::Absent { key } => !self.rows.contains_key(key),
-            Condition::Version { key, version } => self
-                .rows
-                .get(key)
-                .is_some_and(|row| row.version == *version),
-        }
+        let found = self.rows.get(condition.key());
+        condition.holds(found.map(|row| row.version))
     }
 
     /// Versions never repeat, also not for a row that is deleted and made anew.
--- a/crates/tanagerhub_table/src/transaction.rs
+++ b/crates/tanagerhub_table/src/transaction.rs
@@ -46,6 +46,25 @@
             Self::Absent { key } | Self::Version { key, .. } => key,
         }
     }
+
+    /// Whether the condition holds where its row is at this version, or does not exist.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use tanagerhub_table::{Condition, RowKey, RowVersion};
+    ///
+    /// let absent = Condition::Absent { key: RowKey::new("claim/7") };
+    /// assert!(absent.holds(None));
+    /// assert!(!absent.holds(Some(RowVersion(1))));
+    /// ```
+    #[must_use]
+    pub fn holds(&self, found: Option<RowVersion>) -> bool {
+        match self {
+            Self::Absent { .. } => found.is_none(),
+            Self::Version { version, .. } => found == Some(*version),
+        }
+    }
 }
 
 /// One change to one row.
--- a/crates/tanagerhub_traffic/tests/support/fake_table.rs
+++ b/crates/tanagerhub_traffic/tests/support/fake_table.rs
@@ -119,12 +119,7 @@
     }
 
     fn holds(&self, condition: &Condition) -> bool {
-        match condition {
-            Condition::Absent { key } => !self.rows.contains_key(key),
-            Condition::Version { key, version } => self
-                .rows
-                .get(key)
-                .is_some_and(|row| row.version == *version),
-        }
+        let found = self.rows.get(condition.key());
+        condition.holds(found.map(|row| row.version))
     }
 }
