Say once what the decisions on groups ask of VMs

- What a free VM must fit is one value, not four arguments through three functions.
- Which groups serve is worked out once a round, not for each candidate over all VMs.
- A member's state, silence and model come from the functions that were there already; an alias of VmId::of with a wrong comment is gone, and a wrong comment on epochs.
- A probe names the VM; nobody read its name and address.
- The whole list of VMs is compared by a set.
- Whether this node plans was asked twice on each tick.
Behaviour is the same.
The test world now checks besides that one epoch of a group names one list of members, in the store and in orders.

--- a/crates/tanagerhub/src/gateway/control.rs
+++ b/crates/tanagerhub/src/gateway/control.rs
@@ -320,7 +320,7 @@
                     address,
                     order,
                 } => self.store.order(vm, name, address, order),
-                GroupsAction::Probe { vm, .. } => {
+                GroupsAction::Probe { vm } => {
                     if let Some(report) = self.groups.report(vm) {
                         self.store.probe(report.clone());
                     }
--- a/crates/tanagerhub_groups/src/action.rs
+++ b/crates/tanagerhub_groups/src/action.rs
@@ -29,9 +29,5 @@
     Probe {
         /// The VM.
         vm: VmId,
-        /// Its name.
-        name: String,
-        /// Its address.
-        address: SocketAddr,
     },
 }
--- a/crates/tanagerhub_groups/src/groups.rs
+++ b/crates/tanagerhub_groups/src/groups.rs
@@ -143,9 +143,4 @@
     fn note(&mut self, decision: Decision) {
         self.decisions.push(decision);
     }
-
-    /// The names of the members of a group that exist; ids hash names.
-    fn vm_id(name: &str) -> VmId {
-        VmId::of(name)
-    }
 }
--- a/crates/tanagerhub_groups/src/groups/drive.rs
+++ b/crates/tanagerhub_groups/src/groups/drive.rs
@@ -56,11 +56,7 @@
         }
         entry.waiting = true;
         entry.probed = now;
-        self.out.push(GroupsAction::Probe {
-            vm,
-            name: entry.report.vm.name.clone(),
-            address: entry.report.vm.address,
-        });
+        self.out.push(GroupsAction::Probe { vm });
     }
 
     pub(super) fn probed(
@@ -89,16 +85,11 @@
 
     /// Probes all members of a group at once, since its requests failed.
     pub(super) fn suspected(&mut self, now: Moment, id: GroupId, epoch: Epoch) {
-        let takes_part = |report: &VmReport| {
-            report
-                .group
-                .is_some_and(|place| place.group == id && place.epoch == epoch)
-        };
         let members: Vec<VmId> = self
             .vms
             .list
             .iter()
-            .filter(|(_, entry)| takes_part(&entry.report))
+            .filter(|(_, entry)| entry.report.state_in(id, epoch).is_some())
             .map(|(vm, _)| *vm)
             .collect();
         for vm in members {
@@ -155,11 +146,7 @@
         let states: Vec<(VmId, Option<GroupState>)> = group
             .members
             .iter()
-            .map(|vm| {
-                let entry = self.vms.get(*vm);
-                let state = entry.and_then(|entry| entry.report.state_in(id, group.epoch));
-                (*vm, state)
-            })
+            .map(|vm| (*vm, self.vms.state_in(*vm, group)))
             .collect();
         let join = Order::Join {
             group: id,
@@ -219,7 +206,7 @@
         };
         let entry = self.vms.get(head);
         let lost = entry.is_none_or(|entry| entry.is_lost(&self.settings));
-        let serves = entry.is_some_and(|entry| entry.report.state_in(id, epoch).is_some());
+        let serves = self.vms.state_in(head, group).is_some();
         let stalled = broken.is_some_and(|since| now.since(since) >= self.settings.stall);
         if (!lost && !serves) || (lost && stalled) {
             if let Some(group) = self.known.get_mut(&id) {
--- a/crates/tanagerhub_groups/src/groups/group.rs
+++ b/crates/tanagerhub_groups/src/groups/group.rs
@@ -7,8 +7,6 @@
 
 use crate::{GroupRow, Order};
 
-use super::Groups;
-
 /// One group and what this node has done for it.
 #[derive(Debug)]
 pub(super) struct Group {
@@ -52,7 +50,7 @@
 
 impl Group {
     pub(super) fn new(now: Moment, id: GroupId, row: GroupRow) -> Self {
-        let members = row.members.iter().map(|name| Groups::vm_id(name)).collect();
+        let members = row.members.iter().map(|name| VmId::of(name)).collect();
         Self {
             id,
             epoch: row.epoch,
--- a/crates/tanagerhub_groups/src/groups/repair.rs
+++ b/crates/tanagerhub_groups/src/groups/repair.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use rand::Rng as _;
-use tanagerhub_catalogue::{DomainId, GroupId, VmId};
+use tanagerhub_catalogue::{DomainId, Epoch, GroupId, VmId};
 use tanagerhub_clock::Moment;
 
 use crate::{Change, GroupRow, GroupState, Order};
@@ -17,8 +17,20 @@
 const SPARE_WAIT: Duration = Duration::from_millis(300);
 
 /// The VMs that no group holds, as changes of this round leave them.
-pub(super) struct FreeVms {
-    pub(super) list: BTreeSet<VmId>,
+struct FreeVms {
+    list: BTreeSet<VmId>,
+    /// Groups whose heads take requests, by what the VMs report.
+    serving: BTreeSet<(GroupId, Epoch)>,
+}
+
+/// What a free VM must be fit for.
+#[derive(Debug, Clone, Copy)]
+struct Need<'a> {
+    domain: DomainId,
+    service: &'a str,
+    model: &'a str,
+    /// The group that lacks a member; `None` for a new group.
+    group: Option<GroupId>,
 }
 
 type Planned = Vec<(Change, Option<GroupRow>)>;
@@ -26,7 +38,7 @@
 impl Groups {
     /// Collects the changes that are due, and sends them in one transaction.
     pub(super) fn plan_changes(&mut self, now: Moment) {
-        if self.blind && self.ledger.is_held() {
+        if self.blind {
             self.renew_groups_blind(now);
             return;
         }
@@ -66,21 +78,36 @@
         }
     }
 
+    fn free_vms(&self) -> FreeVms {
+        FreeVms {
+            list: self.unheld_vms(),
+            serving: self.serving_groups(),
+        }
+    }
+
     /// VMs that could become members now.
-    pub(super) fn free_vms(&self) -> FreeVms {
+    pub(super) fn unheld_vms(&self) -> BTreeSet<VmId> {
         let held: BTreeSet<VmId> = self
             .known
             .values()
             .flat_map(|group| group.members.iter().copied())
             .collect();
-        let list = self
-            .vms
+        self.vms
             .list
             .keys()
             .filter(|vm| !held.contains(vm) && !self.is_unusable(**vm))
             .copied()
-            .collect();
-        FreeVms { list }
+            .collect()
+    }
+
+    fn serving_groups(&self) -> BTreeSet<(GroupId, Epoch)> {
+        let answering = |entry: &&VmEntry| !entry.is_silent(&self.settings);
+        let reports = self.vms.list.values().filter(answering);
+        reports
+            .filter_map(|entry| entry.report.group)
+            .filter(|place| matches!(place.state, GroupState::Open | GroupState::Closing))
+            .map(|place| (place.group, place.epoch))
+            .collect()
     }
 
     fn plan_group(&mut self, now: Moment, id: GroupId, free: &mut FreeVms, changes: &mut Planned) {
@@ -131,10 +158,7 @@
         if self.has_loss(group) || group.broken.is_some() && !self.is_complete(group) {
             return true;
         }
-        let state = |vm: &VmId| {
-            let entry = self.vms.get(*vm);
-            entry.and_then(|entry| entry.report.state_in(group.id, group.epoch))
-        };
+        let state = |vm: &VmId| self.vms.state_in(*vm, group);
         let head_broke = group.head().and_then(|vm| state(&vm)) == Some(GroupState::Broken);
         let left = group.was_ready && group.members.iter().any(|vm| state(vm).is_none());
         head_broke || left
@@ -143,8 +167,7 @@
     /// Whether every member is ready at the group's epoch.
     fn is_complete(&self, group: &Group) -> bool {
         group.members.iter().all(|vm| {
-            let entry = self.vms.get(*vm);
-            let state = entry.and_then(|entry| entry.report.state_in(group.id, group.epoch));
+            let state = self.vms.state_in(*vm, group);
             matches!(state, Some(GroupState::Ready | GroupState::Open))
         })
     }
@@ -164,10 +187,7 @@
             return true;
         };
         let epoch = group.epoch;
-        let state = self
-            .vms
-            .get(head)
-            .and_then(|entry| entry.report.state_in(id, epoch));
+        let state = self.vms.state_in(head, group);
         if !matches!(state, Some(GroupState::Open | GroupState::Closing)) {
             return true;
         }
@@ -189,15 +209,13 @@
         let mut members: Vec<VmId> = group.members.iter().copied().filter(usable).collect();
         let missing = group.members.len() - members.len();
         if missing > 0 {
-            let domain = self.domain_of(&group.members)?;
-            let spares = self.spares(
-                free,
-                domain,
-                Some(id),
-                &group.row.service,
-                &group.row.model,
-                missing,
-            )?;
+            let need = Need {
+                domain: self.domain_of(&group.members)?,
+                service: &group.row.service,
+                model: &group.row.model,
+                group: Some(id),
+            };
+            let spares = self.spares(free, need, missing)?;
             for vm in &spares {
                 free.list.remove(vm);
             }
@@ -212,25 +230,12 @@
         known.map(|entry| entry.report.vm.domain_id())
     }
 
-    /// Free VMs of a domain with the model on their hosts, for a group or for a new one.
-    fn spares(
-        &self,
-        free: &FreeVms,
-        domain: DomainId,
-        group: Option<GroupId>,
-        service: &str,
-        model: &str,
-        count: usize,
-    ) -> Option<Vec<VmId>> {
-        let mut spares = self.fitting(free, domain, group, service, model);
-        let spares: Vec<VmId> = spares.by_ref().take(count).collect();
+    /// As many free VMs as are needed, or `None` where there are fewer.
+    fn spares(&self, free: &FreeVms, need: Need<'_>, count: usize) -> Option<Vec<VmId>> {
+        let spares: Vec<VmId> = self.fitting(free, need).take(count).collect();
         (spares.len() == count).then_some(spares)
     }
 
-    fn count_spares(&self, free: &FreeVms, domain: DomainId, service: &str, model: &str) -> usize {
-        self.fitting(free, domain, None, service, model).count()
-    }
-
     /// Whether a VM reports another group, which a planner renewed with it before the store knew.
     fn joined_elsewhere(&self, entry: &VmEntry, group: Option<GroupId>) -> bool {
         let Some(place) = entry.report.group else {
@@ -240,34 +245,21 @@
         group != Some(place.group) && known.is_some_and(|known| known.epoch < place.epoch)
     }
 
-    /// Whether a VM reports a group whose head takes requests, though no row says so.
-    fn serves_elsewhere(&self, entry: &VmEntry) -> bool {
-        let Some(place) = entry.report.group else {
-            return false;
+    /// Free VMs of a domain with the model on their hosts.
+    fn fitting(&self, free: &FreeVms, need: Need<'_>) -> impl Iterator<Item = VmId> {
+        // A VM may report a group whose head takes requests, though no row says so.
+        let serves = |entry: &VmEntry| {
+            let place = entry.report.group;
+            place.is_some_and(|place| free.serving.contains(&(place.group, place.epoch)))
         };
-        self.vms.list.values().any(|other| {
-            let state = other.report.state_in(place.group, place.epoch);
-            !other.is_silent(&self.settings)
-                && matches!(state, Some(GroupState::Open | GroupState::Closing))
-        })
-    }
-
-    fn fitting(
-        &self,
-        free: &FreeVms,
-        domain: DomainId,
-        group: Option<GroupId>,
-        service: &str,
-        model: &str,
-    ) -> impl Iterator<Item = VmId> {
         let fits = move |vm: &&VmId| {
             self.vms.get(**vm).is_some_and(|entry| {
-                entry.report.vm.domain_id() == domain
-                    && entry.report.vm.service.as_deref() == Some(service)
-                    && entry.report.has_staged(model)
+                entry.report.vm.domain_id() == need.domain
+                    && entry.report.vm.service.as_deref() == Some(need.service)
+                    && entry.report.has_staged(need.model)
                     && entry.staging.is_none()
-                    && !self.joined_elsewhere(entry, group)
-                    && !self.serves_elsewhere(entry)
+                    && !self.joined_elsewhere(entry, need.group)
+                    && !serves(entry)
             })
         };
         free.list.iter().filter(fits).copied()
@@ -319,8 +311,13 @@
             let members = group.members.iter();
             members.filter(|vm| !self.is_unusable(**vm)).count()
         };
-        let idle = self.count_spares(free, domain, &group.row.service, &group.row.model);
-        let spare = usable(group) + idle;
+        let need = Need {
+            domain,
+            service: &group.row.service,
+            model: &group.row.model,
+            group: None,
+        };
+        let spare = usable(group) + self.fitting(free, need).count();
         self.known.values().any(|other| {
             let alike = other.id != group.id
                 && other.row.model == group.row.model
@@ -341,7 +338,13 @@
     fn plan_formations(&mut self, free: &mut FreeVms, changes: &mut Planned) {
         for wish in self.formations() {
             let size = wish.size + wish.reserve;
-            let spares = self.spares(free, wish.domain, None, &wish.service, &wish.model, size);
+            let need = Need {
+                domain: wish.domain,
+                service: &wish.service,
+                model: &wish.model,
+                group: None,
+            };
+            let spares = self.spares(free, need, size);
             let Some(mut members) = spares else {
                 continue;
             };
--- a/crates/tanagerhub_groups/src/groups/stage.rs
+++ b/crates/tanagerhub_groups/src/groups/stage.rs
@@ -97,8 +97,7 @@
                     .iter()
                     .any(|model| entry.report.has_staged(&model.name))
         };
-        let free = self.free_vms();
-        free.list
+        self.unheld_vms()
             .iter()
             .filter_map(|vm| Some((vm, self.vms.get(*vm)?)))
             .filter(|(_, entry)| is_idle(entry))
--- a/crates/tanagerhub_groups/src/groups/view.rs
+++ b/crates/tanagerhub_groups/src/groups/view.rs
@@ -9,7 +9,7 @@
 use tanagerhub_catalogue::{DataCentreId, EntryId, Epoch, GroupId, VmId};
 use tanagerhub_clock::Moment;
 
-use crate::{EngineSpec, GroupReport, GroupState, ModelSpec};
+use crate::{GroupReport, GroupState};
 
 use super::Groups;
 use super::vms::VmEntry;
@@ -40,7 +40,7 @@
 pub struct GroupStatus {
     /// The group.
     pub group: GroupId,
-    /// Its epoch, which is the version of its row.
+    /// Its epoch.
     pub epoch: Epoch,
     /// Its model.
     pub model: String,
@@ -135,8 +135,8 @@
             let Some(report) = entry.report.group else {
                 continue;
             };
-            let present = entry.failures < self.settings.probe_failures;
-            if present && self.takes_requests(entry) && report.state != GroupState::Joining {
+            let answers = !entry.is_silent(&self.settings);
+            if answers && self.takes_requests(entry) && report.state != GroupState::Joining {
                 *counts.entry((report.group, report.epoch)).or_default() += 1;
             }
         }
@@ -151,7 +151,7 @@
             return Some(service_head(entry, service));
         };
         let report = entry.report.group?;
-        let model = model_of(engine, entry)?;
+        let model = engine.model(entry.report.serves.as_deref()?)?;
         let members = reported.get(&(report.group, report.epoch)).copied();
         let whole = members.is_some_and(|count| count >= model.size);
         (report.state == GroupState::Open && whole).then(|| Head {
@@ -167,14 +167,6 @@
     }
 }
 
-/// The model that a member serves: the one that is staged on its host.
-fn model_of<'a>(engine: &'a EngineSpec, entry: &VmEntry) -> Option<&'a ModelSpec> {
-    let models = &engine.models;
-    models
-        .iter()
-        .find(|model| entry.report.serves.as_deref() == Some(model.name.as_str()))
-}
-
 fn service_head(entry: &VmEntry, service: &str) -> Head {
     let vm = &entry.report.vm;
     let VmId(id) = vm.id();
--- a/crates/tanagerhub_groups/src/groups/vms.rs
+++ b/crates/tanagerhub_groups/src/groups/vms.rs
@@ -1,11 +1,13 @@
 //! The VMs, as they report themselves.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use tanagerhub_catalogue::{VmId, VmState};
 use tanagerhub_clock::Moment;
 
-use crate::{GroupsSettings, ProbeFailure, VmReport};
+use crate::{GroupState, GroupsSettings, ProbeFailure, VmReport};
+
+use super::group::Group;
 
 /// All VMs that are listed, or were a moment ago.
 #[derive(Debug, Default)]
@@ -106,6 +108,11 @@
         self.list.get(&vm)
     }
 
+    /// What a VM reports of its part in a group, if it takes part at the group's epoch.
+    pub(super) fn state_in(&self, vm: VmId, group: &Group) -> Option<GroupState> {
+        self.get(vm)?.report.state_in(group.id, group.epoch)
+    }
+
     /// VMs that did not answer their last probe.
     pub(super) fn failing(&self) -> impl Iterator<Item = VmId> {
         let failing = self.list.iter().filter(|(_, entry)| entry.failures > 0);
@@ -136,7 +143,7 @@
 
     /// Takes in the whole list; a VM that is missing from it is gone.
     pub(super) fn replace(&mut self, now: Moment, reports: Vec<VmReport>) {
-        let listed: Vec<VmId> = reports.iter().map(|report| report.vm.id()).collect();
+        let listed: BTreeSet<VmId> = reports.iter().map(|report| report.vm.id()).collect();
         let missing: Vec<VmId> = self
             .list
             .keys()
@@ -195,7 +202,7 @@
         let entry = self.list.get_mut(&vm)?;
         entry.waiting = false;
         entry.probed = now;
-        let was_lost = entry.failures >= settings.probe_failures;
+        let was_lost = entry.is_silent(settings);
         // Another start answers where this one did; the store will tell of it under its own name.
         let result = result.and_then(|report| {
             let same = report.started == entry.report.started;
@@ -217,8 +224,7 @@
                     1
                 };
                 entry.failures = entry.failures.saturating_add(weight);
-                let is_lost = entry.failures >= settings.probe_failures;
-                (is_lost && !was_lost).then_some(Verdict::Lost)
+                (entry.is_silent(settings) && !was_lost).then_some(Verdict::Lost)
             }
         }
     }
--- a/crates/tanagerhub_groups/tests/support/world.rs
+++ b/crates/tanagerhub_groups/tests/support/world.rs
@@ -10,11 +10,11 @@
 use tanagerhub_catalogue::{EntryId, Epoch, GroupId, Vm, VmId, VmState};
 use tanagerhub_clock::Moment;
 use tanagerhub_groups::{
-    EngineSpec, GroupState, Groups, GroupsAction, GroupsEvent, GroupsSettings, KnownBoots,
-    LoadLimit, ModelSpec, Order, OrderResult, ProbeFailure, VmReport,
+    EngineSpec, GroupRow, GroupState, Groups, GroupsAction, GroupsEvent, GroupsSettings,
+    KnownBoots, LoadLimit, ModelSpec, Order, OrderResult, ProbeFailure, VmReport,
 };
 use tanagerhub_table::{
-    Commit, Condition, FeedPage, RowKey, RowVersion, StoreTime, Transaction, VersionedRow, Write,
+    Commit, FeedPage, RowKey, RowVersion, StoreTime, Transaction, VersionedRow, Write,
 };
 
 use self::machine::{Done, Machine};
@@ -68,6 +68,8 @@
     /// Whether loads are quick.
     pub lead: bool,
     pub violations: BTreeSet<String>,
+    /// The members that each epoch of a group names, by the group's row and the epoch.
+    lists: BTreeMap<(String, Epoch), Vec<String>>,
     /// Groups that a node said to have lost a member.
     pub lost: Vec<(GroupId, Epoch)>,
 }
@@ -110,6 +112,7 @@
             store_down: false,
             lead: true,
             violations: BTreeSet::new(),
+            lists: BTreeMap::new(),
             lost: Vec::new(),
         };
         for domain in 0..domains {
@@ -351,7 +354,7 @@
                 };
                 GroupsEvent::Ordered { vm, order, result }
             }
-            GroupsAction::Probe { vm, .. } => {
+            GroupsAction::Probe { vm } => {
                 let machine = &self.machines[&vm];
                 let result = if machine.alive {
                     Ok(VmReport {
@@ -392,11 +395,7 @@
 
     fn apply(&mut self, transaction: &Transaction) -> Commit {
         let holds = transaction.conditions.iter().all(|condition| {
-            let found = self.rows.get(condition.key()).map(|row| row.version);
-            match condition {
-                Condition::Absent { .. } => found.is_none(),
-                Condition::Version { version, .. } => found == Some(*version),
-            }
+            condition.holds(self.rows.get(condition.key()).map(|row| row.version))
         });
         if !holds {
             return Commit::Conflict;
@@ -406,6 +405,7 @@
         for write in &transaction.writes {
             match write {
                 Write::Put { key, value } => {
+                    self.check_row(key, value);
                     let row = VersionedRow {
                         key: key.clone(),
                         version,
@@ -425,6 +425,15 @@
     pub fn obey(&mut self, vm: VmId, order: &Order) -> OrderResult {
         let (now, lead) = (self.now, self.lead);
         self.check_join(vm, order);
+        if let Order::Join {
+            group,
+            epoch,
+            members,
+            ..
+        } = order
+        {
+            self.check_list(format!("g/{group}"), *epoch, members);
+        }
         let Some(machine) = self.machines.get_mut(&vm).filter(|machine| machine.alive) else {
             return OrderResult::Unknown;
         };
@@ -467,6 +476,23 @@
         OrderResult::Accepted
     }
 
+    fn check_row(&mut self, key: &RowKey, value: &[u8]) {
+        if key.name().starts_with("g/") {
+            let decoded = bincode::serde::decode_from_slice(value, bincode::config::standard());
+            let (row, _): (GroupRow, usize) = decoded.unwrap();
+            self.check_list(key.name().to_owned(), row.epoch, &row.members);
+        }
+    }
+
+    /// One epoch of a group names one list of members, in the store and in orders.
+    fn check_list(&mut self, row: String, epoch: Epoch, members: &[String]) {
+        let text = format!("{row} has two lists of members at {epoch:?}");
+        let first = self.lists.entry((row, epoch));
+        if *first.or_insert_with(|| members.to_vec()) != members {
+            self.violations.insert(text);
+        }
+    }
+
     /// A VM must not join another group while the head of its own serves.
     ///
     /// A join of an epoch below one that it has seen is refused, so it does not count.
