Listen in one place, and hash a request without a copy of its body

- Three servers each bound and reported an address in two steps; listen does both.
- The fingerprint of a request was taken from a copy of target, organisation and body; it is fed to the hash part by part, which gives the same number.
- The limit that Engines::report was given was read by no engine: the caller keeps it.
- Whether a stream is being resumed is said by Call.
Behaviour is the same, except that an address in use is reported after the addresses before it are served, not only bound.

--- a/crates/tanagerhub/src/gateway/call.rs
+++ b/crates/tanagerhub/src/gateway/call.rs
@@ -80,6 +80,11 @@
         }
     }
 
+    /// Whether an answer from this event on goes on with a stream that broke.
+    pub(crate) const fn is_resumed(&self, last_event: u32) -> bool {
+        last_event > self.last_event
+    }
+
     pub(crate) const fn is_repeatable(&self) -> bool {
         !matches!(Self::repeat(self.kind), Repeat::Never)
     }
--- a/crates/tanagerhub/src/gateway/control_store.rs
+++ b/crates/tanagerhub/src/gateway/control_store.rs
@@ -9,7 +9,7 @@
 use rand::Rng as _;
 use tanagerhub_catalogue::VmId;
 use tanagerhub_clock::Clock;
-use tanagerhub_groups::{GROUPS_TABLE, GroupsEvent, Order, OrderResult, VmReport};
+use tanagerhub_groups::{GROUPS_TABLE, GroupsEvent, Order, OrderResult, ProbeFailure, VmReport};
 use tanagerhub_table::{Commit, RowKey, Transaction, TransactionId};
 
 use crate::gateway::control::GatewayEvent;
@@ -91,8 +91,8 @@
         let (clock, metrics) = (self.clock.clone(), self.metrics.clone());
         let sent = self.clock.now();
         self.spawn(async move {
-            let answer = clock.timeout(PROBE_LIMIT, engines.report(&known, PROBE_LIMIT));
-            let late = Err(tanagerhub_groups::ProbeFailure::Unanswered);
+            let answer = clock.timeout(PROBE_LIMIT, engines.report(&known));
+            let late = Err(ProbeFailure::Unanswered);
             let result = answer.await.unwrap_or(late);
             metrics.probe(if result.is_ok() { "answered" } else { "failed" });
             let vm = known.vm.id();
--- a/crates/tanagerhub/src/gateway/edges.rs
+++ b/crates/tanagerhub/src/gateway/edges.rs
@@ -44,11 +44,7 @@
     ) -> Pending<'a, OrderResult>;
 
     /// Asks a VM for its report; `known` is the last one.
-    fn report<'a>(
-        &'a self,
-        known: &'a VmReport,
-        limit: Duration,
-    ) -> Pending<'a, Result<VmReport, ProbeFailure>>;
+    fn report<'a>(&'a self, known: &'a VmReport) -> Pending<'a, Result<VmReport, ProbeFailure>>;
 }
 
 /// The form of what operators, VMs, callers and back ends write.
--- a/crates/tanagerhub/src/gateway/exchange.rs
+++ b/crates/tanagerhub/src/gateway/exchange.rs
@@ -225,7 +225,7 @@
         }
         let watch = self.front.pulses.watch(dispatch.group, dispatch.epoch);
         let sent = self.front.clock.now();
-        let limit = if last_event > self.call.last_event {
+        let limit = if self.call.is_resumed(last_event) {
             self.call.give_up
         } else {
             self.call.begin_by
@@ -340,8 +340,7 @@
 
     fn request(&self, name: &str, last_event: u32) -> Request<Full<Bytes>> {
         let call = &self.call;
-        let resumed = last_event > call.last_event;
-        let urgency = if resumed {
+        let urgency = if call.is_resumed(last_event) {
             Some(RESUME_URGENCY)
         } else {
             call.urgency
--- a/crates/tanagerhub/src/gateway/front.rs
+++ b/crates/tanagerhub/src/gateway/front.rs
@@ -14,7 +14,7 @@
 use tanagerhub_clock::{Clock, Moment};
 use tanagerhub_proxy::{Client, ReplyBody, strip_hop_headers};
 use tanagerhub_traffic::RequestInfo;
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
 use crate::gateway::call::Call;
 use crate::gateway::control::GatewayEvent;
@@ -206,10 +206,10 @@
 
 fn request_info(call: &Call, head: &CallHead, route: &IngressRoute, priority: u8) -> RequestInfo {
     let organisation = call.organisation.as_deref().unwrap_or_default();
-    let mut content = Vec::with_capacity(call.body.len() + 64);
-    content.extend_from_slice(call.target.as_str().as_bytes());
-    content.extend_from_slice(organisation.as_bytes());
-    content.extend_from_slice(&call.body);
+    let mut content = Xxh3::new();
+    content.update(call.target.as_str().as_bytes());
+    content.update(organisation.as_bytes());
+    content.update(&call.body);
     let info = RequestInfo::new(
         RequestId(rand::random()),
         OrganisationId::of(organisation),
@@ -223,7 +223,7 @@
     info.deadline(call.give_up)
         .repeat(Call::repeat(call.kind))
         .tokens(head.prompt_tokens, head.max_tokens)
-        .fingerprint(xxh3_64(&content))
+        .fingerprint(content.digest())
         .class(class_of(priority))
         .attempts(route.attempts)
         .patience(route.objective.mul_f64(PATIENCE))
--- a/crates/tanagerhub/src/gateway/start.rs
+++ b/crates/tanagerhub/src/gateway/start.rs
@@ -111,14 +111,10 @@
             suspicions: events.clone(),
             metrics: metrics.clone(),
         });
-        let callers = listen("caller", settings.callers).await?;
-        let ready = listen("ready", settings.ready).await?;
-        let callers = serve_callers(callers, &clock, front, settings.callers)?;
-        let mut others = vec![serve_ready(ready, &clock, &shared, settings.ready)?];
+        let callers = serve_callers(settings.callers, &clock, front).await?;
+        let mut others = vec![serve_ready(settings.ready, &clock, &shared).await?];
         if let Some(address) = settings.metrics {
-            let listener = listen("metrics", address).await?;
-            let metrics = metrics.clone();
-            others.push(serve_metrics(listener, &clock, metrics, &events, address)?);
+            others.push(serve_metrics(address, &clock, metrics.clone(), &events).await?);
         }
 
         let paces = FeedPaces::default();
@@ -233,13 +229,24 @@
     }
 }
 
-async fn listen(purpose: &'static str, address: SocketAddr) -> Result<TcpListener, GatewayError> {
-    let listener = TcpListener::bind(address).await;
-    listener.map_err(|source| GatewayError::Listen {
+/// Serves an address of the node.
+async fn listen<H, F>(
+    purpose: &'static str,
+    address: SocketAddr,
+    clock: &Clock,
+    handler: H,
+) -> Result<Server, GatewayError>
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<ReplyBody>> + Send + 'static,
+{
+    let failed = |source| GatewayError::Listen {
         purpose,
         address,
         source,
-    })
+    };
+    let listener = TcpListener::bind(address).await.map_err(failed)?;
+    serve(listener, ServerLimits::default(), clock.clone(), handler).map_err(failed)
 }
 
 fn traffic_handle(
@@ -323,26 +330,19 @@
     }
 }
 
-fn serve_callers(
-    listener: TcpListener,
+async fn serve_callers(
+    address: SocketAddr,
     clock: &Clock,
     front: Arc<Front>,
-    address: SocketAddr,
 ) -> Result<Server, GatewayError> {
     let handler = move |request: Request<Incoming>| Arc::clone(&front).answer(request);
-    let server = serve(listener, ServerLimits::default(), clock.clone(), handler);
-    server.map_err(|source| GatewayError::Listen {
-        purpose: "caller",
-        address,
-        source,
-    })
+    listen("caller", address, clock, handler).await
 }
 
-fn serve_ready(
-    listener: TcpListener,
+async fn serve_ready(
+    address: SocketAddr,
     clock: &Clock,
     shared: &Arc<Shared>,
-    address: SocketAddr,
 ) -> Result<Server, GatewayError> {
     let shared = Arc::clone(shared);
     let handler = move |_: Request<Incoming>| {
@@ -355,20 +355,14 @@
             response
         }
     };
-    let server = serve(listener, ServerLimits::default(), clock.clone(), handler);
-    server.map_err(|source| GatewayError::Listen {
-        purpose: "ready",
-        address,
-        source,
-    })
+    listen("ready", address, clock, handler).await
 }
 
-fn serve_metrics(
-    listener: TcpListener,
+async fn serve_metrics(
+    address: SocketAddr,
     clock: &Clock,
     metrics: GatewayMetrics,
     events: &Sender<GatewayEvent>,
-    address: SocketAddr,
 ) -> Result<Server, GatewayError> {
     let events = events.clone();
     let handler = move |request: Request<Incoming>| {
@@ -380,12 +374,7 @@
             text(metrics.text(), "text/plain; version=0.0.4")
         }
     };
-    let server = serve(listener, ServerLimits::default(), clock.clone(), handler);
-    server.map_err(|source| GatewayError::Listen {
-        purpose: "metrics",
-        address,
-        source,
-    })
+    listen("metrics", address, clock, handler).await
 }
 
 async fn state(events: &Sender<GatewayEvent>) -> Response<ReplyBody> {
--- a/crates/tanagerhub/tests/support/deployment.rs
+++ b/crates/tanagerhub/tests/support/deployment.rs
@@ -136,11 +136,7 @@
         Box::pin(async { OrderResult::NotSent })
     }
 
-    fn report<'a>(
-        &'a self,
-        known: &'a VmReport,
-        _limit: Duration,
-    ) -> Pending<'a, Result<VmReport, ProbeFailure>> {
+    fn report<'a>(&'a self, known: &'a VmReport) -> Pending<'a, Result<VmReport, ProbeFailure>> {
         Box::pin(async { Ok(known.clone()) })
     }
 }
