--- a/crates/tanagerhub/tests/gateway.rs
+++ b/crates/tanagerhub/tests/gateway.rs
@@ -32,11 +32,8 @@
 )]
 fn check_request(method: &str, path: &str, headers: &str, expected: u16) {
     task::block_on(async {
-        let mut site = Site::start().await;
         let desk = Backend::start(vec![Script::answer(200, "id: 1\r\n", "hello")]).await;
-        site.configure(&["k1"]);
-        site.list("vm-1", "desk", &desk);
-        site.settle().await;
+        let site = Site::before(&[("desk", &desk)]).await;
         let answer = site.ask_with(method, path, headers).await;
         assert_eq!(status(&answer), expected, "{answer}");
         assert_eq!(desk.heads().len(), usize::from(expected == 200));
@@ -46,9 +43,7 @@
 #[test]
 fn refuse_long_body() {
     task::block_on(async {
-        let mut site = Site::start().await;
-        site.configure(&["k1"]);
-        site.settle().await;
+        let site = Site::before(&[]).await;
         let headers = "key: k1\r\nContent-Length: 1001\r\n";
         let mut stream = TcpStream::connect(site.settings.callers).await.unwrap();
         let head = format!("POST /unsafe/ HTTP/1.1\r\nHost: shop\r\nid: 1\r\n{headers}\r\n");
@@ -64,13 +59,9 @@
 #[test]
 fn retry_where_not_run() {
     task::block_on(async {
-        let mut site = Site::start().await;
         let full = Backend::start(vec![Script::answer(503, "not-run: 1\r\n", "")]).await;
         let sound = Backend::start(vec![Script::answer(200, "", "booked")]).await;
-        site.configure(&["k1"]);
-        site.list("vm-1", "desk", &full);
-        site.list("vm-2", "desk", &sound);
-        site.settle().await;
+        let site = Site::before(&[("desk", &full), ("desk", &sound)]).await;
         // More than two attempts are not allowed, so each request gets through.
         for _ in 0..4 {
             let answer = site.ask("POST", "/unsafe/x").await;
@@ -85,12 +76,8 @@
 )]
 fn break_before_answer(path: &str, expected: u16, sent: usize) {
     task::block_on(async {
-        let mut site = Site::start().await;
         let broken = Backend::start(vec![Script::default()]).await;
-        site.configure(&["k1"]);
-        site.list("vm-1", "desk", &broken);
-        site.list("vm-2", "desk", &broken);
-        site.settle().await;
+        let site = Site::before(&[("desk", &broken), ("desk", &broken)]).await;
         let answer = site.ask("POST", path).await;
         assert_eq!(status(&answer), expected, "{answer}");
         assert!(!answer.to_lowercase().contains("retry-after"), "{answer}");
@@ -101,11 +88,8 @@
 #[test]
 fn pass_failure_unchanged() {
     task::block_on(async {
-        let mut site = Site::start().await;
         let failing = Backend::start(vec![Script::answer(500, "stamp: s\r\n", "sorry")]).await;
-        site.configure(&["k1"]);
-        site.list("vm-1", "desk", &failing);
-        site.settle().await;
+        let site = Site::before(&[("desk", &failing)]).await;
         let answer = site.ask("POST", "/unsafe/x").await;
         assert_eq!(status(&answer), 500);
         assert!(answer.to_lowercase().contains("stamp: s"), "{answer}");
@@ -116,11 +100,8 @@
 #[test]
 fn ignore_answer_of_other_request() {
     task::block_on(async {
-        let mut site = Site::start().await;
         let foreign = Backend::start(vec![Script::answer(200, "id: 2\r\n", "not yours")]).await;
-        site.configure(&["k1"]);
-        site.list("vm-1", "desk", &foreign);
-        site.settle().await;
+        let site = Site::before(&[("desk", &foreign)]).await;
         let answer = site.ask("POST", "/unsafe/x").await;
         assert_eq!(status(&answer), 502, "{answer}");
         assert!(!answer.contains("not yours"));
@@ -130,13 +111,9 @@
 #[test]
 fn resume_broken_stream() {
     task::block_on(async {
-        let mut site = Site::start().await;
         let scripts = vec![Script::events(1, 3, false), Script::events(4, 6, true)];
         let llm = Backend::start(scripts).await;
-        site.configure(&["k1"]);
-        site.list("vm-1", "llm", &llm);
-        site.list("vm-2", "llm", &llm);
-        site.settle().await;
+        let site = Site::before(&[("llm", &llm), ("llm", &llm)]).await;
         let answer = site.ask("POST", "/stream/x").await;
         let ids: Vec<&str> = answer
             .lines()
@@ -153,12 +130,8 @@
 #[test]
 fn cut_stream_that_must_not_resume() {
     task::block_on(async {
-        let mut site = Site::start().await;
         let llm = Backend::start(vec![Script::events(1, 3, false)]).await;
-        site.configure(&["k1"]);
-        site.list("vm-1", "llm", &llm);
-        site.list("vm-2", "llm", &llm);
-        site.settle().await;
+        let site = Site::before(&[("llm", &llm), ("llm", &llm)]).await;
         let answer = site.ask("POST", "/once/x").await;
         assert!(answer.contains("id: 3"), "{answer}");
         assert!(!answer.ends_with("0\r\n\r\n"), "{answer}");
@@ -170,15 +143,12 @@
 #[test]
 fn cut_stream_out_of_order() {
     task::block_on(async {
-        let mut site = Site::start().await;
         let mut script = Script::events(1, 2, false);
         script
             .parts
             .extend(Script::events(5, 6, true).parts.split_off(1));
         let llm = Backend::start(vec![script]).await;
-        site.configure(&["k1"]);
-        site.list("vm-1", "llm", &llm);
-        site.settle().await;
+        let site = Site::before(&[("llm", &llm)]).await;
         let answer = site.ask("POST", "/once/x").await;
         assert!(answer.contains("id: 2"), "{answer}");
         assert!(!answer.contains("id: 5"), "{answer}");
@@ -189,11 +159,8 @@
 #[test]
 fn give_up_at_deadline() {
     task::block_on(async {
-        let mut site = Site::start().await;
         let silent = Backend::start(vec![Script::silence()]).await;
-        site.configure(&["k1"]);
-        site.list("vm-1", "desk", &silent);
-        site.settle().await;
+        let site = Site::before(&[("desk", &silent)]).await;
         let headers = "key: k1\r\ndeadline: 300\r\n";
         let answer = site.ask_with("POST", "/unsafe/x", headers).await;
         assert_eq!(status(&answer), 504, "{answer}");
@@ -208,9 +175,7 @@
 #[test]
 fn refuse_at_once_without_back_end() {
     task::block_on(async {
-        let mut site = Site::start().await;
-        site.configure(&["k1"]);
-        site.settle().await;
+        let site = Site::before(&[]).await;
         let answer = site.ask("GET", "/safe/x").await;
         assert_eq!(status(&answer), 503, "{answer}");
         assert!(answer.to_lowercase().contains("retry-after: "), "{answer}");
@@ -220,11 +185,8 @@
 #[test]
 fn revoked_key_is_refused() {
     task::block_on(async {
-        let mut site = Site::start().await;
         let desk = Backend::start(vec![Script::answer(200, "", "hello")]).await;
-        site.configure(&["k1"]);
-        site.list("vm-1", "desk", &desk);
-        site.settle().await;
+        let mut site = Site::before(&[("desk", &desk)]).await;
         assert_eq!(status(&site.ask("GET", "/safe/x").await), 200);
         site.configure(&["k2"]);
         task::sleep(Duration::from_millis(500)).await;
@@ -235,11 +197,8 @@
 #[test]
 fn stale_keys_are_refused() {
     task::block_on(async {
-        let mut site = Site::start().await;
         let desk = Backend::start(vec![Script::answer(200, "", "hello")]).await;
-        site.configure(&["k1"]);
-        site.list("vm-1", "desk", &desk);
-        site.settle().await;
+        let site = Site::before(&[("desk", &desk)]).await;
         site.store.down.store(true, Ordering::SeqCst);
         task::sleep(Duration::from_millis(100)).await;
         site.hand.advance(site.settings.key_life);
@@ -257,11 +216,8 @@
 #[test]
 fn freeze_between_read_and_dispatch() {
     task::block_on(async {
-        let mut site = Site::start().await;
         let desk = Backend::start(vec![Script::answer(200, "", "hello")]).await;
-        site.configure(&["k1"]);
-        site.list("vm-1", "desk", &desk);
-        site.settle().await;
+        let site = Site::before(&[("desk", &desk)]).await;
         let mut stream = TcpStream::connect(site.settings.callers).await.unwrap();
         let head = "POST /unsafe/x HTTP/1.1\r\nHost: shop\r\nid: 1\r\nkey: k1\r\n";
         let head = format!("{head}Content-Length: 2\r\n\r\na");
@@ -285,11 +241,8 @@
 #[test]
 fn leaving_back_end_gets_nothing() {
     task::block_on(async {
-        let mut site = Site::start().await;
         let desk = Backend::start(vec![Script::answer(200, "", "hello")]).await;
-        site.configure(&["k1"]);
-        site.list("vm-1", "desk", &desk);
-        site.settle().await;
+        let site = Site::before(&[("desk", &desk)]).await;
         let row = format!("desk {} leaving", desk.address);
         site.store.put("vms", "vm-1", &row);
         task::sleep(Duration::from_millis(900)).await;
@@ -301,11 +254,8 @@
 #[test]
 fn evacuated_centre_gets_nothing() {
     task::block_on(async {
-        let mut site = Site::start().await;
         let desk = Backend::start(vec![Script::answer(200, "", "hello")]).await;
-        site.configure(&["k1"]);
-        site.list("vm-1", "desk", &desk);
-        site.settle().await;
+        let site = Site::before(&[("desk", &desk)]).await;
         site.store.put("operators", "here", "");
         task::sleep(Duration::from_millis(500)).await;
         assert_eq!(status(&site.ask("GET", "/safe/x").await), 503);
@@ -318,11 +268,8 @@
 #[test]
 fn stop_finishes_stream() {
     task::block_on(async {
-        let mut site = Site::start().await;
         let llm = Backend::start(vec![Script::events(1, 300, true)]).await;
-        site.configure(&["k1"]);
-        site.list("vm-1", "llm", &llm);
-        site.settle().await;
+        let mut site = Site::before(&[("llm", &llm)]).await;
         let gateway = site.gateway.take().unwrap();
         let callers = site.settings.callers;
         let stream = task::spawn(async move {
--- a/crates/tanagerhub/tests/support/deployment.rs
+++ b/crates/tanagerhub/tests/support/deployment.rs
@@ -405,6 +405,17 @@
         }
     }
 
+    /// A site that takes requests with the key `k1`, before back ends by their services.
+    pub async fn before(backends: &[(&str, &Backend)]) -> Self {
+        let mut site = Self::start().await;
+        site.configure(&["k1"]);
+        for (place, (service, backend)) in backends.iter().enumerate() {
+            site.list(&format!("vm-{}", place + 1), service, backend);
+        }
+        site.settle().await;
+        site
+    }
+
     /// Puts routes into force, under `/KIND/`, with the given keys.
     pub fn configure(&mut self, keys: &[&str]) {
         self.version += 1;
