--- a/crates/tanagerhub_traffic/tests/pacing.rs
+++ b/crates/tanagerhub_traffic/tests/pacing.rs
@@ -1,18 +1,14 @@
 //! An overloaded group: callers whose answers would come late are told so at once.
 
+#[path = "support/advisor.rs"]
+mod advisor;
+
 use std::collections::VecDeque;
-use std::sync::Arc;
 use std::time::Duration;
 
-use tanagerhub_catalogue::{
-    Catalogue, Class, Entry, EntryId, EntryKind, Epoch, GroupId, Limits, OrganisationId, RequestId,
-    ServiceEntry,
-};
+use tanagerhub_catalogue::{EntryId, OrganisationId, RequestId};
 use tanagerhub_clock::Moment;
-use tanagerhub_traffic::{
-    AttemptEvent, AttemptKey, Decision, Freshness, RequestInfo, Route, RouteTable, Selection,
-    Traffic, TrafficSettings,
-};
+use tanagerhub_traffic::{AttemptEvent, AttemptKey, Decision, RequestInfo, Traffic};
 
 const OBJECTIVE: Duration = Duration::from_millis(400);
 /// How long the group reads one prompt; it reads them one after the other.
@@ -42,44 +38,8 @@
 
 impl World {
     fn new() -> Self {
-        let settings = TrafficSettings {
-            selection: Selection::LeastLoaded,
-            first_window: u32::MAX,
-            hedges: false,
-            ..TrafficSettings::default()
-        };
-        let mut traffic = Traffic::new(settings, 1);
-        let entry = Entry {
-            name: "advisor".to_owned(),
-            owner: String::new(),
-            class: Class::Interactive,
-            limits: Limits {
-                queue: 1_000,
-                first_byte: Duration::from_mins(1),
-                ..Limits::default()
-            },
-            kind: EntryKind::Service(ServiceEntry {
-                routes: Vec::new(),
-                deduplicates: false,
-            }),
-        };
-        let catalogue = Arc::new(Catalogue {
-            entries: vec![entry],
-            ..Catalogue::default()
-        });
         let now = Moment::from_millis(1_000);
-        traffic.catalogue(now, &catalogue);
-        let fresh = Freshness {
-            takes_work: true,
-            live_nodes: 1,
-            place: 0,
-        };
-        traffic.freshness(now, fresh);
-        let address = "127.0.0.1:9000".parse().unwrap();
-        let mut route = Route::new(GroupId(1), Epoch(1), EntryId::of("advisor"), address);
-        route.slots = Some(64);
-        let routes = vec![route];
-        traffic.routes(now, RouteTable { routes });
+        let traffic = advisor::traffic(now, advisor::settings(), &[(1, 64, None)]);
         Self {
             now,
             traffic,
--- a/crates/tanagerhub_traffic/tests/routes.rs
+++ b/crates/tanagerhub_traffic/tests/routes.rs
@@ -1,16 +1,14 @@
 //! Routes with limits of their own, and requests with little time.
 
-use std::sync::Arc;
+#[path = "support/advisor.rs"]
+mod advisor;
+
 use std::time::Duration;
 
-use tanagerhub_catalogue::{
-    Catalogue, Class, Entry, EntryId, EntryKind, Epoch, GroupId, Limits, OrganisationId, RequestId,
-    ServiceEntry,
-};
+use tanagerhub_catalogue::{EntryId, OrganisationId, RequestId};
 use tanagerhub_clock::Moment;
 use tanagerhub_traffic::{
-    AttemptEvent, Decision, Dispatch, Freshness, Next, Reason, Repeat, RequestInfo, Route,
-    RouteTable, Selection, Traffic, TrafficSettings,
+    AttemptEvent, Decision, Dispatch, Next, Reason, Repeat, RequestInfo, Traffic, TrafficSettings,
 };
 
 const START: Moment = Moment::from_millis(1_000);
@@ -21,53 +19,14 @@
 
 fn settings() -> TrafficSettings {
     TrafficSettings {
-        selection: Selection::LeastLoaded,
-        first_window: u32::MAX,
-        hedges: false,
         failures: 3,
         suspension: Duration::from_secs(1),
-        ..TrafficSettings::default()
+        ..advisor::settings()
     }
 }
 
 fn traffic(settings: TrafficSettings, routes: &[(u64, u32, Option<u32>)]) -> Traffic {
-    let mut traffic = Traffic::new(settings, 1);
-    let entry = Entry {
-        name: "advisor".to_owned(),
-        owner: String::new(),
-        class: Class::Interactive,
-        limits: Limits {
-            queue: 1_000,
-            first_byte: Duration::from_mins(1),
-            ..Limits::default()
-        },
-        kind: EntryKind::Service(ServiceEntry {
-            routes: Vec::new(),
-            deduplicates: false,
-        }),
-    };
-    let catalogue = Arc::new(Catalogue {
-        entries: vec![entry],
-        ..Catalogue::default()
-    });
-    traffic.catalogue(START, &catalogue);
-    let fresh = Freshness {
-        takes_work: true,
-        live_nodes: 1,
-        place: 0,
-    };
-    traffic.freshness(START, fresh);
-    let route = |(group, slots, starts): &(u64, u32, Option<u32>)| {
-        let address = format!("127.0.0.1:{}", 9_000 + group).parse().unwrap();
-        let entry = EntryId::of("advisor");
-        let mut route = Route::new(GroupId(*group), Epoch(1), entry, address);
-        route.slots = Some(*slots);
-        route.starts = *starts;
-        route
-    };
-    let routes = routes.iter().map(route).collect();
-    traffic.routes(START, RouteTable { routes });
-    traffic
+    advisor::traffic(START, settings, routes)
 }
 
 fn info(id: u64, now: Moment) -> RequestInfo {
