Give each process under test an address of its own

The test drew three free ports on 127.0.0.1, let go of them, and started the daemon; other tests of the same binary draw ports there too, so one of the three could be taken before the daemon listened, which then ends at once. Ruled out: a slow start (the three daemons of apply_paused_daemon worked meanwhile) and the platform stand-in (the daemon listens before it asks it). Each address that is given out now has an IP address of its own in the process's part of loopback, where outgoing connections never take their ports. Not reproduced by a run: the race is too rare; it is closed by construction.

--- a/crates/tanagerhub_daemon/tests/processes.rs
+++ b/crates/tanagerhub_daemon/tests/processes.rs
@@ -1,6 +1,6 @@
 //! The two programs as real processes, against a platform stand-in.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::process::{Child, Command, Output, Stdio};
 use std::time::{Duration, Instant};
 
@@ -8,7 +8,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 use tanagerhub_catalogue::NodeId;
 use tanagerhub_clock::Clock;
-use tanagerhub_standins::{PlatformStandin, sample_catalogue};
+use tanagerhub_standins::{PlatformStandin, sample_catalogue, unused_address};
 use yare::parameterized;
 
 const TOKEN: &str = "fedcba9876543210";
@@ -24,9 +24,7 @@
 
 impl Daemon {
     fn start(platform: SocketAddr, seeds: &str) -> Self {
-        let ports = [(); 3].map(|()| TcpListener::bind("127.0.0.1:0").unwrap());
-        let [callers, operators, peers] = ports.each_ref().map(|port| port.local_addr().unwrap());
-        drop(ports);
+        let [callers, operators, peers] = [(); 3].map(|()| unused_address().unwrap());
         let child = Command::new(env!("CARGO_BIN_EXE_tanagerhubd"))
             .env("TANAGERHUB_CALLERS", callers.to_string())
             .env("TANAGERHUB_OPERATORS", operators.to_string())
--- a/crates/tanagerhub_standins/src/lib.rs
+++ b/crates/tanagerhub_standins/src/lib.rs
@@ -24,6 +24,7 @@
 pub use caller::{Caller, Question, Reply, Unreachable};
 pub use checker::{Checker, CheckerLimits};
 pub use engine_standin::{CRASH_MARKER, EngineSettings, EngineStandin, Fabric, ModelApi, Prompt};
+pub use loopback::unused_address;
 pub use node_set::{NodeSet, NodeSetError, OPERATOR_TOKEN};
 pub use operator::{Change, Operator, OperatorFailure};
 pub use platform_standin::{PlatformCounts, PlatformStandin, RateLimits};
