--- a/crates/tanagerhub/tests/gateway.rs
+++ b/crates/tanagerhub/tests/gateway.rs
@@ -3,15 +3,20 @@
 #[path = "support/deployment.rs"]
 mod deployment;
 
-use std::sync::atomic::Ordering;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use async_std::io::prelude::*;
+use async_std::io::{self, prelude::*};
 use async_std::net::TcpStream;
 use async_std::task;
 use deployment::{Backend, Script, Site, status};
 use yare::parameterized;
 
+/// Far beyond what an answer takes; only keeps a fault from hanging the run.
+const ANSWER_LIMIT: Duration = Duration::from_secs(5);
+
 #[test]
 fn refuse_without_configuration() {
     task::block_on(async {
@@ -287,3 +292,55 @@
         assert!(answer.ends_with("0\r\n\r\n"));
     });
 }
+
+/// Callers who did not heed the balancer's check go on opening connections until the end.
+#[test]
+fn stop_cuts_no_late_request() {
+    task::block_on(async {
+        let llm = Backend::start(vec![Script::events(1, 200, true)]).await;
+        let mut site = Site::before(&[("llm", &llm)]).await;
+        let mut gateway = site.gateway.take().unwrap();
+        gateway.reload(site.settings.clone().grace(Duration::from_secs(4)));
+        let callers = site.settings.callers;
+        let served = Arc::new(Served::default());
+        for _ in 0..4 {
+            task::spawn(call_again_and_again(callers, Arc::clone(&served)));
+        }
+        task::sleep(Duration::from_millis(200)).await;
+        gateway.stop().await;
+        assert!(served.whole.load(Ordering::SeqCst) > 0);
+        assert_eq!(served.begun.load(Ordering::SeqCst), 0, "answers are cut");
+    });
+}
+
+/// What callers got.
+#[derive(Debug, Default)]
+struct Served {
+    /// Answers that have begun and are not out.
+    begun: AtomicUsize,
+    /// Answers that are out.
+    whole: AtomicUsize,
+}
+
+/// Asks for a stream on a new connection each time, until none can be opened.
+async fn call_again_and_again(callers: SocketAddr, served: Arc<Served>) {
+    let request = "POST /stream/x HTTP/1.1\r\nHost: shop\r\nid: 1\r\nkey: k1\r\n\r\n";
+    while let Ok(mut stream) = TcpStream::connect(callers).await {
+        if stream.write_all(request.as_bytes()).await.is_err() {
+            return;
+        }
+        let mut first = [0];
+        let answered = io::timeout(ANSWER_LIMIT, stream.read_exact(&mut first));
+        if answered.await.is_err() {
+            return;
+        }
+        served.begun.fetch_add(1, Ordering::SeqCst);
+        let mut rest = Vec::new();
+        let ended = io::timeout(ANSWER_LIMIT, stream.read_to_end(&mut rest)).await;
+        if ended.is_err() {
+            return;
+        }
+        served.begun.fetch_sub(1, Ordering::SeqCst);
+        served.whole.fetch_add(1, Ordering::SeqCst);
+    }
+}
--- a/crates/tanagerhub/tests/support/deployment.rs
+++ b/crates/tanagerhub/tests/support/deployment.rs
@@ -22,6 +22,7 @@
 use tanagerhub_clock::{Clock, ManualClock};
 use tanagerhub_groups::{Order, OrderResult, ProbeFailure, VmReport};
 use tanagerhub_proxy::ServerLimits;
+use tanagerhub_standins::unused_address;
 use tanagerhub_table::{
     Commit, FeedError, FeedPage, RowKey, RowVersion, StoreTime, Transaction, VersionedRow, Write,
 };
@@ -274,7 +275,8 @@
 
     /// A stream of the events `from..=to`; whole, or broken off after the last of them.
     pub fn events(from: u32, to: u32, whole: bool) -> Self {
-        let mut parts = vec![b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n".to_vec()];
+        let head = "HTTP/1.1 200 X\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n";
+        let mut parts = vec![head.as_bytes().to_vec()];
         for id in from..=to {
             let event = format!("id: {id}\ndata: {id}\n\n");
             parts.push(format!("{:x}\r\n{event}\r\n", event.len()).into_bytes());
@@ -376,8 +378,9 @@
         let (clock, hand) = Clock::manual();
         // An answer that is dated at the very start would count as none.
         hand.advance(Duration::from_secs(100));
-        let settings = GatewaySettings::new("node", "here", free().await, free().await)
-            .metrics(free().await)
+        let [callers, ready, metrics] = [(); 3].map(|()| unused_address().unwrap());
+        let settings = GatewaySettings::new("node", "here", callers, ready)
+            .metrics(metrics)
             .retries(1.0, 1_000.0);
         let edges = Edges {
             store: Arc::clone(&store) as Arc<dyn Store>,
@@ -536,8 +539,3 @@
     let code = answer.split(' ').nth(1);
     code.and_then(|code| code.parse().ok()).unwrap_or_default()
 }
-
-async fn free() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    listener.local_addr().unwrap()
-}
--- a/crates/tanagerhub_proxy/src/server.rs
+++ b/crates/tanagerhub_proxy/src/server.rs
@@ -56,7 +56,8 @@
 pub struct Server {
     address: SocketAddr,
     shared: Arc<Shared>,
-    tasks: Vec<JoinHandle<()>>,
+    accepting: Option<JoinHandle<()>>,
+    sweeping: JoinHandle<()>,
 }
 
 /// Changes the limits of a running server.
@@ -139,7 +140,8 @@
     Ok(Server {
         address,
         shared,
-        tasks: vec![accepting, sweeping],
+        accepting: Some(accepting),
+        sweeping,
     })
 }
 
@@ -181,15 +183,21 @@
         }
     }
 
+    /// Refuses new connections from now on; those that are open go on.
+    pub async fn stop_accepting(&mut self) {
+        if let Some(accepting) = self.accepting.take() {
+            accepting.cancel().await;
+        }
+    }
+
     /// Stops accepting, and waits until the answers in flight are out.
     pub async fn stop(mut self) {
-        for running in std::mem::take(&mut self.tasks) {
-            running.cancel().await;
-        }
+        self.stop_accepting().await;
         self.close_idle();
         while self.open() > 0 {
             self.shared.clock.sleep(Duration::from_millis(10)).await;
         }
+        self.sweeping.cancel().await;
     }
 }
 
