Wait for heads of earlier epochs before a group's VMs are freed

Where a partition hid the head of the epoch before, and the join of the new head was not sent, the group was dissolved while the former head still served, and its VM went to another group. Now all VMs whose last report says that they serve the group, at whatever epoch, are told to leave or, out of reach, waited for as long as they may serve by themselves. The same belief keeps the members that such a head names from being spares of other groups. dissolve_after_former_head failed before (the VM was told to leave a group that serves).

--- a/crates/tanagerhub_groups/src/groups/drive.rs
+++ b/crates/tanagerhub_groups/src/groups/drive.rs
@@ -10,7 +10,7 @@
 
 use super::Groups;
 use super::group::{Dissolving, Group, Sent};
-use super::vms::Verdict;
+use super::vms::{Verdict, VmEntry};
 
 impl Groups {
     /// Probes VMs that did not answer; on the node that plans, also the members of all groups.
@@ -119,7 +119,7 @@
                 continue;
             }
             if group.dissolving.is_some() {
-                self.release_head(now, id);
+                self.release_heads(now, id);
             } else if !self.has_loss(group) {
                 self.complete(now, id);
             }
@@ -192,29 +192,54 @@
         }
     }
 
-    /// Makes the head of a group that is being dissolved leave it.
-    fn release_head(&mut self, now: Moment, id: GroupId) {
+    /// Makes whoever may serve a group that is being dissolved leave it.
+    fn release_heads(&mut self, now: Moment, id: GroupId) {
         let Some(group) = self.known.get(&id) else {
             return;
         };
-        let (epoch, broken) = (group.epoch, group.broken);
         if group.dissolving != Some(Dissolving::HeadLeaves) {
             return;
         }
-        let Some(head) = group.head() else {
-            return;
-        };
+        let awaited = self.awaited_heads(now, group);
+        for (vm, epoch) in &awaited {
+            let entry = self.vms.get(*vm);
+            if entry.is_some_and(|entry| !entry.is_lost(&self.settings)) {
+                let (group, epoch) = (id, *epoch);
+                self.order(now, id, *vm, Order::Leave { group, epoch });
+            }
+        }
+        if awaited.is_empty()
+            && let Some(group) = self.known.get_mut(&id)
+        {
+            group.dissolving = Some(Dissolving::HeadLeft);
+        }
+    }
+
+    /// The heads of a group, of this epoch and earlier ones, that are not known to serve no more.
+    ///
+    /// The head of an earlier epoch serves on where no order reached it or its members.
+    fn awaited_heads(&self, now: Moment, group: &Group) -> BTreeSet<(VmId, Epoch)> {
+        let place = |entry: &VmEntry| entry.may_serve(now, &self.settings);
+        let list = self.vms.list.iter();
+        let mut awaited: BTreeSet<(VmId, Epoch)> = list
+            .filter_map(|(vm, entry)| place(entry).map(|(id, epoch)| (*vm, id, epoch)))
+            .filter(|(_, id, _)| *id == group.id)
+            .map(|(vm, _, epoch)| (vm, epoch))
+            .collect();
+        let head = group.head().filter(|head| self.may_open(now, *head, group));
+        awaited.extend(head.map(|head| (head, group.epoch)));
+        awaited.difference(&group.released).copied().collect()
+    }
+
+    /// Whether the head of the newest epoch takes part, or may do so out of reach.
+    fn may_open(&self, now: Moment, head: VmId, group: &Group) -> bool {
         let entry = self.vms.get(head);
         let lost = entry.is_none_or(|entry| entry.is_lost(&self.settings));
-        let serves = self.vms.state_in(head, group).is_some();
-        let stalled = broken.is_some_and(|since| now.since(since) >= self.settings.stall);
-        if (!lost && !serves) || (lost && stalled) {
-            if let Some(group) = self.known.get_mut(&id) {
-                group.dissolving = Some(Dissolving::HeadLeft);
-            }
-        } else if !lost {
-            self.order(now, id, head, Order::Leave { group: id, epoch });
+        if lost {
+            let stall = self.settings.stall;
+            return group.broken.is_none_or(|since| now.since(since) < stall);
         }
+        self.vms.state_in(head, group).is_some()
     }
 
     /// Sends an order to a member, unless the same one was sent a moment ago.
@@ -256,7 +281,7 @@
             }
             (_, OrderResult::Misdirected) => {
                 if let Some(entry) = self.vms.list.get_mut(&vm) {
-                    entry.displace(&self.settings);
+                    entry.displace(now, &self.settings);
                 }
             }
             (Order::Stage { .. }, OrderResult::Unfit | OrderResult::NotSent) => {
@@ -269,12 +294,8 @@
     }
 
     fn left(&mut self, id: GroupId, epoch: Epoch, vm: VmId) {
-        if let Some(group) = self.known.get_mut(&id)
-            && group.epoch == epoch
-            && group.head() == Some(vm)
-            && group.dissolving.is_some()
-        {
-            group.dissolving = Some(Dissolving::HeadLeft);
+        if let Some(group) = self.known.get_mut(&id) {
+            group.released.insert((vm, epoch));
         }
     }
 
--- a/crates/tanagerhub_groups/src/groups/group.rs
+++ b/crates/tanagerhub_groups/src/groups/group.rs
@@ -1,6 +1,6 @@
 //! One group, as its row says.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use tanagerhub_catalogue::{Epoch, GroupId, VmId};
 use tanagerhub_clock::Moment;
@@ -26,6 +26,8 @@
     pub(super) closing: Option<Moment>,
     /// Whether it is being dissolved, and whether its head is known to have left.
     pub(super) dissolving: Option<Dissolving>,
+    /// Heads that have left it, and the epochs that they left.
+    pub(super) released: BTreeSet<(VmId, Epoch)>,
     /// Whether the store does not know its epoch yet.
     pub(super) provisional: bool,
     /// Whether the store's answer to a change of it is awaited.
@@ -42,9 +44,9 @@
 /// How far a dissolution is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Dissolving {
-    /// The head may still serve.
+    /// A head, of this or an earlier epoch, may still serve.
     HeadLeaves,
-    /// The head serves no more; the members are free.
+    /// No head serves; the members are free.
     HeadLeft,
 }
 
@@ -62,6 +64,7 @@
             broken: None,
             closing: None,
             dissolving: None,
+            released: BTreeSet::new(),
             provisional: false,
             changing: false,
         }
--- a/crates/tanagerhub_groups/src/groups/repair.rs
+++ b/crates/tanagerhub_groups/src/groups/repair.rs
@@ -19,7 +19,7 @@
 /// The VMs that no group holds, as changes of this round leave them.
 struct FreeVms {
     list: BTreeSet<VmId>,
-    /// Groups whose heads take requests, by what the VMs report.
+    /// Groups whose heads may serve, by what the VMs report.
     serving: BTreeSet<(GroupId, Epoch)>,
 }
 
@@ -45,7 +45,7 @@
         if !self.ledger.is_free(now) {
             return;
         }
-        let mut free = self.free_vms();
+        let mut free = self.free_vms(now);
         let mut changes = Planned::new();
         let ids: Vec<GroupId> = self.known.keys().copied().collect();
         for id in ids {
@@ -62,7 +62,7 @@
     /// Only a group's own name and free VMs are used, so that a planner who takes over, and knows
     /// nothing of it, meets VMs that report where they are.
     fn renew_groups_blind(&mut self, now: Moment) {
-        let mut free = self.free_vms();
+        let mut free = self.free_vms(now);
         let mut changes = Planned::new();
         let ids: Vec<GroupId> = self.known.keys().copied().collect();
         for id in ids {
@@ -78,10 +78,10 @@
         }
     }
 
-    fn free_vms(&self) -> FreeVms {
+    fn free_vms(&self, now: Moment) -> FreeVms {
         FreeVms {
             list: self.unheld_vms(),
-            serving: self.serving_groups(),
+            serving: self.serving_groups(now),
         }
     }
 
@@ -100,13 +100,10 @@
             .collect()
     }
 
-    fn serving_groups(&self) -> BTreeSet<(GroupId, Epoch)> {
-        let answering = |entry: &&VmEntry| !entry.is_silent(&self.settings);
-        let reports = self.vms.list.values().filter(answering);
-        reports
-            .filter_map(|entry| entry.report.group)
-            .filter(|place| matches!(place.state, GroupState::Open | GroupState::Closing))
-            .map(|place| (place.group, place.epoch))
+    fn serving_groups(&self, now: Moment) -> BTreeSet<(GroupId, Epoch)> {
+        let entries = self.vms.list.values();
+        entries
+            .filter_map(|entry| entry.may_serve(now, &self.settings))
             .collect()
     }
 
--- a/crates/tanagerhub_groups/src/groups/vms.rs
+++ b/crates/tanagerhub_groups/src/groups/vms.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use tanagerhub_catalogue::{VmId, VmState};
+use tanagerhub_catalogue::{Epoch, GroupId, VmId, VmState};
 use tanagerhub_clock::Moment;
 
 use crate::{GroupState, GroupsSettings, ProbeFailure, VmReport};
@@ -25,6 +25,8 @@
     gone: Option<Gone>,
     /// Unanswered probes in a row.
     pub(super) failures: u32,
+    /// When it was last found silent.
+    silent: Moment,
     /// When the store last told of a change.
     pub(super) changed: Moment,
     pub(super) probed: Moment,
@@ -49,6 +51,7 @@
             report,
             gone: None,
             failures: 0,
+            silent: Moment::ZERO,
             changed: Moment::ZERO,
             probed: Moment::ZERO,
             waiting: false,
@@ -67,6 +70,19 @@
         self.failures >= settings.probe_failures
     }
 
+    /// The group that it may serve as the head: it said so last, and if it is out of reach, it has
+    /// not been so for longer than a head serves by itself.
+    pub(super) fn may_serve(
+        &self,
+        now: Moment,
+        settings: &GroupsSettings,
+    ) -> Option<(GroupId, Epoch)> {
+        let place = self.report.group?;
+        let open = matches!(place.state, GroupState::Open | GroupState::Closing);
+        let stalled = self.is_silent(settings) && now.since(self.silent) >= settings.stall;
+        (open && !stalled).then_some((place.group, place.epoch))
+    }
+
     pub(super) fn is_leaving(&self) -> bool {
         self.report.vm.state == VmState::Leaving
     }
@@ -224,7 +240,11 @@
                     1
                 };
                 entry.failures = entry.failures.saturating_add(weight);
-                (entry.is_silent(settings) && !was_lost).then_some(Verdict::Lost)
+                let lost = entry.is_silent(settings) && !was_lost;
+                if lost {
+                    entry.silent = now;
+                }
+                lost.then_some(Verdict::Lost)
             }
         }
     }
@@ -232,7 +252,10 @@
 
 impl VmEntry {
     /// Takes in that something else answers at its address.
-    pub(super) const fn displace(&mut self, settings: &GroupsSettings) {
+    pub(super) fn displace(&mut self, now: Moment, settings: &GroupsSettings) {
+        if !self.is_silent(settings) {
+            self.silent = now;
+        }
         self.failures = settings.probe_failures;
     }
 }
--- a/crates/tanagerhub_groups/tests/repair.rs
+++ b/crates/tanagerhub_groups/tests/repair.rs
@@ -191,3 +191,50 @@
     world.run(10 * SECOND);
     assert!(world.violations.is_empty(), "{:?}", world.violations);
 }
+
+/// The head of an earlier epoch may serve on where no node reaches it.
+#[test]
+fn dissolve_after_former_head() {
+    let mut world = World::new(1, 10);
+    world.plan(0, KnownBoots::default());
+    world.run(9 * SECOND);
+    world.begin_traffic();
+    let heads = world.open_heads("small");
+    let (former, other) = (heads[0].clone(), heads[1].clone());
+    let member = world.members(&former)[1].clone();
+    let names: Vec<String> = world
+        .machines
+        .values()
+        .map(|machine| machine.report.vm.name.clone())
+        .collect();
+    // The group is renewed without its head, and its member does not hear of it.
+    world.mute(&member);
+    world.cut(&former);
+    world.suspect(0, &former);
+    world.run(SECOND);
+    assert!(!world.held(0).contains(&former));
+    // No spare is left, and another group lacks just one member.
+    let mut groups = world.members(&other);
+    groups.push(member.clone());
+    groups.push(former.clone());
+    for head in world.open_heads("big") {
+        groups.extend(world.members(&head));
+    }
+    let spares = names.iter().filter(|name| !groups.contains(*name));
+    for spare in spares {
+        world.silence(spare);
+    }
+    let lost = world.members(&other)[1].clone();
+    world.silence(&lost);
+    world.suspect(0, &other);
+    world.run(Duration::from_millis(2_500));
+    world.mute.clear();
+    world.late_orders.clear();
+    world.run(2 * SECOND);
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+    // By now the head has noticed that its member does not answer it.
+    world.silence(&former);
+    world.run(9 * SECOND);
+    assert!(world.members(&other).contains(&member) || world.members(&member).contains(&other));
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
--- a/crates/tanagerhub_groups/tests/support/world.rs
+++ b/crates/tanagerhub_groups/tests/support/world.rs
@@ -59,6 +59,8 @@
     /// VMs that leave orders unanswered; they carry them out when told to.
     pub mute: BTreeSet<VmId>,
     pub late_orders: Vec<(VmId, Order)>,
+    /// VMs that run but can't be reached by any node.
+    pub cut: BTreeSet<VmId>,
     /// The most loads that ran at once since traffic began.
     pub most_loads: usize,
     /// Whether the store tells nothing and refuses all.
@@ -107,6 +109,7 @@
             delayed: Vec::new(),
             mute: BTreeSet::new(),
             late_orders: Vec::new(),
+            cut: BTreeSet::new(),
             most_loads: 0,
             commits: 0,
             store_down: false,
@@ -252,6 +255,11 @@
         self.mute.insert(VmId::of(name));
     }
 
+    /// Cuts a VM off from all nodes; it goes on serving.
+    pub fn cut(&mut self, name: &str) {
+        self.cut.insert(VmId::of(name));
+    }
+
     /// Tells a node that the requests at a head's group failed.
     pub fn suspect(&mut self, node: usize, head: &str) {
         let place = self.machine(head).report.group.unwrap();
@@ -346,7 +354,9 @@
                 at: StoreTime(self.now.as_millis()),
             })),
             GroupsAction::Order { vm, order, .. } => {
-                let result = if self.mute.contains(&vm) {
+                let result = if self.cut.contains(&vm) {
+                    OrderResult::NotSent
+                } else if self.mute.contains(&vm) {
                     self.late_orders.push((vm, order.clone()));
                     OrderResult::Unknown
                 } else {
@@ -356,7 +366,7 @@
             }
             GroupsAction::Probe { vm } => {
                 let machine = &self.machines[&vm];
-                let result = if machine.alive {
+                let result = if machine.alive && !self.cut.contains(&vm) {
                     Ok(VmReport {
                         started: machine.report.started + u64::from(machine.displaced),
                         busy: Some(!machine.doing.is_empty()),
