Take a table's changes in their order

Control kept the reports of a page until its end and took removals at once, so the VM was listed again after it had gone, and stayed so until it fell silent. Ruled out: a lost feed, a page without the removal (the planner, which asks more often, logged it), a stale probe. The new test short_lived_back_end_gets_nothing failed before (200 instead of 503); the store in memory keeps its changes in order, as the real one does. Found with two new log lines, which stay: a VM that leaves or is no longer listed, and the lost and regained feeds of VMs and nodes.

--- a/crates/tanagerhub/src/gateway/control.rs
+++ b/crates/tanagerhub/src/gateway/control.rs
@@ -88,6 +88,10 @@
     nodes_known: bool,
     /// Whether the last call for the operators' rows had no answer.
     store_lost: bool,
+    /// Whether the last call for the VMs' rows had no answer.
+    vms_lost: bool,
+    /// Whether the last call for the nodes' rows had no answer.
+    nodes_lost: bool,
     draining: bool,
     in_use: bool,
     heads: Vec<Head>,
@@ -255,37 +259,49 @@
     }
 
     fn vms(&mut self, now: Moment, news: FeedNews) {
-        let Ok(page) = news.page else {
-            return;
+        let page = match news.page {
+            Ok(page) => page,
+            Err(error) => return note_lost("vms", &mut self.view.vms_lost, &error),
         };
-        let mut reports: Vec<VmReport> = Vec::new();
-        for row in &page.rows {
-            let name = row.key.name();
-            let value = row.value.as_ref();
-            match value.map(|value| self.edges.dialect.vm(name, value)) {
-                Some(Ok(report)) => reports.push(report),
-                Some(Err(error)) => {
-                    log::warn!(vm = name, error:%; "a VM's row is ignored");
-                    self.tell_groups(now, GroupsEvent::VmGone(VmId::of(name)));
-                }
-                None => self.tell_groups(now, GroupsEvent::VmGone(VmId::of(name))),
-            }
-        }
+        note_back("vms", &mut self.view.vms_lost);
         if news.all {
+            let rows = page.rows.iter();
+            let reports = rows.filter_map(|row| self.vm_report(row)).collect();
             self.tell_groups(now, GroupsEvent::AllVms(reports));
         } else {
-            for report in reports {
-                self.tell_groups(now, GroupsEvent::VmChanged(report));
+            // In order: a page may tell of several changes of a row.
+            for row in &page.rows {
+                let gone = || GroupsEvent::VmGone(VmId::of(row.key.name()));
+                let event = self
+                    .vm_report(row)
+                    .map_or_else(gone, GroupsEvent::VmChanged);
+                self.tell_groups(now, event);
             }
         }
         self.publish_routes(now);
     }
 
+    /// What a VM's row says; nothing if it has been removed or can't be read.
+    fn vm_report(&self, row: &VersionedRow) -> Option<VmReport> {
+        let name = row.key.name();
+        match self.edges.dialect.vm(name, row.value.as_ref()?) {
+            Ok(report) => Some(report),
+            Err(error) => {
+                log::warn!(vm = name, error:%; "a VM's row can't be read: it counts as gone");
+                None
+            }
+        }
+    }
+
     fn nodes(&mut self, now: Moment, news: FeedNews) {
-        let Ok(page) = news.page else {
-            self.view.nodes_known = false;
-            return;
+        let page = match news.page {
+            Ok(page) => page,
+            Err(error) => {
+                self.view.nodes_known = false;
+                return note_lost("nodes", &mut self.view.nodes_lost, &error);
+            }
         };
+        note_back("nodes", &mut self.view.nodes_lost);
         if let Err(error) = self.presence.rows(now, &page.rows, news.all) {
             log::warn!(error:%; "a node's row is ignored");
         }
@@ -434,3 +450,17 @@
     let text = text.unwrap_or_else(|error| error.to_string());
     log::info!(target: "tanagerhub::groups", detail = text.as_str(); "group decision");
 }
+
+/// Logs that a table's feed is lost, once until it is back.
+fn note_lost(table: &str, lost: &mut bool, error: &FeedError) {
+    if !std::mem::replace(lost, true) {
+        log::warn!(table, error:%; "a feed does not answer");
+    }
+}
+
+/// Logs that a feed that was lost answers again.
+fn note_back(table: &str, lost: &mut bool) {
+    if std::mem::take(lost) {
+        log::info!(table; "a feed answers again");
+    }
+}
--- a/crates/tanagerhub/tests/gateway.rs
+++ b/crates/tanagerhub/tests/gateway.rs
@@ -256,6 +256,20 @@
     });
 }
 
+/// A VM starts and leaves between two answers of the store.
+#[test]
+fn short_lived_back_end_gets_nothing() {
+    task::block_on(async {
+        let desk = Backend::start(vec![Script::answer(200, "", "hello")]).await;
+        let site = Site::before(&[]).await;
+        let row = format!("desk {}", desk.address);
+        site.store.put_and_remove("vms", "vm-1", &row);
+        task::sleep(Duration::from_millis(900)).await;
+        assert_eq!(status(&site.ask("GET", "/safe/x").await), 503);
+        assert!(desk.heads().is_empty());
+    });
+}
+
 #[test]
 fn evacuated_centre_gets_nothing() {
     task::block_on(async {
--- a/crates/tanagerhub/tests/support/deployment.rs
+++ b/crates/tanagerhub/tests/support/deployment.rs
@@ -40,7 +40,8 @@
 
 #[derive(Debug, Default)]
 struct Rows {
-    list: BTreeMap<RowKey, VersionedRow>,
+    /// All changes, in order.
+    changes: Vec<VersionedRow>,
     version: u64,
 }
 
@@ -57,6 +58,14 @@
         self.rows().put(RowKey::in_table(table, name), None);
     }
 
+    /// Writes a row and removes it, so that one page of the feed tells of both.
+    pub fn put_and_remove(&self, table: &str, name: &str, value: &str) {
+        let mut rows = self.rows();
+        let key = RowKey::in_table(table, name);
+        rows.put(key.clone(), Some(value.as_bytes().to_vec()));
+        rows.put(key, None);
+    }
+
     fn rows(&self) -> MutexGuard<'_, Rows> {
         self.rows.lock().unwrap()
     }
@@ -67,16 +76,13 @@
             return Err(FeedError::Unavailable { reason });
         }
         let rows = self.rows();
-        let list = rows
-            .list
-            .values()
-            .filter(|row| row.key.table() == table)
-            .filter(|row| match after {
-                Some(after) => row.version > after,
-                None => row.value.is_some(),
-            });
+        let mut list = match after {
+            Some(after) => rows.since(after),
+            None => rows.newest(),
+        };
+        list.retain(|row| row.key.table() == table);
         Ok(FeedPage {
-            rows: list.cloned().collect(),
+            rows: list,
             version: RowVersion(rows.version),
             at: StoreTime(0),
         })
@@ -87,12 +93,23 @@
     fn put(&mut self, key: RowKey, value: Option<Vec<u8>>) {
         self.version += 1;
         let version = RowVersion(self.version);
-        let row = VersionedRow {
-            key: key.clone(),
+        self.changes.push(VersionedRow {
+            key,
             version,
             value,
-        };
-        self.list.insert(key, row);
+        });
+    }
+
+    fn since(&self, after: RowVersion) -> Vec<VersionedRow> {
+        let changes = self.changes.iter();
+        changes.filter(|row| row.version > after).cloned().collect()
+    }
+
+    fn newest(&self) -> Vec<VersionedRow> {
+        let changes = self.changes.iter();
+        let newest: BTreeMap<&RowKey, &VersionedRow> = changes.map(|row| (&row.key, row)).collect();
+        let present = newest.into_values().filter(|row| row.value.is_some());
+        present.cloned().collect()
     }
 }
 
--- a/crates/tanagerhub_groups/src/decision.rs
+++ b/crates/tanagerhub_groups/src/decision.rs
@@ -28,6 +28,16 @@
         /// The new epoch, unless the group is gone.
         epoch: Option<Epoch>,
     },
+    /// A VM leaves: it gets no new requests.
+    VmLeaving {
+        /// Its name.
+        vm: String,
+    },
+    /// The store no longer lists a VM.
+    VmGone {
+        /// Its name.
+        vm: String,
+    },
     /// A VM is believed lost.
     VmLost {
         /// Its name.
--- a/crates/tanagerhub_groups/src/groups.rs
+++ b/crates/tanagerhub_groups/src/groups.rs
@@ -87,8 +87,14 @@
             GroupsEvent::Tick => self.tick(now),
             GroupsEvent::Engines(engines) => self.engines = engines,
             GroupsEvent::Evacuated(centres) => self.evacuated = centres.into_iter().collect(),
-            GroupsEvent::AllVms(reports) => self.vms.replace(now, reports),
-            GroupsEvent::VmChanged(report) => self.vms.upsert(now, report),
+            GroupsEvent::AllVms(reports) => {
+                let changes = self.vms.replace(now, reports);
+                self.decisions.extend(changes);
+            }
+            GroupsEvent::VmChanged(report) => {
+                let change = self.vms.upsert(now, report);
+                self.decisions.extend(change);
+            }
             GroupsEvent::VmGone(vm) => self.vm_gone(now, vm),
             GroupsEvent::InUse => self.in_use = true,
             GroupsEvent::StoreLost => self.blind = true,
--- a/crates/tanagerhub_groups/src/groups/drive.rs
+++ b/crates/tanagerhub_groups/src/groups/drive.rs
@@ -101,7 +101,8 @@
     }
 
     pub(super) fn vm_gone(&mut self, now: Moment, vm: VmId) {
-        self.vms.gone(now, vm);
+        let gone = self.vms.gone(now, vm);
+        self.decisions.extend(gone);
         // It may be dead, or leave without notice and serve on for a while.
         if let Some(entry) = self.vms.list.get_mut(&vm) {
             entry.suspected = now;
--- a/crates/tanagerhub_groups/src/groups/vms.rs
+++ b/crates/tanagerhub_groups/src/groups/vms.rs
@@ -5,7 +5,7 @@
 use tanagerhub_catalogue::{Epoch, GroupId, VmId, VmState};
 use tanagerhub_clock::Moment;
 
-use crate::{GroupState, GroupsSettings, ProbeFailure, VmReport};
+use crate::{Decision, GroupState, GroupsSettings, ProbeFailure, VmReport};
 
 use super::group::Group;
 
@@ -147,18 +147,23 @@
             .map(|(vm, _)| *vm)
     }
 
-    pub(super) fn upsert(&mut self, now: Moment, report: VmReport) {
+    /// Takes in what the store says of a VM; says what that changed.
+    pub(super) fn upsert(&mut self, now: Moment, report: VmReport) -> Option<Decision> {
+        let name = report.vm.name.clone();
         let entry = self
             .list
             .entry(report.vm.id())
             .or_insert_with(|| VmEntry::new(report.clone()));
+        let was_leaving = entry.changed > Moment::ZERO && entry.is_leaving();
         entry.gone = None;
         entry.changed = now;
         entry.take(report);
+        let leaves = entry.is_leaving() && !was_leaving;
+        leaves.then_some(Decision::VmLeaving { vm: name })
     }
 
-    /// Takes in the whole list; a VM that is missing from it is gone.
-    pub(super) fn replace(&mut self, now: Moment, reports: Vec<VmReport>) {
+    /// Takes in the whole list, in which a VM that is missing is gone; says what that changed.
+    pub(super) fn replace(&mut self, now: Moment, reports: Vec<VmReport>) -> Vec<Decision> {
         let listed: BTreeSet<VmId> = reports.iter().map(|report| report.vm.id()).collect();
         let missing: Vec<VmId> = self
             .list
@@ -166,23 +171,30 @@
             .filter(|vm| !listed.contains(vm))
             .copied()
             .collect();
-        for vm in missing {
-            self.gone(now, vm);
-        }
-        for report in reports {
-            self.upsert(now, report);
-        }
+        let gone: Vec<Decision> = missing
+            .into_iter()
+            .filter_map(|vm| self.gone(now, vm))
+            .collect();
+        let changed = reports
+            .into_iter()
+            .filter_map(|report| self.upsert(now, report));
+        gone.into_iter().chain(changed).collect()
     }
 
-    pub(super) fn gone(&mut self, now: Moment, vm: VmId) {
+    /// Takes in that the store no longer lists a VM; says so if it is news.
+    pub(super) fn gone(&mut self, now: Moment, vm: VmId) -> Option<Decision> {
         let until = now.max(self.lapses_until);
-        if let Some(entry) = self.list.get_mut(&vm) {
-            entry.gone.get_or_insert(Gone {
-                since: now,
-                until,
-                certain: until <= now,
-            });
+        let entry = self.list.get_mut(&vm)?;
+        if entry.gone.is_some() {
+            return None;
         }
+        entry.gone = Some(Gone {
+            since: now,
+            until,
+            certain: until <= now,
+        });
+        let vm = entry.report.vm.name.clone();
+        Some(Decision::VmGone { vm })
     }
 
     /// Expects VMs to vanish that only the store's outage made vanish.
