Leave a late request where it is when it can't go elsewhere; spare a busy head

Now an attempt ends for lateness or silence only where the request may be sent again (and, for lateness, another group has room); a late answer is better than none. A probe that was closed by an open head counts only after 4 s; by another member, which takes no requests, at once. The log says what became of the last probe of a VM that is lost.

--- a/crates/tanagerhub/src/gateway/exchange.rs
+++ b/crates/tanagerhub/src/gateway/exchange.rs
@@ -34,6 +34,8 @@
 const STREAM_PATIENCE: u32 = 3;
 /// The least time after which a group that shows no sign of life is suspected.
 const MIN_QUIET: Duration = Duration::from_millis(250);
+/// Time between two looks at whether a late request could go elsewhere.
+pub(crate) const MOVE_AGAIN: Duration = Duration::from_millis(100);
 /// The urgency of a stream that is resumed: its caller sees the pause.
 const RESUME_URGENCY: u8 = 0;
 
@@ -195,9 +197,8 @@
             "attempt failed"
         );
         let event = match error {
-            AttemptError::Send(SendError::NotSent { .. }) | AttemptError::Unknown => {
-                AttemptEvent::ConnectFailed
-            }
+            AttemptError::Send(SendError::NotSent { .. } | SendError::TurnedAway { .. })
+            | AttemptError::Unknown => AttemptEvent::ConnectFailed,
             AttemptError::NotRun | AttemptError::Misdirected => AttemptEvent::RefusedNotRun,
             AttemptError::Silent => AttemptEvent::Silent,
             AttemptError::Overdue => AttemptEvent::TimedOut,
@@ -261,9 +262,10 @@
         })
     }
 
-    /// Waits until the request is better tried elsewhere.
+    /// Waits until the request is better tried elsewhere, and may be.
     ///
     /// A group that shows no sign of life is suspected on the way, so that its members are probed.
+    /// A late answer is better than none: where the request can't go elsewhere, it stays.
     async fn impatience(&self, dispatch: Dispatch, watch: &Watch, sent: Moment) -> AttemptError {
         let factor = if self.call.kind.is_stream() {
             STREAM_PATIENCE
@@ -278,15 +280,32 @@
                 self.suspect(dispatch);
             }
             self.front.clock.sleep(patience.saturating_sub(quiet)).await;
+            while !self.may_move(dispatch) {
+                self.front.clock.sleep(MOVE_AGAIN).await;
+            }
             AttemptError::Overdue
         };
         let silent = async {
             watch.alarm().await;
+            while !self.may_repeat(dispatch) {
+                self.front.clock.sleep(MOVE_AGAIN).await;
+            }
             AttemptError::Silent
         };
         future::or(overdue, silent).await
     }
 
+    fn may_move(&self, dispatch: Dispatch) -> bool {
+        let ticket = self.ticket.as_ref();
+        ticket.is_some_and(|ticket| ticket.may_move(dispatch.attempt))
+    }
+
+    /// Whether the request may be sent again, were this attempt to end without an answer.
+    pub(crate) fn may_repeat(&self, dispatch: Dispatch) -> bool {
+        let ticket = self.ticket.as_ref();
+        ticket.is_some_and(|ticket| ticket.may_repeat(dispatch.attempt))
+    }
+
     fn suspect(&self, dispatch: Dispatch) {
         let event = GatewayEvent::Suspected(dispatch.group, dispatch.epoch);
         // A suspicion that finds no room comes again with the next request.
@@ -437,6 +456,7 @@
     const fn label(&self) -> &'static str {
         match self {
             Self::Send(SendError::NotSent { .. }) => "not_sent",
+            Self::Send(SendError::TurnedAway { .. }) => "turned_away",
             Self::Send(SendError::Broken { .. }) => "broken",
             Self::Send(SendError::Malformed { .. }) => "malformed",
             Self::Body(_) => "body_cut",
--- a/crates/tanagerhub/src/gateway/pulse.rs
+++ b/crates/tanagerhub/src/gateway/pulse.rs
@@ -178,6 +178,11 @@
         self.pulse.patience()
     }
 
+    /// Waits for the next alarm, after one that proved wrong.
+    pub(crate) fn rearm(&mut self) {
+        self.alarm = self.pulse.alarm().receiver.clone();
+    }
+
     /// Waits until the group is found to have lost a member.
     pub(crate) async fn alarm(&self) {
         let _: Result<(), _> = self.alarm.recv().await;
--- a/crates/tanagerhub/src/gateway/streaming.rs
+++ b/crates/tanagerhub/src/gateway/streaming.rs
@@ -8,7 +8,7 @@
 use tanagerhub_proxy::{BodyError, CutBody, ReplyBody, stream_body, strip_hop_headers};
 use tanagerhub_traffic::{AttemptEvent, EventRelay, RelayError};
 
-use crate::gateway::exchange::{Answered, Exchange, Started, decision_after};
+use crate::gateway::exchange::{Answered, Exchange, MOVE_AGAIN, Started, decision_after};
 
 /// A stream under way.
 pub(crate) struct Streaming {
@@ -18,6 +18,8 @@
     status: StatusCode,
     /// Completes when the request's time is up.
     expiry: Pin<Box<dyn Future<Output = ()> + Send>>,
+    /// Whether it stays at a group that lost a member, since it can't go on elsewhere.
+    stays: bool,
     done: bool,
 }
 
@@ -53,6 +55,7 @@
             started,
             status,
             expiry: Box::pin(async move { clock.sleep(left).await }),
+            stays: false,
             done: false,
         };
         let events = stream::unfold(streaming, Self::next);
@@ -81,6 +84,10 @@
                     }
                     Err(error) => Break::Relay(error),
                 },
+                Step::Broken(Break::Silent) if !self.may_go_on() => {
+                    self.stays = true;
+                    continue;
+                }
                 Step::Broken(broken) => broken,
                 Step::Expired => {
                     self.cut("the time is up");
@@ -100,6 +107,8 @@
         }
         let Started { body, watch, .. } = &mut self.started;
         let resumable = self.exchange.call.is_repeatable();
+        let stays = self.stays;
+        let clock = &self.exchange.front.clock;
         let chunk = async {
             match body.next().await {
                 Ok(Some(chunk)) => Step::Chunk(chunk),
@@ -111,7 +120,11 @@
             if !resumable {
                 future::pending::<()>().await;
             }
-            watch.alarm().await;
+            if stays {
+                clock.sleep(MOVE_AGAIN).await;
+            } else {
+                watch.alarm().await;
+            }
             Step::Broken(Break::Silent)
         };
         let expired = async {
@@ -123,12 +136,20 @@
 
     /// The whole events that a chunk completes.
     fn pass(&mut self, chunk: &[u8]) -> Result<Bytes, RelayError> {
+        if std::mem::take(&mut self.stays) {
+            // The group lives after all.
+            self.started.watch.rearm();
+        }
         self.started.watch.hear(self.exchange.front.clock.now());
         let mut events = Vec::with_capacity(chunk.len());
         self.relay.push(chunk, &mut events)?;
         Ok(events.into())
     }
 
+    fn may_go_on(&self) -> bool {
+        self.exchange.may_repeat(self.started.dispatch)
+    }
+
     /// Resumes the stream at another group; `None` when it can't go on.
     async fn go_on(&mut self, cause: Break) -> Option<()> {
         let dispatch = self.started.dispatch;
@@ -152,6 +173,7 @@
         match started {
             Ok(Answered::Stream(started)) => {
                 self.started = *started;
+                self.stays = false;
                 Some(())
             }
             Ok(Answered::Whole(..)) => self.cut("a back end refused to resume the stream"),
--- a/crates/tanagerhub/src/ticket.rs
+++ b/crates/tanagerhub/src/ticket.rs
@@ -51,6 +51,18 @@
         next
     }
 
+    /// Whether the request may be sent again, were this attempt to end without an answer.
+    pub(crate) fn may_repeat(&self, attempt: AttemptKey) -> bool {
+        self.traffic
+            .with(|traffic, now| traffic.may_repeat(now, attempt))
+    }
+
+    /// Whether the request may be sent again, and another group has room for it.
+    pub(crate) fn may_move(&self, attempt: AttemptKey) -> bool {
+        self.traffic
+            .with(|traffic, now| traffic.may_move(now, attempt))
+    }
+
     /// Waits for the next decision on this request.
     pub(crate) async fn decision(&self) -> Option<Decision> {
         self.mailbox.recv().await.ok()
--- a/crates/tanagerhub/tests/gateway.rs
+++ b/crates/tanagerhub/tests/gateway.rs
@@ -90,6 +90,19 @@
     });
 }
 
+/// A late answer is better than none where the request can't go elsewhere.
+#[test]
+fn wait_for_late_answer() {
+    task::block_on(async {
+        let late = Script::answer(200, "", "found").after(Duration::from_millis(1_500));
+        let desk = Backend::start(vec![late]).await;
+        let site = Site::before(&[("desk", &desk)]).await;
+        let answer = site.ask("GET", "/safe/x").await;
+        assert!(answer.ends_with("found"), "{answer}");
+        assert_eq!(desk.heads().len(), 1);
+    });
+}
+
 #[test]
 fn pass_failure_unchanged() {
     task::block_on(async {
--- a/crates/tanagerhub/tests/support/deployment.rs
+++ b/crates/tanagerhub/tests/support/deployment.rs
@@ -276,6 +276,8 @@
 pub struct Script {
     pub parts: Vec<Vec<u8>>,
     pub stay: bool,
+    /// How long it takes until the first byte.
+    pub delay: Duration,
 }
 
 impl Script {
@@ -286,7 +288,7 @@
             format!("HTTP/1.1 {status} X\r\n{headers}Content-Length: {length}\r\n\r\n{body}");
         Self {
             parts: vec![text.into_bytes()],
-            stay: false,
+            ..Self::default()
         }
     }
 
@@ -301,16 +303,24 @@
         if whole {
             parts.push(b"0\r\n\r\n".to_vec());
         }
-        Self { parts, stay: false }
+        Self {
+            parts,
+            ..Self::default()
+        }
     }
 
     /// Silence.
     pub fn silence() -> Self {
         Self {
-            parts: Vec::new(),
             stay: true,
+            ..Self::default()
         }
     }
+
+    /// The same after a while.
+    pub fn after(self, delay: Duration) -> Self {
+        Self { delay, ..self }
+    }
 }
 
 /// A back end on loopback that notes the requests that it gets.
@@ -366,6 +376,7 @@
         let head = String::from_utf8_lossy(&request).to_lowercase();
         self.heads.lock().unwrap().push(head);
         let script = self.script();
+        task::sleep(script.delay).await;
         for part in script.parts {
             if stream.write_all(&part).await.is_err() {
                 return;
--- a/crates/tanagerhub_groups/src/decision.rs
+++ b/crates/tanagerhub_groups/src/decision.rs
@@ -3,6 +3,8 @@
 use serde::Serialize;
 use tanagerhub_catalogue::{Epoch, GroupId};
 
+use crate::ProbeFailure;
+
 /// Something that was decided or noticed on a group or VM, with what decided it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 #[serde(tag = "decision", rename_all = "snake_case")]
@@ -44,6 +46,8 @@
         vm: String,
         /// Unanswered probes in a row.
         probes: u32,
+        /// What became of the last one.
+        cause: ProbeFailure,
     },
     /// A VM that was believed lost answers.
     VmBack {
--- a/crates/tanagerhub_groups/src/event.rs
+++ b/crates/tanagerhub_groups/src/event.rs
@@ -79,6 +79,9 @@
     /// The VM could not be reached or did not answer in time.
     #[error("the probe was not answered")]
     Unanswered,
+    /// The VM is there, but took no connection.
+    #[error("the VM closed the connection")]
+    TurnedAway,
     /// Another VM has the address.
     #[error("another VM has the address")]
     Misdirected,
--- a/crates/tanagerhub_groups/src/groups/drive.rs
+++ b/crates/tanagerhub_groups/src/groups/drive.rs
@@ -72,11 +72,15 @@
         };
         let (name, probes) = (entry.report.vm.name.clone(), entry.failures);
         match verdict {
-            Some(Verdict::Lost) => {
+            Some(Verdict::Lost(cause)) => {
                 let place = entry.report.group;
                 self.lost
                     .extend(place.map(|place| (place.group, place.epoch)));
-                self.note(Decision::VmLost { vm: name, probes });
+                self.note(Decision::VmLost {
+                    vm: name,
+                    probes,
+                    cause,
+                });
             }
             Some(Verdict::Back) => self.note(Decision::VmBack { vm: name }),
             None => {}
--- a/crates/tanagerhub_groups/src/groups/vms.rs
+++ b/crates/tanagerhub_groups/src/groups/vms.rs
@@ -27,6 +27,8 @@
     pub(super) failures: u32,
     /// When it was last found silent.
     silent: Moment,
+    /// Since when it has turned away every probe that it did not leave unanswered.
+    turned_away: Option<Moment>,
     /// When the store last told of a change.
     pub(super) changed: Moment,
     pub(super) probed: Moment,
@@ -52,6 +54,7 @@
             gone: None,
             failures: 0,
             silent: Moment::ZERO,
+            turned_away: None,
             changed: Moment::ZERO,
             probed: Moment::ZERO,
             waiting: false,
@@ -77,10 +80,9 @@
         now: Moment,
         settings: &GroupsSettings,
     ) -> Option<(GroupId, Epoch)> {
-        let place = self.report.group?;
-        let open = matches!(place.state, GroupState::Open | GroupState::Closing);
+        let place = self.report.group.filter(|_| self.takes_requests())?;
         let stalled = self.is_silent(settings) && now.since(self.silent) >= settings.stall;
-        (open && !stalled).then_some((place.group, place.epoch))
+        (!stalled).then_some((place.group, place.epoch))
     }
 
     pub(super) fn is_leaving(&self) -> bool {
@@ -105,6 +107,7 @@
         let restarted = report.started != self.report.started;
         if restarted {
             self.failures = 0;
+            self.turned_away = None;
         }
         if self
             .staging
@@ -239,30 +242,50 @@
         match result {
             Ok(report) => {
                 entry.failures = 0;
+                entry.turned_away = None;
                 entry.take_probed(sent, report);
                 was_lost.then_some(Verdict::Back)
             }
             Err(ProbeFailure::Malformed) => None,
-            Err(ProbeFailure::Unanswered | ProbeFailure::Misdirected) => {
-                // Two signs that don't depend on each other count like two unanswered probes.
-                let suspected = now.since(entry.suspected) < SUSPICION && now > Moment::ZERO;
-                let weight = if suspected {
-                    settings.probe_failures
-                } else {
-                    1
-                };
-                entry.failures = entry.failures.saturating_add(weight);
-                let lost = entry.is_silent(settings) && !was_lost;
-                if lost {
-                    entry.silent = now;
-                }
-                lost.then_some(Verdict::Lost)
+            Err(ProbeFailure::TurnedAway) if entry.is_only_busy(now, settings) => None,
+            Err(cause) => {
+                entry.fail(now, settings);
+                (entry.is_silent(settings) && !was_lost).then_some(Verdict::Lost(cause))
             }
         }
     }
 }
 
 impl VmEntry {
+    /// Takes in that it turned a probe away; says whether that may be for too much work alone.
+    ///
+    /// Only a head takes requests; another member has no reason to turn anybody away.
+    fn is_only_busy(&mut self, now: Moment, settings: &GroupsSettings) -> bool {
+        let since = *self.turned_away.get_or_insert(now);
+        self.takes_requests() && now.since(since) < settings.busy_limit
+    }
+
+    /// Whether it is the head of a group that is open.
+    fn takes_requests(&self) -> bool {
+        let place = self.report.group;
+        place.is_some_and(|place| matches!(place.state, GroupState::Open | GroupState::Closing))
+    }
+
+    /// Counts a failed probe.
+    fn fail(&mut self, now: Moment, settings: &GroupsSettings) {
+        // Two signs that don't depend on each other count like two unanswered probes.
+        let suspected = now.since(self.suspected) < SUSPICION && now > Moment::ZERO;
+        let weight = if suspected {
+            settings.probe_failures
+        } else {
+            1
+        };
+        if !self.is_silent(settings) {
+            self.silent = now;
+        }
+        self.failures = self.failures.saturating_add(weight);
+    }
+
     /// Takes in that something else answers at its address.
     pub(super) fn displace(&mut self, now: Moment, settings: &GroupsSettings) {
         if !self.is_silent(settings) {
@@ -275,7 +298,7 @@
 /// What a probe changed in the belief about a VM.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Verdict {
-    Lost,
+    Lost(ProbeFailure),
     Back,
 }
 
--- a/crates/tanagerhub_groups/src/settings.rs
+++ b/crates/tanagerhub_groups/src/settings.rs
@@ -21,6 +21,9 @@
     pub probe_again: Duration,
     /// Unanswered probes in a row after which a VM counts as lost.
     pub probe_failures: u32,
+    /// How long a VM may turn probes away, as one does that has too much to do, before it counts
+    /// as lost.
+    pub busy_limit: Duration,
     /// Time after which an order that had no effect is sent again.
     pub order_again: Duration,
     /// Time after which a change that the store refused is tried again.
@@ -46,6 +49,7 @@
             blind_rate: 120.0,
             probe_again: Duration::from_millis(50),
             probe_failures: 2,
+            busy_limit: Duration::from_secs(4),
             order_again: Duration::from_secs(1),
             change_again: Duration::from_millis(500),
             close_limit: Duration::from_millis(2_500),
--- a/crates/tanagerhub_groups/tests/repair.rs
+++ b/crates/tanagerhub_groups/tests/repair.rs
@@ -147,6 +147,27 @@
     assert_eq!(world.lost, [(place.group, place.epoch)]);
 }
 
+/// A head with too much to do closes new connections, also those of probes.
+#[parameterized(
+    head_for_a_while = { 0, 3, true },
+    head_for_long = { 0, 6, false },
+    other_member = { 1, 1, false },
+)]
+fn keep_busy(rank: usize, seconds: u64, kept: bool) {
+    let mut world = served();
+    let head = world.open_heads("small").remove(0);
+    let full = world.members(&head)[rank].clone();
+    world.fill(&full);
+    for _ in 0..4 * seconds {
+        if world.open_heads("small").contains(&head) {
+            world.suspect(0, &head);
+        }
+        world.run(Duration::from_millis(250));
+    }
+    assert_eq!(world.held(0).contains(&full), kept);
+    assert_eq!(world.lost.is_empty(), kept, "{:?}", world.lost);
+}
+
 #[test]
 fn keep_vm_that_store_lost_sight_of() {
     let mut world = served();
--- a/crates/tanagerhub_groups/tests/support/world.rs
+++ b/crates/tanagerhub_groups/tests/support/world.rs
@@ -59,6 +59,8 @@
     /// VMs that leave orders unanswered; they carry them out when told to.
     pub mute: BTreeSet<VmId>,
     pub late_orders: Vec<(VmId, Order)>,
+    /// VMs that close each new connection, as one does that has too much to do.
+    pub full: BTreeSet<VmId>,
     /// VMs that run but can't be reached by any node.
     pub cut: BTreeSet<VmId>,
     /// The most loads that ran at once since traffic began.
@@ -110,6 +112,7 @@
             mute: BTreeSet::new(),
             late_orders: Vec::new(),
             cut: BTreeSet::new(),
+            full: BTreeSet::new(),
             most_loads: 0,
             commits: 0,
             store_down: false,
@@ -260,6 +263,11 @@
         self.cut.insert(VmId::of(name));
     }
 
+    /// Makes a VM close each new connection.
+    pub fn fill(&mut self, name: &str) {
+        self.full.insert(VmId::of(name));
+    }
+
     /// Tells a node that the requests at a head's group failed.
     pub fn suspect(&mut self, node: usize, head: &str) {
         let place = self.machine(head).report.group.unwrap();
@@ -366,7 +374,9 @@
             }
             GroupsAction::Probe { vm } => {
                 let machine = &self.machines[&vm];
-                let result = if machine.alive && !self.cut.contains(&vm) {
+                let result = if self.full.contains(&vm) {
+                    Err(ProbeFailure::TurnedAway)
+                } else if machine.alive && !self.cut.contains(&vm) {
                     Ok(VmReport {
                         started: machine.report.started + u64::from(machine.displaced),
                         busy: Some(!machine.doing.is_empty()),
--- a/crates/tanagerhub_proxy/src/client.rs
+++ b/crates/tanagerhub_proxy/src/client.rs
@@ -94,7 +94,7 @@
                     Some(unsent) if !is_new => request = unsent,
                     Some(_) => {
                         let reason = failure.error().to_string();
-                        return Err(SendError::NotSent { address, reason });
+                        return Err(SendError::TurnedAway { address, reason });
                     }
                     None => return Err(failed(address, failure.error())),
                 },
@@ -132,10 +132,7 @@
         let late = || Err(io::Error::from(io::ErrorKind::TimedOut));
         match opened.unwrap_or_else(late) {
             Ok(sender) => Ok((sender, true)),
-            Err(error) => Err(SendError::NotSent {
-                address,
-                reason: error.to_string(),
-            }),
+            Err(error) => Err(not_opened(address, &error)),
         }
     }
 
@@ -169,6 +166,17 @@
     Ok(sender)
 }
 
+fn not_opened(address: SocketAddr, error: &io::Error) -> SendError {
+    let reason = error.to_string();
+    match error.kind() {
+        // Whoever listens nowhere refuses; a reset comes from one that took the connection.
+        io::ErrorKind::ConnectionReset | io::ErrorKind::ConnectionAborted => {
+            SendError::TurnedAway { address, reason }
+        }
+        _ => SendError::NotSent { address, reason },
+    }
+}
+
 fn failed(address: SocketAddr, error: &hyper::Error) -> SendError {
     let reason = error.to_string();
     if error.is_parse() {
--- a/crates/tanagerhub_proxy/src/send_error.rs
+++ b/crates/tanagerhub_proxy/src/send_error.rs
@@ -13,6 +13,14 @@
         /// What happened.
         reason: String,
     },
+    /// The back end is there, but closed the new connection; no byte of the request left.
+    #[error("{address} closed a new connection: {reason}")]
+    TurnedAway {
+        /// The back end.
+        address: SocketAddr,
+        /// What happened.
+        reason: String,
+    },
     /// The connection broke after bytes may have been sent.
     #[error("{address} broke off before it answered: {reason}")]
     Broken {
@@ -35,6 +43,6 @@
     /// Whether the back end may have run the request.
     #[must_use]
     pub const fn may_have_run(&self) -> bool {
-        !matches!(self, Self::NotSent { .. })
+        !matches!(self, Self::NotSent { .. } | Self::TurnedAway { .. })
     }
 }
--- a/crates/tanagerhub_traffic/src/retry_budget.rs
+++ b/crates/tanagerhub_traffic/src/retry_budget.rs
@@ -71,6 +71,12 @@
         self.has_spare() && self.withdraw()
     }
 
+    /// Whether an extra attempt is left.
+    #[must_use]
+    pub fn has_one(&self) -> bool {
+        self.level >= 1.0
+    }
+
     /// Whether more than half of the burst is left.
     #[must_use]
     pub fn has_spare(&self) -> bool {
--- a/crates/tanagerhub_traffic/src/traffic/dispatch.rs
+++ b/crates/tanagerhub_traffic/src/traffic/dispatch.rs
@@ -22,9 +22,19 @@
         if !self.takes_work {
             return None;
         }
+        let choice = self.choose(now, key)?;
+        let suspect = self.is_suspect(now, key);
+        let dispatch = self.start(now, key, choice, suspect, hedge);
+        self.count_dispatch(key, choice);
+        self.arm_hedge(now, key, dispatch?.attempt);
+        dispatch
+    }
+
+    /// The group that a request is best sent to now, if one has room.
+    pub(super) fn choose(&mut self, now: Moment, key: RequestKey) -> Option<Choice> {
+        let suspect = self.is_suspect(now, key);
         let request = self.requests.get(key)?;
         let entry = self.entries.get(&request.info.entry)?;
-        let suspect = self.crashes.is_suspect(now, request.info.fingerprint);
         let wish = Wish {
             entry: request.info.entry,
             limit: entry.limits.concurrency,
@@ -36,11 +46,13 @@
             paced: request.info.objective.is_some() && request.tokens == 0,
         };
         let live = self.share.share().nodes;
-        let choice = self.groups.pick(now, live, &wish, &mut self.random)?;
-        let dispatch = self.start(now, key, choice, suspect, hedge);
-        self.count_dispatch(key, choice);
-        self.arm_hedge(now, key, dispatch?.attempt);
-        dispatch
+        self.groups.pick(now, live, &wish, &mut self.random)
+    }
+
+    /// Whether back ends crashed while they ran a request.
+    fn is_suspect(&self, now: Moment, key: RequestKey) -> bool {
+        let request = self.requests.get(key);
+        request.is_some_and(|request| self.crashes.is_suspect(now, request.info.fingerprint))
     }
 
     fn start(
--- a/crates/tanagerhub_traffic/src/traffic/reports.rs
+++ b/crates/tanagerhub_traffic/src/traffic/reports.rs
@@ -6,7 +6,7 @@
 
 use super::admission::status_of;
 use super::{Fact, Traffic};
-use crate::in_flight::{Attempt, Progress, RequestKey};
+use crate::in_flight::{Attempt, Progress, Request, RequestKey};
 use crate::{AttemptEvent, AttemptKey, Next, Outcome, Reason, Refusal, Repeat};
 
 /// Tokens beyond the break after which a resumed request is no longer under suspicion.
@@ -50,6 +50,39 @@
         }
     }
 
+    /// Whether a request may be sent again, were this attempt to end without an answer.
+    #[must_use]
+    pub fn may_repeat(&self, now: Moment, attempt: AttemptKey) -> bool {
+        let request = self.attempts.get(attempt).map(|attempt| attempt.request);
+        let Some(request) = request.and_then(|key| self.requests.get(key)) else {
+            return false;
+        };
+        let entry = self.entries.get(&request.info.entry);
+        self.why_not_again(now, request, Failure::TimedOut)
+            .is_none()
+            && entry.is_some_and(|entry| entry.budget.has_one())
+    }
+
+    /// Whether a request may be sent again, and another group has room for it.
+    pub fn may_move(&mut self, now: Moment, attempt: AttemptKey) -> bool {
+        if !self.may_repeat(now, attempt) {
+            return false;
+        }
+        let Some(attempt) = self.attempts.get(attempt) else {
+            return false;
+        };
+        let (key, group) = (attempt.request, attempt.group);
+        let Some(request) = self.requests.get_mut(key) else {
+            return false;
+        };
+        request.tried.push(group);
+        let choice = self.choose(now, key);
+        if let Some(request) = self.requests.get_mut(key) {
+            request.tried.pop();
+        }
+        choice.is_some()
+    }
+
     fn connect_failed(&mut self, now: Moment, key: AttemptKey) -> Next {
         if self.attempts[key].is_answered() {
             return self.broke(now, key);
@@ -291,9 +324,25 @@
         }
     }
 
-    /// The reason why a request may not be sent again, if there is one.
+    /// The reason why a request may not be sent again, if there is one; else it is paid for.
     fn why_not_retry(&mut self, now: Moment, key: RequestKey, failure: Failure) -> Option<Reason> {
         let request = &self.requests[key];
+        if let Some(reason) = self.why_not_again(now, request, failure) {
+            return Some(reason);
+        }
+        let granted = self
+            .entries
+            .get_mut(&request.info.entry)
+            .is_some_and(|entry| entry.budget.withdraw());
+        if granted {
+            return None;
+        }
+        self.counters.budget_empty += 1;
+        Some(Reason::BackendFailed)
+    }
+
+    /// The reason, whatever the budget, why a request may not be sent again, if there is one.
+    fn why_not_again(&self, now: Moment, request: &Request, failure: Failure) -> Option<Reason> {
         let repeat = request.info.repeat;
         if failure != Failure::NotRun && repeat == Repeat::Never {
             return Some(Reason::BackendFailed);
@@ -311,20 +360,8 @@
         {
             return Some(Reason::Crashes);
         }
-        if request.sent >= request.info.attempts.unwrap_or(self.settings.attempts)
-            || !self.takes_work
-        {
-            return Some(Reason::BackendFailed);
-        }
-        let granted = self
-            .entries
-            .get_mut(&request.info.entry)
-            .is_some_and(|entry| entry.budget.withdraw());
-        if granted {
-            return None;
-        }
-        self.counters.budget_empty += 1;
-        Some(Reason::BackendFailed)
+        let used = request.sent >= request.info.attempts.unwrap_or(self.settings.attempts);
+        (used || !self.takes_work).then_some(Reason::BackendFailed)
     }
 
     fn retry(&mut self, now: Moment, key: RequestKey) -> Next {
--- a/crates/tanagerhub_traffic/tests/routes.rs
+++ b/crates/tanagerhub_traffic/tests/routes.rs
@@ -10,6 +10,7 @@
 use tanagerhub_traffic::{
     AttemptEvent, Decision, Dispatch, Next, Reason, Repeat, RequestInfo, Traffic, TrafficSettings,
 };
+use yare::parameterized;
 
 const START: Moment = Moment::from_millis(1_000);
 
@@ -162,6 +163,32 @@
     }
 }
 
+/// A late request goes elsewhere only where that is allowed and there is room.
+#[parameterized(
+    room = { 1, 10.0, 2, true, true },
+    no_room = { 2, 10.0, 2, true, false },
+    no_budget = { 1, 0.0, 2, false, false },
+    no_attempt_left = { 1, 10.0, 1, false, false },
+)]
+fn move_late_request(running: u64, burst: f64, attempts: u32, repeats: bool, moves: bool) {
+    let settings = TrafficSettings {
+        filled: true,
+        retry_ratio: 0.0,
+        retry_burst: burst,
+        ..settings()
+    };
+    let mut traffic = traffic(settings, &[(1, 1, None), (2, 1, None)]);
+    let first = dispatched(&traffic.submit(
+        START,
+        info(1, START).attempts(attempts).repeat(Repeat::Whole),
+    ));
+    for id in 1..running {
+        dispatched(&traffic.submit(START, info(1 + id, START)));
+    }
+    assert_eq!(traffic.may_repeat(START, first.attempt), repeats);
+    assert_eq!(traffic.may_move(START, first.attempt), moves);
+}
+
 #[test]
 fn empty_budget_fills_by_requests() {
     let settings = TrafficSettings {
