--- a/crates/tanagerhub/src/gateway.rs
+++ b/crates/tanagerhub/src/gateway.rs
@@ -24,6 +24,7 @@
 pub use call::{CallHead, Upstream};
 pub use configuration::{Configuration, KeyHolder};
 pub use edges::{AnswerKind, Dialect, Edges, Engines, HeadError, OperatorRow, Pending, Store};
+pub use feed_pace::FeedBounds;
 pub use gateway_metrics::GatewayMetrics;
 pub use gateway_settings::GatewaySettings;
 pub use start::{Gateway, GatewayError};
--- a/crates/tanagerhub/src/gateway/control.rs
+++ b/crates/tanagerhub/src/gateway/control.rs
@@ -16,7 +16,7 @@
 
 use crate::gateway::control_store::ControlStore;
 use crate::gateway::feed::FeedNews;
-use crate::gateway::feed_pace::{FeedPaces, paces};
+use crate::gateway::feed_pace::{FeedBounds, FeedPaces, paces};
 use crate::gateway::pulse::Pulses;
 use crate::gateway::shared::Shared;
 use crate::gateway::state_dump::StateDump;
@@ -46,6 +46,8 @@
     PresenceWritten(Commit),
     /// Requests at a group failed or went silent.
     Suspected(GroupId, Epoch),
+    /// How soon changes must be known is another matter from now on.
+    Bounds(FeedBounds),
     /// Somebody wants to see the state.
     Dump(Sender<String>),
     /// The node stops: it plans no more.
@@ -67,6 +69,8 @@
     pub(crate) presence: Presence,
     /// How often the feeds ask the store.
     pub(crate) paces: FeedPaces,
+    /// How soon changes must be known.
+    pub(crate) bounds: FeedBounds,
     /// The pulses of groups with requests, to wake those of a group that lost a member.
     pub(crate) pulses: Arc<Pulses>,
     /// The limits of callers' connections, which the configuration sets.
@@ -133,6 +137,7 @@
             GatewayEvent::Suspected(group, epoch) => {
                 self.tell_groups(now, GroupsEvent::Suspected { group, epoch });
             }
+            GatewayEvent::Bounds(bounds) => self.bounds = bounds,
             GatewayEvent::Dump(reply) => {
                 drop(reply.try_send(self.dump(now)));
             }
@@ -155,8 +160,8 @@
         self.tend_presence(now);
         self.publish_routes(now);
         let (nodes, place) = (self.presence.live(now), self.presence.place(now));
-        self.paces
-            .set(&paces(nodes, place, self.groups.is_planning()));
+        let plans = self.groups.is_planning();
+        self.paces.set(&paces(nodes, place, plans, self.bounds));
         self.metrics.view(self.view.heads.len(), self.shared.age());
     }
 
--- a/crates/tanagerhub/src/gateway/feed_pace.rs
+++ b/crates/tanagerhub/src/gateway/feed_pace.rs
@@ -9,6 +9,14 @@
 
 use tanagerhub_groups::SUCCESSORS;
 
+use crate::gateway::feed::{CALL_SLACK, RETRY_PAUSE};
+
+/// What is kept of a bound for the way of an answer, and for taking it in.
+const MARGIN: Duration = Duration::from_millis(150);
+/// The longest that a call for the VMs' rows waits: a lost answer is noticed soon.
+const VM_WAIT: Duration = Duration::from_millis(500);
+/// The least time between two calls, and the shortest wait, however short a bound is.
+const SHORTEST: Duration = Duration::from_millis(100);
 /// The fleet from which on nodes ask more rarely.
 const LARGE_FLEET: usize = 20;
 
@@ -27,9 +35,27 @@
     pub(crate) nodes: Arc<FeedPace>,
 }
 
+/// How soon a node must know of changes, counted from the store's word.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FeedBounds {
+    /// The time after which no request may reach a VM that leaves.
+    pub drain: Duration,
+    /// The time after which a new configuration holds.
+    pub configuration: Duration,
+}
+
+impl Default for FeedBounds {
+    fn default() -> Self {
+        Self {
+            drain: Duration::from_secs(2),
+            configuration: Duration::from_secs(2),
+        }
+    }
+}
+
 impl Default for FeedPaces {
     fn default() -> Self {
-        let paces = paces(1, 0, false);
+        let paces = paces(1, 0, false, FeedBounds::default());
         let share = |pace| Arc::new(FeedPace::new(pace));
         Self {
             operators: share(paces.operators),
@@ -90,22 +116,37 @@
 }
 
 /// The paces for a node of a fleet of `nodes`, which `place` others precede by name.
-pub(crate) fn paces(nodes: usize, place: usize, plans: bool) -> Paces {
+///
+/// However one answer is lost, what the bounds speak of is known in time.
+pub(crate) fn paces(nodes: usize, place: usize, plans: bool, bounds: FeedBounds) -> Paces {
     let large = nodes >= LARGE_FLEET;
     let every = |wait, interval| Pace {
         wait: Duration::from_millis(wait),
         interval: Duration::from_millis(interval),
     };
-    let operators = if large {
-        every(2_000, 100)
-    } else {
-        every(1_000, 100)
+    let operators = Pace {
+        wait: within(
+            bounds.configuration,
+            MARGIN,
+            if large { 2_000 } else { 1_000 },
+        ),
+        interval: SHORTEST,
     };
-    // Short waits, so that a lost answer is noticed within the drain bound.
-    let vms = match (plans, large) {
-        (true, _) => every(1_000, 120),
-        (false, false) => every(500, 600),
-        (false, true) => every(500, 1_300),
+    let vms = if plans {
+        let interval = Duration::from_millis(120);
+        Pace {
+            wait: within(bounds.drain, interval, 1_000),
+            interval,
+        }
+    } else {
+        Pace {
+            wait: VM_WAIT,
+            interval: within(
+                bounds.drain,
+                VM_WAIT + MARGIN,
+                if large { 1_300 } else { 600 },
+            ),
+        }
     };
     let closely = plans || place < SUCCESSORS;
     let nodes = match (closely, large) {
@@ -120,6 +161,14 @@
     }
 }
 
+/// What a bound leaves for waiting, at most so many milliseconds, if one answer is lost.
+fn within(bound: Duration, other: Duration, most: u64) -> Duration {
+    let used = other + CALL_SLACK + RETRY_PAUSE;
+    bound
+        .saturating_sub(used)
+        .clamp(SHORTEST, Duration::from_millis(most))
+}
+
 fn millis(span: Duration) -> u64 {
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/tanagerhub/src/gateway/gateway_settings.rs
+++ b/crates/tanagerhub/src/gateway/gateway_settings.rs
@@ -5,6 +5,8 @@
 
 use tanagerhub_groups::GroupsSettings;
 
+use crate::gateway::FeedBounds;
+
 /// Settings of a gateway.
 #[derive(Debug, Clone, PartialEq)]
 pub struct GatewaySettings {
@@ -28,6 +30,8 @@
     pub grace: Duration,
     /// Time after the signal to stop in which callers may still open connections.
     pub drain: Duration,
+    /// How soon changes must be known.
+    pub bounds: FeedBounds,
     /// Settings of the decisions on groups.
     pub groups: GroupsSettings,
 }
@@ -47,6 +51,7 @@
             retry_slack: 100.0,
             grace: Duration::from_secs(8),
             drain: Duration::from_millis(2_500),
+            bounds: FeedBounds::default(),
             groups: GroupsSettings::default(),
         }
     }
@@ -93,6 +98,13 @@
         self
     }
 
+    /// Sets how soon changes must be known.
+    #[must_use]
+    pub const fn bounds(mut self, bounds: FeedBounds) -> Self {
+        self.bounds = bounds;
+        self
+    }
+
     /// Sets the time from the signal to stop until the process must have ended.
     #[must_use]
     pub const fn grace(mut self, grace: Duration) -> Self {
--- a/crates/tanagerhub/src/gateway/start.rs
+++ b/crates/tanagerhub/src/gateway/start.rs
@@ -139,6 +139,7 @@
             groups: Groups::new(settings.groups.clone().boot(boot), rand::random()),
             presence: Presence::new(settings.node.clone(), boot, rand::random()),
             paces: paces.clone(),
+            bounds: settings.bounds,
             pulses: Arc::clone(&pulses),
             limits: callers.limits(),
             view: ControlView::default(),
@@ -180,11 +181,14 @@
         self.shared.set_key_life(settings.key_life);
         self.traffic
             .with(|traffic, _| traffic.retries(settings.retry_ratio, settings.retry_slack));
+        self.tell(GatewayEvent::Bounds(settings.bounds));
         log::info!(
             key_life_ms = settings.key_life.as_millis(),
             retry_ratio = settings.retry_ratio,
             retry_slack = settings.retry_slack,
-            grace_ms = settings.grace.as_millis();
+            grace_ms = settings.grace.as_millis(),
+            drain_bound_ms = settings.bounds.drain.as_millis(),
+            configuration_bound_ms = settings.bounds.configuration.as_millis();
             "settings reloaded"
         );
         self.settings = self.settings.clone().renewed(settings);
@@ -226,6 +230,12 @@
         drop(std::mem::take(&mut self.others));
     }
 
+    fn tell(&self, event: GatewayEvent) {
+        if self.events.try_send(event).is_err() {
+            log::error!("the control thread has ended early");
+        }
+    }
+
     async fn send(&self, event: GatewayEvent) {
         if self.events.send(event).await.is_err() {
             log::error!("the control thread has ended early");
--- /dev/null
+++ b/crates/tanagerhub_groups/tests/rows.rs
@@ -0,0 +1,42 @@
+//! Rows that something else wrote into the groups' table.
+
+#[path = "support/world.rs"]
+mod world;
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use tanagerhub_groups::KnownBoots;
+use world::World;
+
+fn config(seed: u64) -> ProptestConfig {
+    ProptestConfig {
+        cases: 60,
+        rng_seed: RngSeed::Fixed(seed),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config(0x5eed_0201))]
+
+    /// A planner ignores rows that it can't read, and forms its groups beside them.
+    #[test]
+    fn plan_beside_garbage(
+        name in prop_oneof![
+            Just("g/00000000000000ff".to_owned()),
+            Just("g/xyz".to_owned()),
+            "[a-z/]{0,12}",
+        ],
+        value in prop::collection::vec(any::<u8>(), 0..40),
+    ) {
+        let mut world = World::new(1, 10);
+        world.put_row(&name, &value);
+        world.plan(0, KnownBoots::default());
+        world.run(Duration::from_secs(9));
+        prop_assert!(!world.open_heads("small").is_empty());
+        prop_assert!(world.violations.is_empty(), "{:?}", world.violations);
+    }
+}
--- a/crates/tanagerhub_groups/tests/support/world.rs
+++ b/crates/tanagerhub_groups/tests/support/world.rs
@@ -10,8 +10,8 @@
 use tanagerhub_catalogue::{EntryId, Epoch, GroupId, Vm, VmId, VmState};
 use tanagerhub_clock::Moment;
 use tanagerhub_groups::{
-    EngineSpec, GroupRow, GroupState, Groups, GroupsAction, GroupsEvent, GroupsSettings,
-    KnownBoots, LoadLimit, ModelSpec, Order, OrderResult, ProbeFailure, VmReport,
+    EngineSpec, GROUPS_TABLE, GroupRow, GroupState, Groups, GroupsAction, GroupsEvent,
+    GroupsSettings, KnownBoots, LoadLimit, ModelSpec, Order, OrderResult, ProbeFailure, VmReport,
 };
 use tanagerhub_table::{
     Commit, FeedPage, RowKey, RowVersion, StoreTime, Transaction, VersionedRow, Write,
@@ -195,6 +195,18 @@
         }
     }
 
+    /// Writes a row of the groups' table from outside.
+    pub fn put_row(&mut self, name: &str, value: &[u8]) {
+        self.version += 1;
+        let key = RowKey::in_table(GROUPS_TABLE, name);
+        let row = VersionedRow {
+            key: key.clone(),
+            version: RowVersion(self.version),
+            value: Some(value.to_vec()),
+        };
+        self.rows.insert(key, row);
+    }
+
     /// Takes the store away from all nodes, or gives it back with what happened meanwhile.
     pub fn set_store_down(&mut self, down: bool) {
         self.store_down = down;
