Refuse new connections 3 s after the signal to stop

A balancer needs two checks to notice; 3 s leave it time, and leave an answer 4.4 s. The half stays for shorter times to stop.

--- a/crates/tanagerhub/src/gateway/start.rs
+++ b/crates/tanagerhub/src/gateway/start.rs
@@ -43,9 +43,9 @@
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 /// What a stopping node keeps of its time to end in an orderly way.
 const STOP_RESERVE: Duration = Duration::from_millis(600);
-/// The part of its time to stop, as a divisor, after which a node refuses new connections.
-///
-/// The rest is for the answers in flight, also for callers who did not heed the balancer's check.
+/// How long a stopping node accepts connections, for callers whose balancer has not noticed yet.
+const ENTRY_LIMIT: Duration = Duration::from_secs(3);
+/// The same as a part of its time to stop, as a divisor; the rest is for the answers in flight.
 const ENTRY_PART: u32 = 2;
 /// How long a group that failed is avoided.
 const SUSPENSION: Duration = Duration::from_millis(1_200);
@@ -197,8 +197,8 @@
     /// Stops gracefully: nothing in flight is cut off before the time to stop is used up.
     ///
     /// The node first fails the balancer's check and goes on serving for a while. Then it closes
-    /// idle connections, refuses new ones in the second half of its time, and ends when the
-    /// answers in flight are out.
+    /// idle connections, refuses new ones after a while, and ends when the answers in flight are
+    /// out.
     pub async fn stop(mut self) {
         let started = self.clock.now();
         log::info!(open = self.callers.open(); "stopping");
@@ -208,7 +208,7 @@
         self.clock.sleep(self.settings.drain).await;
         self.callers.close_idle();
         let limit = self.settings.grace.saturating_sub(STOP_RESERVE);
-        let entry = self.settings.grace / ENTRY_PART;
+        let entry = ENTRY_LIMIT.min(self.settings.grace / ENTRY_PART);
         while self.is_busy() && self.clock.now().since(started) < limit {
             if self.clock.now().since(started) >= entry {
                 self.callers.stop_accepting().await;
