Watch a new connection before a request that must not run twice is written

Cause: a back end with too many connections takes a new one and closes it. Such a request now waits for as long as the connection took to open and 1 ms more; if it is closed by then, nothing was sent, and it goes elsewhere.

--- a/crates/tanagerhub_proxy/src/client.rs
+++ b/crates/tanagerhub_proxy/src/client.rs
@@ -19,13 +19,18 @@
 use crate::pool::{Pool, Sender};
 use crate::{Answer, AnswerBody, PoolLimits, SendError};
 
+/// How long a new connection is watched at least before a request that must not run twice.
+const PROBATION: Duration = Duration::from_millis(1);
+/// The same at most, however long the connection took to open.
+const LONGEST_PROBATION: Duration = Duration::from_millis(20);
+
 /// Which connections a request may use.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default)]
 pub enum Reuse {
     /// Any idle one, or a new one.
     #[default]
     Idle,
-    /// A new one only.
+    /// A new one only, which the back end has not closed at once.
     Never,
 }
 
@@ -83,6 +88,10 @@
     ) -> Result<Answer, SendError> {
         loop {
             let (mut sender, is_new) = self.connection(address, reuse).await?;
+            if sender.is_closed() && is_new {
+                let reason = "it was closed as soon as it was open".to_owned();
+                return Err(SendError::TurnedAway { address, reason });
+            }
             if !may_send() {
                 let reason = "it may no longer be sent".to_owned();
                 return Err(SendError::NotSent { address, reason });
@@ -128,12 +137,25 @@
         {
             return Ok((sender, false));
         }
+        let started = self.clock.now();
         let opened = self.clock.timeout(self.connect, open(address)).await;
         let late = || Err(io::Error::from(io::ErrorKind::TimedOut));
-        match opened.unwrap_or_else(late) {
-            Ok(sender) => Ok((sender, true)),
-            Err(error) => Err(not_opened(address, &error)),
+        let sender = opened
+            .unwrap_or_else(late)
+            .map_err(|error| not_opened(address, &error))?;
+        if reuse == Reuse::Never {
+            let took = self.clock.now().since(started);
+            self.watch(took).await;
         }
+        Ok((sender, true))
+    }
+
+    /// Waits about as long as a back end's word takes that it closes a new connection.
+    ///
+    /// A request that was written before it came might have run.
+    async fn watch(&self, took: Duration) {
+        let probation = took.saturating_add(PROBATION).min(LONGEST_PROBATION);
+        self.clock.sleep(probation).await;
     }
 
     fn answer(&self, address: SocketAddr, sender: Sender, response: Response<Incoming>) -> Answer {
--- a/crates/tanagerhub_proxy/tests/client.rs
+++ b/crates/tanagerhub_proxy/tests/client.rs
@@ -137,6 +137,29 @@
     });
 }
 
+/// A back end that has too many connections takes a new one and closes it.
+#[test]
+fn send_turned_away() {
+    task::block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (clock, hand) = Clock::manual();
+        let client = Client::new(PoolLimits::default(), Duration::from_secs(1), clock);
+        let sent = task::spawn(async move {
+            let answer = client.send(address, get(), Reuse::Never, || true).await;
+            answer.map(|_| ())
+        });
+        let (stream, _) = listener.accept().await.unwrap();
+        task::sleep(Duration::from_millis(20)).await;
+        drop(stream);
+        task::sleep(Duration::from_millis(20)).await;
+        hand.advance(Duration::from_millis(20));
+        let error = sent.await.unwrap_err();
+        assert!(matches!(error, SendError::TurnedAway { .. }), "{error}");
+        assert!(!error.may_have_run());
+    });
+}
+
 #[test]
 fn send_withdrawn() {
     task::block_on(async {
