Back off from a store that does not answer, and share the probes without it

A feed tried again every 150 ms as long as the store refused; and each node without the store probed all VMs, all at once at first and then 120 a second, however many nodes did the same. Now the pause of a feed doubles up to 1 s; without the store the nodes share 960 probes a second (25 each at least), heads first, none at once, while the node that plans looks at all; VMs that are gone and silent are left alone. Small fleets keep their rate. Probing has a file of its own. Ruled out: presence rows (4 writes a node in 48 s), the interval of the VMs' feed, which the drain bound sets.

--- a/crates/tanagerhub/src/gateway/feed.rs
+++ b/crates/tanagerhub/src/gateway/feed.rs
@@ -10,8 +10,10 @@
 use crate::gateway::Store;
 use crate::gateway::feed_pace::FeedPace;
 
-/// The pause after a failed call.
+/// The pause after a failed call; it doubles with each further one.
 pub(crate) const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// The longest pause after failed calls: the store's return is noticed within it.
+const LONGEST_PAUSE: Duration = Duration::from_secs(1);
 /// How much longer than its wait a call may take.
 pub(crate) const CALL_SLACK: Duration = Duration::from_millis(600);
 /// How long a read of a whole table may take.
@@ -43,6 +45,7 @@
     wrap: impl Fn(FeedNews) -> E + Send + 'static,
 ) {
     let mut known: Option<RowVersion> = None;
+    let mut failures = 0;
     loop {
         let news = call(&*store, &plan, &clock, known).await;
         let sent = news.sent;
@@ -51,15 +54,15 @@
             Err(FeedError::Compacted) => None,
             Err(_) => known,
         };
-        let failed = news.page.is_err();
+        failures = match &news.page {
+            Ok(_) | Err(FeedError::Compacted) => 0,
+            Err(_) => failures + 1,
+        };
+        let pause = news.page.is_err().then(|| retry_pause(failures));
         if events.send(wrap(news)).await.is_err() {
             return;
         }
-        let interval = if failed {
-            RETRY_PAUSE
-        } else {
-            plan.pace.get().interval
-        };
+        let interval = pause.unwrap_or_else(|| plan.pace.get().interval);
         let since = clock.now().since(sent);
         if since < interval {
             clock.sleep(interval.saturating_sub(since)).await;
@@ -67,6 +70,12 @@
     }
 }
 
+/// The least time from a failed call to the next, after so many in a row.
+pub(crate) fn retry_pause(failures: u32) -> Duration {
+    let doubled = 2_u32.saturating_pow(failures.saturating_sub(1));
+    RETRY_PAUSE.saturating_mul(doubled).min(LONGEST_PAUSE)
+}
+
 async fn call(
     store: &dyn Store,
     plan: &FeedPlan,
@@ -92,3 +101,6 @@
         received: clock.now(),
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/tanagerhub_groups/src/event.rs
+++ b/crates/tanagerhub_groups/src/event.rs
@@ -54,6 +54,8 @@
         /// What it reports.
         result: Result<VmReport, ProbeFailure>,
     },
+    /// So many nodes share the VMs, this one included.
+    Nodes(usize),
     /// The requests at a group have gone silent or failed.
     Suspected {
         /// The group.
--- a/crates/tanagerhub_groups/src/groups.rs
+++ b/crates/tanagerhub_groups/src/groups.rs
@@ -4,6 +4,7 @@
 mod drive;
 mod group;
 mod ledger;
+mod probe;
 mod repair;
 mod stage;
 mod view;
@@ -21,6 +22,7 @@
 
 use group::Group;
 use ledger::Ledger;
+use probe::BlindProbes;
 use vms::Vms;
 
 pub use view::{GroupStatus, Head, VmStatus};
@@ -54,6 +56,9 @@
     in_use: bool,
     /// Whether the store does not answer, so that VMs must be asked themselves.
     blind: bool,
+    /// Nodes that share the VMs, this one included.
+    nodes: usize,
+    probes: BlindProbes,
     /// Groups that lost a member, for those who use them.
     lost: Vec<(GroupId, Epoch)>,
     decisions: Vec<Decision>,
@@ -74,6 +79,8 @@
             loads: LoadMeter::default(),
             in_use: !settings.first_start,
             blind: false,
+            nodes: 1,
+            probes: BlindProbes::default(),
             lost: Vec::new(),
             decisions: Vec::new(),
             out: Vec::new(),
@@ -102,6 +109,7 @@
                 self.blind = false;
                 self.vms.expect_lapses(now, &self.settings);
             }
+            GroupsEvent::Nodes(nodes) => self.nodes = nodes,
             GroupsEvent::Plan(boots) => self.try_to_plan(boots),
             GroupsEvent::YieldPlan => self.yield_plan(),
             GroupsEvent::RowsRead(page) => self.rows_read(now, page),
--- a/crates/tanagerhub_groups/src/groups/drive.rs
+++ b/crates/tanagerhub_groups/src/groups/drive.rs
@@ -1,119 +1,17 @@
-//! Brings groups into service: joins, readiness, opening; and probes their members.
+//! Brings groups into service, joins, readiness, opening; and ends them.
 
 use std::collections::BTreeSet;
-use std::time::Duration;
 
 use tanagerhub_catalogue::{Epoch, GroupId, VmId};
 use tanagerhub_clock::Moment;
 
-use crate::{Decision, GroupState, GroupsAction, Order, OrderResult, ProbeFailure, VmReport};
+use crate::{Decision, GroupState, GroupsAction, Order, OrderResult};
 
 use super::Groups;
 use super::group::{Dissolving, Group, Sent};
-use super::vms::{Verdict, VmEntry};
+use super::vms::VmEntry;
 
 impl Groups {
-    /// Probes VMs that did not answer; on the node that plans, also the members of all groups.
-    pub(super) fn probe_members(&mut self, now: Moment) {
-        let mut due: BTreeSet<VmId> = self.vms.failing().collect();
-        if self.ledger.is_held() {
-            let members = self.known.values().flat_map(|group| &group.members);
-            due.extend(members);
-            due.extend(self.vms.unclear());
-        }
-        let blind = self.blind.then(|| self.blind_period());
-        if blind.is_some() {
-            due.extend(self.vms.list.keys());
-        }
-        for vm in due {
-            let Some(entry) = self.vms.get(vm) else {
-                continue;
-            };
-            let every = match entry.failures {
-                0 => blind.unwrap_or(self.settings.probe_every),
-                failures if failures < self.settings.probe_failures => self.settings.probe_again,
-                _ => self.settings.probe_every / 2,
-            };
-            if now.since(entry.probed) >= every {
-                self.probe(now, vm);
-            }
-        }
-    }
-
-    /// Time between two probes of each VM while the store does not answer.
-    fn blind_period(&self) -> Duration {
-        let vms = u32::try_from(self.vms.list.len()).unwrap_or(u32::MAX);
-        let spread = Duration::from_secs_f64(f64::from(vms) / self.settings.blind_rate);
-        self.settings.blind_every.max(spread)
-    }
-
-    fn probe(&mut self, now: Moment, vm: VmId) {
-        let Some(entry) = self.vms.list.get_mut(&vm) else {
-            return;
-        };
-        if entry.waiting {
-            return;
-        }
-        entry.waiting = true;
-        entry.probed = now;
-        self.out.push(GroupsAction::Probe { vm });
-    }
-
-    pub(super) fn probed(
-        &mut self,
-        now: Moment,
-        vm: VmId,
-        sent: Moment,
-        result: Result<VmReport, ProbeFailure>,
-    ) {
-        let verdict = self.vms.probed(now, vm, sent, result, &self.settings);
-        let Some(entry) = self.vms.get(vm) else {
-            return;
-        };
-        let (name, probes) = (entry.report.vm.name.clone(), entry.failures);
-        match verdict {
-            Some(Verdict::Lost(cause)) => {
-                let place = entry.report.group;
-                self.lost
-                    .extend(place.map(|place| (place.group, place.epoch)));
-                self.note(Decision::VmLost {
-                    vm: name,
-                    probes,
-                    cause,
-                });
-            }
-            Some(Verdict::Back) => self.note(Decision::VmBack { vm: name }),
-            None => {}
-        }
-    }
-
-    /// Probes all members of a group at once, since its requests failed.
-    pub(super) fn suspected(&mut self, now: Moment, id: GroupId, epoch: Epoch) {
-        let members: Vec<VmId> = self
-            .vms
-            .list
-            .iter()
-            .filter(|(_, entry)| entry.report.state_in(id, epoch).is_some())
-            .map(|(vm, _)| *vm)
-            .collect();
-        for vm in members {
-            if let Some(entry) = self.vms.list.get_mut(&vm) {
-                entry.suspected = now;
-            }
-            self.probe(now, vm);
-        }
-    }
-
-    pub(super) fn vm_gone(&mut self, now: Moment, vm: VmId) {
-        let gone = self.vms.gone(now, vm);
-        self.decisions.extend(gone);
-        // It may be dead, or leave without notice and serve on for a while.
-        if let Some(entry) = self.vms.list.get_mut(&vm) {
-            entry.suspected = now;
-        }
-        self.probe(now, vm);
-    }
-
     pub(super) fn drive_groups(&mut self, now: Moment) {
         let ids: Vec<GroupId> = self.known.keys().copied().collect();
         for id in ids {
--- a/crates/tanagerhub_groups/src/groups/vms.rs
+++ b/crates/tanagerhub_groups/src/groups/vms.rs
@@ -132,9 +132,13 @@
         self.get(vm)?.report.state_in(group.id, group.epoch)
     }
 
-    /// VMs that did not answer their last probe.
-    pub(super) fn failing(&self) -> impl Iterator<Item = VmId> {
-        let failing = self.list.iter().filter(|(_, entry)| entry.failures > 0);
+    /// VMs that did not answer their last probe, but for those that are known gone.
+    pub(super) fn failing(&self, settings: &GroupsSettings) -> impl Iterator<Item = VmId> {
+        let gone = |entry: &VmEntry| !entry.is_listed() && entry.is_silent(settings);
+        let failing = self
+            .list
+            .iter()
+            .filter(move |(_, entry)| entry.failures > 0 && !gone(entry));
         failing.map(|(vm, _)| *vm)
     }
 
@@ -266,9 +270,11 @@
     }
 
     /// Whether it is the head of a group that is open.
-    fn takes_requests(&self) -> bool {
-        let place = self.report.group;
-        place.is_some_and(|place| matches!(place.state, GroupState::Open | GroupState::Closing))
+    pub(super) const fn takes_requests(&self) -> bool {
+        match &self.report.group {
+            Some(place) => matches!(place.state, GroupState::Open | GroupState::Closing),
+            None => false,
+        }
     }
 
     /// Counts a failed probe.
--- a/crates/tanagerhub_groups/src/settings.rs
+++ b/crates/tanagerhub_groups/src/settings.rs
@@ -17,6 +17,12 @@
     pub blind_every: Duration,
     /// The most probes that a node sends in a second while the store does not answer.
     pub blind_rate: f64,
+    /// The most that all nodes send in a second together, as long as each sends [`blind_least`].
+    ///
+    /// [`blind_least`]: Self::blind_least
+    pub blind_total: f64,
+    /// What each node may send in a second, however many there are.
+    pub blind_least: f64,
     /// Time between two probes of a VM that did not answer.
     pub probe_again: Duration,
     /// Unanswered probes in a row after which a VM counts as lost.
@@ -47,6 +53,8 @@
             probe_every: Duration::from_secs(2),
             blind_every: Duration::from_millis(500),
             blind_rate: 120.0,
+            blind_total: 960.0,
+            blind_least: 25.0,
             probe_again: Duration::from_millis(50),
             probe_failures: 2,
             busy_limit: Duration::from_secs(4),
--- a/crates/tanagerhub_groups/tests/outage.rs
+++ b/crates/tanagerhub_groups/tests/outage.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use tanagerhub_catalogue::VmId;
 use tanagerhub_groups::{GroupsEvent, KnownBoots};
 use world::{Fate, World};
 use yare::parameterized;
@@ -239,3 +240,47 @@
     let heads = world.nodes[1].groups.heads();
     assert_eq!(heads.iter().any(|other| other.name == head), listed);
 }
+
+/// In a large fleet the nodes without the store don't overrun the VMs with probes.
+#[parameterized(
+    small_fleet = { 6, 960, 1_230 },
+    large_fleet = { 78, 180, 260 },
+)]
+fn probe_without_store(nodes: usize, least: usize, most: usize) {
+    let mut world = World::new(20, 10);
+    world.add_node(2);
+    world.plan(0, KnownBoots::default());
+    world.run(9 * SECOND);
+    world.begin_traffic();
+    for node in 0..2 {
+        world.tell(node, GroupsEvent::Nodes(nodes));
+    }
+    world.run(SECOND);
+    world.set_store_down(true);
+    let before = [0, 1].map(|node| world.nodes[node].probes.len());
+    world.run(10 * SECOND);
+    let probes = [0, 1].map(|node| world.nodes[node].probes.len() - before[node]);
+    assert!((least..=most).contains(&probes[1]), "{probes:?}");
+    // The node that plans must know of each member.
+    assert!(probes[0] >= 960, "{probes:?}");
+    let heads = world.open_heads("small").len() + world.open_heads("big").len();
+    let heads_probed = world.nodes[1].probes[before[1]..]
+        .iter()
+        .filter(|vm| world.is_open_head(**vm))
+        .count();
+    assert!(heads_probed >= 2 * heads, "{heads_probed} of {probes:?}");
+}
+
+#[test]
+fn leave_gone_vm_alone() {
+    let mut world = served();
+    let head = world.open_heads("small").remove(0);
+    world.silence(&head);
+    world.unlist(&head);
+    world.run(SECOND);
+    let vm = VmId::of(&head);
+    let probes = |world: &World| world.nodes[1].probes.iter().filter(|it| **it == vm).count();
+    let before = probes(&world);
+    world.run(4 * SECOND);
+    assert_eq!(probes(&world), before);
+}
--- a/crates/tanagerhub_groups/tests/support/world.rs
+++ b/crates/tanagerhub_groups/tests/support/world.rs
@@ -95,6 +95,8 @@
     pub groups: Groups,
     pub boot: u64,
     pub alive: bool,
+    /// The VMs that it probed, in order.
+    pub probes: Vec<VmId>,
     events: Vec<GroupsEvent>,
 }
 
@@ -172,6 +174,7 @@
             groups,
             boot,
             alive: true,
+            probes: Vec::new(),
             events: vec![GroupsEvent::AllVms(self.reports())],
         });
     }
@@ -340,6 +343,12 @@
             .collect()
     }
 
+    /// Whether a VM serves as a head, by itself.
+    pub fn is_open_head(&self, vm: VmId) -> bool {
+        let place = self.machines[&vm].report.group;
+        place.is_some_and(|place| place.state == GroupState::Open)
+    }
+
     /// Names of the members of a head's group.
     pub fn members(&self, head: &str) -> Vec<String> {
         self.machines[&VmId::of(head)].members.clone()
@@ -354,6 +363,9 @@
             for event in events {
                 let actions = self.nodes[place].groups.on_event(self.now, event);
                 for action in actions {
+                    if let GroupsAction::Probe { vm } = &action {
+                        self.nodes[place].probes.push(*vm);
+                    }
                     results.push(self.carry_out(action));
                 }
             }
