--- /dev/null
+++ b/crates/tanagerhub/src/gateway/control/routes.rs
@@ -0,0 +1,94 @@
+//! Publishes where requests may go.
+
+use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use tanagerhub_catalogue::{Catalogue, GroupId};
+use tanagerhub_clock::Moment;
+use tanagerhub_groups::Head;
+use tanagerhub_traffic::{Route, RouteTable};
+
+use super::GatewayControl;
+use crate::gateway::Configuration;
+use crate::snapshot::Snapshot;
+
+/// The share of a limit over all nodes that nodes use, so that their clocks may differ a little.
+const STARTS_MARGIN: f64 = 0.85;
+/// For how long the routes of a snapshot hold: they are published anew whenever they change.
+const TRUST: Duration = Duration::MAX;
+
+impl GatewayControl {
+    /// Publishes where requests may go, if that has changed.
+    pub(super) fn publish_routes(&mut self, now: Moment) {
+        let Some(configuration) = self.view.configuration.clone() else {
+            return;
+        };
+        let mut heads = self.groups.heads();
+        for head in &mut heads {
+            // Only whether it is cold matters, and that is covered by the limit that always holds.
+            head.cold = Duration::ZERO;
+        }
+        let live = self.presence.live(now);
+        if heads == self.view.heads && live == self.view.live && self.view.generation > 0 {
+            return;
+        }
+        self.log_route_changes(&heads);
+        let names: HashMap<GroupId, Arc<str>> = heads
+            .iter()
+            .map(|head| (head.group, Arc::from(head.name.as_str())))
+            .collect();
+        self.shared.rename(names);
+        let routes = heads
+            .iter()
+            .map(|head| route(head, &configuration, live))
+            .collect();
+        self.view.heads = heads;
+        self.view.live = live;
+        self.view.generation += 1;
+        let catalogue: Arc<Catalogue> = Arc::clone(&configuration.catalogue);
+        self.traffic.publish(Snapshot {
+            generation: self.view.generation,
+            made: now,
+            trust: TRUST,
+            catalogue,
+            routes: RouteTable { routes },
+            fresh_until: Some(now + Duration::MAX),
+            nodes: u32::try_from(live).unwrap_or(u32::MAX),
+            place: 0,
+        });
+    }
+
+    fn log_route_changes(&self, heads: &[Head]) {
+        let key = |head: &Head| (head.group, head.epoch);
+        let before: BTreeSet<_> = self.view.heads.iter().map(key).collect();
+        let after: BTreeSet<_> = heads.iter().map(key).collect();
+        for (group, epoch) in after.difference(&before) {
+            log::info!(group:%, epoch = epoch.0; "requests may go to a group");
+        }
+        for (group, epoch) in before.difference(&after) {
+            log::info!(group:%, epoch = epoch.0; "no more requests to a group");
+        }
+    }
+}
+
+/// The route to a head, with this node's share of what it bears.
+fn route(head: &Head, configuration: &Configuration, live: usize) -> Route {
+    let live = u32::try_from(live).unwrap_or(u32::MAX).max(1);
+    let starts = configuration.starts.get(&head.entry).copied();
+    let mut route = Route::new(head.group, head.epoch, head.entry, head.address);
+    route.data_centre = head.data_centre;
+    route.slots = Some(head.slots);
+    route.starts = starts.map(|starts| share(starts, live));
+    route
+}
+
+/// A node's share of a limit over all nodes; one at least, or a large fleet could start nothing.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a share of a small count"
+)]
+fn share(limit: u32, nodes: u32) -> u32 {
+    ((f64::from(limit) * STARTS_MARGIN / f64::from(nodes)) as u32).max(1)
+}
