Renew a group with the VMs that joined it before the store knew

Cause: a planner that takes over after an outage knows the row's members; VMs that another planner had put into the group meanwhile report it at a later epoch. It renewed the group with the row's members first, so that a spare that had joined was given to another group, and the group had none left once the row's member was found lost. No rule is broken by that; one group of two that lack a member stays down where the spare was ready in it. Now those who report the later epoch go before the row's other members. leave_spare_to_its_group::second failed before.

--- a/crates/tanagerhub_groups/src/groups/repair.rs
+++ b/crates/tanagerhub_groups/src/groups/repair.rs
@@ -204,6 +204,7 @@
         let group = self.known.get(&id)?;
         let usable = |vm: &VmId| !self.is_unusable(*vm);
         let mut members: Vec<VmId> = group.members.iter().copied().filter(usable).collect();
+        self.prefer_joined(group, &mut members, free);
         let missing = group.members.len() - members.len();
         if missing > 0 {
             let need = Need {
@@ -221,6 +222,27 @@
         Some(members)
     }
 
+    /// Puts VMs first that report the group at an epoch that the store does not know of.
+    ///
+    /// A planner without the store has renewed it with them; who is not among them was lost then.
+    fn prefer_joined(&self, group: &Group, members: &mut Vec<VmId>, free: &mut FreeVms) {
+        let epoch = |vm: &VmId| {
+            let place = self.vms.get(*vm)?.report.group?;
+            (place.group == group.id && place.epoch > group.epoch).then_some(place.epoch)
+        };
+        let Some(newest) = members.iter().filter_map(epoch).max() else {
+            return;
+        };
+        let joined = |vm: &VmId| epoch(vm) == Some(newest);
+        let newcomers: Vec<VmId> = free.list.iter().copied().filter(joined).collect();
+        let (mut first, rest): (Vec<VmId>, Vec<VmId>) = members.iter().copied().partition(joined);
+        free.list.retain(|vm| !newcomers.contains(vm));
+        first.extend(newcomers);
+        first.extend(rest);
+        first.truncate(group.members.len());
+        *members = first;
+    }
+
     /// The fabric domain of VMs of which at least one is known.
     fn domain_of(&self, members: &[VmId]) -> Option<DomainId> {
         let known = members.iter().find_map(|vm| self.vms.get(*vm));
--- a/crates/tanagerhub_groups/tests/outage.rs
+++ b/crates/tanagerhub_groups/tests/outage.rs
@@ -192,10 +192,14 @@
 }
 
 /// A VM that joined a group before the store knew is no spare for another group.
-#[test]
-fn leave_spare_to_its_group() {
+#[parameterized(
+    first = { 0 },
+    second = { 1 },
+)]
+fn leave_spare_to_its_group(renewed: usize) {
     let mut world = served();
-    let (heads, free) = neighbours(&world);
+    let (mut heads, free) = neighbours(&world);
+    heads.rotate_left(renewed);
     world.tell(0, GroupsEvent::StoreLost);
     world.silence(&world.members(&heads[0])[1].clone());
     world.suspect(0, &heads[0]);
