Forget that a head was busy once it has served for a while

Found in reading: a node that does not plan probes on suspicion only. A head that had turned a probe away long ago, and another one now, counted as turning all away for the whole time between, so the second one made it lost at once. Times further apart than 2.5 s, more than the planner's 2 s between two probes of a member, are now taken for two. keep_busy_again failed before. Also: two knots in the probing code untied.

--- a/crates/tanagerhub_groups/src/groups.rs
+++ b/crates/tanagerhub_groups/src/groups.rs
@@ -58,6 +58,7 @@
     blind: bool,
     /// Nodes that share the VMs, this one included.
     nodes: usize,
+    /// The probes that may still be sent while the store does not answer.
     probes: BlindProbes,
     /// Groups that lost a member, for those who use them.
     lost: Vec<(GroupId, Epoch)>,
--- a/crates/tanagerhub_groups/src/groups/drive.rs
+++ b/crates/tanagerhub_groups/src/groups/drive.rs
@@ -1,4 +1,4 @@
-//! Brings groups into service, joins, readiness, opening; and ends them.
+//! Brings groups into service: joins, readiness, opening; and makes heads leave them.
 
 use std::collections::BTreeSet;
 
@@ -122,13 +122,11 @@
     ///
     /// The head of an earlier epoch serves on where no order reached it or its members.
     fn awaited_heads(&self, now: Moment, group: &Group) -> BTreeSet<(VmId, Epoch)> {
-        let place = |entry: &VmEntry| entry.may_serve(now, &self.settings);
-        let list = self.vms.list.iter();
-        let mut awaited: BTreeSet<(VmId, Epoch)> = list
-            .filter_map(|(vm, entry)| place(entry).map(|(id, epoch)| (*vm, id, epoch)))
-            .filter(|(_, id, _)| *id == group.id)
-            .map(|(vm, _, epoch)| (vm, epoch))
-            .collect();
+        let serves = |(vm, entry): (&VmId, &VmEntry)| {
+            let (id, epoch) = entry.may_serve(now, &self.settings)?;
+            (id == group.id).then_some((*vm, epoch))
+        };
+        let mut awaited: BTreeSet<_> = self.vms.list.iter().filter_map(serves).collect();
         let head = group.head().filter(|head| self.may_open(now, *head, group));
         awaited.extend(head.map(|head| (head, group.epoch)));
         awaited.difference(&group.released).copied().collect()
--- a/crates/tanagerhub_groups/src/groups/probe.rs
+++ b/crates/tanagerhub_groups/src/groups/probe.rs
@@ -72,12 +72,10 @@
             due.extend(self.vms.unclear());
         }
         for vm in due {
-            let entry = self.vms.get(vm);
-            let period = entry.map(|entry| probe_period(entry, &self.settings));
-            if entry
-                .zip(period)
-                .is_some_and(|(entry, period)| now.since(entry.probed) >= period)
-            {
+            let Some(entry) = self.vms.get(vm) else {
+                continue;
+            };
+            if now.since(entry.probed) >= probe_period(entry, &self.settings) {
                 self.probe(now, vm);
             }
         }
--- a/crates/tanagerhub_groups/src/groups/vms.rs
+++ b/crates/tanagerhub_groups/src/groups/vms.rs
@@ -27,8 +27,8 @@
     pub(super) failures: u32,
     /// When it was last found silent.
     silent: Moment,
-    /// Since when it has turned away every probe that it did not leave unanswered.
-    turned_away: Option<Moment>,
+    /// When it turned probes away, if none was answered since.
+    turned_away: Option<TurnedAway>,
     /// When the store last told of a change.
     pub(super) changed: Moment,
     pub(super) probed: Moment,
@@ -39,6 +39,13 @@
     pub(super) staging: Option<(String, Moment)>,
 }
 
+/// A time in which a VM turned probes away.
+#[derive(Debug, Clone, Copy)]
+struct TurnedAway {
+    first: Moment,
+    last: Moment,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Gone {
     since: Moment,
@@ -265,8 +272,12 @@
     ///
     /// Only a head takes requests; another member has no reason to turn anybody away.
     fn is_only_busy(&mut self, now: Moment, settings: &GroupsSettings) -> bool {
-        let since = *self.turned_away.get_or_insert(now);
-        self.takes_requests() && now.since(since) < settings.busy_limit
+        let recent = self
+            .turned_away
+            .filter(|before| now.since(before.last) < BUSY_GAP);
+        let first = recent.map_or(now, |before| before.first);
+        self.turned_away = Some(TurnedAway { first, last: now });
+        self.takes_requests() && now.since(first) < settings.busy_limit
     }
 
     /// Whether it is the head of a group that is open.
@@ -310,6 +321,9 @@
 
 /// How old the answer to a probe may be.
 const REPORT_LAG: std::time::Duration = std::time::Duration::from_millis(400);
+/// The longest time between two probes that were turned away for one reason: no shorter than
+/// between two probes of a member by the node that plans.
+const BUSY_GAP: std::time::Duration = std::time::Duration::from_millis(2_500);
 /// For how long a suspicion counts.
 const SUSPICION: std::time::Duration = std::time::Duration::from_millis(500);
 /// How long a VM is remembered after the store stopped listing it.
--- a/crates/tanagerhub_groups/tests/repair.rs
+++ b/crates/tanagerhub_groups/tests/repair.rs
@@ -168,6 +168,26 @@
     assert_eq!(world.lost.is_empty(), kept, "{:?}", world.lost);
 }
 
+/// A head that was busy some time ago, and has served since, is not lost when it is busy again.
+#[test]
+fn keep_busy_again() {
+    let mut world = World::new(6, 10);
+    world.add_node(2);
+    world.plan(0, KnownBoots::default());
+    world.run(9 * SECOND);
+    world.begin_traffic();
+    let head = world.open_heads("small").remove(0);
+    for _ in 0..2 {
+        world.fill(&head);
+        // The node that does not plan probes only on suspicion.
+        world.suspect(1, &head);
+        world.run(Duration::from_millis(300));
+        world.full.clear();
+        world.run(6 * SECOND);
+    }
+    assert!(world.lost.is_empty(), "{:?}", world.lost);
+}
+
 #[test]
 fn keep_vm_that_store_lost_sight_of() {
     let mut world = served();
