--- a/crates/tanagerhub/src/gateway/control.rs
+++ b/crates/tanagerhub/src/gateway/control.rs
@@ -97,8 +97,6 @@
     in_use: bool,
     heads: Vec<Head>,
     live: usize,
-    /// The live nodes that the groups were told of.
-    fleet: usize,
     generation: u64,
 }
 
@@ -159,10 +157,7 @@
         self.tend_presence(now);
         self.publish_routes(now);
         let (nodes, place) = (self.presence.live(now), self.presence.place(now));
-        if nodes != self.view.fleet {
-            self.view.fleet = nodes;
-            self.tell_groups(now, GroupsEvent::Nodes(nodes));
-        }
+        self.tell_groups(now, GroupsEvent::Nodes(nodes));
         let plans = self.groups.is_planning();
         self.paces.set(&paces(nodes, place, plans, self.bounds));
         self.metrics.view(self.view.heads.len(), self.shared.age());
--- a/crates/tanagerhub/src/gateway/feed.rs
+++ b/crates/tanagerhub/src/gateway/feed.rs
@@ -49,16 +49,20 @@
     loop {
         let news = call(&*store, &plan, &clock, known, failures).await;
         let sent = news.sent;
-        known = match &news.page {
-            Ok(page) => Some(page.version),
-            Err(FeedError::Compacted) => None,
-            Err(_) => known,
+        let pause = match &news.page {
+            Ok(page) => {
+                (known, failures) = (Some(page.version), 0);
+                None
+            }
+            Err(FeedError::Compacted) => {
+                (known, failures) = (None, 0);
+                Some(RETRY_PAUSE)
+            }
+            Err(_) => {
+                failures += 1;
+                Some(retry_pause(failures))
+            }
         };
-        failures = match &news.page {
-            Ok(_) | Err(FeedError::Compacted) => 0,
-            Err(_) => failures + 1,
-        };
-        let pause = news.page.is_err().then(|| retry_pause(failures));
         if events.send(wrap(news)).await.is_err() {
             return;
         }
@@ -71,7 +75,7 @@
 }
 
 /// The least time from a failed call to the next, after so many in a row.
-pub(crate) fn retry_pause(failures: u32) -> Duration {
+fn retry_pause(failures: u32) -> Duration {
     let doubled = 2_u32.saturating_pow(failures.saturating_sub(1));
     RETRY_PAUSE.saturating_mul(doubled).min(LONGEST_PAUSE)
 }
--- a/crates/tanagerhub_groups/src/groups/probe.rs
+++ b/crates/tanagerhub_groups/src/groups/probe.rs
@@ -199,22 +199,24 @@
             .map(|(vm, _)| *vm)
             .collect();
         for vm in members {
-            if let Some(entry) = self.vms.list.get_mut(&vm) {
-                entry.suspected = now;
-            }
-            self.probe(now, vm);
+            self.suspect(now, vm);
         }
     }
 
-    pub(super) fn vm_gone(&mut self, now: Moment, vm: VmId) {
-        let gone = self.vms.gone(now, vm);
-        self.decisions.extend(gone);
-        // It may be dead, or leave without notice and serve on for a while.
+    /// Probes a VM at once, since something speaks against it.
+    fn suspect(&mut self, now: Moment, vm: VmId) {
         if let Some(entry) = self.vms.list.get_mut(&vm) {
             entry.suspected = now;
         }
         self.probe(now, vm);
     }
+
+    pub(super) fn vm_gone(&mut self, now: Moment, vm: VmId) {
+        let gone = self.vms.gone(now, vm);
+        self.decisions.extend(gone);
+        // It may be dead, or leave without notice and serve on for a while.
+        self.suspect(now, vm);
+    }
 }
 
 /// Time between two probes of a VM for its own sake.
--- a/crates/tanagerhub_groups/src/groups/vms.rs
+++ b/crates/tanagerhub_groups/src/groups/vms.rs
@@ -1,6 +1,7 @@
 //! The VMs, as they report themselves.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use tanagerhub_catalogue::{Epoch, GroupId, VmId, VmState};
 use tanagerhub_clock::Moment;
@@ -9,6 +10,16 @@
 
 use super::group::Group;
 
+/// How old the answer to a probe may be.
+const REPORT_LAG: Duration = Duration::from_millis(400);
+/// The longest time between two probes that were turned away for one reason: no shorter than
+/// between two probes of a member by the node that plans.
+const BUSY_GAP: Duration = Duration::from_millis(2_500);
+/// For how long a suspicion counts.
+const SUSPICION: Duration = Duration::from_millis(500);
+/// How long a VM is remembered after the store stopped listing it.
+const GONE_MEMORY: Duration = Duration::from_secs(10);
+
 /// All VMs that are listed, or were a moment ago.
 #[derive(Debug, Default)]
 pub(super) struct Vms {
@@ -127,6 +138,50 @@
         self.report = report;
         self.report.busy = busy;
     }
+
+    /// Takes in that it turned a probe away; says whether that may be for too much work alone.
+    ///
+    /// Only a head takes requests; another member has no reason to turn anybody away.
+    fn note_turned_away(&mut self, now: Moment, settings: &GroupsSettings) -> bool {
+        let recent = self
+            .turned_away
+            .filter(|before| now.since(before.last) < BUSY_GAP);
+        let first = recent.map_or(now, |before| before.first);
+        self.turned_away = Some(TurnedAway { first, last: now });
+        self.takes_requests() && now.since(first) < settings.busy_limit
+    }
+
+    /// Whether it is the head of a group that is open.
+    pub(super) const fn takes_requests(&self) -> bool {
+        match &self.report.group {
+            Some(place) => matches!(place.state, GroupState::Open | GroupState::Closing),
+            None => false,
+        }
+    }
+
+    /// Counts a failed probe.
+    fn fail(&mut self, now: Moment, settings: &GroupsSettings) {
+        // Two signs that don't depend on each other count like two unanswered probes.
+        let suspected = now.since(self.suspected) < SUSPICION && now > Moment::ZERO;
+        let weight = if suspected {
+            settings.probe_failures
+        } else {
+            1
+        };
+        self.set_failures(now, self.failures.saturating_add(weight), settings);
+    }
+
+    /// Takes in that something else answers at its address.
+    pub(super) fn displace(&mut self, now: Moment, settings: &GroupsSettings) {
+        self.set_failures(now, settings.probe_failures, settings);
+    }
+
+    fn set_failures(&mut self, now: Moment, failures: u32, settings: &GroupsSettings) {
+        if !self.is_silent(settings) {
+            self.silent = now;
+        }
+        self.failures = failures;
+    }
 }
 
 impl Vms {
@@ -258,7 +313,7 @@
                 was_lost.then_some(Verdict::Back)
             }
             Err(ProbeFailure::Malformed) => None,
-            Err(ProbeFailure::TurnedAway) if entry.is_only_busy(now, settings) => None,
+            Err(ProbeFailure::TurnedAway) if entry.note_turned_away(now, settings) => None,
             Err(cause) => {
                 entry.fail(now, settings);
                 (entry.is_silent(settings) && !was_lost).then_some(Verdict::Lost(cause))
@@ -267,64 +322,9 @@
     }
 }
 
-impl VmEntry {
-    /// Takes in that it turned a probe away; says whether that may be for too much work alone.
-    ///
-    /// Only a head takes requests; another member has no reason to turn anybody away.
-    fn is_only_busy(&mut self, now: Moment, settings: &GroupsSettings) -> bool {
-        let recent = self
-            .turned_away
-            .filter(|before| now.since(before.last) < BUSY_GAP);
-        let first = recent.map_or(now, |before| before.first);
-        self.turned_away = Some(TurnedAway { first, last: now });
-        self.takes_requests() && now.since(first) < settings.busy_limit
-    }
-
-    /// Whether it is the head of a group that is open.
-    pub(super) const fn takes_requests(&self) -> bool {
-        match &self.report.group {
-            Some(place) => matches!(place.state, GroupState::Open | GroupState::Closing),
-            None => false,
-        }
-    }
-
-    /// Counts a failed probe.
-    fn fail(&mut self, now: Moment, settings: &GroupsSettings) {
-        // Two signs that don't depend on each other count like two unanswered probes.
-        let suspected = now.since(self.suspected) < SUSPICION && now > Moment::ZERO;
-        let weight = if suspected {
-            settings.probe_failures
-        } else {
-            1
-        };
-        if !self.is_silent(settings) {
-            self.silent = now;
-        }
-        self.failures = self.failures.saturating_add(weight);
-    }
-
-    /// Takes in that something else answers at its address.
-    pub(super) fn displace(&mut self, now: Moment, settings: &GroupsSettings) {
-        if !self.is_silent(settings) {
-            self.silent = now;
-        }
-        self.failures = settings.probe_failures;
-    }
-}
-
 /// What a probe changed in the belief about a VM.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Verdict {
     Lost(ProbeFailure),
     Back,
 }
-
-/// How old the answer to a probe may be.
-const REPORT_LAG: std::time::Duration = std::time::Duration::from_millis(400);
-/// The longest time between two probes that were turned away for one reason: no shorter than
-/// between two probes of a member by the node that plans.
-const BUSY_GAP: std::time::Duration = std::time::Duration::from_millis(2_500);
-/// For how long a suspicion counts.
-const SUSPICION: std::time::Duration = std::time::Duration::from_millis(500);
-/// How long a VM is remembered after the store stopped listing it.
-const GONE_MEMORY: std::time::Duration = std::time::Duration::from_secs(10);
--- a/crates/tanagerhub_groups/tests/outage.rs
+++ b/crates/tanagerhub_groups/tests/outage.rs
@@ -148,6 +148,18 @@
     )
 }
 
+/// Lets a planner without the store renew a group that lost a member; gives the spare it took.
+fn take_spare(world: &mut World, head: &str, free: &[String], span: Duration) -> String {
+    world.tell(0, GroupsEvent::StoreLost);
+    world.silence(&world.members(head)[1].clone());
+    world.suspect(0, head);
+    world.run(span);
+    let members = world.held(0).into_iter();
+    let mut taken: Vec<String> = members.filter(|name| free.contains(name)).collect();
+    assert_eq!(taken.len(), 1);
+    taken.remove(0)
+}
+
 /// A spare that a planner without the store took was given to another group meanwhile.
 #[test]
 fn give_up_spare_taken_meanwhile() {
@@ -156,28 +168,19 @@
     for name in &free {
         world.mute(name);
     }
-    world.tell(0, GroupsEvent::StoreLost);
-    world.silence(&world.members(&heads[0])[1].clone());
-    world.suspect(0, &heads[0]);
-    world.run(SECOND);
-    let taken: Vec<String> = world
-        .held(0)
-        .into_iter()
-        .filter(|name| free.contains(name))
-        .collect();
-    assert_eq!(taken.len(), 1);
+    let taken = take_spare(&mut world, &heads[0], &free, SECOND);
     // The joins never arrive, the planner freezes, and only the taken spare is left.
     world.nodes[0].alive = false;
     world.late_orders.clear();
     world.deliver_orders();
-    for name in free.iter().filter(|name| **name != taken[0]) {
+    for name in free.iter().filter(|name| **name != taken) {
         world.silence(name);
     }
     world.silence(&heads[0]);
     world.silence(&world.members(&heads[1])[1].clone());
     world.plan(1, without(1));
     world.run(4 * SECOND);
-    assert!(world.members(&heads[1]).contains(&taken[0]));
+    assert!(world.members(&heads[1]).contains(&taken));
     world.nodes[1].alive = false;
     world.nodes[0].alive = true;
     world.tell(0, GroupsEvent::StoreReturned);
@@ -200,20 +203,12 @@
     let mut world = served();
     let (mut heads, free) = neighbours(&world);
     heads.rotate_left(renewed);
-    world.tell(0, GroupsEvent::StoreLost);
-    world.silence(&world.members(&heads[0])[1].clone());
-    world.suspect(0, &heads[0]);
-    world.run(Duration::from_millis(700));
-    let taken: Vec<String> = world
-        .held(0)
-        .into_iter()
-        .filter(|name| free.contains(name))
-        .collect();
-    assert_eq!(taken.len(), 1);
+    let span = Duration::from_millis(700);
+    let taken = take_spare(&mut world, &heads[0], &free, span);
     // The planner freezes before the group serves, and only the taken spare is left.
     world.nodes[0].alive = false;
     world.run(2 * SECOND);
-    for name in free.iter().filter(|name| **name != taken[0]) {
+    for name in free.iter().filter(|name| **name != taken) {
         world.silence(name);
     }
     let lost = world.members(&heads[1])[1].clone();
@@ -221,7 +216,7 @@
     world.suspect(1, &heads[1]);
     world.plan(1, without(1));
     world.run(6 * SECOND);
-    assert!(world.members(&heads[0]).contains(&taken[0]));
+    assert!(world.members(&heads[0]).contains(&taken));
     assert!(world.open_heads("small").contains(&heads[0]));
     assert!(world.violations.is_empty(), "{:?}", world.violations);
 }
--- a/crates/tanagerhub_proxy/src/client.rs
+++ b/crates/tanagerhub_proxy/src/client.rs
@@ -88,10 +88,6 @@
     ) -> Result<Answer, SendError> {
         loop {
             let (mut sender, is_new) = self.connection(address, reuse).await?;
-            if sender.is_closed() && is_new {
-                let reason = "it was closed as soon as it was open".to_owned();
-                return Err(SendError::TurnedAway { address, reason });
-            }
             if !may_send() {
                 let reason = "it may no longer be sent".to_owned();
                 return Err(SendError::NotSent { address, reason });
@@ -146,6 +142,10 @@
         if reuse == Reuse::Never {
             let took = self.clock.now().since(started);
             self.watch(took).await;
+            if sender.is_closed() {
+                let reason = "it was closed as soon as it was open".to_owned();
+                return Err(SendError::TurnedAway { address, reason });
+            }
         }
         Ok((sender, true))
     }
--- a/crates/tanagerhub_traffic/src/traffic/dispatch.rs
+++ b/crates/tanagerhub_traffic/src/traffic/dispatch.rs
@@ -22,8 +22,8 @@
         if !self.takes_work {
             return None;
         }
-        let choice = self.choose(now, key)?;
         let suspect = self.is_suspect(now, key);
+        let choice = self.choose(now, key, suspect)?;
         let dispatch = self.start(now, key, choice, suspect, hedge);
         self.count_dispatch(key, choice);
         self.arm_hedge(now, key, dispatch?.attempt);
@@ -31,8 +31,7 @@
     }
 
     /// The group that a request is best sent to now, if one has room.
-    pub(super) fn choose(&mut self, now: Moment, key: RequestKey) -> Option<Choice> {
-        let suspect = self.is_suspect(now, key);
+    pub(super) fn choose(&mut self, now: Moment, key: RequestKey, suspect: bool) -> Option<Choice> {
         let request = self.requests.get(key)?;
         let entry = self.entries.get(&request.info.entry)?;
         let wish = Wish {
@@ -50,7 +49,7 @@
     }
 
     /// Whether back ends crashed while they ran a request.
-    fn is_suspect(&self, now: Moment, key: RequestKey) -> bool {
+    pub(super) fn is_suspect(&self, now: Moment, key: RequestKey) -> bool {
         let request = self.requests.get(key);
         request.is_some_and(|request| self.crashes.is_suspect(now, request.info.fingerprint))
     }
--- a/crates/tanagerhub_traffic/src/traffic/reports.rs
+++ b/crates/tanagerhub_traffic/src/traffic/reports.rs
@@ -68,18 +68,12 @@
         if !self.may_repeat(now, attempt) {
             return false;
         }
-        let Some(attempt) = self.attempts.get(attempt) else {
-            return false;
-        };
+        let attempt = &self.attempts[attempt];
         let (key, group) = (attempt.request, attempt.group);
-        let Some(request) = self.requests.get_mut(key) else {
-            return false;
-        };
-        request.tried.push(group);
-        let choice = self.choose(now, key);
-        if let Some(request) = self.requests.get_mut(key) {
-            request.tried.pop();
-        }
+        let suspect = self.is_suspect(now, key);
+        self.requests[key].tried.push(group);
+        let choice = self.choose(now, key, suspect);
+        self.requests[key].tried.pop();
         choice.is_some()
     }
 
