Follow the store's rows by way of a peer of the data centre

All nodes but the first by name of a data centre now ask that one, over their own port; the store's clock travels with each page, so a slow peer can't make news look younger. A peer that is silent, lost or late is left at once for the next one or the store.

Ruled out: asking more rarely (the bounds of drains and configurations bind), pushing instead of asking (no bound on silence without a timer of its own).

--- a/crates/tanagerhub/src/gateway/control.rs
+++ b/crates/tanagerhub/src/gateway/control.rs
@@ -14,12 +14,13 @@
     Decision, Groups, GroupsAction, GroupsEvent, Head, Presence, PresenceAction,
 };
 use tanagerhub_proxy::LimitsHandle;
-use tanagerhub_table::{Commit, StoreClock};
+use tanagerhub_table::Commit;
 
 use crate::gateway::control_store::ControlStore;
 use crate::gateway::feed::FeedNews;
 use crate::gateway::feed_pace::{FeedBounds, FeedPaces, paces};
 use crate::gateway::pulse::Pulses;
+use crate::gateway::relay::Peers;
 use crate::gateway::shared::Shared;
 use crate::gateway::state_dump::StateDump;
 use crate::gateway::{Configuration, Edges, GatewayMetrics};
@@ -66,6 +67,8 @@
     pub(crate) presence: Presence,
     /// How often the feeds ask the store.
     pub(crate) paces: FeedPaces,
+    /// From whom the feeds may hear of the store's rows.
+    pub(crate) peers: Arc<Peers>,
     /// How soon changes must be known.
     pub(crate) bounds: FeedBounds,
     /// The pulses of groups with requests, to wake those of a group that lost a member.
@@ -82,7 +85,6 @@
 )]
 #[derive(Debug, Default)]
 pub(crate) struct ControlView {
-    store_clock: StoreClock,
     configuration: Option<Arc<Configuration>>,
     evacuated: BTreeSet<String>,
     /// Whether the nodes' rows have been read.
@@ -156,13 +158,23 @@
         self.tell_groups(now, GroupsEvent::Tick);
         self.tend_presence(now);
         self.publish_routes(now);
-        let (nodes, place) = (self.presence.live(now), self.presence.place(now));
-        self.tell_groups(now, GroupsEvent::Nodes(nodes));
-        let plans = self.groups.is_planning();
-        self.paces.set(&paces(nodes, place, plans, self.bounds));
+        self.tell_groups(now, GroupsEvent::Nodes(self.presence.live(now)));
+        self.tend_feeds(now);
         self.metrics.view(self.view.heads.len(), self.shared.age());
     }
 
+    /// Sets whom the feeds ask, and how often.
+    fn tend_feeds(&mut self, now: Moment) {
+        let relays = self.presence.relays(now);
+        if self.peers.set(relays) {
+            let peers = self.peers.get();
+            log::info!(peers:? = *peers; "peers that may tell of the store's rows");
+        }
+        let (askers, place) = (self.presence.askers(now), self.presence.place(now));
+        let plans = self.groups.is_planning();
+        self.paces.set(&paces(askers, place, plans, self.bounds));
+    }
+
     /// Writes this node's row when it is due, and tries to plan when nobody does.
     fn tend_presence(&mut self, now: Moment) {
         let configured = self.view.configuration.is_some();
--- a/crates/tanagerhub/src/gateway/control/feeds.rs
+++ b/crates/tanagerhub/src/gateway/control/feeds.rs
@@ -42,11 +42,9 @@
         for row in &page.rows {
             self.operator_row(now, row);
         }
-        let proved = self
-            .view
-            .store_clock
-            .date(news.sent, news.received, page.at);
-        self.shared.prove(proved);
+        if let Some(proved) = news.proved {
+            self.shared.prove(proved);
+        }
     }
 
     fn note_store_failure(&mut self, now: Moment, error: &FeedError) {
--- a/crates/tanagerhub/src/gateway/feed_pace.rs
+++ b/crates/tanagerhub/src/gateway/feed_pace.rs
@@ -4,12 +4,13 @@
 //! within a bound keeps it: the bounds are on the longest wait of a feed and the time between two.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use tanagerhub_groups::SUCCESSORS;
 
-use crate::gateway::feed::{CALL_SLACK, RETRY_PAUSE};
+use crate::gateway::feed::CALL_SLACK;
+use crate::gateway::feed_source::RETRY_PAUSE;
 
 /// What is kept of a bound for the way of an answer, and for taking it in.
 const MARGIN: Duration = Duration::from_millis(150);
@@ -17,7 +18,7 @@
 const VM_WAIT: Duration = Duration::from_millis(500);
 /// The least time between two calls, and the shortest wait, however short a bound is.
 const SHORTEST: Duration = Duration::from_millis(100);
-/// The fleet from which on nodes ask more rarely.
+/// The number of nodes that ask the store from which on they do so more rarely.
 const LARGE_FLEET: usize = 20;
 
 /// How one table is followed; control changes it while the feed runs.
@@ -25,6 +26,7 @@
 pub(crate) struct FeedPace {
     wait: AtomicU64,
     interval: AtomicU64,
+    direct: AtomicBool,
 }
 
 /// What the three feeds of a node share with control.
@@ -88,6 +90,8 @@
     pub(crate) wait: Duration,
     /// The least time between two calls.
     pub(crate) interval: Duration,
+    /// Whether it is followed at the store itself, even where a peer would tell of it.
+    pub(crate) direct: bool,
 }
 
 impl FeedPace {
@@ -95,6 +99,7 @@
         let shared = Self {
             wait: AtomicU64::new(0),
             interval: AtomicU64::new(0),
+            direct: AtomicBool::new(false),
         };
         shared.set(pace);
         shared
@@ -104,6 +109,7 @@
         self.wait.store(millis(pace.wait), Ordering::Relaxed);
         self.interval
             .store(millis(pace.interval), Ordering::Relaxed);
+        self.direct.store(pace.direct, Ordering::Relaxed);
     }
 
     pub(crate) fn get(&self) -> Pace {
@@ -111,18 +117,22 @@
         Pace {
             wait: load(&self.wait),
             interval: load(&self.interval),
+            direct: self.direct.load(Ordering::Relaxed),
         }
     }
 }
 
-/// The paces for a node of a fleet of `nodes`, which `place` others precede by name.
+/// The paces for a node of a fleet in which `askers` nodes follow the rows at the store, and which
+/// `place` others precede by name.
 ///
 /// However one answer is lost, what the bounds speak of is known in time.
-pub(crate) fn paces(nodes: usize, place: usize, plans: bool, bounds: FeedBounds) -> Paces {
-    let large = nodes >= LARGE_FLEET;
+pub(crate) fn paces(askers: usize, place: usize, plans: bool, bounds: FeedBounds) -> Paces {
+    let large = askers >= LARGE_FLEET;
+    let closely = plans || place < SUCCESSORS;
     let every = |wait, interval| Pace {
         wait: Duration::from_millis(wait),
         interval: Duration::from_millis(interval),
+        direct: closely,
     };
     let operators = Pace {
         wait: within(
@@ -131,12 +141,14 @@
             if large { 2_000 } else { 1_000 },
         ),
         interval: SHORTEST,
+        direct: false,
     };
     let vms = if plans {
         let interval = Duration::from_millis(120);
         Pace {
             wait: within(bounds.drain, interval, 1_000),
             interval,
+            direct: true,
         }
     } else {
         Pace {
@@ -146,9 +158,9 @@
                 VM_WAIT + MARGIN,
                 if large { 1_300 } else { 600 },
             ),
+            direct: false,
         }
     };
-    let closely = plans || place < SUCCESSORS;
     let nodes = match (closely, large) {
         (true, _) => every(2_000, 1_000),
         (false, false) => every(4_000, 3_000),
--- a/crates/tanagerhub/src/gateway/feed_pace/tests.rs
+++ b/crates/tanagerhub/src/gateway/feed_pace/tests.rs
@@ -1,9 +1,10 @@
 use std::time::Duration;
 
-use super::{FeedBounds, Pace, paces};
+use super::{FeedBounds, MARGIN, Pace, paces};
 use yare::parameterized;
 
-use crate::gateway::feed::{CALL_SLACK, RETRY_PAUSE};
+use crate::gateway::feed::{CALL_SLACK, relay_patience};
+use crate::gateway::feed_source::RETRY_PAUSE;
 
 /// Calls a second of a feed without any change.
 fn idle_calls(pace: Pace) -> f64 {
@@ -59,3 +60,19 @@
         assert!(paces(nodes, 0, false, bounds(2_000)).nodes.interval <= Duration::from_secs(1));
     }
 }
+
+#[parameterized(
+    small = { 6, 2_000 },
+    large = { 60, 3_000 },
+    short = { 6, 1_700 },
+    long = { 6, 10_000 },
+)]
+fn paces_keep_bounds_by_way_of_peer(askers: usize, bound: u64) {
+    let paces = paces(askers, 4, false, bounds(bound));
+    let bound = Duration::from_millis(bound);
+    for pace in [paces.operators, paces.vms] {
+        // A change must be known within its bound, though the peer has gone silent.
+        let late = relay_patience(pace) + MARGIN;
+        assert!(late <= bound, "{late:?}");
+    }
+}
--- a/crates/tanagerhub/src/gateway/gateway_metrics.rs
+++ b/crates/tanagerhub/src/gateway/gateway_metrics.rs
@@ -19,6 +19,7 @@
     requests: Family<Status, Counter>,
     attempts: Family<Outcome, Counter>,
     store_calls: Family<Outcome, Counter>,
+    feed_calls: Family<FeedCall, Counter>,
     orders: Family<Outcome, Counter>,
     probes: Family<Outcome, Counter>,
     first_byte: Histogram,
@@ -33,6 +34,12 @@
     status: u16,
 }
 
+#[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct FeedCall {
+    source: &'static str,
+    answered: bool,
+}
+
 #[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct Outcome {
     outcome: &'static str,
@@ -50,7 +57,7 @@
         let seconds = || Histogram::new(exponential_buckets(0.005, 2.0, 12));
         let (requests, attempts) = (Family::default(), Family::default());
         let (store_calls, orders) = (Family::default(), Family::default());
-        let probes = Family::default();
+        let (probes, feed_calls) = (Family::default(), Family::default());
         let (first_byte, duration) = (seconds(), seconds());
         let (routes, store_age) = (Gauge::default(), Gauge::default());
         let log_drops = Counter::default();
@@ -68,6 +75,11 @@
             "Calls of the store, by outcome",
             &store_calls,
         );
+        add(
+            "feed_calls",
+            "Calls for changes of a table, by whom was asked",
+            &feed_calls,
+        );
         add("orders", "Orders to VMs, by outcome", &orders);
         add("probes", "Probes of VMs, by outcome", &probes);
         add(
@@ -92,6 +104,7 @@
             requests,
             attempts,
             store_calls,
+            feed_calls,
             orders,
             probes,
             first_byte,
@@ -149,6 +162,11 @@
         self.store_calls.get_or_create(&Outcome { outcome }).inc();
     }
 
+    pub(crate) fn feed_call(&self, source: &'static str, answered: bool) {
+        let call = FeedCall { source, answered };
+        self.feed_calls.get_or_create(&call).inc();
+    }
+
     pub(crate) fn order(&self, outcome: &'static str) {
         self.orders.get_or_create(&Outcome { outcome }).inc();
     }
--- a/crates/tanagerhub/src/gateway/gateway_settings.rs
+++ b/crates/tanagerhub/src/gateway/gateway_settings.rs
@@ -20,6 +20,9 @@
     pub ready: SocketAddr,
     /// Where counters and the state are read, if anywhere.
     pub metrics: Option<SocketAddr>,
+    /// Where peers of the same data centre hear of the store's rows; without it the node asks the
+    /// store itself, and tells nobody.
+    pub peers: Option<SocketAddr>,
     /// For how long keys count without a word from the store.
     pub key_life: Duration,
     /// Attempts beyond the first, as a share of all requests.
@@ -46,6 +49,7 @@
             callers,
             ready,
             metrics: None,
+            peers: None,
             key_life: Duration::from_secs(4),
             retry_ratio: 0.1,
             retry_slack: 100.0,
@@ -72,6 +76,7 @@
             callers: self.callers,
             ready: self.ready,
             metrics: self.metrics,
+            peers: self.peers,
             ..other
         }
     }
@@ -83,6 +88,13 @@
         self
     }
 
+    /// Sets where peers hear of the store's rows.
+    #[must_use]
+    pub const fn peers(mut self, address: SocketAddr) -> Self {
+        self.peers = Some(address);
+        self
+    }
+
     /// Sets for how long keys count without a word from the store.
     #[must_use]
     pub const fn key_life(mut self, life: Duration) -> Self {
--- a/crates/tanagerhub/src/gateway/start.rs
+++ b/crates/tanagerhub/src/gateway/start.rs
@@ -15,7 +15,7 @@
 use hyper::body::Incoming;
 use tanagerhub_catalogue::{DataCentreId, NodeId};
 use tanagerhub_clock::Clock;
-use tanagerhub_groups::{Groups, Presence};
+use tanagerhub_groups::{Groups, Presence, RelayPlace};
 use tanagerhub_proxy::{
     Client, PoolLimits, ReplyBody, Server, ServerLimits, empty_body, full_body, serve,
 };
@@ -23,10 +23,11 @@
 
 use crate::gateway::control::{ControlView, GatewayControl, GatewayEvent};
 use crate::gateway::control_store::{ControlStore, NODES_TABLE};
-use crate::gateway::feed::{FeedPlan, follow};
+use crate::gateway::feed::{FeedEdges, FeedPlan, follow};
 use crate::gateway::feed_pace::{FeedPace, FeedPaces};
 use crate::gateway::front::Front;
 use crate::gateway::pulse::Pulses;
+use crate::gateway::relay::{Peers, Relay, RelayClient, RelayTable};
 use crate::gateway::shared::Shared;
 use crate::gateway::{Edges, GatewayMetrics, GatewaySettings};
 use crate::traffic_handle::TrafficHandle;
@@ -122,6 +123,11 @@
         }
 
         let paces = FeedPaces::default();
+        let peers = Arc::new(Peers::default());
+        let plans = feed_plans(&edges, &paces);
+        if let Some(address) = settings.peers {
+            others.push(serve_peers(address, &clock, &plans).await?);
+        }
         let boot = rand::random_range(1..u64::MAX);
         let control = GatewayControl {
             clock: clock.clone(),
@@ -135,10 +141,11 @@
             },
             shared: Arc::clone(&shared),
             traffic: Arc::clone(&traffic),
-            metrics,
+            metrics: metrics.clone(),
             groups: Groups::new(settings.groups.clone().boot(boot), rand::random()),
-            presence: Presence::new(settings.node.clone(), boot, rand::random()),
-            paces: paces.clone(),
+            presence: presence(&settings, boot),
+            paces,
+            peers: Arc::clone(&peers),
             bounds: settings.bounds,
             pulses: Arc::clone(&pulses),
             limits: callers.limits(),
@@ -149,7 +156,14 @@
             .spawn(move || future::block_on(control.run(received)))
             .map_err(|source| GatewayError::Thread { source })?;
 
-        let mut tasks = feeds(&edges, &clock, &events, &paces);
+        let edges = FeedEdges {
+            store: Arc::clone(&edges.store),
+            relays: RelayClient::new(clock.clone()),
+            peers,
+            clock: clock.clone(),
+            metrics,
+        };
+        let mut tasks = feeds(&edges, plans, &events);
         tasks.push(task::spawn(Arc::clone(&traffic).run()));
         tasks.push(task::spawn(sweep_connections(clock.clone(), client)));
         tasks.push(task::spawn(sweep_pulses(
@@ -300,31 +314,70 @@
     TrafficHandle::new(clock.clone(), Traffic::new(traffic, seed), Box::new(facts))
 }
 
-/// Follows the tables that the node depends on.
-fn feeds(
-    edges: &Edges,
-    clock: &Clock,
-    events: &Sender<GatewayEvent>,
-    paces: &FeedPaces,
-) -> Vec<task::JoinHandle<()>> {
+/// What this node writes of itself for the others.
+fn presence(settings: &GatewaySettings, boot: u64) -> Presence {
+    let presence = Presence::new(settings.node.clone(), boot, rand::random());
+    match settings.peers {
+        Some(address) => presence.relay(RelayPlace {
+            data_centre: DataCentreId::of(&settings.data_centre),
+            address,
+        }),
+        None => presence,
+    }
+}
+
+/// The tables that a node depends on.
+#[derive(Debug)]
+struct FeedPlans {
+    operators: FeedPlan,
+    vms: FeedPlan,
+    nodes: FeedPlan,
+}
+
+fn feed_plans(edges: &Edges, paces: &FeedPaces) -> FeedPlans {
     let plan = |table, pace: &Arc<FeedPace>| FeedPlan {
         table,
         pace: Arc::clone(pace),
+        relay: Arc::default(),
     };
-    let operators = plan(edges.dialect.operator_table(), &paces.operators);
-    let vms = plan(edges.dialect.vm_table(), &paces.vms);
-    let nodes = plan(NODES_TABLE, &paces.nodes);
+    FeedPlans {
+        operators: plan(edges.dialect.operator_table(), &paces.operators),
+        vms: plan(edges.dialect.vm_table(), &paces.vms),
+        nodes: plan(NODES_TABLE, &paces.nodes),
+    }
+}
+
+/// Follows the tables that the node depends on.
+fn feeds(
+    edges: &FeedEdges,
+    plans: FeedPlans,
+    events: &Sender<GatewayEvent>,
+) -> Vec<task::JoinHandle<()>> {
     let start = |plan, wrap: fn(_) -> GatewayEvent| {
-        let store = Arc::clone(&edges.store);
-        task::spawn(follow(store, plan, clock.clone(), events.clone(), wrap))
+        task::spawn(follow(edges.clone(), plan, events.clone(), wrap))
     };
     vec![
-        start(operators, GatewayEvent::Operators),
-        start(vms, GatewayEvent::Vms),
-        start(nodes, GatewayEvent::Nodes),
+        start(plans.operators, GatewayEvent::Operators),
+        start(plans.vms, GatewayEvent::Vms),
+        start(plans.nodes, GatewayEvent::Nodes),
     ]
 }
 
+/// Tells peers of the tables.
+async fn serve_peers(
+    address: SocketAddr,
+    clock: &Clock,
+    plans: &FeedPlans,
+) -> Result<Server, GatewayError> {
+    let table = |plan: &FeedPlan| -> (&'static str, Arc<RelayTable>) {
+        (plan.table, Arc::clone(&plan.relay))
+    };
+    let tables = [&plans.operators, &plans.vms, &plans.nodes].map(table);
+    let relay = Arc::new(Relay::new(clock.clone(), tables.into()));
+    let handler = move |request: Request<Incoming>| Arc::clone(&relay).answer(request);
+    listen("peer", address, clock, handler).await
+}
+
 async fn sweep_connections(clock: Clock, client: Client) {
     loop {
         clock.sleep(SWEEP_PERIOD).await;
--- a/crates/tanagerhub_groups/src/presence.rs
+++ b/crates/tanagerhub_groups/src/presence.rs
@@ -1,9 +1,11 @@
 //! Which nodes are there, and which of them plans.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use tanagerhub_catalogue::DataCentreId;
 use tanagerhub_clock::Moment;
 use tanagerhub_table::{RowVersion, VersionedRow};
 
@@ -40,6 +42,17 @@
     pub stops: bool,
     /// Rises with each write.
     pub count: u64,
+    /// Where its peers hear of the store's rows.
+    pub relay: Option<RelayPlace>,
+}
+
+/// Where a node tells its peers of the store's rows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RelayPlace {
+    /// The node's data centre.
+    pub data_centre: DataCentreId,
+    /// The address that peers ask.
+    pub address: SocketAddr,
 }
 
 /// What [`Presence`] wants done.
@@ -105,6 +118,7 @@
             plans: false,
             stops: false,
             count: 0,
+            relay: None,
         };
         let spread = u64::try_from(SPREAD.as_millis()).unwrap_or(u64::MAX);
         Self {
@@ -117,6 +131,13 @@
         }
     }
 
+    /// Sets where this node tells its peers of the store's rows.
+    #[must_use]
+    pub const fn relay(mut self, place: RelayPlace) -> Self {
+        self.own.relay = Some(place);
+        self
+    }
+
     /// Takes in changed rows; `all` says that rows which are not among them are gone.
     ///
     /// # Errors
@@ -196,23 +217,55 @@
     /// The nodes that are there, this one included.
     #[must_use]
     pub fn live(&self, now: Moment) -> usize {
-        let limit = self.period() * PERIODS;
-        let others = self
-            .nodes
-            .iter()
-            .filter(|(name, seen)| **name != self.node && now.since(seen.at) < limit);
+        let others = self.seen_live(now).filter(|(name, _)| **name != self.node);
         others.count() + 1
     }
 
     /// How many live nodes precede this one by name.
     #[must_use]
     pub fn place(&self, now: Moment) -> usize {
+        let before = self.seen_live(now).filter(|(name, _)| **name < self.node);
+        before.count()
+    }
+
+    /// Where this node hears of the store's rows, the best first; nowhere if it is to ask the store.
+    ///
+    /// A node hears from those of its data centre that precede it by name, so nobody hears from
+    /// itself by a detour.
+    #[must_use]
+    pub fn relays(&self, now: Moment) -> Vec<SocketAddr> {
+        let Some(own) = self.own.relay else {
+            return Vec::new();
+        };
+        self.seen_live(now)
+            .filter(|(name, seen)| **name < self.node && !seen.row.stops)
+            .filter_map(|(_, seen)| seen.row.relay)
+            .filter(|relay| relay.data_centre == own.data_centre)
+            .map(|relay| relay.address)
+            .collect()
+    }
+
+    /// How many nodes follow the rows at the store itself while all are well.
+    #[must_use]
+    pub fn askers(&self, now: Moment) -> usize {
+        let Some(own) = self.own.relay else {
+            return self.live(now);
+        };
+        let relays = self.seen_live(now).filter_map(|(_, seen)| seen.row.relay);
+        let centres: BTreeSet<DataCentreId> = relays
+            .map(|relay| relay.data_centre)
+            .chain([own.data_centre])
+            .collect();
+        let alone = self
+            .seen_live(now)
+            .filter(|(name, seen)| **name != self.node && seen.row.relay.is_none());
+        centres.len() + alone.count()
+    }
+
+    fn seen_live(&self, now: Moment) -> impl Iterator<Item = (&String, &Seen)> {
         let limit = self.period() * PERIODS;
-        let before = |name: &String, seen: &Seen| *name < self.node && now.since(seen.at) < limit;
-        self.nodes
-            .iter()
-            .filter(|(name, seen)| before(name, seen))
-            .count()
+        let live = move |seen: &Seen| now.since(seen.at) < limit;
+        self.nodes.iter().filter(move |(_, seen)| live(seen))
     }
 
     /// Time between two writes of a node that does not plan.
--- a/crates/tanagerhub_table/src/feed.rs
+++ b/crates/tanagerhub_table/src/feed.rs
@@ -1,13 +1,16 @@
 //! What a store tells of its rows: snapshots, changes and the fate of transactions.
 
+use serde::{Deserialize, Serialize};
+
 use crate::{RowKey, RowVersion};
 
 /// The store's steady clock, in milliseconds from a start of its own.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Serialize, Deserialize)]
+#[serde(transparent)]
 pub struct StoreTime(pub u64);
 
 /// A row at one version.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct VersionedRow {
     /// Its key.
     pub key: RowKey,
@@ -18,7 +21,7 @@
 }
 
 /// Rows of one table, either all of them or those that changed since a version.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FeedPage {
     /// The rows, in the order of their changes.
     pub rows: Vec<VersionedRow>,
--- a/crates/tanagerhub_table/src/freshness.rs
+++ b/crates/tanagerhub_table/src/freshness.rs
@@ -56,6 +56,29 @@
         });
         date
     }
+
+    /// The moment at which an answer that came by way of another process was true, at the earliest.
+    ///
+    /// `None` where the two clocks have not been related yet, or the store's clock was set since.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use tanagerhub_clock::Moment;
+    /// use tanagerhub_table::{StoreClock, StoreTime};
+    ///
+    /// let ms = Moment::from_millis;
+    /// let mut clock = StoreClock::default();
+    /// assert_eq!(clock.date_relayed(ms(900), StoreTime(1_500)), None);
+    /// clock.date(ms(100), ms(104), StoreTime(500));
+    /// // However late it arrives, it was true at the store's 1,500.
+    /// assert_eq!(clock.date_relayed(ms(9_000), StoreTime(1_500)), Some(ms(1_099)));
+    /// ```
+    #[must_use]
+    pub fn date_relayed(&self, received: Moment, at: StoreTime) -> Option<Moment> {
+        let date = self.relation?.local_at(at)?;
+        (date <= received).then_some(date)
+    }
 }
 
 impl Relation {
