Ask the store after one silent peer, not one peer after the other

Cause: a node whose peer went silent tried the next peer with the same patience, 1.4 s each.

Ruled out: a relay that hands out old news as new (the dates are the store's); lost rows (each change was taken in, late).

After a call that brought nothing the store is asked next; peers are only asked for what they know already, until one of them or the store has news.

--- a/crates/tanagerhub/src/gateway/feed.rs
+++ b/crates/tanagerhub/src/gateway/feed.rs
@@ -85,8 +85,6 @@
     sources: FeedSources,
     known: Option<Known>,
     store_clock: StoreClock,
-    /// Whether the last call brought nothing.
-    failed: bool,
     /// Who told the last news.
     teller: Option<Source>,
 }
@@ -106,7 +104,6 @@
             sources: FeedSources::default(),
             known: None,
             store_clock: StoreClock::default(),
-            failed: false,
             teller: None,
         }
     }
@@ -126,9 +123,10 @@
             }
             Next::Ask(Source::Store) => self.ask_store(pace, &peers).await,
             Next::Ask(Source::Peer(peer)) => {
-                let known = self.known?;
-                self.ask_peer(pace, &peers, peer, known).await
+                let wait = relay_patience(pace).saturating_sub(ANSWER_SLACK);
+                self.ask_peer(pace, &peers, peer, wait).await
             }
+            Next::Glance(peer) => self.ask_peer(pace, &peers, peer, Duration::ZERO).await,
         }
     }
 
@@ -155,7 +153,6 @@
                     self.known = None;
                 }
                 self.sources.failed(received, Source::Store, peers);
-                self.failed = true;
                 if !self.sources.are_lost(peers) {
                     return None;
                 }
@@ -172,7 +169,7 @@
     async fn call_store(&self, pace: Pace) -> Result<FeedPage, FeedError> {
         let (store, table) = (&*self.edges.store, self.plan.table);
         // After a failure any answer is news: it proves that what is known is fresh.
-        let wait = if self.failed {
+        let wait = if self.sources.is_hurried() {
             Duration::ZERO
         } else {
             pace.wait
@@ -195,27 +192,33 @@
         pace: Pace,
         peers: &[SocketAddr],
         peer: SocketAddr,
-        known: Known,
+        wait: Duration,
     ) -> Option<FeedNews> {
-        let patience = relay_patience(pace);
+        let known = self.known?;
         let ask = RelayAsk {
             table: self.plan.table.to_owned(),
             after: known.version,
             at: known.at,
-            wait: patience.saturating_sub(ANSWER_SLACK),
+            wait,
         };
-        let answer = self.edges.relays.ask(peer, &ask, patience).await;
+        let limit = wait + ANSWER_SLACK;
+        let answer = self.edges.relays.ask(peer, &ask, limit).await;
         let now = self.edges.clock.now();
         let changes = match answer {
             Ok(RelayAnswer::Page(changes)) => changes,
             Ok(RelayAnswer::Compacted) => {
                 return self.leave(peer, peers, "it knows no change as old");
             }
+            Ok(RelayAnswer::Quiet) if wait.is_zero() => {
+                self.sources.quiet(now, peer);
+                return None;
+            }
+            Ok(RelayAnswer::Quiet) => return self.leave(peer, peers, "it hears nothing new"),
             Ok(RelayAnswer::Lost) => return self.leave(peer, peers, "it has no news itself"),
             Err(error) => return self.leave(peer, peers, &error.to_string()),
         };
         let proved = self.store_clock.date_relayed(now, changes.at);
-        let is_fresh = proved.is_some_and(|at| now.since(at) <= patience);
+        let is_fresh = proved.is_some_and(|at| now.since(at) <= relay_patience(pace));
         if is_fresh {
             let source = Source::Peer(peer);
             self.sources.worked(now, source, now + PEER_INTERVAL);
@@ -238,13 +241,11 @@
         log::debug!(table = self.plan.table, peer:%, reason; "a peer tells nothing new");
         self.edges.metrics.feed_call("peer", false);
         self.sources.failed(now, Source::Peer(peer), peers);
-        self.failed = true;
         None
     }
 
     /// Takes in a page, and tells peers of it.
     fn note(&mut self, page: &FeedPage, all: bool, source: Source) {
-        self.failed = false;
         let known = self.known.filter(|_| !all);
         let floor = known.map_or((RowVersion(0), StoreTime(0)), |it| (it.version, it.at));
         self.known = Some(Known {
--- a/crates/tanagerhub/src/gateway/relay.rs
+++ b/crates/tanagerhub/src/gateway/relay.rs
@@ -100,7 +100,7 @@
             }
             let left = end.since(clock.now());
             if clock.timeout(left, changed).await.is_none() {
-                return RelayAnswer::Lost;
+                return RelayAnswer::Quiet;
             }
         }
     }
--- a/crates/tanagerhub/src/gateway/relay_log.rs
+++ b/crates/tanagerhub/src/gateway/relay_log.rs
@@ -17,6 +17,8 @@
     Page(FeedPage),
     /// The changes are not kept as far back; the peer must read the table at the store.
     Compacted,
+    /// Nothing is newer.
+    Quiet,
     /// The node hears nothing new itself; the peer must ask elsewhere.
     Lost,
 }
