Keep fewer spares in large domains, and stage once all VMs are listed

Cause: on the grown sites the model of 8 VMs a group is the worst class: 8 groups stood for it, 50 of 216 VMs were spares (a fifth of each domain of 18), and VMs that were listed one after the other got the small model until no room for a group of 8 was left (3 of 12 domains; form_while_vms_arrive: 2 of 3 groups).

Spares are now one and a sixteenth of a domain, a fifth at most; staging before the first request waits until no VM has come for 0.7 s, 3 s at most.

--- a/crates/tanagerhub_groups/src/groups.rs
+++ b/crates/tanagerhub_groups/src/groups.rs
@@ -151,7 +151,10 @@
             return;
         }
         self.drive_groups(now);
-        self.stage_models(now);
+        // What each domain should hold depends on how many VMs it has.
+        if self.in_use || !self.vms.are_arriving(now) {
+            self.stage_models(now);
+        }
         self.plan_changes(now);
     }
 
--- a/crates/tanagerhub_groups/src/groups/compose.rs
+++ b/crates/tanagerhub_groups/src/groups/compose.rs
@@ -4,7 +4,7 @@
 
 use tanagerhub_catalogue::{DomainId, VmId};
 
-use crate::{EngineSpec, ModelSpec};
+use crate::{EngineSpec, ModelSpec, SpareRule};
 
 use super::Groups;
 
@@ -48,7 +48,7 @@
     pub(super) fn compositions(&self, engine: &EngineSpec) -> BTreeMap<DomainId, Composition> {
         let domains = self.domains(engine);
         let sizes = domains.iter().map(|(id, vms)| (*id, vms.len()));
-        compose(&engine.models, sizes, self.settings.spare_share)
+        compose(&engine.models, sizes, self.settings.spares)
     }
 
     /// The groups that would be formed if free VMs have their models, the most wanted first.
@@ -93,16 +93,16 @@
 
 /// Divides the VMs of domains among models, so that each model gets its share of all VMs.
 ///
-/// Each domain keeps `spare_share` of its VMs free for repairs, one at least where it has groups.
+/// Each domain keeps some of its VMs free for repairs.
 pub(super) fn compose(
     models: &[ModelSpec],
     domains: impl Iterator<Item = (DomainId, usize)>,
-    spare_share: f64,
+    rule: SpareRule,
 ) -> BTreeMap<DomainId, Composition> {
     let mut held = vec![0_usize; models.len()];
     domains
         .map(|(domain, vms)| {
-            let spares = spare_count(vms, spare_share);
+            let spares = rule.count(vms);
             let groups = fill(models, vms - spares, &mut held);
             let used: usize = groups.iter().zip(models).map(|(n, m)| n * m.size).sum();
             let spares = share_spares(models, &groups, vms - used);
@@ -111,16 +111,6 @@
         .collect()
 }
 
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    clippy::cast_precision_loss,
-    reason = "a domain has few VMs, and shares lie between 0 and 1"
-)]
-fn spare_count(vms: usize, share: f64) -> usize {
-    (vms as f64 * share).round() as usize
-}
-
 /// Adds groups of the model that is furthest below its share, as long as one fits.
 fn fill(models: &[ModelSpec], mut room: usize, held: &mut [usize]) -> Vec<usize> {
     let mut groups = vec![0; models.len()];
@@ -163,3 +153,6 @@
     }
     spares
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/tanagerhub_groups/src/groups/compose/tests.rs
@@ -0,0 +1,55 @@
+use std::time::Duration;
+
+use tanagerhub_catalogue::{DomainId, EntryId};
+use yare::parameterized;
+
+use super::compose;
+use crate::{ModelSpec, SpareRule};
+
+fn model(name: &str, size: usize) -> ModelSpec {
+    ModelSpec {
+        name: name.to_owned(),
+        entry: EntryId::of(name),
+        size,
+        share: 0.5,
+        load: Duration::from_secs(10),
+        warm: Duration::from_secs(1),
+    }
+}
+
+#[parameterized(
+    pairs = { 2, &[2], 0 },
+    four = { 4, &[2], 1 },
+    six = { 6, &[2], 1 },
+    ten = { 10, &[4, 2], 2 },
+    eighteen = { 18, &[8, 2], 2 },
+    thirty_two = { 32, &[8, 2], 3 },
+)]
+fn compose_keeps_spares(vms: usize, sizes: &[usize], spares: usize) {
+    let models: Vec<_> = sizes
+        .iter()
+        .map(|size| model(&format!("m{size}"), *size))
+        .collect();
+    let domains = [(DomainId::of("d"), vms)].into_iter();
+    let composed = compose(&models, domains, SpareRule::default());
+    let composition = &composed[&DomainId::of("d")];
+    let groups = composition.groups.iter().zip(sizes);
+    let used: usize = groups.map(|(count, size)| count * size).sum();
+    assert!(vms - used >= spares, "{composition:?}");
+    // What is left over is too little for another group.
+    let smallest = sizes.iter().min().unwrap();
+    assert!(vms - used < spares + smallest, "{composition:?}");
+    assert_eq!(composition.spares.iter().sum::<usize>(), vms - used);
+}
+
+/// Each domain of 18 VMs has room for a large group beside the small ones.
+#[test]
+fn compose_serves_large_model_in_each_domain() {
+    let models = [model("large", 8), model("small", 2)];
+    let names = ["a", "b", "c", "d"];
+    let domains = names.iter().map(|name| (DomainId::of(name), 18));
+    let composed = compose(&models, domains, SpareRule::default());
+    for composition in composed.values() {
+        assert_eq!(composition.groups, [1, 4], "{composition:?}");
+    }
+}
--- a/crates/tanagerhub_groups/src/groups/vms.rs
+++ b/crates/tanagerhub_groups/src/groups/vms.rs
@@ -15,6 +15,10 @@
 /// The longest time between two probes that were turned away for one reason: no shorter than
 /// between two probes of a member by the node that plans.
 const BUSY_GAP: Duration = Duration::from_millis(2_500);
+/// Time without a new VM after which all that were started together are listed.
+const ARRIVAL_GAP: Duration = Duration::from_millis(700);
+/// The longest that all VMs together take to be listed.
+const ARRIVALS: Duration = Duration::from_secs(3);
 /// For how long a suspicion counts.
 const SUSPICION: Duration = Duration::from_millis(500);
 /// How long a VM is remembered after the store stopped listing it.
@@ -24,6 +28,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Vms {
     pub(super) list: BTreeMap<VmId, VmEntry>,
+    /// When the first and the newest VM were first listed.
+    arrivals: Option<(Moment, Moment)>,
     /// Until when a VM that vanishes is taken for one that the store merely lost sight of.
     lapses_until: Moment,
 }
@@ -189,6 +195,13 @@
         self.list.get(&vm)
     }
 
+    /// Whether VMs that have just been started may still be on their way into the list.
+    pub(super) fn are_arriving(&self, now: Moment) -> bool {
+        self.arrivals.is_some_and(|(first, newest)| {
+            now.since(newest) < ARRIVAL_GAP && now.since(first) < ARRIVALS
+        })
+    }
+
     /// What a VM reports of its part in a group, if it takes part at the group's epoch.
     pub(super) fn state_in(&self, vm: VmId, group: &Group) -> Option<GroupState> {
         self.get(vm)?.report.state_in(group.id, group.epoch)
@@ -219,6 +232,10 @@
     /// Takes in what the store says of a VM; says what that changed.
     pub(super) fn upsert(&mut self, now: Moment, report: VmReport) -> Option<Decision> {
         let name = report.vm.name.clone();
+        if !self.list.contains_key(&report.vm.id()) {
+            let first = self.arrivals.map_or(now, |(first, _)| first);
+            self.arrivals = Some((first, now));
+        }
         let entry = self
             .list
             .entry(report.vm.id())
--- a/crates/tanagerhub_groups/src/lib.rs
+++ b/crates/tanagerhub_groups/src/lib.rs
@@ -26,5 +26,5 @@
 pub use order::{Order, OrderResult};
 pub use presence::{Presence, PresenceAction, PresenceRow, RelayPlace, SUCCESSORS};
 pub use rows::{GROUPS_TABLE, GroupRow, PlannerRow, RowError};
-pub use settings::GroupsSettings;
+pub use settings::{GroupsSettings, SpareRule};
 pub use vm_report::{GroupReport, GroupState, VmReport};
--- a/crates/tanagerhub_groups/src/settings.rs
+++ b/crates/tanagerhub_groups/src/settings.rs
@@ -40,8 +40,57 @@
     pub stall: Duration,
     /// How long after an outage of the store VMs that vanished in it may be listed again.
     pub relist: Duration,
-    /// The share of a domain's VMs that is kept free for repairs.
-    pub spare_share: f64,
+    /// How many of a domain's VMs are kept free for repairs.
+    pub spares: SpareRule,
+}
+
+/// How many of a domain's VMs are kept free for repairs.
+///
+/// VMs are lost one by one, so a larger domain needs a smaller part of its VMs to replace those
+/// that are lost at the same time.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct SpareRule {
+    /// The most, as a share of the VMs; it binds in small domains.
+    pub share: f64,
+    /// What any domain keeps.
+    pub base: f64,
+    /// What it keeps beyond that, as a share of the VMs.
+    pub rate: f64,
+}
+
+impl Default for SpareRule {
+    fn default() -> Self {
+        Self {
+            share: 0.2,
+            base: 1.0,
+            rate: 1.0 / 16.0,
+        }
+    }
+}
+
+impl SpareRule {
+    /// The VMs that a domain of so many keeps free.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use tanagerhub_groups::SpareRule;
+    ///
+    /// let rule = SpareRule::default();
+    /// assert_eq!([2, 10, 18, 64].map(|vms| rule.count(vms)), [0, 2, 2, 5]);
+    /// ```
+    #[must_use]
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        clippy::cast_precision_loss,
+        reason = "a domain has few VMs, and shares lie between 0 and 1"
+    )]
+    pub fn count(&self, vms: usize) -> usize {
+        let vms = vms as f64;
+        let most = vms * self.share;
+        most.min(self.base + vms * self.rate).round() as usize
+    }
 }
 
 impl Default for GroupsSettings {
@@ -63,7 +112,7 @@
             close_limit: Duration::from_millis(2_500),
             stall: Duration::from_secs(6),
             relist: Duration::from_millis(1_800),
-            spare_share: 0.2,
+            spares: SpareRule::default(),
         }
     }
 }
--- a/crates/tanagerhub_groups/tests/formation.rs
+++ b/crates/tanagerhub_groups/tests/formation.rs
@@ -20,6 +20,25 @@
     assert!(world.violations.is_empty(), "{:?}", world.violations);
 }
 
+/// Groups of eight get their share though the VMs of each domain come one after the other.
+#[test]
+fn form_while_vms_arrive() {
+    let mut world = World::new(3, 1);
+    world.resize_big(8);
+    world.plan(0, KnownBoots::default());
+    for place in 1..18 {
+        world.run(SECOND / 10);
+        for domain in 0..3 {
+            world.add_machine(&format!("vm-{domain}-{place}"), domain);
+        }
+        world.list_all();
+    }
+    world.run(9 * SECOND);
+    assert_eq!(world.open_heads("big").len(), 3);
+    assert_eq!(world.open_heads("small").len(), 12);
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
+
 #[test]
 fn form_within_one_domain() {
     let mut world = World::new(3, 5);
--- a/crates/tanagerhub_groups/tests/support/world.rs
+++ b/crates/tanagerhub_groups/tests/support/world.rs
@@ -48,6 +48,8 @@
 #[derive(Debug)]
 pub struct World {
     pub now: Moment,
+    /// The engine of all VMs.
+    pub engine: EngineSpec,
     pub machines: BTreeMap<VmId, Machine>,
     pub nodes: Vec<Node>,
     rows: BTreeMap<RowKey, VersionedRow>,
@@ -105,6 +107,7 @@
     pub fn new(domains: usize, size: usize) -> Self {
         let mut world = Self {
             now: Moment::from_millis(1_000),
+            engine: engine(),
             machines: BTreeMap::new(),
             nodes: Vec::new(),
             rows: BTreeMap::new(),
@@ -169,7 +172,7 @@
     pub fn add_node(&mut self, boot: u64) {
         let settings = GroupsSettings::default().boot(boot).first_start(self.lead);
         let mut groups = Groups::new(settings, boot);
-        groups.on_event(self.now, GroupsEvent::Engines(vec![engine()]));
+        groups.on_event(self.now, GroupsEvent::Engines(vec![self.engine.clone()]));
         self.nodes.push(Node {
             groups,
             boot,
@@ -190,6 +193,23 @@
             .collect()
     }
 
+    /// Gives the groups of the model `big` another size.
+    pub fn resize_big(&mut self, size: usize) {
+        self.engine.models[0].size = size;
+        for node in &mut self.nodes {
+            let engines = vec![self.engine.clone()];
+            node.events.push(GroupsEvent::Engines(engines));
+        }
+    }
+
+    /// Tells all nodes of all VMs.
+    pub fn list_all(&mut self) {
+        let reports = self.reports();
+        for node in &mut self.nodes {
+            node.events.push(GroupsEvent::AllVms(reports.clone()));
+        }
+    }
+
     /// Ends the time in which loads are quick.
     pub fn begin_traffic(&mut self) {
         self.lead = false;
@@ -603,7 +623,7 @@
                 continue;
             }
             let model = machine.report.serves.clone().unwrap_or_default();
-            let size = engine().model(&model).map_or(0, |model| model.size);
+            let size = self.engine.model(&model).map_or(0, |model| model.size);
             let ready = machine.members.iter().filter(|name| {
                 let member = &self.machines[&VmId::of(name)];
                 let state = member.report.state_in(place.group, place.epoch);
