Give spares to the model whose groups lose the most by a missing VM

Cause: spares were divided by the VMs at risk, so a domain of 18 kept one for its group of 8 and one for four groups of 2.

A spare now goes where the chance that it is needed, times the size of a group, is largest. Ruled out: a third spare a domain (its VM serves more as a member).

--- a/crates/tanagerhub_groups/src/groups/compose.rs
+++ b/crates/tanagerhub_groups/src/groups/compose.rs
@@ -134,25 +134,46 @@
     }
 }
 
-/// Divides spare VMs among the models by the VMs that their groups hold here.
-fn share_spares(models: &[ModelSpec], groups: &[usize], mut left: usize) -> Vec<usize> {
+/// The part of a domain's VMs that is lost in the time in which a new VM loads a model.
+const LOST_PART: f64 = 0.1;
+
+/// Divides spare VMs among the models, each to where it is expected to save the most.
+///
+/// A group that lacks a member idles all the others, so a spare is worth a whole group to the model
+/// that needs it, times the chance that it is needed.
+fn share_spares(models: &[ModelSpec], groups: &[usize], left: usize) -> Vec<usize> {
     let mut spares = vec![0; models.len()];
-    let at_risk = |place: usize| groups[place] * models[place].size;
-    while left > 0 {
+    for _ in 0..left {
+        let value = |place: usize| {
+            let members = groups[place] * models[place].size;
+            chance_of_more(members, spares[place]) * as_float(models[place].size)
+        };
         let next = (0..models.len())
-            .filter(|place| at_risk(*place) > 0)
-            .max_by(|a, b| {
-                let need = |place: usize| at_risk(place) * 1_000 / (spares[place] + 1);
-                need(*a).cmp(&need(*b)).then(b.cmp(a))
-            });
+            .filter(|place| groups[*place] > 0)
+            .max_by(|a, b| value(*a).total_cmp(&value(*b)).then(b.cmp(a)));
         let Some(place) = next else {
             break;
         };
         spares[place] += 1;
-        left -= 1;
     }
     spares
 }
 
+/// The chance that more than so many of some VMs are lost, if losses come independently.
+fn chance_of_more(vms: usize, count: usize) -> f64 {
+    let mean = as_float(vms) * LOST_PART;
+    let mut term = (-mean).exp();
+    let mut rest = 1.0 - term;
+    for lost in 1..=count {
+        term *= mean / as_float(lost);
+        rest -= term;
+    }
+    rest.max(0.0)
+}
+
+fn as_float(count: usize) -> f64 {
+    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/tanagerhub_groups/src/groups/compose/tests.rs
+++ b/crates/tanagerhub_groups/src/groups/compose/tests.rs
@@ -53,3 +53,21 @@
         assert_eq!(composition.groups, [1, 4], "{composition:?}");
     }
 }
+
+#[parameterized(
+    fair = { 10, &[4, 2], &[1, 1] },
+    large_groups_first = { 18, &[8, 2], &[2, 0] },
+    one_model = { 10, &[2], &[2] },
+    small_domain = { 6, &[2, 2], &[1, 1] },
+)]
+fn compose_gives_spares_where_they_save_most(vms: usize, sizes: &[usize], spares: &[usize]) {
+    let names = ["a", "b"];
+    let models: Vec<_> = sizes
+        .iter()
+        .zip(names)
+        .map(|(size, name)| model(name, *size))
+        .collect();
+    let domains = [(DomainId::of("d"), vms)].into_iter();
+    let composed = compose(&models, domains, SpareRule::default());
+    assert_eq!(composed[&DomainId::of("d")].spares, spares);
+}
