Log attempts, group and time to the first byte at a request's end

An answered request left one line without where it ran or what it waited for, so a late one could not be traced to its group.

--- a/crates/tanagerhub/src/gateway/control/feeds.rs
+++ b/crates/tanagerhub/src/gateway/control/feeds.rs
@@ -98,7 +98,7 @@
         if known.is_some_and(|known| known >= configuration.version) {
             return;
         }
-        log::info!(version = configuration.version, before:? = known; "configuration in force");
+        log::info!(version = configuration.version, before = known; "configuration in force");
         let configuration = Arc::new(configuration);
         self.limits.set(configuration.limits);
         self.shared.configure(Arc::clone(&configuration));
--- a/crates/tanagerhub/src/gateway/exchange.rs
+++ b/crates/tanagerhub/src/gateway/exchange.rs
@@ -7,6 +7,7 @@
 use futures_lite::future;
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::Full;
+use tanagerhub_catalogue::{Epoch, GroupId};
 use tanagerhub_clock::Moment;
 use tanagerhub_proxy::{
     Answer, AnswerBody, BodyError, ReplyBody, Reuse, SendError, full_body, strip_hop_headers,
@@ -47,6 +48,17 @@
     ticket: Option<Ticket>,
     /// The last answer by which a back end failed the request.
     failed: Option<WholeAnswer>,
+    trace: Trace,
+}
+
+/// What the log says of a request at its end.
+#[derive(Debug, Default)]
+struct Trace {
+    attempts: u32,
+    /// The group of the last attempt.
+    last: Option<(GroupId, Epoch)>,
+    /// When the first byte of an answer was there.
+    first: Option<Moment>,
 }
 
 /// An answer that has been read to its end.
@@ -102,6 +114,7 @@
             call: Arc::new(call),
             ticket: None,
             failed: None,
+            trace: Trace::default(),
         }
     }
 
@@ -161,6 +174,7 @@
 
     /// Takes an answer for good, unless it is a failure that may be tried elsewhere.
     fn judge(&mut self, answered: Answered) -> Result<Answered, Next> {
+        self.trace.first.get_or_insert(self.front.clock.now());
         match answered {
             Answered::Whole(dispatch, answer) => {
                 if answer.status.is_server_error() && self.call.is_repeatable() {
@@ -224,6 +238,8 @@
         if let Some(ticket) = &mut self.ticket {
             ticket.begin(dispatch.attempt);
         }
+        self.trace.attempts += 1;
+        self.trace.last = Some((dispatch.group, dispatch.epoch));
         let watch = self.front.pulses.watch(dispatch.group, dispatch.epoch);
         let sent = self.front.clock.now();
         let limit = if self.call.is_resumed(last_event) {
@@ -400,10 +416,17 @@
     pub(crate) fn log_end(&self, status: StatusCode, outcome: &str) {
         let took = self.front.clock.now().since(self.call.arrived);
         self.front.metrics.request(status.as_u16(), took);
+        let first = self.trace.first.map(|at| at.since(self.call.arrived));
+        let (group, epoch) = self.trace.last.unzip();
+        let group = group.map(|group| group.to_string());
         log::info!(
             request = self.call.id.as_str(),
             status = status.as_u16(),
             outcome,
+            attempts = self.trace.attempts,
+            group = group.as_deref(),
+            epoch = epoch.map(|epoch| epoch.0),
+            first_ms = first.map(|first| first.as_millis()),
             took_ms = took.as_millis();
             "request ended"
         );
