--- a/crates/tanagerhub_groups/tests/presence.rs
+++ b/crates/tanagerhub_groups/tests/presence.rs
@@ -1,10 +1,13 @@
 //! Which nodes are there, and which of them may plan.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use tanagerhub_catalogue::DataCentreId;
 use tanagerhub_clock::Moment;
-use tanagerhub_groups::{KnownBoots, Presence, PresenceAction, SUCCESSORS};
+use tanagerhub_groups::{KnownBoots, Presence, PresenceAction, RelayPlace, SUCCESSORS};
 use tanagerhub_table::{RowKey, RowVersion, VersionedRow};
+use yare::parameterized;
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -185,3 +188,69 @@
     assert!(!presence.other_plans(now));
     assert!(boots(&mut presence, now).unwrap().gone.contains(&1));
 }
+
+/// A node that sees the rows of nodes named by data centre and place, such as `a-1`.
+fn relaying(node: &str, others: &[&str]) -> Presence {
+    let mut presence = relay_of(node, 1);
+    for (boot, name) in (2..).zip(others) {
+        let mut other = relay_of(name, boot);
+        let actions = other.tick(Moment::from_millis(1_000), false);
+        let PresenceAction::Write(value) = &actions[0] else {
+            panic!("{actions:?}");
+        };
+        let row = VersionedRow {
+            key: RowKey::in_table("nodes", name),
+            version: RowVersion(boot),
+            value: Some(value.clone()),
+        };
+        let now = Moment::from_millis(1_000);
+        presence.rows(now, &[row], false).unwrap();
+    }
+    presence
+}
+
+fn relay_of(name: &str, boot: u64) -> Presence {
+    let (centre, place) = name.split_once('-').unwrap();
+    let place: u16 = place.parse().unwrap();
+    Presence::new(name, boot, 0).relay(RelayPlace {
+        data_centre: DataCentreId::of(centre),
+        address: SocketAddr::from(([10, 0, 0, 1], place)),
+    })
+}
+
+#[parameterized(
+    first = { "a-1", &["a-2", "a-3", "b-1"], &[] },
+    second = { "a-2", &["a-1", "a-3", "b-1"], &[1] },
+    third = { "a-3", &["a-1", "a-2", "b-1"], &[1, 2] },
+    alone_in_its_centre = { "b-1", &["a-1", "a-2"], &[] },
+)]
+fn relays_precede_in_data_centre(node: &str, others: &[&str], expected: &[u16]) {
+    let presence = relaying(node, others);
+    let relays = presence.relays(Moment::from_millis(1_100));
+    let ports: Vec<u16> = relays.iter().map(SocketAddr::port).collect();
+    assert_eq!(ports, expected);
+}
+
+#[test]
+fn relays_of_silent_nodes_are_left_out() {
+    let presence = relaying("a-2", &["a-1"]);
+    assert_eq!(presence.relays(Moment::from_millis(60_000)), []);
+}
+
+#[parameterized(
+    one_centre = { &["a-2", "a-3"], 1 },
+    two_centres = { &["a-2", "b-1", "b-2"], 2 },
+    none_known = { &[], 1 },
+)]
+fn askers_are_one_a_data_centre(others: &[&str], expected: usize) {
+    let presence = relaying("a-1", others);
+    assert_eq!(presence.askers(Moment::from_millis(1_100)), expected);
+}
+
+#[test]
+fn askers_without_relay_are_all() {
+    let mut fleet = Fleet::new(5);
+    fleet.run(2 * SECOND);
+    assert_eq!(fleet.nodes[3].1.askers(fleet.now), 5);
+    assert_eq!(fleet.nodes[3].1.relays(fleet.now), []);
+}
