--- a/crates/tanagerhub_traffic/src/groups.rs
+++ b/crates/tanagerhub_traffic/src/groups.rs
@@ -11,6 +11,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::group::{Group, GroupLimits};
+use crate::pace::Pace;
 use crate::prefix_index::PrefixIndex;
 use crate::{RouteTable, Selection, TrafficSettings};
 
@@ -24,6 +25,10 @@
 /// Load, in requests, that a group in another data centre must be ahead by.
 const REMOTE_LOAD: f64 = 1.0;
 
+/// Requests that may wait for their first byte at each group from all nodes together, however late
+/// first bytes come: a late one may come from a group that is about to be lost.
+const LEAST_WAITING: f64 = 8.0;
+
 /// A group up to this many times slower than usual may just have had longer prompts.
 const SLOWNESS_NOISE: f64 = 2.0;
 
@@ -40,8 +45,8 @@
     pub(crate) suspect: bool,
     /// The usual wait for a first byte, in seconds.
     pub(crate) usual: Option<f64>,
-    /// Whether it has an objective.
-    pub(crate) paced: bool,
+    /// How many of its entry's requests may wait for their first byte, if it has an objective.
+    pub(crate) pace: Option<&'a Pace>,
 }
 
 /// The arena of groups.
@@ -156,11 +161,18 @@
             .by_entry
             .get(&wish.entry)
             .map_or(&[][..], Vec::as_slice);
+        if let Some(pace) = wish.pace {
+            let waiting = keys.iter().map(|key| self.arena[*key].unanswered).sum();
+            let least = LEAST_WAITING * as_float(keys.len()) / f64::from(live.max(1));
+            if !pace.allows(now, waiting, least) {
+                return;
+            }
+        }
         for key in keys {
             let group = &self.arena[*key];
             let centre = group.route.data_centre;
             let apart = !wish.suspect || group.suspects == 0;
-            let apart = apart && (!wish.paced || group.keeps_pace());
+            let apart = apart && (wish.pace.is_none() || group.keeps_pace(now));
             if apart && group.has_room(now, wish.limit, live) && !wish.tried.contains(key) {
                 let distance = if centre == self.home {
                     0.0
@@ -205,7 +217,7 @@
                 blocks: 0,
             });
         }
-        let count = f64::from(u32::try_from(candidates.len()).unwrap_or(u32::MAX));
+        let count = as_float(candidates.len());
         let mean = candidates.iter().map(|it| it.load).sum::<f64>() / count;
         let bound = (mean * self.bound).ceil() + 1.0;
         if let Some(choice) = self.cached(wish, candidates, bound) {
@@ -280,3 +292,7 @@
         first.key
     }
 }
+
+fn as_float(count: usize) -> f64 {
+    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
+}
