--- a/crates/tanagerhub_traffic/src/entry_state.rs
+++ b/crates/tanagerhub_traffic/src/entry_state.rs
@@ -7,7 +7,6 @@
 
 use crate::average::Average;
 use crate::in_flight::RequestKey;
-use crate::pace::{Pace, PaceBounds};
 use crate::{FairQueue, RetryBudget, TrafficSettings};
 
 /// One entry's queue, budget and averages.
@@ -17,10 +16,6 @@
     pub(crate) class: Class,
     pub(crate) queue: FairQueue<RequestKey>,
     pub(crate) budget: RetryBudget,
-    /// Requests with an objective that may wait for their first byte at all groups together.
-    ///
-    /// Many nodes share a group, so even one request of each at each group can be too many.
-    pub(crate) pace: Pace,
     /// Seconds from dispatch to first byte.
     pub(crate) first_byte: Average,
     /// Seconds from dispatch to the end.
@@ -31,13 +26,6 @@
     pub(crate) running: u32,
 }
 
-/// Requests with an objective that may wait for their first byte at an entry's groups.
-const PACE: PaceBounds = PaceBounds {
-    first: 16.0,
-    least: 0.125,
-    most: 256.0,
-    gain: 0.1,
-};
 /// How many usual waits for a first byte pass before a hedge.
 const HEDGE_FACTOR: f64 = 3.0;
 
@@ -48,7 +36,6 @@
             class: entry.class,
             queue: FairQueue::default(),
             budget: budget(settings),
-            pace: Pace::new(PACE),
             first_byte: Average::default(),
             service: Average::default(),
             token: Average::default(),
--- a/crates/tanagerhub_traffic/src/group.rs
+++ b/crates/tanagerhub_traffic/src/group.rs
@@ -7,7 +7,6 @@
 
 use crate::Route;
 use crate::average::Average;
-use crate::pace::{Pace, PaceBounds};
 
 /// The span over which starts of requests are counted.
 const STARTS_WINDOW: Duration = Duration::from_secs(1);
@@ -33,13 +32,16 @@
     pub(crate) suspension: Duration,
 }
 
-/// Requests with an objective that may wait for their first byte at one group.
-const PACE: PaceBounds = PaceBounds {
-    first: 4.0,
-    least: 1.0,
-    most: 32.0,
-    gain: 1.0,
-};
+/// Requests with an objective that wait for their first byte at a group that is not known yet.
+const FIRST_PACE: f64 = 4.0;
+/// The most of them.
+const MOST_PACE: f64 = 32.0;
+/// The part of the objective that first bytes should come within.
+const ON_TIME: f64 = 0.9;
+/// The part of its window that a group keeps when first bytes come late.
+const WINDOW_CUT: f64 = 0.7;
+/// Time between two cuts of a group's window; late first bytes come in bunches.
+const CUT_AGAIN: Duration = Duration::from_millis(200);
 
 /// One group, with what this node has in flight there.
 #[derive(Debug)]
@@ -55,8 +57,9 @@
     pub(crate) suspects: u32,
     limits: GroupLimits,
     window: u32,
-    /// The same for requests with an objective.
-    pace: Pace,
+    /// The same for requests with an objective, in steps smaller than one request.
+    pace: f64,
+    cut: Moment,
     others: u32,
     reported: Moment,
     own_reported: u32,
@@ -81,7 +84,8 @@
             suspects: 0,
             limits,
             window: limits.window,
-            pace: Pace::new(PACE),
+            pace: FIRST_PACE,
+            cut: Moment::ZERO,
             others: 0,
             reported: Moment::ZERO,
             own_reported: 0,
@@ -213,13 +217,18 @@
     }
 
     /// Whether one more request with an objective may wait for its first byte.
-    pub(crate) fn keeps_pace(&self, now: Moment) -> bool {
-        self.pace.allows(now, self.unanswered, PACE.least)
+    pub(crate) fn keeps_pace(&self) -> bool {
+        f64::from(self.unanswered) < self.pace
     }
 
     /// Takes in how long the first byte of a request with an objective took.
     pub(crate) fn paced(&mut self, now: Moment, wait: Duration, objective: Duration) {
-        self.pace.observe(now, wait, objective);
+        if wait <= objective.mul_f64(ON_TIME) {
+            self.pace = (self.pace + 1.0 / self.pace).min(MOST_PACE);
+        } else if now.since(self.cut) >= CUT_AGAIN {
+            self.cut = now;
+            self.pace = (self.pace * WINDOW_CUT).max(1.0);
+        }
     }
 
     /// Takes in a first byte; the window opens.
--- a/crates/tanagerhub_traffic/src/groups.rs
+++ b/crates/tanagerhub_traffic/src/groups.rs
@@ -11,7 +11,6 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::group::{Group, GroupLimits};
-use crate::pace::Pace;
 use crate::prefix_index::PrefixIndex;
 use crate::{RouteTable, Selection, TrafficSettings};
 
@@ -25,10 +24,6 @@
 /// Load, in requests, that a group in another data centre must be ahead by.
 const REMOTE_LOAD: f64 = 1.0;
 
-/// Requests that may wait for their first byte at each group from all nodes together, however late
-/// first bytes come: a late one may come from a group that is about to be lost.
-const LEAST_WAITING: f64 = 8.0;
-
 /// A group up to this many times slower than usual may just have had longer prompts.
 const SLOWNESS_NOISE: f64 = 2.0;
 
@@ -45,8 +40,8 @@
     pub(crate) suspect: bool,
     /// The usual wait for a first byte, in seconds.
     pub(crate) usual: Option<f64>,
-    /// How many of its entry's requests may wait for their first byte, if it has an objective.
-    pub(crate) pace: Option<&'a Pace>,
+    /// Whether it has an objective.
+    pub(crate) paced: bool,
 }
 
 /// The arena of groups.
@@ -161,18 +156,11 @@
             .by_entry
             .get(&wish.entry)
             .map_or(&[][..], Vec::as_slice);
-        if let Some(pace) = wish.pace {
-            let waiting = keys.iter().map(|key| self.arena[*key].unanswered).sum();
-            let least = LEAST_WAITING * as_float(keys.len()) / f64::from(live.max(1));
-            if !pace.allows(now, waiting, least) {
-                return;
-            }
-        }
         for key in keys {
             let group = &self.arena[*key];
             let centre = group.route.data_centre;
             let apart = !wish.suspect || group.suspects == 0;
-            let apart = apart && (wish.pace.is_none() || group.keeps_pace(now));
+            let apart = apart && (!wish.paced || group.keeps_pace());
             if apart && group.has_room(now, wish.limit, live) && !wish.tried.contains(key) {
                 let distance = if centre == self.home {
                     0.0
@@ -217,7 +205,7 @@
                 blocks: 0,
             });
         }
-        let count = as_float(candidates.len());
+        let count = f64::from(u32::try_from(candidates.len()).unwrap_or(u32::MAX));
         let mean = candidates.iter().map(|it| it.load).sum::<f64>() / count;
         let bound = (mean * self.bound).ceil() + 1.0;
         if let Some(choice) = self.cached(wish, candidates, bound) {
@@ -292,7 +280,3 @@
         first.key
     }
 }
-
-fn as_float(count: usize) -> f64 {
-    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
-}
--- a/crates/tanagerhub_traffic/src/lib.rs
+++ b/crates/tanagerhub_traffic/src/lib.rs
@@ -17,7 +17,6 @@
 mod groups;
 mod in_flight;
 mod organisation_meter;
-mod pace;
 mod prefix_index;
 mod rate_limit;
 mod relay_error;
--- a/crates/tanagerhub_traffic/src/traffic/dispatch.rs
+++ b/crates/tanagerhub_traffic/src/traffic/dispatch.rs
@@ -42,7 +42,7 @@
             suspect,
             usual: entry.first_byte.get(),
             // A stream that is resumed goes on even where others would be late.
-            pace: (request.info.objective.is_some() && request.tokens == 0).then_some(&entry.pace),
+            paced: request.info.objective.is_some() && request.tokens == 0,
         };
         let live = self.share.share().nodes;
         self.groups.pick(now, live, &wish, &mut self.random)
--- a/crates/tanagerhub_traffic/src/traffic/reports.rs
+++ b/crates/tanagerhub_traffic/src/traffic/reports.rs
@@ -122,18 +122,14 @@
         let Some(held) = self.requests.get_mut(request) else {
             return Next::Done;
         };
-        let total = now.since(held.arrived);
-        let objective = held.info.objective.filter(|_| held.tokens == 0);
-        if let Some(objective) = objective
+        let fresh = held.tokens == 0;
+        if let Some(objective) = held.info.objective.filter(|_| fresh)
             && let Some(group) = self.groups.arena.get_mut(self.attempts[key].group)
         {
-            group.paced(now, total, objective);
+            group.paced(now, now.since(held.arrived), objective);
         }
         if let Some(entry) = self.entries.get_mut(&held.info.entry) {
             entry.first_byte.observe(wait.as_secs_f64());
-            if let Some(objective) = objective {
-                entry.pace.observe(now, total, objective);
-            }
         }
         let other = held.attempts.iter().copied().find(|it| *it != key);
         let Some(other) = other else {
--- a/crates/tanagerhub_traffic/tests/pacing.rs
+++ b/crates/tanagerhub_traffic/tests/pacing.rs
@@ -39,7 +39,7 @@
 impl World {
     fn new() -> Self {
         let now = Moment::from_millis(1_000);
-        let traffic = advisor::traffic(1, now, advisor::settings(), &[(1, 64, None)]);
+        let traffic = advisor::traffic(now, advisor::settings(), &[(1, 64, None)]);
         Self {
             now,
             traffic,
--- a/crates/tanagerhub_traffic/tests/routes.rs
+++ b/crates/tanagerhub_traffic/tests/routes.rs
@@ -27,7 +27,7 @@
 }
 
 fn traffic(settings: TrafficSettings, routes: &[(u64, u32, Option<u32>)]) -> Traffic {
-    advisor::traffic(1, START, settings, routes)
+    advisor::traffic(START, settings, routes)
 }
 
 fn info(id: u64, now: Moment) -> RequestInfo {
--- a/crates/tanagerhub_traffic/tests/support/advisor.rs
+++ b/crates/tanagerhub_traffic/tests/support/advisor.rs
@@ -19,16 +19,13 @@
     }
 }
 
-/// Traffic of a node, with routes by group: its slots and its starts a second.
-///
-/// The random choices of nodes differ by their seeds.
+/// Traffic of the only node, with routes by group: its slots and its starts a second.
 pub fn traffic(
-    seed: u64,
     now: Moment,
     settings: TrafficSettings,
     routes: &[(u64, u32, Option<u32>)],
 ) -> Traffic {
-    let mut traffic = Traffic::new(settings, seed);
+    let mut traffic = Traffic::new(settings, 1);
     let entry = Entry {
         name: "advisor".to_owned(),
         owner: String::new(),
