--- a/crates/tanagerhub/src/gateway/feed.rs
+++ b/crates/tanagerhub/src/gateway/feed.rs
@@ -218,14 +218,12 @@
             Err(error) => return self.leave(peer, peers, &error.to_string()),
         };
         let proved = self.store_clock.date_relayed(now, changes.at);
-        let is_fresh = proved.is_some_and(|at| now.since(at) <= relay_patience(pace));
-        if is_fresh {
-            let source = Source::Peer(peer);
+        let source = Source::Peer(peer);
+        self.note(&changes, false, source);
+        if proved.is_some_and(|at| now.since(at) <= relay_patience(pace)) {
             self.sources.worked(now, source, now + PEER_INTERVAL);
-            self.note(&changes, false, source);
             self.edges.metrics.feed_call("peer", true);
         } else {
-            self.note(&changes, false, Source::Peer(peer));
             self.leave(peer, peers, "its news is old");
         }
         Some(FeedNews {
--- a/crates/tanagerhub_groups/src/groups/compose.rs
+++ b/crates/tanagerhub_groups/src/groups/compose.rs
@@ -56,6 +56,7 @@
     pub(super) fn formations(&self, now: Moment) -> Vec<Wish> {
         let mut wishes = Vec::new();
         for engine in &self.engines {
+            let waiting = self.waiting_domains(now, engine);
             for (domain, wanted) in self.compositions(engine) {
                 for (place, model) in engine.models.iter().enumerate() {
                     let held = self.groups_in(domain, model);
@@ -68,7 +69,7 @@
                         reserve: 0,
                     };
                     wishes.extend(std::iter::repeat_n(wish.clone(), missing));
-                    if self.waits_in(now, domain, engine) {
+                    if waiting.contains(&domain) {
                         continue;
                     }
                     // Beyond the wanted number, a group is formed from what repairs don't need.
--- a/crates/tanagerhub_groups/src/groups/reassign.rs
+++ b/crates/tanagerhub_groups/src/groups/reassign.rs
@@ -3,6 +3,7 @@
 //! A group that lacks a member idles all its others. Where its domain has no spare with its model,
 //! a VM is told to load it: a free one, or one of a smaller group that gives way.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use tanagerhub_catalogue::{DomainId, GroupId, VmId};
@@ -47,10 +48,10 @@
             .collect()
     }
 
-    /// Whether a group of a domain waits for a VM with another model than the free ones have.
-    pub(super) fn waits_in(&self, now: Moment, domain: DomainId, engine: &EngineSpec) -> bool {
+    /// The domains in which a group waits for a VM with another model than the free ones have.
+    pub(super) fn waiting_domains(&self, now: Moment, engine: &EngineSpec) -> BTreeSet<DomainId> {
         let waiting = self.waiting_groups(now, engine);
-        waiting.iter().any(|waiting| waiting.domain == domain)
+        waiting.iter().map(|waiting| waiting.domain).collect()
     }
 
     /// Free VMs of a domain that have a model, load it, or have none and so may load it.
