Log and count what a node notices about requests that crash backend servers

The crash table now records its decisions: suspected, struck, dropped, cleared, refused. The gateway logs each and counts it by outcome; failed attempts and broken streams carry the request's fingerprint, which its repeats share. No decision is changed.

--- a/crates/tanagerhub/src/gateway/call.rs
+++ b/crates/tanagerhub/src/gateway/call.rs
@@ -68,6 +68,8 @@
     /// The moment at which a stream without a first byte fails.
     pub(crate) first_byte_deadline: Moment,
     pub(crate) last_event: u32,
+    /// Hash of target, organisation and body, by which crashes are counted.
+    pub(crate) fingerprint: u64,
 }
 
 impl Call {
--- a/crates/tanagerhub/src/gateway/control.rs
+++ b/crates/tanagerhub/src/gateway/control.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
+use serde::Serialize;
 use tanagerhub_catalogue::{Epoch, GroupId};
 use tanagerhub_clock::{Clock, Moment};
 use tanagerhub_groups::{
@@ -162,10 +163,20 @@
         self.publish_routes(now);
         self.handle_groups_event(now, GroupsEvent::NodeCount(self.presence.live_nodes(now)));
         self.update_feeds(now);
+        self.report_crash_decisions();
         self.metrics
             .record_routes(self.view.heads.len(), self.shared.age());
     }
 
+    /// Logs and counts the decisions on crashing requests.
+    fn report_crash_decisions(&self) {
+        for decision in self.traffic.take_crash_decisions() {
+            self.metrics.crash_decision(decision.label());
+            let text = to_json(&decision);
+            log::info!(target: "tanagerhub::crashes", detail = text.as_str(); "crash decision");
+        }
+    }
+
     /// Updates the peers and the timing of the feeds.
     fn update_feeds(&mut self, now: Moment) {
         let relays = self.presence.relay_addresses(now);
@@ -243,7 +254,10 @@
 }
 
 fn log_decision(decision: &Decision) {
-    let text = serde_json::to_string(decision);
-    let text = text.unwrap_or_else(|error| error.to_string());
+    let text = to_json(decision);
     log::info!(target: "tanagerhub::groups", detail = text.as_str(); "group decision");
 }
+
+fn to_json(decision: &impl Serialize) -> String {
+    serde_json::to_string(decision).unwrap_or_else(|error| error.to_string())
+}
--- a/crates/tanagerhub/src/gateway/exchange.rs
+++ b/crates/tanagerhub/src/gateway/exchange.rs
@@ -212,6 +212,7 @@
             request = self.call.id.as_str(),
             group:% = dispatch.group,
             epoch = dispatch.epoch.0,
+            fingerprint:% = format_args!("{:016x}", self.call.fingerprint),
             cause = label,
             detail = error.detail().as_str(),
             took_ms = self.frontend.clock.now().since(self.call.arrived).as_millis();
--- a/crates/tanagerhub/src/gateway/front.rs
+++ b/crates/tanagerhub/src/gateway/front.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use http::header::{AUTHORIZATION, CONTENT_LENGTH, HOST};
 use http::request::Parts;
+use http::uri::PathAndQuery;
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt as _, Limited};
 use hyper::body::Incoming;
@@ -122,20 +123,20 @@
         if !route.public {
             parts.headers.remove(AUTHORIZATION);
         }
+        let organisation = holder.map(|holder| Arc::clone(&holder.organisation));
+        let target = parts.uri.into_parts().path_and_query;
+        let target = target.unwrap_or_else(root_path);
         let call = Call {
+            fingerprint: fingerprint(&target, organisation.as_deref(), &body),
             id: head.id.clone(),
             arrived,
             method: parts.method,
-            target: parts
-                .uri
-                .into_parts()
-                .path_and_query
-                .unwrap_or_else(root_path),
+            target,
             headers: parts.headers,
             body,
             kind: route.kind,
             entry,
-            organisation: holder.map(|holder| Arc::clone(&holder.organisation)),
+            organisation,
             keyed: holder.is_some(),
             urgency: route.kind.is_stream().then_some(priority),
             objective: route.first_byte_objective,
@@ -211,16 +212,21 @@
     }
 }
 
-fn root_path() -> http::uri::PathAndQuery {
-    http::uri::PathAndQuery::from_static("/")
+fn root_path() -> PathAndQuery {
+    PathAndQuery::from_static("/")
+}
+
+/// Returns the hash by which equal requests are recognised.
+fn fingerprint(target: &PathAndQuery, organisation: Option<&str>, body: &[u8]) -> u64 {
+    let mut content = Xxh3::new();
+    content.update(target.as_str().as_bytes());
+    content.update(organisation.unwrap_or_default().as_bytes());
+    content.update(body);
+    content.digest()
 }
 
 fn request_info(call: &Call, head: &CallHead, route: &IngressRoute, priority: u8) -> RequestInfo {
     let organisation = call.organisation.as_deref().unwrap_or_default();
-    let mut content = Xxh3::new();
-    content.update(call.target.as_str().as_bytes());
-    content.update(organisation.as_bytes());
-    content.update(&call.body);
     let info = RequestInfo::new(
         RequestId(rand::random()),
         OrganisationId::of(organisation),
@@ -234,7 +240,7 @@
     info.deadline(call.deadline)
         .repeat(Call::repeat(call.kind))
         .tokens(head.prompt_tokens, head.max_tokens)
-        .fingerprint(content.digest())
+        .fingerprint(call.fingerprint)
         .class(class_of_priority(priority))
         .attempts(route.max_attempts)
         .queue_timeout(route.first_byte_objective.mul_f64(QUEUE_TIMEOUT_SHARE))
--- a/crates/tanagerhub/src/gateway/gateway_metrics.rs
+++ b/crates/tanagerhub/src/gateway/gateway_metrics.rs
@@ -22,6 +22,7 @@
     feed_calls: Family<FeedCall, Counter>,
     orders: Family<Outcome, Counter>,
     probes: Family<Outcome, Counter>,
+    crash_decisions: Family<Outcome, Counter>,
     first_byte: Histogram,
     duration: Histogram,
     routes: Gauge,
@@ -58,6 +59,7 @@
         let (requests, attempts) = (Family::default(), Family::default());
         let (store_calls, orders) = (Family::default(), Family::default());
         let (probes, feed_calls) = (Family::default(), Family::default());
+        let crash_decisions = Family::default();
         let (first_byte, duration) = (new_histogram(), new_histogram());
         let (routes, store_age) = (Gauge::default(), Gauge::default());
         let log_drops = Counter::default();
@@ -82,6 +84,11 @@
         );
         add("orders", "Orders to VMs, by outcome", &orders);
         add("probes", "Probes of VMs, by outcome", &probes);
+        add(
+            "crash_decisions",
+            "Decisions on requests under which back ends crash, by outcome",
+            &crash_decisions,
+        );
         add(
             "first_byte_seconds",
             "Time to the first byte of an answer",
@@ -107,6 +114,7 @@
             feed_calls,
             orders,
             probes,
+            crash_decisions,
             first_byte,
             duration,
             routes,
@@ -175,6 +183,11 @@
         self.probes.get_or_create(&Outcome { outcome }).inc();
     }
 
+    pub(crate) fn crash_decision(&self, outcome: &'static str) {
+        let counter = self.crash_decisions.get_or_create(&Outcome { outcome });
+        counter.inc();
+    }
+
     pub(crate) fn record_routes(&self, routes: usize, age: Duration) {
         self.routes.set(i64::try_from(routes).unwrap_or(i64::MAX));
         let age = i64::try_from(age.as_millis()).unwrap_or(i64::MAX);
--- a/crates/tanagerhub/src/gateway/streaming.rs
+++ b/crates/tanagerhub/src/gateway/streaming.rs
@@ -162,6 +162,7 @@
             request = self.exchange.call.id.as_str(),
             group:% = dispatch.group,
             epoch = dispatch.epoch.0,
+            fingerprint:% = format_args!("{:016x}", self.exchange.call.fingerprint),
             event = self.relay.tokens(),
             cause = cause.description().as_str();
             "stream broke"
--- a/crates/tanagerhub/src/traffic_handle.rs
+++ b/crates/tanagerhub/src/traffic_handle.rs
@@ -9,7 +9,7 @@
 use async_channel::Sender;
 use tanagerhub_catalogue::{Catalogue, RequestId};
 use tanagerhub_clock::{Clock, Moment};
-use tanagerhub_traffic::{Decision, GroupObservation, RequestInfo, Traffic};
+use tanagerhub_traffic::{CrashDecision, Decision, GroupObservation, RequestInfo, Traffic};
 
 use crate::snapshot::Snapshot;
 use crate::ticket::Ticket;
@@ -73,6 +73,11 @@
         self.wake.signal();
     }
 
+    /// Returns the decisions on crashing requests since the last call.
+    pub(crate) fn take_crash_decisions(&self) -> Vec<CrashDecision> {
+        self.lock().traffic.crash_table().take_decisions()
+    }
+
     /// Returns the newest snapshot.
     pub(crate) fn snapshot(&self) -> Arc<Snapshot> {
         self.snapshot.load_full()
--- a/crates/tanagerhub_traffic/src/crash_table.rs
+++ b/crates/tanagerhub_traffic/src/crash_table.rs
@@ -8,6 +8,8 @@
 use tanagerhub_catalogue::{Epoch, GroupId, IdHex};
 use tanagerhub_clock::Moment;
 
+use crate::CrashDecision;
+
 /// Number of crashes after which a request is refused.
 const STRIKE_LIMIT: u32 = 2;
 /// Maximum time from a broken attempt to the confirmation that the group crashed.
@@ -21,6 +23,8 @@
 const MAX_BROKEN_ATTEMPTS: usize = 256;
 /// Maximum number of fingerprints in the table.
 const MAX_FINGERPRINTS: usize = 4_096;
+/// Maximum number of decisions held until the control thread takes them.
+const MAX_DECISIONS: usize = 1_024;
 
 /// Counts crashes by the fingerprint of the requests that ran.
 ///
@@ -52,6 +56,7 @@
     records: HashMap<u64, CrashRecord>,
     /// Time and group of recent broken attempts, oldest first.
     broken_attempts: VecDeque<(Moment, GroupId)>,
+    decisions: Vec<CrashDecision>,
 }
 
 #[derive(Debug, Default)]
@@ -93,6 +98,7 @@
             quarantine,
             records: HashMap::new(),
             broken_attempts: VecDeque::new(),
+            decisions: Vec::new(),
         }
     }
 
@@ -100,9 +106,16 @@
     pub fn suspect(&mut self, now: Moment, fingerprint: u64, group: GroupId, epoch: Epoch) {
         self.record_broken_attempt(now, group);
         if self.is_mass_failure() {
-            self.drop_suspicions_since(now.before(MASS_FAILURE_WINDOW));
+            let suspicions = 1 + self.drop_suspicions_since(now.before(MASS_FAILURE_WINDOW));
+            let groups = self.recently_broken_groups();
+            self.record(CrashDecision::Dropped { groups, suspicions });
             return;
         }
+        self.record(CrashDecision::Suspected {
+            fingerprint,
+            group,
+            epoch,
+        });
         self.ensure_capacity(now, fingerprint);
         let record = self.records.entry(fingerprint).or_default();
         if record.pending.len() < STRIKE_LIMIT as usize {
@@ -117,14 +130,46 @@
     /// Handles the confirmation that a group crashed: requests with a recent suspicion for it get a
     /// strike.
     pub fn confirm(&mut self, now: Moment, group: GroupId, epoch: Epoch) {
-        for record in self.records.values_mut() {
-            record.confirm(now, group, epoch);
+        let mut struck = Vec::new();
+        for (fingerprint, record) in &mut self.records {
+            if record.confirm(now, group, epoch) {
+                struck.push(CrashDecision::Struck {
+                    fingerprint: *fingerprint,
+                    group,
+                    epoch,
+                    strikes: record.strikes,
+                });
+            }
+        }
+        for decision in struck {
+            self.record(decision);
         }
     }
 
     /// Clears a request that a group has run without a crash.
     pub fn record_success(&mut self, fingerprint: u64) {
-        self.records.remove(&fingerprint);
+        if let Some(record) = self.records.remove(&fingerprint) {
+            let strikes = record.strikes;
+            self.record(CrashDecision::Cleared {
+                fingerprint,
+                strikes,
+            });
+        }
+    }
+
+    /// Records that a request was refused because of its crashes.
+    pub(crate) fn record_refusal(&mut self, fingerprint: u64) {
+        let record = self.records.get(&fingerprint);
+        let strikes = record.map_or(0, |record| record.strikes);
+        self.record(CrashDecision::Refused {
+            fingerprint,
+            strikes,
+        });
+    }
+
+    /// Returns the decisions since the last call, and clears them.
+    pub fn take_decisions(&mut self) -> Vec<CrashDecision> {
+        std::mem::take(&mut self.decisions)
     }
 
     /// Returns the time for which the request is still refused, or `None` if it is accepted.
@@ -211,21 +256,38 @@
     }
 
     fn is_mass_failure(&self) -> bool {
+        self.recently_broken_groups() > MASS_FAILURE_GROUP_LIMIT
+    }
+
+    /// Returns the number of groups at which an attempt broke recently.
+    fn recently_broken_groups(&self) -> usize {
         let groups: HashSet<GroupId> = self
             .broken_attempts
             .iter()
             .map(|(_, group)| *group)
             .collect();
-        groups.len() > MASS_FAILURE_GROUP_LIMIT
+        groups.len()
     }
 
-    /// Drops the suspicions recorded at or after `since`.
-    fn drop_suspicions_since(&mut self, since: Moment) {
+    /// Drops the suspicions recorded at or after `since`, and returns their number.
+    fn drop_suspicions_since(&mut self, since: Moment) -> usize {
+        let mut dropped = 0;
         for record in self.records.values_mut() {
+            let before = record.pending.len();
             record.pending.retain(|it| it.since < since);
+            dropped += before - record.pending.len();
         }
         self.records
             .retain(|_, record| record.strikes > 0 || !record.pending.is_empty());
+        dropped
+    }
+
+    /// Records a decision. When the limit is reached, the older half is dropped.
+    fn record(&mut self, decision: CrashDecision) {
+        if self.decisions.len() >= MAX_DECISIONS {
+            self.decisions.drain(..MAX_DECISIONS / 2);
+        }
+        self.decisions.push(decision);
     }
 
     /// Makes room for a new fingerprint; evicts the one with the fewest strikes, and among equals
@@ -250,19 +312,21 @@
 }
 
 impl CrashRecord {
-    fn confirm(&mut self, now: Moment, group: GroupId, epoch: Epoch) {
+    /// Turns the suspicions of a group into a strike; returns whether there is a new strike.
+    fn confirm(&mut self, now: Moment, group: GroupId, epoch: Epoch) -> bool {
         let matches_group = |it: &Suspicion| it.group == group && it.epoch == epoch;
         let is_active = |it: &Suspicion| now.since(it.since) < CONFIRMATION_TIMEOUT;
-        if self
+        let is_struck = self
             .pending
             .iter()
-            .any(|it| matches_group(it) && is_active(it))
-        {
+            .any(|it| matches_group(it) && is_active(it));
+        if is_struck {
             self.strikes += 1;
             self.last_strike = now;
         }
         self.pending
             .retain(|it| !matches_group(it) && is_active(it));
+        is_struck
     }
 
     fn active_strikes(&self, now: Moment, quarantine: Duration) -> u32 {
--- a/crates/tanagerhub_traffic/src/lib.rs
+++ b/crates/tanagerhub_traffic/src/lib.rs
@@ -8,6 +8,7 @@
 mod body_check;
 mod claims;
 mod counters;
+mod crash_decision;
 mod crash_table;
 mod decision;
 mod drain;
@@ -34,6 +35,7 @@
     ClaimSettings, Claims, RecordedResponse, claim_key,
 };
 pub use counters::Counters;
+pub use crash_decision::CrashDecision;
 pub use crash_table::{CrashFact, CrashTable};
 pub use decision::{AttemptEvent, AttemptKey, Decision, Dispatch, Next, Outcome, Reason, Refusal};
 pub use drain::{Drain, DrainState};
--- a/crates/tanagerhub_traffic/src/traffic/admission.rs
+++ b/crates/tanagerhub_traffic/src/traffic/admission.rs
@@ -40,15 +40,15 @@
         let Some(entry) = self.entries.get(&info.entry) else {
             return Err(refusal(Reason::UnknownEntry, None));
         };
+        let entry_class = entry.class;
         if info.deadline <= now {
             return Err(refusal(Reason::DeadlinePassed, None));
         }
-        if let Some(wait) = self.crashes.refused_for(now, info.fingerprint) {
-            return Err(refusal(Reason::Crashes, Some(wait)));
+        if let Some(refusal) = self.crash_refusal(now, info.fingerprint) {
+            return Err(refusal);
         }
-        let class = info
-            .class
-            .map_or(entry.class, |class| class.max(entry.class));
+        let class = info.class;
+        let class = class.map_or(entry_class, |class| class.max(entry_class));
         let queue_key = QueueKey::new(class, info.organisation, info.deadline);
         self.check_expected_wait(now, info, queue_key)?;
         let floor = self.settings.retry_floor;
@@ -115,6 +115,13 @@
         self.weights.get(&organisation).copied().unwrap_or(1)
     }
 
+    /// Returns why and for how long a request is refused because of its crashes, or `None`.
+    pub(super) fn crash_refusal(&mut self, now: Moment, fingerprint: u64) -> Option<Refusal> {
+        let wait = self.crashes.refused_for(now, fingerprint)?;
+        self.crashes.record_refusal(fingerprint);
+        Some(refusal(Reason::Crashes, Some(wait)))
+    }
+
     pub(super) fn refuse(&mut self, refusal: Refusal) -> Decision {
         self.count_refusal(refusal.reason);
         Decision::Refuse(refusal)
--- a/crates/tanagerhub_traffic/src/traffic/reports.rs
+++ b/crates/tanagerhub_traffic/src/traffic/reports.rs
@@ -324,6 +324,9 @@
     fn retry_denial(&mut self, now: Moment, key: RequestKey, failure: Failure) -> Option<Reason> {
         let request = &self.requests[key];
         if let Some(reason) = self.repeat_denial(now, request, failure) {
+            if reason == Reason::Crashes {
+                self.crashes.record_refusal(request.info.fingerprint);
+            }
             return Some(reason);
         }
         let granted = self
--- a/crates/tanagerhub_traffic/tests/crash_table.rs
+++ b/crates/tanagerhub_traffic/tests/crash_table.rs
@@ -4,7 +4,7 @@
 
 use tanagerhub_catalogue::{Epoch, GroupId};
 use tanagerhub_clock::Moment;
-use tanagerhub_traffic::{CrashFact, CrashTable};
+use tanagerhub_traffic::{CrashDecision, CrashFact, CrashTable};
 
 const QUARANTINE: Duration = Duration::from_mins(10);
 const CRASHING: u64 = 7;
@@ -122,3 +122,29 @@
         "fingerprints without strikes are evicted first"
     );
 }
+
+#[test]
+fn decisions_distinguish_causes() {
+    let mut table = CrashTable::new(QUARANTINE);
+    crash(&mut table, at(10), 1, &[CRASHING]);
+    for group in 2..=5 {
+        table.suspect(at(20), HARMLESS, GroupId(group), Epoch(1));
+    }
+    table.record_success(CRASHING);
+    let labels: Vec<&str> = table
+        .take_decisions()
+        .iter()
+        .map(CrashDecision::label)
+        .collect();
+    let expected = [
+        "suspected",
+        "struck",
+        "suspected",
+        "suspected",
+        "suspected",
+        "dropped",
+        "cleared",
+    ];
+    assert_eq!(labels, expected);
+    assert!(table.take_decisions().is_empty());
+}
