--- a/crates/tanagerhub/tests/gateway.rs
+++ b/crates/tanagerhub/tests/gateway.rs
@@ -98,6 +98,43 @@
     });
 }
 
+#[test]
+#[ignore = "red: see KNOWN-RED.txt"]
+fn crashes_at_other_nodes_counted() {
+    task::block_on(async {
+        let desk = BackendServer::start(vec![Script::default()]).await;
+        let setup = TestSetup::with_backends(&[("desk", &desk)]).await;
+        let peer = setup.start_peer("peer").await;
+        assert_eq!(status(&setup.send("POST", "/unsafe/x").await), 502);
+        setup.replace_backend("vm-1", "vm-2", "desk", &desk).await;
+        assert_eq!(status(&peer.send("POST", "/unsafe/x").await), 502);
+        setup.replace_backend("vm-2", "vm-3", "desk", &desk).await;
+        for node in [&setup, &peer] {
+            let response = node.send("POST", "/unsafe/x").await;
+            assert_eq!(status(&response), 503, "{response}");
+        }
+        assert_eq!(desk.request_heads().len(), 2);
+    });
+}
+
+#[test]
+#[ignore = "red: see KNOWN-RED.txt"]
+fn crashes_before_start_counted() {
+    task::block_on(async {
+        let desk = BackendServer::start(vec![Script::default()]).await;
+        let mut setup = TestSetup::with_backends(&[("desk", &desk)]).await;
+        for (crashed, next) in [("vm-1", "vm-2"), ("vm-2", "vm-3")] {
+            assert_eq!(status(&setup.send("POST", "/unsafe/x").await), 502);
+            setup.replace_backend(crashed, next, "desk", &desk).await;
+        }
+        setup.gateway.take().unwrap().stop().await;
+        let restarted = setup.start_peer("node").await;
+        let response = restarted.send("POST", "/unsafe/x").await;
+        assert_eq!(status(&response), 503, "{response}");
+        assert_eq!(desk.request_heads().len(), 2);
+    });
+}
+
 /// A late response is better than none if the request can't move to another backend server.
 #[test]
 fn wait_for_late_response() {
--- a/crates/tanagerhub/tests/support/deployment.rs
+++ b/crates/tanagerhub/tests/support/deployment.rs
@@ -409,13 +409,28 @@
 
 impl TestSetup {
     pub async fn start() -> Self {
-        let store = Arc::new(MemoryStore::default());
-        let dialect = Arc::new(TestDialect::default());
+        Self::start_node("node", Arc::default(), Arc::default(), 0).await
+    }
+
+    /// Starts another node of the same deployment and waits until it is ready.
+    pub async fn start_peer(&self, node: &str) -> Self {
+        let (store, dialect) = (Arc::clone(&self.store), Arc::clone(&self.dialect));
+        let peer = Self::start_node(node, store, dialect, self.version).await;
+        peer.wait_until_ready().await;
+        peer
+    }
+
+    async fn start_node(
+        node: &str,
+        store: Arc<MemoryStore>,
+        dialect: Arc<TestDialect>,
+        version: u64,
+    ) -> Self {
         let (clock, manual_clock) = Clock::manual();
         // A confirmation at moment zero would count as none.
         manual_clock.advance(Duration::from_secs(100));
         let [callers, ready, metrics] = [(); 3].map(|()| unused_address().unwrap());
-        let settings = GatewaySettings::new("node", "here", callers, ready)
+        let settings = GatewaySettings::new(node, "here", callers, ready)
             .metrics(metrics)
             .retries(1.0, 1_000.0);
         let adapters = Adapters {
@@ -440,7 +455,7 @@
             gateway: Some(gateway),
             settings,
             manual_clock,
-            version: 0,
+            version,
         }
     }
 
@@ -521,6 +536,14 @@
         self.store.put("vms", name, &row);
     }
 
+    /// Replaces a backend server that has crashed by one at the same address, and waits until the
+    /// nodes have received the rows.
+    pub async fn replace_backend(&self, name: &str, by: &str, service: &str, at: &BackendServer) {
+        self.store.remove("vms", name);
+        self.register(by, service, at);
+        task::sleep(Duration::from_millis(1_300)).await;
+    }
+
     /// Waits until the node accepts requests and has received the rows of all backend servers.
     pub async fn wait_until_ready(&self) {
         while self.ready().await != 200 {
