Count crashes of a request also while many groups fail

Callers saw backend servers end under the same request again and again.

Cause: when attempts broke at more than three groups within 5 s, a node dropped all suspicions of that time and recorded no new ones. Two crashing requests, or one beside other failures, keep that window full.

The rule was there so that requests which merely ran beside are not refused when a data centre goes. Evidence is now told apart instead of dropped: - only an attempt that was running when its group first failed is suspected; one sent later, or after the group answered again, is not; - crashes under attempts that overlap in time count once, since they may have a common cause; - while many groups fail, suspicions count only once the loss of the group is confirmed, and are no reason to keep requests apart.

--- a/crates/tanagerhub_traffic/src/crash_decision.rs
+++ b/crates/tanagerhub_traffic/src/crash_decision.rs
@@ -31,13 +31,6 @@
         /// The number of crashes counted for the request, including this one.
         strikes: u32,
     },
-    /// Suspicions were dropped, because many groups failed at once.
-    Dropped {
-        /// The number of groups that failed within the observed period.
-        groups: usize,
-        /// The number of dropped suspicions, including the new one.
-        suspicions: usize,
-    },
     /// A complete response cleared a request that had strikes or suspicions.
     Cleared {
         /// Fingerprint of the request.
@@ -63,7 +56,6 @@
         match self {
             Self::Suspected { .. } => "suspected",
             Self::Struck { .. } => "struck",
-            Self::Dropped { .. } => "dropped",
             Self::Cleared { .. } => "cleared",
             Self::Refused { .. } => "refused",
         }
--- a/crates/tanagerhub_traffic/src/crash_table.rs
+++ b/crates/tanagerhub_traffic/src/crash_table.rs
@@ -9,18 +9,19 @@
 use tanagerhub_clock::Moment;
 
 use crate::CrashDecision;
+use crate::crash_record::CrashRecord;
 
-/// Number of crashes after which a request is refused.
+/// Number of strikes after which a request is refused.
 const STRIKE_LIMIT: u32 = 2;
-/// Maximum time from a broken attempt to the confirmation that the group crashed.
-const CONFIRMATION_TIMEOUT: Duration = Duration::from_secs(15);
 /// Period within which broken attempts may have a common cause.
 const MASS_FAILURE_WINDOW: Duration = Duration::from_secs(5);
 /// Maximum number of groups that one crashing request affects within [`MASS_FAILURE_WINDOW`]; if
-/// more groups fail, the cause lies elsewhere.
+/// more groups fail, suspicions need a confirmation.
 const MASS_FAILURE_GROUP_LIMIT: usize = 3;
 /// Maximum number of broken attempts kept to detect mass failures.
 const MAX_BROKEN_ATTEMPTS: usize = 256;
+/// Time for which a group that broke an attempt counts as down, unless it responds.
+const DOWN_TIME: Duration = Duration::from_secs(2);
 /// Maximum number of fingerprints in the table.
 const MAX_FINGERPRINTS: usize = 4_096;
 /// Maximum number of decisions held until the control thread takes them.
@@ -28,11 +29,11 @@
 
 /// Counts crashes by the fingerprint of the requests that ran.
 ///
-/// An attempt that breaks adds a suspicion to its request. When control confirms that the group
-/// crashed, the suspicion becomes a strike. Dispatch never places two suspected requests on one
-/// group, so a second crash is attributed to a single request. A complete response clears the
-/// request. When many groups fail at once, the cause lies elsewhere, and the recent suspicions are
-/// dropped.
+/// An attempt that breaks adds a suspicion to its request if it was running when its group first
+/// failed. When control confirms that the group crashed, the suspicion becomes a strike. Crashes
+/// under attempts that overlap count as one strike. Dispatch never places two suspected requests on
+/// one group, so a second crash is attributed to a single request. A complete response clears the
+/// request. While many groups fail at once, suspicions have no effect until they are confirmed.
 ///
 /// # Examples
 ///
@@ -40,15 +41,17 @@
 /// use std::time::Duration;
 /// use tanagerhub_catalogue::{Epoch, GroupId};
 /// use tanagerhub_clock::Moment;
-/// use tanagerhub_traffic::CrashTable;
+/// use tanagerhub_traffic::{CrashTable, FailedAttempt};
 ///
 /// let mut table = CrashTable::new(Duration::from_secs(600));
-/// let now = Moment::from_millis(1);
-/// for group in [GroupId(1), GroupId(2)] {
-///     table.suspect(now, 7, group, Epoch(1));
-///     table.confirm(now, group, Epoch(1));
+/// for second in [1, 2] {
+///     let started = Moment::from_millis(second * 1_000);
+///     let (group, epoch) = (GroupId(second), Epoch(1));
+///     let now = started + Duration::from_millis(100);
+///     table.suspect(now, FailedAttempt { fingerprint: 7, group, epoch, started });
+///     table.confirm(now, group, epoch);
 /// }
-/// assert!(table.refused_for(now, 7).is_some());
+/// assert!(table.refused_for(Moment::from_millis(2_200), 7).is_some());
 /// ```
 #[derive(Debug)]
 pub struct CrashTable {
@@ -56,22 +59,22 @@
     records: HashMap<u64, CrashRecord>,
     /// Time and group of recent broken attempts, oldest first.
     broken_attempts: VecDeque<(Moment, GroupId)>,
+    /// Since when groups have been down: the first broken attempt since their last response.
+    down_since: HashMap<(GroupId, Epoch), Moment>,
     decisions: Vec<CrashDecision>,
 }
 
-#[derive(Debug, Default)]
-struct CrashRecord {
-    strikes: u32,
-    last_strike: Moment,
-    pending: Vec<Suspicion>,
-}
-
-/// A broken attempt that control has not yet confirmed as a crash of the group.
-#[derive(Debug)]
-struct Suspicion {
-    group: GroupId,
-    epoch: Epoch,
-    since: Moment,
+/// An attempt that ended without a complete response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FailedAttempt {
+    /// Fingerprint of the request.
+    pub fingerprint: u64,
+    /// The group that ran the attempt.
+    pub group: GroupId,
+    /// The group's epoch.
+    pub epoch: Epoch,
+    /// When the attempt was started.
+    pub started: Moment,
 }
 
 /// The strikes of a crashing request, as nodes send them to each other.
@@ -98,31 +101,30 @@
             quarantine,
             records: HashMap::new(),
             broken_attempts: VecDeque::new(),
+            down_since: HashMap::new(),
             decisions: Vec::new(),
         }
     }
 
     /// Records that an attempt broke while the group ran the request.
-    pub fn suspect(&mut self, now: Moment, fingerprint: u64, group: GroupId, epoch: Epoch) {
-        self.record_broken_attempt(now, group);
-        if self.is_mass_failure() {
-            let suspicions = 1 + self.drop_suspicions_since(now.before(MASS_FAILURE_WINDOW));
-            let groups = self.recently_broken_groups();
-            self.record(CrashDecision::Dropped { groups, suspicions });
-            return;
-        }
-        self.record(CrashDecision::Suspected {
+    pub fn suspect(&mut self, now: Moment, attempt: FailedAttempt) {
+        let FailedAttempt {
             fingerprint,
             group,
             epoch,
-        });
+            started,
+        } = attempt;
+        self.record_broken_attempt(now, group);
+        if !self.ran_at_failure(now, group, epoch, started) {
+            return;
+        }
         self.ensure_capacity(now, fingerprint);
         let record = self.records.entry(fingerprint).or_default();
-        if record.pending.len() < STRIKE_LIMIT as usize {
-            record.pending.push(Suspicion {
+        if record.suspect(now, group, epoch, started) {
+            self.record(CrashDecision::Suspected {
+                fingerprint,
                 group,
                 epoch,
-                since: now,
             });
         }
     }
@@ -137,7 +139,7 @@
                     fingerprint: *fingerprint,
                     group,
                     epoch,
-                    strikes: record.strikes,
+                    strikes: record.strikes(now, self.quarantine),
                 });
             }
         }
@@ -146,10 +148,15 @@
         }
     }
 
+    /// Records that a group began a response, so that it is up.
+    pub(crate) fn record_response(&mut self, group: GroupId, epoch: Epoch) {
+        self.down_since.remove(&(group, epoch));
+    }
+
     /// Clears a request that a group has run without a crash.
-    pub fn record_success(&mut self, fingerprint: u64) {
+    pub fn record_success(&mut self, now: Moment, fingerprint: u64) {
         if let Some(record) = self.records.remove(&fingerprint) {
-            let strikes = record.strikes;
+            let strikes = record.strikes(now, self.quarantine);
             self.record(CrashDecision::Cleared {
                 fingerprint,
                 strikes,
@@ -158,9 +165,9 @@
     }
 
     /// Records that a request was refused because of its crashes.
-    pub(crate) fn record_refusal(&mut self, fingerprint: u64) {
+    pub(crate) fn record_refusal(&mut self, now: Moment, fingerprint: u64) {
         let record = self.records.get(&fingerprint);
-        let strikes = record.map_or(0, |record| record.strikes);
+        let strikes = record.map_or(0, |record| record.strikes(now, self.quarantine));
         self.record(CrashDecision::Refused {
             fingerprint,
             strikes,
@@ -174,35 +181,39 @@
 
     /// Returns the time for which the request is still refused, or `None` if it is accepted.
     ///
-    /// Pending suspicions count until they are confirmed or their confirmation times out.
+    /// Unless many groups fail at once, suspicions count until they are confirmed or their
+    /// confirmation times out.
     #[must_use]
     pub fn refused_for(&self, now: Moment, fingerprint: u64) -> Option<Duration> {
-        self.records
-            .get(&fingerprint)?
-            .refused_for(now, self.quarantine)
+        let record = self.records.get(&fingerprint)?;
+        if record.strikes(now, self.quarantine) >= STRIKE_LIMIT {
+            return Some(self.quarantine.saturating_sub(record.age(now)));
+        }
+        let is_suspected = record.possible_strikes(now, self.quarantine) >= STRIKE_LIMIT;
+        if !is_suspected || self.is_mass_failure(now) {
+            return None;
+        }
+        record.confirmation_left(now)
     }
 
-    /// Returns whether the request has an active strike or a pending suspicion.
+    /// Returns whether the request has a strike or a suspicion and no mass failure explains it.
     #[must_use]
     pub fn is_suspect(&self, now: Moment, fingerprint: u64) -> bool {
-        self.records
-            .get(&fingerprint)
-            .is_some_and(|record| record.count(now, self.quarantine) > 0)
+        let record = self.records.get(&fingerprint);
+        record.is_some_and(|record| record.possible_strikes(now, self.quarantine) > 0)
+            && !self.is_mass_failure(now)
     }
 
     /// Returns the active strikes to send to other nodes: newest first, at most `limit` facts.
     #[must_use]
     pub fn facts(&self, now: Moment, limit: usize) -> Vec<CrashFact> {
-        let mut facts: Vec<CrashFact> = self
-            .records
-            .iter()
-            .filter(|(_, record)| record.active_strikes(now, self.quarantine) > 0)
-            .map(|(fingerprint, record)| CrashFact {
-                fingerprint: *fingerprint,
-                strikes: record.strikes,
-                age: now.since(record.last_strike),
-            })
-            .collect();
+        let fact = |(fingerprint, record): (&u64, &CrashRecord)| CrashFact {
+            fingerprint: *fingerprint,
+            strikes: record.strikes(now, self.quarantine),
+            age: record.age(now),
+        };
+        let mut facts: Vec<CrashFact> = self.records.iter().map(fact).collect();
+        facts.retain(|fact| fact.strikes > 0);
         facts.sort_unstable_by_key(|fact| (fact.age, fact.fingerprint));
         facts.truncate(limit);
         facts
@@ -217,8 +228,7 @@
         }
         self.ensure_capacity(now, fact.fingerprint);
         let record = self.records.entry(fact.fingerprint).or_default();
-        record.strikes = record.strikes.max(fact.strikes);
-        record.last_strike = record.last_strike.max(now.before(fact.age));
+        record.report(fact.strikes, now.before(fact.age));
     }
 
     /// Clears a request on an operator's command; returns whether it was in the table.
@@ -230,7 +240,7 @@
     pub fn expire(&mut self, now: Moment) {
         let quarantine = self.quarantine;
         self.records
-            .retain(|_, record| record.count(now, quarantine) > 0);
+            .retain(|_, record| record.possible_strikes(now, quarantine) > 0);
     }
 
     /// Returns the number of fingerprints in the table.
@@ -245,41 +255,36 @@
         self.records.is_empty()
     }
 
+    /// Returns whether an attempt was running when its group first failed. A later one can't be the
+    /// cause of the failure.
+    fn ran_at_failure(
+        &mut self,
+        now: Moment,
+        group: GroupId,
+        epoch: Epoch,
+        started: Moment,
+    ) -> bool {
+        self.down_since
+            .retain(|_, since| now.since(*since) < DOWN_TIME);
+        let down_since = self.down_since.entry((group, epoch)).or_insert(now);
+        started <= *down_since
+    }
+
     fn record_broken_attempt(&mut self, now: Moment, group: GroupId) {
-        let old = |(at, _): &(Moment, GroupId)| now.since(*at) > MASS_FAILURE_WINDOW;
-        while self.broken_attempts.len() >= MAX_BROKEN_ATTEMPTS
-            || self.broken_attempts.front().is_some_and(old)
-        {
+        if self.broken_attempts.len() >= MAX_BROKEN_ATTEMPTS {
             self.broken_attempts.pop_front();
         }
         self.broken_attempts.push_back((now, group));
     }
 
-    fn is_mass_failure(&self) -> bool {
-        self.recently_broken_groups() > MASS_FAILURE_GROUP_LIMIT
-    }
-
-    /// Returns the number of groups at which an attempt broke recently.
-    fn recently_broken_groups(&self) -> usize {
-        let groups: HashSet<GroupId> = self
-            .broken_attempts
-            .iter()
+    /// Returns whether attempts broke at many groups recently.
+    fn is_mass_failure(&self, now: Moment) -> bool {
+        let recent = self.broken_attempts.iter().rev();
+        let groups: HashSet<GroupId> = recent
+            .take_while(|(at, _)| now.since(*at) <= MASS_FAILURE_WINDOW)
             .map(|(_, group)| *group)
             .collect();
-        groups.len()
-    }
-
-    /// Drops the suspicions recorded at or after `since`, and returns their number.
-    fn drop_suspicions_since(&mut self, since: Moment) -> usize {
-        let mut dropped = 0;
-        for record in self.records.values_mut() {
-            let before = record.pending.len();
-            record.pending.retain(|it| it.since < since);
-            dropped += before - record.pending.len();
-        }
-        self.records
-            .retain(|_, record| record.strikes > 0 || !record.pending.is_empty());
-        dropped
+        groups.len() > MASS_FAILURE_GROUP_LIMIT
     }
 
     /// Records a decision. When the limit is reached, the older half is dropped.
@@ -303,57 +308,10 @@
         let evicted = self
             .records
             .iter()
-            .min_by_key(|(id, record)| (record.strikes, record.last_strike, **id))
+            .min_by_key(|(id, record)| (record.eviction_key(), **id))
             .map(|(id, _)| *id);
         if let Some(evicted) = evicted {
             self.records.remove(&evicted);
         }
     }
 }
-
-impl CrashRecord {
-    /// Turns the suspicions of a group into a strike; returns whether there is a new strike.
-    fn confirm(&mut self, now: Moment, group: GroupId, epoch: Epoch) -> bool {
-        let matches_group = |it: &Suspicion| it.group == group && it.epoch == epoch;
-        let is_active = |it: &Suspicion| now.since(it.since) < CONFIRMATION_TIMEOUT;
-        let is_struck = self
-            .pending
-            .iter()
-            .any(|it| matches_group(it) && is_active(it));
-        if is_struck {
-            self.strikes += 1;
-            self.last_strike = now;
-        }
-        self.pending
-            .retain(|it| !matches_group(it) && is_active(it));
-        is_struck
-    }
-
-    fn active_strikes(&self, now: Moment, quarantine: Duration) -> u32 {
-        if now.since(self.last_strike) < quarantine {
-            self.strikes
-        } else {
-            0
-        }
-    }
-
-    fn pending(&self, now: Moment) -> u32 {
-        let is_active = |it: &&Suspicion| now.since(it.since) < CONFIRMATION_TIMEOUT;
-        u32::try_from(self.pending.iter().filter(is_active).count()).unwrap_or(u32::MAX)
-    }
-
-    fn count(&self, now: Moment, quarantine: Duration) -> u32 {
-        self.active_strikes(now, quarantine) + self.pending(now)
-    }
-
-    fn refused_for(&self, now: Moment, quarantine: Duration) -> Option<Duration> {
-        if self.active_strikes(now, quarantine) >= STRIKE_LIMIT {
-            return Some(quarantine.saturating_sub(now.since(self.last_strike)));
-        }
-        if self.count(now, quarantine) < STRIKE_LIMIT {
-            return None;
-        }
-        let newest = self.pending.iter().map(|it| it.since).max()?;
-        Some(CONFIRMATION_TIMEOUT.saturating_sub(now.since(newest)))
-    }
-}
--- a/crates/tanagerhub_traffic/src/lib.rs
+++ b/crates/tanagerhub_traffic/src/lib.rs
@@ -9,6 +9,7 @@
 mod claims;
 mod counters;
 mod crash_decision;
+mod crash_record;
 mod crash_table;
 mod decision;
 mod drain;
@@ -36,7 +37,7 @@
 };
 pub use counters::Counters;
 pub use crash_decision::CrashDecision;
-pub use crash_table::{CrashFact, CrashTable};
+pub use crash_table::{CrashFact, CrashTable, FailedAttempt};
 pub use decision::{AttemptEvent, AttemptKey, Decision, Dispatch, Next, Outcome, Reason, Refusal};
 pub use drain::{Drain, DrainState};
 pub use event_relay::EventRelay;
--- a/crates/tanagerhub_traffic/src/traffic/admission.rs
+++ b/crates/tanagerhub_traffic/src/traffic/admission.rs
@@ -118,7 +118,7 @@
     /// Returns why and for how long a request is refused because of its crashes, or `None`.
     pub(super) fn crash_refusal(&mut self, now: Moment, fingerprint: u64) -> Option<Refusal> {
         let wait = self.crashes.refused_for(now, fingerprint)?;
-        self.crashes.record_refusal(fingerprint);
+        self.crashes.record_refusal(now, fingerprint);
         Some(refusal(Reason::Crashes, Some(wait)))
     }
 
--- a/crates/tanagerhub_traffic/src/traffic/reports.rs
+++ b/crates/tanagerhub_traffic/src/traffic/reports.rs
@@ -7,7 +7,7 @@
 use super::admission::status_of;
 use super::{GroupObservation, Traffic};
 use crate::in_flight::{Attempt, Progress, Request, RequestKey};
-use crate::{AttemptEvent, AttemptKey, Next, Outcome, Reason, Refusal, Repeat};
+use crate::{AttemptEvent, AttemptKey, FailedAttempt, Next, Outcome, Reason, Refusal, Repeat};
 
 /// Tokens that a resumed request must produce beyond its break to be cleared of suspicion.
 const CLEARING_TOKENS: u32 = 16;
@@ -118,6 +118,8 @@
         let (request, hedge) = (attempt.request, attempt.hedge);
         if let Some(group) = self.groups.arena.get_mut(attempt.group) {
             group.first_byte(now, wait);
+            self.crashes
+                .record_response(group.route.group, group.route.epoch);
         }
         let Some(state) = self.requests.get_mut(request) else {
             return Next::Done;
@@ -156,7 +158,7 @@
         let resumed = state.attempts_sent > 1;
         if resumed && count >= start.saturating_add(CLEARING_TOKENS) {
             let fingerprint = state.info.fingerprint;
-            self.crashes.record_success(fingerprint);
+            self.crashes.record_success(now, fingerprint);
         }
         match next {
             Next::Continue => self.move_stream(now, key).unwrap_or(Next::Continue),
@@ -213,9 +215,13 @@
             self.requests.get(attempt.request),
             self.groups.arena.get(attempt.group),
         ) {
-            let fingerprint = request.info.fingerprint;
-            let (group, epoch) = (group.route.group, group.route.epoch);
-            self.crashes.suspect(now, fingerprint, group, epoch);
+            let failed = FailedAttempt {
+                fingerprint: request.info.fingerprint,
+                group: group.route.group,
+                epoch: group.route.epoch,
+                started: attempt.started,
+            };
+            self.crashes.suspect(now, failed);
         }
         self.fail_attempt(now, key, Failure::Broke)
     }
@@ -247,7 +253,7 @@
         let Some(request) = self.end_request(attempt.request, tokens) else {
             return Next::Done;
         };
-        self.crashes.record_success(request.info.fingerprint);
+        self.crashes.record_success(now, request.info.fingerprint);
         self.counters.finished += 1;
         if let Some(entry) = self.entries.get_mut(&request.info.entry) {
             let generated = tokens.map(|tokens| tokens.saturating_sub(attempt.resume_at));
@@ -325,7 +331,7 @@
         let request = &self.requests[key];
         if let Some(reason) = self.repeat_denial(now, request, failure) {
             if reason == Reason::Crashes {
-                self.crashes.record_refusal(request.info.fingerprint);
+                self.crashes.record_refusal(now, request.info.fingerprint);
             }
             return Some(reason);
         }
