Count crashes of backend servers that fall silent

Callers saw backend servers end under the same request again and again, without a bound where the servers fell silent.

Cause: only a broken connection or response was a suspicion. An attempt that ended because the group was silent, because it was late, or because the caller left first or its deadline passed, left none.

An attempt that ends without a complete response is now kept as weaker evidence: it counts only if a member of its group is found to be lost (unreachable, restarted, or removed without notice), within 15 s after the attempt or before its end. The groups report such losses; a mere withdrawal of the group, as on a drain, confirms nothing. Weaker evidence is no reason to refuse a request or to keep it apart before it is confirmed. After the first byte it counts only if the loss came first.

Evidence: the gateway's silent_crashes_counted fails on the code before (504, sent to a third server) and passes now, as do the cases of attempts_without_response_counted and silent_crashes_counted of the traffic decisions and report_lost_group, whose calls are new.

--- a/crates/tanagerhub/src/gateway/control.rs
+++ b/crates/tanagerhub/src/gateway/control.rs
@@ -227,6 +227,11 @@
         for decision in self.groups.take_decisions() {
             log_decision(&decision);
         }
+        let lost = self.groups.take_lost_groups();
+        if !lost.is_empty() {
+            self.traffic
+                .with(|traffic, now| traffic.record_losses(now, &lost));
+        }
         let degraded = self.groups.take_degraded();
         if !degraded.is_empty() {
             self.publish_routes(now);
--- a/crates/tanagerhub/tests/gateway.rs
+++ b/crates/tanagerhub/tests/gateway.rs
@@ -98,6 +98,23 @@
     });
 }
 
+#[test]
+fn silent_crashes_counted() {
+    task::block_on(async {
+        let desk = BackendServer::start(vec![Script::silence()]).await;
+        let setup = TestSetup::with_backends(&[("desk", &desk)]).await;
+        let headers = "key: k1\r\ndeadline: 300\r\n";
+        for (crashed, next) in [("vm-1", "vm-2"), ("vm-2", "vm-3")] {
+            let response = setup.send_with_headers("POST", "/unsafe/x", headers).await;
+            assert_eq!(status(&response), 504, "{response}");
+            setup.replace_backend(crashed, next, "desk", &desk).await;
+        }
+        let response = setup.send_with_headers("POST", "/unsafe/x", headers).await;
+        assert_eq!(status(&response), 503, "{response}");
+        assert_eq!(desk.request_heads().len(), 2);
+    });
+}
+
 #[test]
 #[ignore = "red: see KNOWN-RED.txt"]
 fn crashes_at_other_nodes_counted() {
--- a/crates/tanagerhub_groups/src/groups.rs
+++ b/crates/tanagerhub_groups/src/groups.rs
@@ -143,6 +143,12 @@
         std::mem::take(&mut self.degraded)
     }
 
+    /// Takes the groups, with their epochs, that lost a member since the last call: it became
+    /// unreachable, restarted, or was removed without notice.
+    pub fn take_lost_groups(&mut self) -> Vec<(GroupId, Epoch)> {
+        self.vms.take_lost_groups()
+    }
+
     /// Takes the decisions made since the last call.
     pub fn take_decisions(&mut self) -> Vec<Decision> {
         std::mem::take(&mut self.decisions)
--- a/crates/tanagerhub_groups/src/groups/view.rs
+++ b/crates/tanagerhub_groups/src/groups/view.rs
@@ -6,7 +6,7 @@
 
 use serde::Serialize;
 use serde_with::{DurationMilliSeconds, serde_as};
-use tanagerhub_catalogue::{DataCentreId, EntryId, Epoch, GroupId, VmId};
+use tanagerhub_catalogue::{DataCentreId, EntryId, Epoch, GroupId};
 use tanagerhub_clock::Moment;
 
 use crate::{GroupReport, GroupState};
@@ -173,10 +173,10 @@
 
 fn service_head(entry: &VmEntry, service: &str) -> Head {
     let vm = &entry.report.vm;
-    let VmId(id) = vm.id();
+    let (group, epoch) = entry.report.service_group();
     Head {
-        group: GroupId(id),
-        epoch: Epoch(entry.report.started_ms),
+        group,
+        epoch,
         entry: EntryId::of(service),
         name: vm.name.clone(),
         address: vm.address,
--- a/crates/tanagerhub_groups/src/groups/vms.rs
+++ b/crates/tanagerhub_groups/src/groups/vms.rs
@@ -33,6 +33,8 @@
     /// Until this time a VM that disappears may have been dropped only because of the store's
     /// outage.
     relist_until: Moment,
+    /// Groups that lost a member since the last [`take_lost_groups`](Self::take_lost_groups).
+    lost_groups: Vec<(GroupId, Epoch)>,
 }
 
 /// The state of one VM.
@@ -209,6 +211,12 @@
         })
     }
 
+    /// Returns the groups that lost a member since the last call: it was found unreachable,
+    /// restarted, or removed without notice.
+    pub(super) fn take_lost_groups(&mut self) -> Vec<(GroupId, Epoch)> {
+        std::mem::take(&mut self.lost_groups)
+    }
+
     /// Returns the VM's state in a group, if it takes part at the group's epoch.
     pub(super) fn state_in(&self, vm: VmId, group: &Group) -> Option<GroupState> {
         self.get(vm)?.report.state_in(group.id, group.epoch)
@@ -251,6 +259,9 @@
         let was_leaving = entry.changed_at > Moment::ZERO && entry.is_leaving();
         entry.removed = None;
         entry.changed_at = now;
+        if entry.report.started_ms != report.started_ms {
+            self.lost_groups.push(entry.report.served_group());
+        }
         entry.apply_report(report);
         let leaves = entry.is_leaving() && !was_leaving;
         leaves.then_some(Decision::VmLeaving { vm: name })
@@ -283,6 +294,9 @@
         if entry.removed.is_some() {
             return None;
         }
+        if !entry.is_leaving() {
+            self.lost_groups.push(entry.report.served_group());
+        }
         entry.removed = Some(Removal {
             since: now,
             relist_deadline,
@@ -343,8 +357,11 @@
             Err(ProbeFailure::TurnedAway) if entry.record_turned_away(now, settings) => None,
             Err(cause) => {
                 entry.record_failure(now, settings);
-                (entry.is_unreachable(settings) && !was_unreachable)
-                    .then_some(ReachabilityChange::Unreachable(cause))
+                if was_unreachable || !entry.is_unreachable(settings) {
+                    return None;
+                }
+                self.lost_groups.push(entry.report.served_group());
+                Some(ReachabilityChange::Unreachable(cause))
             }
         }
     }
--- a/crates/tanagerhub_groups/src/vm_report.rs
+++ b/crates/tanagerhub_groups/src/vm_report.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use serde::Serialize;
-use tanagerhub_catalogue::{Epoch, GroupId, Vm};
+use tanagerhub_catalogue::{Epoch, GroupId, Vm, VmId};
 
 /// A VM's report about itself, from its row in the store or from a probe.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -57,6 +57,20 @@
 }
 
 impl VmReport {
+    /// Returns the group and epoch that requests to this VM belong to.
+    pub(crate) fn served_group(&self) -> (GroupId, Epoch) {
+        self.group.map_or_else(
+            || self.service_group(),
+            |membership| (membership.group, membership.epoch),
+        )
+    }
+
+    /// Returns the group of one that a VM without an engine forms; each start is an epoch.
+    pub(crate) fn service_group(&self) -> (GroupId, Epoch) {
+        let VmId(id) = self.vm.id();
+        (GroupId(id), Epoch(self.started_ms))
+    }
+
     /// Returns whether the model is staged on the VM's host.
     #[must_use]
     pub fn has_staged(&self, model: &str) -> bool {
--- a/crates/tanagerhub_groups/tests/repair.rs
+++ b/crates/tanagerhub_groups/tests/repair.rs
@@ -49,6 +49,35 @@
     );
 }
 
+#[parameterized(
+    unreachable = { |simulation, head| {
+        simulation.stop_server(head);
+        simulation.suspect(0, head);
+    }, true },
+    restarted = { |simulation, head| simulation.report(head, |report| {
+        report.started_ms += 1;
+        report.group = None;
+    }), true },
+    removed = { |simulation, head| simulation.unlist(head), true },
+    leaving = { |simulation, head| {
+        simulation.report(head, |report| report.vm.state = VmState::Leaving);
+        simulation.unlist(head);
+    }, false },
+)]
+fn report_lost_group(lose: fn(&mut Simulation, &str), is_lost: bool) {
+    let mut simulation = serving_simulation();
+    let head = simulation.open_heads("small").remove(0);
+    let membership = simulation.server(&head).report.group.unwrap();
+    simulation.nodes[0].groups.take_lost_groups();
+    lose(&mut simulation, &head);
+    simulation.run(SECOND);
+    let lost = simulation.nodes[0].groups.take_lost_groups();
+    assert_eq!(
+        lost.contains(&(membership.group, membership.epoch)),
+        is_lost
+    );
+}
+
 #[test]
 fn replace_unreachable_member_without_suspicion() {
     let mut simulation = serving_simulation();
--- a/crates/tanagerhub_traffic/src/crash_record.rs
+++ b/crates/tanagerhub_traffic/src/crash_record.rs
@@ -5,6 +5,8 @@
 use tanagerhub_catalogue::{Epoch, GroupId};
 use tanagerhub_clock::Moment;
 
+use crate::FailedAttempt;
+
 /// Maximum time from a failed attempt to the confirmation that the group crashed.
 pub(crate) const CONFIRMATION_TIMEOUT: Duration = Duration::from_secs(15);
 /// Maximum number of confirmed crashes, and of suspicions, kept for one request.
@@ -38,56 +40,70 @@
     since: Moment,
 }
 
+/// What a failed attempt says about its group.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Evidence {
+    /// The connection or the response broke off, as it does when a backend server ends.
+    Broken,
+    /// No response came. Only the loss of a member shows that the group crashed.
+    Unanswered,
+    /// A response had begun. It is evidence only if a member was lost in the meantime.
+    Interrupted,
+}
+
 /// A failed attempt whose group has not been confirmed as crashed.
 #[derive(Debug)]
 struct Suspicion {
     group: GroupId,
     epoch: Epoch,
+    evidence: Evidence,
     period: AttemptPeriod,
 }
 
 impl CrashRecord {
-    /// Adds a suspicion; returns `false` if there is one for this group and epoch.
-    pub(crate) fn suspect(
-        &mut self,
-        now: Moment,
-        group: GroupId,
-        epoch: Epoch,
-        started: Moment,
-    ) -> bool {
+    /// Adds a suspicion; returns `false` if there is one of this group and epoch with the same or
+    /// stronger evidence.
+    pub(crate) fn suspect(&mut self, now: Moment, attempt: &FailedAttempt) -> bool {
+        let FailedAttempt {
+            group,
+            epoch,
+            evidence,
+            ..
+        } = *attempt;
         self.pending.retain(|it| it.is_active(now));
-        if self.pending.iter().any(|it| it.concerns(group, epoch)) {
+        let stronger = |it: &Suspicion| it.concerns(group, epoch) && it.evidence <= evidence;
+        if self.pending.iter().any(stronger) {
             return false;
         }
-        let period = AttemptPeriod {
-            from: started,
-            until: now,
-        };
-        push_bounded(
-            &mut self.pending,
-            Suspicion {
-                group,
-                epoch,
-                period,
+        self.pending.retain(|it| !it.concerns(group, epoch));
+        let suspicion = Suspicion {
+            group,
+            epoch,
+            evidence,
+            period: AttemptPeriod {
+                from: attempt.started,
+                until: now,
             },
-        );
+        };
+        push_bounded(&mut self.pending, suspicion);
         true
     }
 
-    /// Turns the suspicion of a group into a confirmed crash; returns whether there was one.
-    pub(crate) fn confirm(&mut self, now: Moment, group: GroupId, epoch: Epoch) -> bool {
-        let suspicion = |it: &Suspicion| it.concerns(group, epoch) && it.is_active(now);
-        let period = self
-            .pending
-            .iter()
-            .find(|it| suspicion(it))
-            .map(|it| it.period);
-        self.pending
-            .retain(|it| !it.concerns(group, epoch) && it.is_active(now));
-        let Some(period) = period else {
+    /// Turns the suspicion of a group into a confirmed crash if its evidence is at least as strong
+    /// as `weakest`; returns whether there was one.
+    pub(crate) fn confirm(
+        &mut self,
+        now: Moment,
+        group: GroupId,
+        epoch: Epoch,
+        weakest: Evidence,
+    ) -> bool {
+        self.pending.retain(|it| it.is_active(now));
+        let confirmed = |it: &Suspicion| it.concerns(group, epoch) && it.evidence <= weakest;
+        let Some(index) = self.pending.iter().position(confirmed) else {
             return false;
         };
-        push_bounded(&mut self.crashes, period);
+        push_bounded(&mut self.crashes, self.pending.remove(index).period);
         self.newest = self.newest.max(now);
         true
     }
@@ -109,9 +125,14 @@
         }
     }
 
-    /// Returns the number of strikes if all active suspicions were confirmed.
+    /// Returns whether there is neither a crash nor a suspicion.
+    pub(crate) fn is_empty(&self, now: Moment, quarantine: Duration) -> bool {
+        now.since(self.newest) >= quarantine && !self.pending.iter().any(|it| it.is_active(now))
+    }
+
+    /// Returns the number of strikes if all broken attempts were confirmed as crashes.
     pub(crate) fn possible_strikes(&self, now: Moment, quarantine: Duration) -> u32 {
-        let pending = self.pending.iter().filter(|it| it.is_active(now));
+        let pending = self.pending.iter().filter(|it| it.is_broken(now));
         let mut periods: Vec<AttemptPeriod> = pending.map(|it| it.period).collect();
         if now.since(self.newest) >= quarantine {
             return chain_length(&periods, Moment::ZERO);
@@ -125,9 +146,10 @@
         now.since(self.newest)
     }
 
-    /// Returns the time until the last suspicion ends, or `None` without one.
+    /// Returns the time until the last suspicion of a broken attempt ends, or `None` without one.
     pub(crate) fn confirmation_left(&self, now: Moment) -> Option<Duration> {
-        let newest = self.pending.iter().map(|it| it.period.until).max()?;
+        let broken = self.pending.iter().filter(|it| it.is_broken(now));
+        let newest = broken.map(|it| it.period.until).max()?;
         Some(CONFIRMATION_TIMEOUT.saturating_sub(now.since(newest)))
     }
 
@@ -149,6 +171,10 @@
         self.group == group && self.epoch == epoch
     }
 
+    fn is_broken(&self, now: Moment) -> bool {
+        self.evidence == Evidence::Broken && self.is_active(now)
+    }
+
     fn is_active(&self, now: Moment) -> bool {
         now.since(self.period.until) < CONFIRMATION_TIMEOUT
     }
--- a/crates/tanagerhub_traffic/src/crash_table.rs
+++ b/crates/tanagerhub_traffic/src/crash_table.rs
@@ -9,7 +9,7 @@
 use tanagerhub_clock::Moment;
 
 use crate::CrashDecision;
-use crate::crash_record::CrashRecord;
+use crate::crash_record::{CONFIRMATION_TIMEOUT, CrashRecord, Evidence};
 
 /// Number of strikes after which a request is refused.
 const STRIKE_LIMIT: u32 = 2;
@@ -30,7 +30,8 @@
 /// Counts crashes by the fingerprint of the requests that ran.
 ///
 /// An attempt that breaks adds a suspicion to its request if it was running when its group first
-/// failed. When control confirms that the group crashed, the suspicion becomes a strike. Crashes
+/// failed; so does one without a response. When control confirms that the group crashed, the
+/// suspicion becomes a strike; without a response only the loss of a member confirms it. Crashes
 /// under attempts that overlap count as one strike. Dispatch never places two suspected requests on
 /// one group, so a second crash is attributed to a single request. A complete response clears the
 /// request. While many groups fail at once, suspicions have no effect until they are confirmed.
@@ -41,14 +42,15 @@
 /// use std::time::Duration;
 /// use tanagerhub_catalogue::{Epoch, GroupId};
 /// use tanagerhub_clock::Moment;
-/// use tanagerhub_traffic::{CrashTable, FailedAttempt};
+/// use tanagerhub_traffic::{CrashTable, Evidence, FailedAttempt};
 ///
 /// let mut table = CrashTable::new(Duration::from_secs(600));
 /// for second in [1, 2] {
 ///     let started = Moment::from_millis(second * 1_000);
 ///     let (group, epoch) = (GroupId(second), Epoch(1));
 ///     let now = started + Duration::from_millis(100);
-///     table.suspect(now, FailedAttempt { fingerprint: 7, group, epoch, started });
+///     let evidence = Evidence::Broken;
+///     table.suspect(now, FailedAttempt { fingerprint: 7, group, epoch, started, evidence });
 ///     table.confirm(now, group, epoch);
 /// }
 /// assert!(table.refused_for(Moment::from_millis(2_200), 7).is_some());
@@ -61,6 +63,8 @@
     broken_attempts: VecDeque<(Moment, GroupId)>,
     /// Since when groups have been down: the first broken attempt since their last response.
     down_since: HashMap<(GroupId, Epoch), Moment>,
+    /// When groups were found to have lost a member.
+    lost_at: HashMap<(GroupId, Epoch), Moment>,
     decisions: Vec<CrashDecision>,
 }
 
@@ -75,6 +79,8 @@
     pub epoch: Epoch,
     /// When the attempt was started.
     pub started: Moment,
+    /// How the attempt ended.
+    pub evidence: Evidence,
 }
 
 /// The strikes of a crashing request, as nodes send them to each other.
@@ -102,39 +108,64 @@
             records: HashMap::new(),
             broken_attempts: VecDeque::new(),
             down_since: HashMap::new(),
+            lost_at: HashMap::new(),
             decisions: Vec::new(),
         }
     }
 
-    /// Records that an attempt broke while the group ran the request.
+    /// Records that an attempt ended without a complete response while the group ran the request.
     pub fn suspect(&mut self, now: Moment, attempt: FailedAttempt) {
         let FailedAttempt {
             fingerprint,
             group,
             epoch,
             started,
+            evidence,
         } = attempt;
-        self.record_broken_attempt(now, group);
-        if !self.ran_at_failure(now, group, epoch, started) {
+        if evidence == Evidence::Broken {
+            self.record_broken_attempt(now, group, epoch);
+        }
+        self.lost_at
+            .retain(|_, at| now.since(*at) < CONFIRMATION_TIMEOUT);
+        let lost_at = self.lost_at.get(&(group, epoch)).copied();
+        let failed_at = self.down_since.get(&(group, epoch)).copied().or(lost_at);
+        // An attempt that started after the group had failed can't be the cause.
+        let is_late = failed_at.is_some_and(|at| started > at);
+        if is_late || (evidence == Evidence::Interrupted && lost_at.is_none()) {
             return;
         }
         self.ensure_capacity(now, fingerprint);
         let record = self.records.entry(fingerprint).or_default();
-        if record.suspect(now, group, epoch, started) {
+        let is_new = record.suspect(now, &attempt);
+        if is_new && evidence == Evidence::Broken {
             self.record(CrashDecision::Suspected {
                 fingerprint,
                 group,
                 epoch,
             });
         }
+        if lost_at.is_some() {
+            self.confirm_up_to(now, group, epoch, Evidence::Interrupted);
+        }
     }
 
-    /// Handles the confirmation that a group crashed: requests with a recent suspicion for it get a
+    /// Handles the withdrawal of a group: requests whose attempts broke there recently get a
     /// strike.
     pub fn confirm(&mut self, now: Moment, group: GroupId, epoch: Epoch) {
+        self.confirm_up_to(now, group, epoch, Evidence::Broken);
+    }
+
+    /// Handles the loss of a member of a group: requests that recently got no response there get a
+    /// strike.
+    pub fn record_loss(&mut self, now: Moment, group: GroupId, epoch: Epoch) {
+        self.lost_at.entry((group, epoch)).or_insert(now);
+        self.confirm_up_to(now, group, epoch, Evidence::Interrupted);
+    }
+
+    fn confirm_up_to(&mut self, now: Moment, group: GroupId, epoch: Epoch, weakest: Evidence) {
         let mut struck = Vec::new();
         for (fingerprint, record) in &mut self.records {
-            if record.confirm(now, group, epoch) {
+            if record.confirm(now, group, epoch, weakest) {
                 struck.push(CrashDecision::Struck {
                     fingerprint: *fingerprint,
                     group,
@@ -157,10 +188,12 @@
     pub fn record_success(&mut self, now: Moment, fingerprint: u64) {
         if let Some(record) = self.records.remove(&fingerprint) {
             let strikes = record.strikes(now, self.quarantine);
-            self.record(CrashDecision::Cleared {
-                fingerprint,
-                strikes,
-            });
+            if record.possible_strikes(now, self.quarantine) > 0 {
+                self.record(CrashDecision::Cleared {
+                    fingerprint,
+                    strikes,
+                });
+            }
         }
     }
 
@@ -240,7 +273,7 @@
     pub fn expire(&mut self, now: Moment) {
         let quarantine = self.quarantine;
         self.records
-            .retain(|_, record| record.possible_strikes(now, quarantine) > 0);
+            .retain(|_, record| !record.is_empty(now, quarantine));
     }
 
     /// Returns the number of fingerprints in the table.
@@ -255,26 +288,14 @@
         self.records.is_empty()
     }
 
-    /// Returns whether an attempt was running when its group first failed. A later one can't be the
-    /// cause of the failure.
-    fn ran_at_failure(
-        &mut self,
-        now: Moment,
-        group: GroupId,
-        epoch: Epoch,
-        started: Moment,
-    ) -> bool {
-        self.down_since
-            .retain(|_, since| now.since(*since) < DOWN_TIME);
-        let down_since = self.down_since.entry((group, epoch)).or_insert(now);
-        started <= *down_since
-    }
-
-    fn record_broken_attempt(&mut self, now: Moment, group: GroupId) {
+    fn record_broken_attempt(&mut self, now: Moment, group: GroupId, epoch: Epoch) {
         if self.broken_attempts.len() >= MAX_BROKEN_ATTEMPTS {
             self.broken_attempts.pop_front();
         }
         self.broken_attempts.push_back((now, group));
+        self.down_since
+            .retain(|_, since| now.since(*since) < DOWN_TIME);
+        self.down_since.entry((group, epoch)).or_insert(now);
     }
 
     /// Returns whether attempts broke at many groups recently.
--- a/crates/tanagerhub_traffic/src/traffic.rs
+++ b/crates/tanagerhub_traffic/src/traffic.rs
@@ -197,6 +197,14 @@
         }
     }
 
+    /// Records that groups have lost a member, which confirms crashes of attempts without a
+    /// response.
+    pub fn record_losses(&mut self, now: Moment, groups: &[(GroupId, Epoch)]) {
+        for (group, epoch) in groups {
+            self.crashes.record_loss(now, *group, *epoch);
+        }
+    }
+
     /// Applies whether the node's view is fresh, and how many nodes share the limits.
     pub fn apply_freshness(&mut self, now: Moment, view: Freshness) {
         self.takes_work = view.takes_work;
--- a/crates/tanagerhub_traffic/src/traffic/reports.rs
+++ b/crates/tanagerhub_traffic/src/traffic/reports.rs
@@ -7,7 +7,9 @@
 use super::admission::status_of;
 use super::{GroupObservation, Traffic};
 use crate::in_flight::{Attempt, Progress, Request, RequestKey};
-use crate::{AttemptEvent, AttemptKey, FailedAttempt, Next, Outcome, Reason, Refusal, Repeat};
+use crate::{
+    AttemptEvent, AttemptKey, Evidence, FailedAttempt, Next, Outcome, Reason, Refusal, Repeat,
+};
 
 /// Tokens that a resumed request must produce beyond its break to be cleared of suspicion.
 const CLEARING_TOKENS: u32 = 16;
@@ -46,7 +48,7 @@
             AttemptEvent::TimedOut => self.timed_out(now, attempt),
             AttemptEvent::Finished { tokens } => self.finished(now, attempt, Some(tokens)),
             AttemptEvent::Responded => self.finished(now, attempt, None),
-            AttemptEvent::CallerLeft => self.caller_left(attempt),
+            AttemptEvent::CallerLeft => self.caller_left(now, attempt),
         }
     }
 
@@ -210,6 +212,12 @@
 
     fn connection_broke(&mut self, now: Moment, key: AttemptKey) -> Next {
         self.fail_group(now, key);
+        self.suspect_crash(now, key, Evidence::Broken);
+        self.fail_attempt(now, key, Failure::Broke)
+    }
+
+    /// Records that an attempt ended without a complete response.
+    fn suspect_crash(&mut self, now: Moment, key: AttemptKey, evidence: Evidence) {
         let attempt = &self.attempts[key];
         if let (Some(request), Some(group)) = (
             self.requests.get(attempt.request),
@@ -220,10 +228,19 @@
                 group: group.route.group,
                 epoch: group.route.epoch,
                 started: attempt.started,
+                evidence,
             };
             self.crashes.suspect(now, failed);
         }
-        self.fail_attempt(now, key, Failure::Broke)
+    }
+
+    /// Returns what an attempt says about its group if it ends now without a further byte.
+    fn evidence_without_end(&self, key: AttemptKey) -> Evidence {
+        if self.attempts[key].has_first_byte() {
+            Evidence::Interrupted
+        } else {
+            Evidence::Unanswered
+        }
     }
 
     fn timed_out(&mut self, now: Moment, key: AttemptKey) -> Next {
@@ -232,6 +249,7 @@
         if let Some(group) = self.groups.arena.get_mut(attempt.group) {
             group.timed_out(now, wait);
         }
+        self.suspect_crash(now, key, self.evidence_without_end(key));
         self.fail_attempt(now, key, Failure::TimedOut)
     }
 
@@ -241,6 +259,7 @@
             let (group, epoch) = (group.route.group, group.route.epoch);
             self.record_observation(GroupObservation::Failed { group, epoch });
         }
+        self.suspect_crash(now, key, self.evidence_without_end(key));
         self.fail_attempt(now, key, Failure::TimedOut)
     }
 
@@ -265,7 +284,8 @@
         }
     }
 
-    fn caller_left(&mut self, key: AttemptKey) -> Next {
+    fn caller_left(&mut self, now: Moment, key: AttemptKey) -> Next {
+        self.suspect_crash(now, key, self.evidence_without_end(key));
         let Some(attempt) = self.end_attempt(key) else {
             return Next::Done;
         };
--- a/crates/tanagerhub_traffic/tests/crash_table.rs
+++ b/crates/tanagerhub_traffic/tests/crash_table.rs
@@ -4,7 +4,8 @@
 
 use tanagerhub_catalogue::{Epoch, GroupId};
 use tanagerhub_clock::Moment;
-use tanagerhub_traffic::{CrashDecision, CrashFact, CrashTable, FailedAttempt};
+use tanagerhub_traffic::{CrashDecision, CrashFact, CrashTable, Evidence, FailedAttempt};
+use yare::parameterized;
 
 const QUARANTINE: Duration = Duration::from_mins(10);
 const CRASHING: u64 = 7;
@@ -21,6 +22,7 @@
         group: GroupId(group),
         epoch: Epoch(1),
         started: now.before(Duration::from_millis(500)),
+        evidence: Evidence::Broken,
     };
     table.suspect(now, attempt);
 }
@@ -182,3 +184,47 @@
     crash(&mut table, Moment::from_millis(10_400), 2, &[HARMLESS]);
     assert_eq!(table.refused_for(at(13), HARMLESS), None);
 }
+
+#[parameterized(
+    before_loss = { Evidence::Unanswered, 10_000, 11_000, true },
+    after_loss = { Evidence::Unanswered, 11_000, 10_000, true },
+    mid_response_after_loss = { Evidence::Interrupted, 11_000, 10_000, true },
+    mid_response_before_loss = { Evidence::Interrupted, 10_000, 11_000, false },
+    long_before_loss = { Evidence::Unanswered, 10_000, 26_000, false },
+)]
+fn attempts_without_response_counted(evidence: Evidence, end: u64, loss: u64, is_struck: bool) {
+    let mut table = CrashTable::new(QUARANTINE);
+    let (group, epoch) = (GroupId(1), Epoch(1));
+    let attempt = FailedAttempt {
+        fingerprint: CRASHING,
+        group,
+        epoch,
+        started: Moment::from_millis(9_500),
+        evidence,
+    };
+    let (end, loss) = (Moment::from_millis(end), Moment::from_millis(loss));
+    if end < loss {
+        table.suspect(end, attempt);
+        assert!(!table.is_suspect(end, CRASHING));
+    }
+    table.record_loss(loss, group, epoch);
+    if end > loss {
+        table.suspect(end, attempt);
+    }
+    assert_eq!(table.is_suspect(end.max(loss), CRASHING), is_struck);
+}
+
+#[test]
+fn withdrawal_without_loss_confirms_no_silence() {
+    let mut table = CrashTable::new(QUARANTINE);
+    let attempt = FailedAttempt {
+        fingerprint: HARMLESS,
+        group: GroupId(1),
+        epoch: Epoch(1),
+        started: at(9),
+        evidence: Evidence::Unanswered,
+    };
+    table.suspect(at(10), attempt);
+    table.confirm(at(11), GroupId(1), Epoch(1));
+    assert!(!table.is_suspect(at(11), HARMLESS));
+}
--- a/crates/tanagerhub_traffic/tests/failures.rs
+++ b/crates/tanagerhub_traffic/tests/failures.rs
@@ -8,7 +8,7 @@
 use support::traffic_simulation::{SHOP, TrafficSimulation};
 use tanagerhub_catalogue::Epoch;
 use tanagerhub_traffic::{
-    AttemptEvent, CrashFact, Decision, GroupObservation, Next, Outcome, Reason, Repeat,
+    AttemptEvent, CrashFact, Decision, GroupObservation, Next, Outcome, Reason, Repeat, Route,
 };
 use yare::parameterized;
 
@@ -335,6 +335,30 @@
     simulation.submit_dispatched(info);
 }
 
+#[parameterized(
+    silent = { AttemptEvent::Silent },
+    late = { AttemptEvent::TimedOut },
+    caller_left = { AttemptEvent::CallerLeft },
+)]
+fn silent_crashes_counted(event: AttemptEvent) {
+    let mut simulation = TrafficSimulation::new(4);
+    for _ in 0..2 {
+        let info = simulation.info(SHOP).fingerprint(99).attempts(1);
+        let dispatch = simulation.submit_dispatched(info);
+        simulation.advance(600);
+        simulation.report(dispatch.attempt, event);
+        let lost = [(dispatch.group, dispatch.epoch)];
+        simulation.traffic.record_losses(simulation.now, &lost);
+        let is_lost = |route: &Route| route.group == dispatch.group;
+        simulation.table.routes.retain(|route| !is_lost(route));
+        simulation.apply_routes();
+        simulation.advance(600);
+    }
+    let info = simulation.info(SHOP).fingerprint(99);
+    let refusal = simulation.submit_refused(info);
+    assert_eq!(refusal.reason, Reason::Crashes);
+}
+
 #[test]
 fn report_crash_neighbour_kept_apart() {
     let mut simulation = TrafficSimulation::new(1);
