Share the strikes of crashing requests among all nodes through the store

Callers saw backend servers end under the same request at one node after the other, and again after nodes were restarted.

Cause: the gateway kept its crash table to itself. Each node needed two crashes of its own, and a restarted node began with none.

A strike is now a row of the table 'crashes', one for each count of a request, so that writes at the same time, repeated or late ones can't lower the count. A crash counts on top of the strikes that were known before its attempt began. A first strike is shared once its request has ended without an answer, since the next attempt may clear it; the second at once. A complete answer deletes the rows, the planner deletes those past the quarantine.

New: feed_timings_crashes, the tests of crash_sharing.

--- a/crates/tanagerhub/src/gateway/control.rs
+++ b/crates/tanagerhub/src/gateway/control.rs
@@ -1,5 +1,6 @@
 //! The control thread, which owns the state of the configuration, VMs, groups and presence.
 
+mod crashes;
 mod feeds;
 mod routes;
 
@@ -16,7 +17,9 @@
 };
 use tanagerhub_proxy::LimitsHandle;
 use tanagerhub_table::CommitResult;
+use tanagerhub_traffic::CrashRowChanges;
 
+use self::crashes::CrashWriter;
 use crate::gateway::control_store::ActionExecutor;
 use crate::gateway::feed::FeedUpdate;
 use crate::gateway::feed_timing::{FeedBounds, SharedFeedTimings, feed_timings};
@@ -39,6 +42,10 @@
     VmRows(FeedUpdate),
     /// An update of the nodes' rows.
     NodeRows(FeedUpdate),
+    /// An update of the rows of crashing requests.
+    CrashRows(FeedUpdate),
+    /// The result of writing these changes of the rows of crashing requests.
+    CrashRowsWritten(CommitResult, CrashRowChanges),
     /// The result of an action that the group decisions requested.
     Groups(GroupsEvent),
     /// The result of writing this node's row.
@@ -97,6 +104,7 @@
     vm_feed_failed: bool,
     /// Whether the last call for the nodes' rows failed, so that the log reports it once.
     node_feed_failed: bool,
+    crash_writer: CrashWriter,
     draining: bool,
     in_use: bool,
     heads: Vec<Head>,
@@ -130,6 +138,10 @@
             GatewayEvent::OperatorRows(update) => self.apply_operator_rows(now, update),
             GatewayEvent::VmRows(update) => self.apply_vm_rows(now, update),
             GatewayEvent::NodeRows(update) => self.apply_node_rows(now, update),
+            GatewayEvent::CrashRows(update) => self.apply_crash_rows(update),
+            GatewayEvent::CrashRowsWritten(commit, changes) => {
+                self.crash_rows_written(now, commit, changes);
+            }
             GatewayEvent::Groups(event) => self.handle_groups_event(now, event),
             GatewayEvent::PresenceWritten(commit) => {
                 if commit != CommitResult::Unknown {
@@ -163,20 +175,11 @@
         self.publish_routes(now);
         self.handle_groups_event(now, GroupsEvent::NodeCount(self.presence.live_nodes(now)));
         self.update_feeds(now);
-        self.report_crash_decisions();
+        self.share_crashes(now);
         self.metrics
             .record_routes(self.view.heads.len(), self.shared.age());
     }
 
-    /// Logs and counts the decisions on crashing requests.
-    fn report_crash_decisions(&self) {
-        for decision in self.traffic.take_crash_decisions() {
-            self.metrics.crash_decision(decision.label());
-            let text = to_json(&decision);
-            log::info!(target: "tanagerhub::crashes", detail = text.as_str(); "crash decision");
-        }
-    }
-
     /// Updates the peers and the timing of the feeds.
     fn update_feeds(&mut self, now: Moment) {
         let relays = self.presence.relay_addresses(now);
--- a/crates/tanagerhub/src/gateway/control/feeds.rs
+++ b/crates/tanagerhub/src/gateway/control/feeds.rs
@@ -165,14 +165,14 @@
 }
 
 /// Logs a failing feed once, until it responds again.
-fn log_feed_failure(table: &str, failed: &mut bool, error: &FeedError) {
+pub(super) fn log_feed_failure(table: &str, failed: &mut bool, error: &FeedError) {
     if !std::mem::replace(failed, true) {
         log::warn!(table, error:%; "a feed does not answer");
     }
 }
 
 /// Logs that a failed feed responds again.
-fn log_feed_recovery(table: &str, failed: &mut bool) {
+pub(super) fn log_feed_recovery(table: &str, failed: &mut bool) {
     if std::mem::take(failed) {
         log::info!(table; "a feed answers again");
     }
--- a/crates/tanagerhub/src/gateway/control_store.rs
+++ b/crates/tanagerhub/src/gateway/control_store.rs
@@ -11,6 +11,7 @@
 use tanagerhub_clock::Clock;
 use tanagerhub_groups::{GROUPS_TABLE, GroupsEvent, Order, OrderResult, ProbeFailure, VmReport};
 use tanagerhub_table::{CommitResult, RowKey, Transaction, TransactionId};
+use tanagerhub_traffic::CrashRowChanges;
 
 use crate::gateway::control::GatewayEvent;
 use crate::gateway::{Adapters, GatewayMetrics};
@@ -42,6 +43,20 @@
         self.spawn(async move { GatewayEvent::PresenceWritten(commit.await) });
     }
 
+    /// Writes and deletes rows of crashing requests.
+    pub(crate) fn write_crash_rows(&self, changes: CrashRowChanges) {
+        let id = TransactionId(u128::from(rand::rng().next_u64()));
+        let mut transaction = Transaction::new(id);
+        for row in &changes.puts {
+            transaction = transaction.put(row.key(), self.node.clone().into_bytes());
+        }
+        for row in &changes.deletes {
+            transaction = transaction.delete(row.key());
+        }
+        let commit = self.timed_commit(transaction);
+        self.spawn(async move { GatewayEvent::CrashRowsWritten(commit.await, changes) });
+    }
+
     pub(crate) fn commit(&self, transaction: Transaction) {
         let commit = self.timed_commit(transaction);
         self.spawn(async move { GatewayEvent::Groups(GroupsEvent::Committed(commit.await)) });
--- a/crates/tanagerhub/src/gateway/feed_timing.rs
+++ b/crates/tanagerhub/src/gateway/feed_timing.rs
@@ -32,12 +32,13 @@
     direct: AtomicBool,
 }
 
-/// The timings of the three feeds of a node, shared between the feeds and control.
+/// The timings of the feeds of a node, shared between the feeds and control.
 #[derive(Debug, Clone)]
 pub(crate) struct SharedFeedTimings {
     pub(crate) operators: Arc<SharedFeedTiming>,
     pub(crate) vms: Arc<SharedFeedTiming>,
     pub(crate) nodes: Arc<SharedFeedTiming>,
+    pub(crate) crashes: Arc<SharedFeedTiming>,
 }
 
 /// Bounds for the propagation of changes, measured from the commit in the store.
@@ -66,6 +67,7 @@
             operators: handle(timings.operators),
             vms: handle(timings.vms),
             nodes: handle(timings.nodes),
+            crashes: handle(timings.crashes),
         }
     }
 }
@@ -75,15 +77,17 @@
         self.operators.set(timings.operators);
         self.vms.set(timings.vms);
         self.nodes.set(timings.nodes);
+        self.crashes.set(timings.crashes);
     }
 }
 
-/// The timings of the three feeds of a node.
+/// The timings of the feeds of a node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct FeedTimings {
     pub(crate) operators: FeedTiming,
     pub(crate) vms: FeedTiming,
     pub(crate) nodes: FeedTiming,
+    pub(crate) crashes: FeedTiming,
 }
 
 /// The timing of the calls for one table.
@@ -174,10 +178,16 @@
         (false, false) => node_timing(4_000, 3_000),
         (false, true) => node_timing(10_000, 8_000),
     };
+    let crashes = FeedTiming {
+        wait: Duration::from_millis(if large { 10_000 } else { 1_500 }),
+        interval: Duration::from_millis(if large { 1_000 } else { 300 }),
+        direct: false,
+    };
     FeedTimings {
         operators,
         vms,
         nodes,
+        crashes,
     }
 }
 
--- a/crates/tanagerhub/src/gateway/feed_timing/tests.rs
+++ b/crates/tanagerhub/src/gateway/feed_timing/tests.rs
@@ -19,7 +19,10 @@
 #[test]
 fn feed_timings_large_fleet_call_rate() {
     let timings = feed_timings(60, 30, false, bounds(3_000));
-    let calls = idle_calls(timings.operators) + busy_calls(timings.vms) + busy_calls(timings.nodes);
+    let calls = idle_calls(timings.operators)
+        + busy_calls(timings.vms)
+        + busy_calls(timings.nodes)
+        + idle_calls(timings.crashes);
     assert!(calls < 1.5, "{calls} calls per second");
 }
 
@@ -53,6 +56,14 @@
     assert!(timings.operators.wait + CALL_SLACK < Duration::from_millis(4_250));
 }
 
+/// A crashing request may be repeated only for 3 s after its third crash.
+#[test]
+fn feed_timings_crashes() {
+    let timing = feed_timings(6, 4, false, bounds(2_000)).crashes;
+    let delay = timing.interval + timing.wait + CALL_SLACK + RETRY_DELAY;
+    assert!(delay <= Duration::from_secs(3), "{delay:?}");
+}
+
 #[test]
 fn feed_timings_planner_intervals() {
     for nodes in [6, 60] {
--- a/crates/tanagerhub/src/gateway/start.rs
+++ b/crates/tanagerhub/src/gateway/start.rs
@@ -19,7 +19,7 @@
 use tanagerhub_proxy::{
     Client, PoolLimits, ResponseBody, Server, ServerLimits, empty_body, full_body, serve,
 };
-use tanagerhub_traffic::{GroupObservation, Selection, Traffic, TrafficSettings};
+use tanagerhub_traffic::{CRASHES_TABLE, GroupObservation, Selection, Traffic, TrafficSettings};
 
 use crate::gateway::control::{ControlView, GatewayControl, GatewayEvent};
 use crate::gateway::control_store::{ActionExecutor, NODES_TABLE};
@@ -339,6 +339,7 @@
     operators: FeedSpec,
     vms: FeedSpec,
     nodes: FeedSpec,
+    crashes: FeedSpec,
 }
 
 fn feed_specs(adapters: &Adapters, timings: &SharedFeedTimings) -> FeedSpecs {
@@ -351,6 +352,7 @@
         operators: spec(adapters.dialect.operator_table(), &timings.operators),
         vms: spec(adapters.dialect.vm_table(), &timings.vms),
         nodes: spec(NODES_TABLE, &timings.nodes),
+        crashes: spec(CRASHES_TABLE, &timings.crashes),
     }
 }
 
@@ -367,6 +369,7 @@
         start(specs.operators, GatewayEvent::OperatorRows),
         start(specs.vms, GatewayEvent::VmRows),
         start(specs.nodes, GatewayEvent::NodeRows),
+        start(specs.crashes, GatewayEvent::CrashRows),
     ]
 }
 
@@ -379,7 +382,8 @@
     let table = |spec: &FeedSpec| -> (&'static str, Arc<RelayTable>) {
         (spec.table, Arc::clone(&spec.relay))
     };
-    let tables = [&specs.operators, &specs.vms, &specs.nodes].map(table);
+    let specs = [&specs.operators, &specs.vms, &specs.nodes, &specs.crashes];
+    let tables = specs.map(table);
     let relay = Arc::new(Relay::new(clock.clone(), tables.into()));
     let handler = move |request: Request<Incoming>| Arc::clone(&relay).handle(request);
     listen("peer", address, clock, handler).await
--- a/crates/tanagerhub/src/traffic_handle.rs
+++ b/crates/tanagerhub/src/traffic_handle.rs
@@ -9,7 +9,7 @@
 use async_channel::Sender;
 use tanagerhub_catalogue::{Catalogue, RequestId};
 use tanagerhub_clock::{Clock, Moment};
-use tanagerhub_traffic::{CrashDecision, Decision, GroupObservation, RequestInfo, Traffic};
+use tanagerhub_traffic::{Decision, GroupObservation, RequestInfo, Traffic};
 
 use crate::snapshot::Snapshot;
 use crate::ticket::Ticket;
@@ -73,11 +73,6 @@
         self.wake.signal();
     }
 
-    /// Returns the decisions on crashing requests since the last call.
-    pub(crate) fn take_crash_decisions(&self) -> Vec<CrashDecision> {
-        self.lock().traffic.crash_table().take_decisions()
-    }
-
     /// Returns the newest snapshot.
     pub(crate) fn snapshot(&self) -> Arc<Snapshot> {
         self.snapshot.load_full()
@@ -97,6 +92,12 @@
         result
     }
 
+    /// Calls `act` with the lock held, like [`with`](Self::with), for changes that make no request
+    /// ready to be sent.
+    pub(crate) fn update<T>(&self, act: impl FnOnce(&mut Traffic, Moment) -> T) -> T {
+        self.run_locked(|inner, now| act(&mut inner.traffic, now))
+    }
+
     /// Submits a request; later decisions on it arrive through the ticket.
     pub(crate) fn submit(self: &Arc<Self>, info: RequestInfo) -> (Ticket, Decision) {
         let (sender, mailbox) = async_channel::bounded(MAILBOX_SIZE);
--- a/crates/tanagerhub_traffic/src/crash_decision.rs
+++ b/crates/tanagerhub_traffic/src/crash_decision.rs
@@ -31,6 +31,22 @@
         /// The number of crashes counted for the request, including this one.
         strikes: u32,
     },
+    /// The strikes of a request are to be written to the store.
+    Shared {
+        /// Fingerprint of the request.
+        #[serde_as(as = "IdHex")]
+        fingerprint: u64,
+        /// The number of strikes.
+        strikes: u32,
+    },
+    /// A row of the store reported strikes of a request.
+    Reported {
+        /// Fingerprint of the request.
+        #[serde_as(as = "IdHex")]
+        fingerprint: u64,
+        /// The number of strikes.
+        strikes: u32,
+    },
     /// A complete response cleared a request that had strikes or suspicions.
     Cleared {
         /// Fingerprint of the request.
@@ -56,6 +72,8 @@
         match self {
             Self::Suspected { .. } => "suspected",
             Self::Struck { .. } => "struck",
+            Self::Shared { .. } => "shared",
+            Self::Reported { .. } => "reported",
             Self::Cleared { .. } => "cleared",
             Self::Refused { .. } => "refused",
         }
--- a/crates/tanagerhub_traffic/src/crash_record.rs
+++ b/crates/tanagerhub_traffic/src/crash_record.rs
@@ -1,5 +1,6 @@
 //! The crashes that are attributed to one request.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use tanagerhub_catalogue::{Epoch, GroupId};
@@ -23,6 +24,13 @@
     pending: Vec<Suspicion>,
     /// When the newest crash was confirmed or reported.
     newest: Moment,
+    /// Whether a request with these strikes has ended without a complete response. Until then its
+    /// next attempt may clear it.
+    pub(crate) is_settled: bool,
+    /// The greatest number of strikes that this node has given to the store.
+    pub(crate) shared: u32,
+    /// The numbers of strikes in the rows of the store, as far as this node has seen them.
+    pub(crate) rows: BTreeSet<u32>,
 }
 
 /// The time in which an attempt ran.
--- a/crates/tanagerhub_traffic/src/crash_table.rs
+++ b/crates/tanagerhub_traffic/src/crash_table.rs
@@ -8,11 +8,11 @@
 use tanagerhub_catalogue::{Epoch, GroupId, IdHex};
 use tanagerhub_clock::Moment;
 
-use crate::CrashDecision;
 use crate::crash_record::{CONFIRMATION_TIMEOUT, CrashRecord, Evidence};
+use crate::{CrashDecision, CrashRow};
 
 /// Number of strikes after which a request is refused.
-const STRIKE_LIMIT: u32 = 2;
+pub(crate) const STRIKE_LIMIT: u32 = 2;
 /// Period within which broken attempts may have a common cause.
 const MASS_FAILURE_WINDOW: Duration = Duration::from_secs(5);
 /// Maximum number of groups that one crashing request affects within [`MASS_FAILURE_WINDOW`]; if
@@ -57,14 +57,16 @@
 /// ```
 #[derive(Debug)]
 pub struct CrashTable {
-    quarantine: Duration,
-    records: HashMap<u64, CrashRecord>,
+    pub(crate) quarantine: Duration,
+    pub(crate) records: HashMap<u64, CrashRecord>,
     /// Time and group of recent broken attempts, oldest first.
     broken_attempts: VecDeque<(Moment, GroupId)>,
     /// Since when groups have been down: the first broken attempt since their last response.
     down_since: HashMap<(GroupId, Epoch), Moment>,
     /// When groups were found to have lost a member.
     lost_at: HashMap<(GroupId, Epoch), Moment>,
+    /// Rows of the store that are no longer needed.
+    pub(crate) obsolete_rows: Vec<CrashRow>,
     decisions: Vec<CrashDecision>,
 }
 
@@ -109,6 +111,7 @@
             broken_attempts: VecDeque::new(),
             down_since: HashMap::new(),
             lost_at: HashMap::new(),
+            obsolete_rows: Vec::new(),
             decisions: Vec::new(),
         }
     }
@@ -187,6 +190,7 @@
     /// Clears a request that a group has run without a crash.
     pub fn record_success(&mut self, now: Moment, fingerprint: u64) {
         if let Some(record) = self.records.remove(&fingerprint) {
+            self.delete_rows(fingerprint, &record);
             let strikes = record.strikes(now, self.quarantine);
             if record.possible_strikes(now, self.quarantine) > 0 {
                 self.record(CrashDecision::Cleared {
@@ -266,7 +270,11 @@
 
     /// Clears a request on an operator's command; returns whether it was in the table.
     pub fn clear(&mut self, fingerprint: u64) -> bool {
-        self.records.remove(&fingerprint).is_some()
+        let record = self.records.remove(&fingerprint);
+        if let Some(record) = &record {
+            self.delete_rows(fingerprint, record);
+        }
+        record.is_some()
     }
 
     /// Removes requests without an active strike or pending suspicion.
@@ -309,7 +317,7 @@
     }
 
     /// Records a decision. When the limit is reached, the older half is dropped.
-    fn record(&mut self, decision: CrashDecision) {
+    pub(crate) fn record(&mut self, decision: CrashDecision) {
         if self.decisions.len() >= MAX_DECISIONS {
             self.decisions.drain(..MAX_DECISIONS / 2);
         }
@@ -318,7 +326,7 @@
 
     /// Makes room for a new fingerprint; evicts the one with the fewest strikes, and among equals
     /// the one with the oldest strike.
-    fn ensure_capacity(&mut self, now: Moment, fingerprint: u64) {
+    pub(crate) fn ensure_capacity(&mut self, now: Moment, fingerprint: u64) {
         if self.records.len() < MAX_FINGERPRINTS || self.records.contains_key(&fingerprint) {
             return;
         }
@@ -332,7 +340,7 @@
             .min_by_key(|(id, record)| (record.eviction_key(), **id))
             .map(|(id, _)| *id);
         if let Some(evicted) = evicted {
-            self.records.remove(&evicted);
+            self.clear(evicted);
         }
     }
 }
--- a/crates/tanagerhub_traffic/src/lib.rs
+++ b/crates/tanagerhub_traffic/src/lib.rs
@@ -10,6 +10,8 @@
 mod counters;
 mod crash_decision;
 mod crash_record;
+mod crash_row;
+mod crash_sharing;
 mod crash_table;
 mod decision;
 mod drain;
@@ -38,6 +40,7 @@
 pub use counters::Counters;
 pub use crash_decision::CrashDecision;
 pub use crash_record::Evidence;
+pub use crash_row::{CRASHES_TABLE, CrashRow, CrashRowChanges};
 pub use crash_table::{CrashFact, CrashTable, FailedAttempt};
 pub use decision::{AttemptEvent, AttemptKey, Decision, Dispatch, Next, Outcome, Reason, Refusal};
 pub use drain::{Drain, DrainState};
--- a/crates/tanagerhub_traffic/src/traffic/admission.rs
+++ b/crates/tanagerhub_traffic/src/traffic/admission.rs
@@ -139,6 +139,13 @@
         }
     }
 
+    /// Ends a request without a complete response.
+    pub(super) fn end_unanswered(&mut self, key: RequestKey) -> Option<Request> {
+        let request = self.end_request(key, None)?;
+        self.crashes.settle(request.info.fingerprint);
+        Some(request)
+    }
+
     /// Ends a request and refunds its unused tokens to its organisation.
     pub(super) fn end_request(&mut self, key: RequestKey, used: Option<u32>) -> Option<Request> {
         let request = self.requests.remove(key)?;
--- a/crates/tanagerhub_traffic/src/traffic/queueing.rs
+++ b/crates/tanagerhub_traffic/src/traffic/queueing.rs
@@ -51,7 +51,7 @@
             return false;
         };
         self.dequeue(key);
-        self.end_request(key, None);
+        self.end_unanswered(key);
         self.counters.left += 1;
         true
     }
@@ -239,7 +239,7 @@
 
     /// Ends a waiting request and queues its refusal for the next [`poll`](Self::poll).
     fn refuse_waiting(&mut self, key: RequestKey, refusal: Refusal) {
-        let Some(request) = self.end_request(key, None) else {
+        let Some(request) = self.end_unanswered(key) else {
             return;
         };
         self.waiting.remove(&request.info.id);
--- a/crates/tanagerhub_traffic/src/traffic/reports.rs
+++ b/crates/tanagerhub_traffic/src/traffic/reports.rs
@@ -296,7 +296,7 @@
         if let Some(other) = other {
             self.end_attempt(other);
         }
-        self.end_request(attempt.request, None);
+        self.end_unanswered(attempt.request);
         self.counters.left += 1;
         other.map_or(Next::Done, Next::CancelOther)
     }
@@ -405,7 +405,7 @@
 
     /// Ends a request that can't be retried. Returns the error for its caller.
     fn fail_request(&mut self, key: RequestKey, reason: Reason) -> Next {
-        let Some(request) = self.end_request(key, None) else {
+        let Some(request) = self.end_unanswered(key) else {
             return Next::Done;
         };
         let outcome = request.outcome;
