Refuse a waiting request once its crashes are known

Callers saw a crashing request sent on although its node knew by then.

Cause: a request was checked when it came and before a retry, but not when it left the queue. While groups are few, as they are when requests crash them, it waits there while other nodes count its strikes.

Evidence: waiting_request_refused_after_crashes fails on the code before (dispatched) and passes now.

--- a/crates/tanagerhub_traffic/src/traffic/queueing.rs
+++ b/crates/tanagerhub_traffic/src/traffic/queueing.rs
@@ -196,6 +196,11 @@
                 break;
             };
             let key = queued.item;
+            if let Some(refusal) = self.waiting_crash_refusal(now, key) {
+                self.requests[key].queue_number = None;
+                self.refuse_waiting(key, refusal);
+                continue;
+            }
             let Some(dispatch) = self.try_dispatch(now, key, false) else {
                 skipped.push(queued);
                 if !self.fits_only_some_groups(now, key) {
@@ -216,6 +221,12 @@
         }
     }
 
+    /// Returns the refusal of a waiting request whose crashes became known while it waited.
+    fn waiting_crash_refusal(&mut self, now: Moment, key: RequestKey) -> Option<Refusal> {
+        let fingerprint = self.requests.get(key)?.info.fingerprint;
+        self.crash_refusal(now, fingerprint)
+    }
+
     /// Whether only some groups fit this request, so that requests behind it may be sent first.
     fn fits_only_some_groups(&self, now: Moment, key: RequestKey) -> bool {
         self.requests.get(key).is_some_and(|request| {
--- a/crates/tanagerhub_traffic/tests/failures.rs
+++ b/crates/tanagerhub_traffic/tests/failures.rs
@@ -8,7 +8,8 @@
 use support::traffic_simulation::{SHOP, TrafficSimulation};
 use tanagerhub_catalogue::Epoch;
 use tanagerhub_traffic::{
-    AttemptEvent, CrashFact, Decision, GroupObservation, Next, Outcome, Reason, Repeat, Route,
+    AttemptEvent, CrashFact, CrashRow, Decision, GroupObservation, Next, Outcome, Reason, Repeat,
+    Route,
 };
 use yare::parameterized;
 
@@ -359,6 +360,29 @@
     assert_eq!(refusal.reason, Reason::Crashes);
 }
 
+#[test]
+fn waiting_request_refused_after_crashes() {
+    let mut simulation = TrafficSimulation::new(1);
+    let running = simulation.fill_groups();
+    let info = simulation.info(SHOP).fingerprint(99);
+    let id = info.id;
+    assert!(matches!(simulation.submit(info), Decision::Wait(_)));
+    let row = CrashRow {
+        fingerprint: 99,
+        strikes: 2,
+    };
+    simulation
+        .traffic
+        .crash_table()
+        .apply_row(simulation.now, row);
+    simulation.report(running[0].attempt, AttemptEvent::Finished { tokens: 1 });
+    let ready = simulation.poll();
+    let [(refused, Decision::Refuse(refusal))] = ready.as_slice() else {
+        panic!("not refused: {ready:?}");
+    };
+    assert_eq!((*refused, refusal.reason), (id, Reason::Crashes));
+}
+
 #[test]
 fn report_crash_neighbour_kept_apart() {
     let mut simulation = TrafficSimulation::new(1);
