Start no second attempt beside one of a suspected request

A request that silences engines gives no answer, so it met two of them each time.

poll_hedge_suspect fails on the code before and passes now. The gateway of the users' platform starts no such attempts.

--- a/crates/tanagerhub_traffic/src/traffic/queueing.rs
+++ b/crates/tanagerhub_traffic/src/traffic/queueing.rs
@@ -147,13 +147,14 @@
         );
     }
 
-    /// Starts a second attempt if the first has no response yet and the retry budget allows it.
+    /// Starts a second attempt if the first has no response yet, the retry budget allows it, and
+    /// the request is not suspected of crashing backend servers.
     fn hedge(&mut self, now: Moment, attempt: AttemptKey) {
         let Some(running) = self.attempts.get(attempt) else {
             return;
         };
         let (key, group) = (running.request, running.group);
-        if running.has_first_byte() {
+        if running.has_first_byte() || self.is_suspect(now, key) {
             return;
         }
         let Some(request) = self.requests.get_mut(key) else {
--- a/crates/tanagerhub_traffic/tests/failures.rs
+++ b/crates/tanagerhub_traffic/tests/failures.rs
@@ -306,6 +306,24 @@
     assert!(simulation.poll().is_empty());
 }
 
+#[test]
+fn poll_hedge_suspect() {
+    let mut simulation = TrafficSimulation::new(2);
+    let row = CrashRow {
+        fingerprint: 99,
+        strikes: 1,
+    };
+    simulation
+        .traffic
+        .crash_table()
+        .apply_row(simulation.now, row);
+    let info = simulation.info(SHOP).fingerprint(99);
+    let info = info.repeat(Repeat::Whole).tokens(16, 10);
+    simulation.submit_dispatched(info);
+    simulation.advance(1_000);
+    assert!(simulation.poll().is_empty());
+}
+
 #[test]
 fn report_caller_left() {
     let mut simulation = TrafficSimulation::new(1);
