--- a/crates/tanagerhub_proxy/src/pool.rs
+++ b/crates/tanagerhub_proxy/src/pool.rs
@@ -13,7 +13,8 @@
 /// How many idle connections are kept, and for how long.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PoolLimits {
-    /// Maximum number of idle connections to one address; beyond it the oldest is closed.
+    /// Maximum number of idle connections to one address; beyond it the oldest is closed. With 0,
+    /// each connection is closed after its response.
     pub max_idle: usize,
     /// How long a connection may be idle, unless the backend server announces a shorter time.
     pub idle_timeout: Duration,
