Count crashes after many events of a resumed stream

Cause: a resumed request that had produced 16 tokens beyond its break was cleared of all strikes, although it had not ended. Only a complete response clears a request now; the crash that follows counts on.

Evidence: crashes_after_many_tokens_counted fails on the code before (sent a third time) and passes now.

--- a/crates/tanagerhub_traffic/src/traffic/reports.rs
+++ b/crates/tanagerhub_traffic/src/traffic/reports.rs
@@ -11,9 +11,6 @@
     AttemptEvent, AttemptKey, Evidence, FailedAttempt, Next, Outcome, Reason, Refusal, Repeat,
 };
 
-/// Tokens that a resumed request must produce beyond its break to be cleared of suspicion.
-const CLEARING_TOKENS: u32 = 16;
-
 /// A stream is moved when it takes more than this many times its expected maximum.
 const SLOW_STREAM_FACTOR: u32 = 2;
 
@@ -155,13 +152,7 @@
         let Some(state) = self.requests.get_mut(attempt.request) else {
             return Next::Done;
         };
-        let start = state.tokens_sent;
         state.tokens_sent = state.tokens_sent.max(count);
-        let resumed = state.attempts_sent > 1;
-        if resumed && count >= start.saturating_add(CLEARING_TOKENS) {
-            let fingerprint = state.info.fingerprint;
-            self.crashes.record_success(now, fingerprint);
-        }
         match next {
             Next::Continue => self.move_stream(now, key).unwrap_or(Next::Continue),
             other => other,
--- a/crates/tanagerhub_traffic/tests/failures.rs
+++ b/crates/tanagerhub_traffic/tests/failures.rs
@@ -378,6 +378,18 @@
     assert_eq!(refusal.reason, Reason::Crashes);
 }
 
+#[test]
+fn crashes_after_many_tokens_counted() {
+    let mut simulation = TrafficSimulation::new(4);
+    let info = simulation.info(SHOP).fingerprint(99);
+    let first = simulation.submit_dispatched(info);
+    simulation.report(first.attempt, AttemptEvent::Token(20));
+    let second = simulation.report_retried(first.attempt, AttemptEvent::Broke);
+    simulation.report(second.attempt, AttemptEvent::Token(40));
+    let refusal = simulation.report_failed(second.attempt, AttemptEvent::Broke);
+    assert_eq!(refusal.reason, Reason::Crashes);
+}
+
 #[test]
 fn waiting_request_refused_after_crashes() {
     let mut simulation = TrafficSimulation::new(1);
