Share suspected crashes among all nodes, a row for each crash

Callers would still have seen a request end a server at one node after the other where servers are not engines: a crash there is confirmed only once the store drops the server's row, three heartbeats and a feed later (4 to 5 s on the users' platform), and until then each node knew only its own suspicion. And since a crash counts on top of those known before, the strikes of three nodes that met before the first confirmation stayed one.

The table now has a row for each crash (request, group, epoch) instead of one for each count. It is written as soon as the request has ended and again when the loss is confirmed, with the time since the attempt's end and its duration, so that each node can tell by its own clock which crashes came one after the other. Two confirmed crashes refuse a request as before; three that are suspected by whatever nodes do so until they are confirmed, for 15 s at most. Rows of suspicions that were not confirmed are deleted after that time. Failed writes are repeated after 0.3 s to 2 s.

--- a/crates/tanagerhub/src/gateway/control/crashes.rs
+++ b/crates/tanagerhub/src/gateway/control/crashes.rs
@@ -1,25 +1,29 @@
-//! Exchanges the strikes of crashing requests with other nodes through the store.
+//! Exchanges crashes under requests with other nodes through the store.
 
 use std::time::Duration;
 
 use tanagerhub_clock::Moment;
-use tanagerhub_table::CommitResult;
-use tanagerhub_traffic::{CrashRow, CrashRowChanges};
+use tanagerhub_table::{CommitResult, VersionedRow};
+use tanagerhub_traffic::{CrashKey, CrashRow, CrashRowChanges};
 
 use super::{GatewayControl, to_json};
 use crate::gateway::control::feeds::{log_feed_failure, log_feed_recovery};
 use crate::gateway::feed::FeedUpdate;
 
-/// The delay after a failed write of strikes.
+/// The delay after a failed write; it doubles with each further failure.
 const WRITE_RETRY_DELAY: Duration = Duration::from_millis(300);
-/// The interval at which strikes that are too old are dropped.
+/// The maximum of this delay.
+const MAX_WRITE_RETRY_DELAY: Duration = Duration::from_secs(2);
+/// The interval at which crashes that are too old are dropped.
 const EXPIRY_PERIOD: Duration = Duration::from_secs(1);
 
-/// The state of writing strikes to the store.
+/// The state of writing crashes to the store.
 #[derive(Debug, Default)]
 pub(super) struct CrashWriter {
     /// Whether a write has not been answered.
     is_writing: bool,
+    /// The number of consecutive failed writes.
+    failures: u32,
     /// The moment before which no write starts.
     retry_at: Moment,
     expired_at: Moment,
@@ -27,7 +31,7 @@
 }
 
 impl GatewayControl {
-    /// Logs the decisions on crashing requests, and writes changed strikes to the store.
+    /// Logs the decisions on crashing requests, and writes new crashes to the store.
     pub(super) fn share_crashes(&mut self, now: Moment) {
         let writer = &mut self.view.crash_writer;
         let may_write = !writer.is_writing && now >= writer.retry_at;
@@ -39,7 +43,7 @@
         let (decisions, changes) = self.traffic.update(|traffic, now| {
             let table = traffic.crash_table();
             if expires {
-                table.expire_rows(now, deletes_rows);
+                table.expire_events(now, deletes_rows);
             }
             let changes = if may_write {
                 table.take_row_changes(now)
@@ -65,12 +69,17 @@
         commit: CommitResult,
         changes: CrashRowChanges,
     ) {
-        self.view.crash_writer.is_writing = false;
+        let writer = &mut self.view.crash_writer;
+        writer.is_writing = false;
         if matches!(commit, CommitResult::Applied(_)) {
+            writer.failures = 0;
             return;
         }
-        log::warn!(commit:?; "strikes of crashing requests not written");
-        self.view.crash_writer.retry_at = now + WRITE_RETRY_DELAY;
+        log::warn!(commit:?; "crashes under requests not written");
+        let factor = 2_u32.saturating_pow(writer.failures);
+        let delay = WRITE_RETRY_DELAY.saturating_mul(factor);
+        writer.retry_at = now + delay.min(MAX_WRITE_RETRY_DELAY);
+        writer.failures = writer.failures.saturating_add(1);
         self.traffic
             .update(|traffic, _| traffic.crash_table().restore_row_changes(changes));
     }
@@ -82,24 +91,25 @@
             Err(error) => return log_feed_failure("crashes", feed_failed, &error),
         };
         log_feed_recovery("crashes", feed_failed);
-        let rows = page.rows.iter().filter_map(|row| {
-            let crash_row = CrashRow::parse(row.key.name())?;
-            Some((crash_row, row.value.is_some()))
-        });
-        let rows: Vec<(CrashRow, bool)> = rows.collect();
         self.traffic.update(|traffic, now| {
             let table = traffic.crash_table();
             if update.all {
-                let listed: Vec<CrashRow> = rows.iter().map(|(row, _)| *row).collect();
-                return table.apply_all_rows(now, &listed);
+                let rows: Vec<_> = page.rows.iter().filter_map(decode).collect();
+                return table.apply_all_rows(now, &rows);
             }
-            for (row, exists) in rows {
-                if exists {
-                    table.apply_row(now, row);
-                } else {
-                    table.remove_row(row);
+            for row in &page.rows {
+                if let Some((key, row)) = decode(row) {
+                    table.apply_row(now, key, row);
+                } else if let Some(key) = CrashKey::parse(row.key.name()) {
+                    table.remove_row(key);
                 }
             }
         });
     }
 }
+
+/// Decodes a row; returns `None` if it is deleted or has another form.
+fn decode(row: &VersionedRow) -> Option<(CrashKey, CrashRow)> {
+    let key = CrashKey::parse(row.key.name())?;
+    Some((key, CrashRow::decode(row.value.as_ref()?)?))
+}
--- a/crates/tanagerhub/src/gateway/control_store.rs
+++ b/crates/tanagerhub/src/gateway/control_store.rs
@@ -46,14 +46,7 @@
     /// Writes and deletes rows of crashing requests.
     pub(crate) fn write_crash_rows(&self, changes: CrashRowChanges) {
         let id = TransactionId(u128::from(rand::rng().next_u64()));
-        let mut transaction = Transaction::new(id);
-        for row in &changes.puts {
-            transaction = transaction.put(row.key(), self.node.clone().into_bytes());
-        }
-        for row in &changes.deletes {
-            transaction = transaction.delete(row.key());
-        }
-        let commit = self.timed_commit(transaction);
+        let commit = self.timed_commit(changes.transaction(id));
         self.spawn(async move { GatewayEvent::CrashRowsWritten(commit.await, changes) });
     }
 
--- a/crates/tanagerhub/tests/gateway.rs
+++ b/crates/tanagerhub/tests/gateway.rs
@@ -133,6 +133,38 @@
     });
 }
 
+/// The store lists a crashed backend server until its heartbeats have been missing for long.
+#[test]
+fn unconfirmed_crashes_at_other_nodes_counted() {
+    task::block_on(async {
+        let mut desks = Vec::new();
+        for _ in 0..6 {
+            desks.push(BackendServer::start(vec![Script::crash()]).await);
+        }
+        let listed: Vec<(&str, &BackendServer)> = desks.iter().map(|desk| ("desk", desk)).collect();
+        let setup = TestSetup::with_backends(&listed).await;
+        let nodes = [
+            setup.start_peer("peer-1").await,
+            setup.start_peer("peer-2").await,
+            setup,
+        ];
+        let crashes = || -> usize { desks.iter().map(|desk| desk.request_heads().len()).sum() };
+        for (index, node) in nodes.iter().enumerate() {
+            // An attempt at a backend server that has ended reaches nothing.
+            while crashes() == index {
+                node.send("POST", "/unsafe/x").await;
+            }
+            task::sleep(Duration::from_millis(900)).await;
+        }
+        for node in &nodes {
+            for _ in 0..4 {
+                assert_eq!(status(&node.send("POST", "/unsafe/x").await), 503);
+            }
+        }
+        assert_eq!(crashes(), 3);
+    });
+}
+
 #[test]
 fn crashes_before_start_counted() {
     task::block_on(async {
--- a/crates/tanagerhub_traffic/src/crash_decision.rs
+++ b/crates/tanagerhub_traffic/src/crash_decision.rs
@@ -31,21 +31,29 @@
         /// The number of crashes counted for the request, including this one.
         strikes: u32,
     },
-    /// The strikes of a request are to be written to the store.
+    /// A crash or suspicion of this node is to be written to the store.
     Shared {
         /// Fingerprint of the request.
         #[serde_as(as = "IdHex")]
         fingerprint: u64,
-        /// The number of strikes.
-        strikes: u32,
+        /// The group that failed.
+        group: GroupId,
+        /// The group's epoch.
+        epoch: Epoch,
+        /// Whether the group was confirmed as crashed.
+        confirmed: bool,
     },
-    /// A row of the store reported strikes of a request.
+    /// A row of the store told of a crash or suspicion of another node.
     Reported {
         /// Fingerprint of the request.
         #[serde_as(as = "IdHex")]
         fingerprint: u64,
-        /// The number of strikes.
-        strikes: u32,
+        /// The group that failed.
+        group: GroupId,
+        /// The group's epoch.
+        epoch: Epoch,
+        /// Whether the group was confirmed as crashed.
+        confirmed: bool,
     },
     /// A complete response cleared a request that had strikes or suspicions.
     Cleared {
--- a/crates/tanagerhub_traffic/src/crash_record.rs
+++ b/crates/tanagerhub_traffic/src/crash_record.rs
@@ -1,6 +1,5 @@
 //! The crashes that are attributed to one request.
 
-use std::collections::BTreeSet;
 use std::time::Duration;
 
 use tanagerhub_catalogue::{Epoch, GroupId};
@@ -10,34 +9,68 @@
 
 /// Maximum time from a failed attempt to the confirmation that the group crashed.
 pub(crate) const CONFIRMATION_TIMEOUT: Duration = Duration::from_secs(15);
-/// Maximum number of confirmed crashes, and of suspicions, kept for one request.
-const MAX_ENTRIES: usize = 8;
+/// Maximum number of failed attempts kept for one request.
+const MAX_EVENTS: usize = 32;
 
-/// The crashes that are attributed to one request, and the suspected ones.
+/// What a failed attempt says about its group.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Evidence {
+    /// The connection or the response broke off, as it does when a backend server ends.
+    Broken,
+    /// No response came. Only the loss of a member shows that the group crashed.
+    Unanswered,
+    /// A response had begun. It is evidence only if a member was lost in the meantime.
+    Interrupted,
+}
+
+/// The failed attempts of one request.
 ///
 /// Crashes under attempts that overlap in time count once, because they may have a common cause,
 /// such as a data centre that loses power.
 #[derive(Debug, Default)]
 pub(crate) struct CrashRecord {
-    crashes: Vec<AttemptPeriod>,
+    pub(crate) events: Vec<CrashEvent>,
     reported: ReportedStrikes,
-    pending: Vec<Suspicion>,
     /// When the newest crash was confirmed or reported.
     newest: Moment,
-    /// Whether a request with these strikes has ended without a complete response. Until then its
+    /// Whether a request with these events has ended without a complete response. Until then its
     /// next attempt may clear it.
     pub(crate) is_settled: bool,
-    /// The greatest number of strikes that this node has given to the store.
-    pub(crate) shared: u32,
-    /// The numbers of strikes in the rows of the store, as far as this node has seen them.
-    pub(crate) rows: BTreeSet<u32>,
+}
+
+/// A failed attempt, and what is known about its group since then.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct CrashEvent {
+    pub(crate) group: GroupId,
+    pub(crate) epoch: Epoch,
+    pub(crate) evidence: Evidence,
+    pub(crate) period: AttemptPeriod,
+    /// Whether the group was confirmed as crashed.
+    pub(crate) is_confirmed: bool,
+    /// Whether this node sent the attempt.
+    pub(crate) is_own: bool,
+    pub(crate) row: RowState,
 }
 
 /// The time in which an attempt ran.
 #[derive(Debug, Clone, Copy)]
-struct AttemptPeriod {
-    from: Moment,
-    until: Moment,
+pub(crate) struct AttemptPeriod {
+    pub(crate) from: Moment,
+    pub(crate) until: Moment,
+}
+
+/// What the store holds of an event.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
+pub(crate) enum RowState {
+    /// Nothing.
+    #[default]
+    Absent,
+    /// Perhaps a row, as a write of it may have been applied.
+    Unknown,
+    /// A suspicion.
+    Suspicion,
+    /// A confirmed crash.
+    Crash,
 }
 
 /// The strikes that other nodes have counted.
@@ -48,53 +81,46 @@
     since: Moment,
 }
 
-/// What a failed attempt says about its group.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum Evidence {
-    /// The connection or the response broke off, as it does when a backend server ends.
-    Broken,
-    /// No response came. Only the loss of a member shows that the group crashed.
-    Unanswered,
-    /// A response had begun. It is evidence only if a member was lost in the meantime.
-    Interrupted,
-}
-
-/// A failed attempt whose group has not been confirmed as crashed.
-#[derive(Debug)]
-struct Suspicion {
-    group: GroupId,
-    epoch: Epoch,
-    evidence: Evidence,
-    period: AttemptPeriod,
-}
-
 impl CrashRecord {
-    /// Adds a suspicion; returns `false` if there is one of this group and epoch with the same or
-    /// stronger evidence.
+    /// Adds a suspicion; returns `false` if there is an event of this group and epoch with the same
+    /// or stronger evidence.
     pub(crate) fn suspect(&mut self, now: Moment, attempt: &FailedAttempt) -> bool {
-        let FailedAttempt {
-            group,
-            epoch,
-            evidence,
-            ..
-        } = *attempt;
-        self.pending.retain(|it| it.is_active(now));
-        let stronger = |it: &Suspicion| it.concerns(group, epoch) && it.evidence <= evidence;
-        if self.pending.iter().any(stronger) {
-            return false;
-        }
-        self.pending.retain(|it| !it.concerns(group, epoch));
-        let suspicion = Suspicion {
-            group,
-            epoch,
-            evidence,
-            period: AttemptPeriod {
-                from: attempt.started,
-                until: now,
-            },
+        let period = AttemptPeriod {
+            from: attempt.started,
+            until: now,
         };
-        push_bounded(&mut self.pending, suspicion);
-        true
+        self.insert(CrashEvent {
+            group: attempt.group,
+            epoch: attempt.epoch,
+            evidence: attempt.evidence,
+            period,
+            is_confirmed: false,
+            is_own: true,
+            row: RowState::Absent,
+        })
+    }
+
+    /// Adds an event, or replaces a weaker suspicion of the same group and epoch; returns whether
+    /// it did so.
+    pub(crate) fn insert(&mut self, event: CrashEvent) -> bool {
+        if let Some(known) = self.find(event.group, event.epoch) {
+            let is_stronger = !known.is_confirmed && event.evidence < known.evidence;
+            if is_stronger {
+                *known = event;
+            }
+            return is_stronger;
+        }
+        let has_room = self.events.len() < MAX_EVENTS;
+        if has_room {
+            self.events.push(event);
+        }
+        has_room
+    }
+
+    /// Returns the event of a group and epoch.
+    pub(crate) fn find(&mut self, group: GroupId, epoch: Epoch) -> Option<&mut CrashEvent> {
+        let mut events = self.events.iter_mut();
+        events.find(|event| event.group == group && event.epoch == epoch)
     }
 
     /// Turns the suspicion of a group into a confirmed crash if its evidence is at least as strong
@@ -106,12 +132,20 @@
         epoch: Epoch,
         weakest: Evidence,
     ) -> bool {
-        self.pending.retain(|it| it.is_active(now));
-        let confirmed = |it: &Suspicion| it.concerns(group, epoch) && it.evidence <= weakest;
-        let Some(index) = self.pending.iter().position(confirmed) else {
+        let event = self.find(group, epoch);
+        event.is_some_and(|event| event.is_pending(now) && event.evidence <= weakest)
+            && self.apply_confirmation(now, group, epoch)
+    }
+
+    /// Applies another node's word that a group crashed; returns whether it is news.
+    pub(crate) fn apply_confirmation(&mut self, now: Moment, group: GroupId, epoch: Epoch) -> bool {
+        let Some(event) = self.find(group, epoch) else {
             return false;
         };
-        push_bounded(&mut self.crashes, self.pending.remove(index).period);
+        if event.is_confirmed {
+            return false;
+        }
+        event.is_confirmed = true;
         self.newest = self.newest.max(now);
         true
     }
@@ -124,29 +158,42 @@
         self.newest = self.newest.max(at);
     }
 
-    /// Returns the number of strikes, or zero if the newest is older than the quarantine.
-    pub(crate) fn strikes(&self, now: Moment, quarantine: Duration) -> u32 {
-        if now.since(self.newest) < quarantine {
-            self.count(self.crashes.clone())
-        } else {
-            0
-        }
+    /// Removes and returns the events that are too old to count.
+    pub(crate) fn expire(&mut self, now: Moment, quarantine: Duration) -> Vec<CrashEvent> {
+        let is_quarantined = self.is_quarantined(now, quarantine);
+        let counts = |event: &CrashEvent| {
+            if event.is_confirmed {
+                is_quarantined
+            } else {
+                event.is_pending(now)
+            }
+        };
+        let (kept, expired) = self.events.drain(..).partition(counts);
+        self.events = kept;
+        expired
     }
 
-    /// Returns whether there is neither a crash nor a suspicion.
+    /// Returns whether there is neither an active crash nor a suspicion.
     pub(crate) fn is_empty(&self, now: Moment, quarantine: Duration) -> bool {
-        now.since(self.newest) >= quarantine && !self.pending.iter().any(|it| it.is_active(now))
+        !self.is_quarantined(now, quarantine)
+            && !self.events.iter().any(|event| event.is_pending(now))
     }
 
-    /// Returns the number of strikes if all broken attempts were confirmed as crashes.
+    /// Returns the number of confirmed crashes, or zero if the newest is older than the quarantine.
+    pub(crate) fn strikes(&self, now: Moment, quarantine: Duration) -> u32 {
+        self.count(now, quarantine, |_| false)
+    }
+
+    /// Returns the number of strikes if the broken attempts of this node were confirmed as crashes.
+    pub(crate) fn own_possible_strikes(&self, now: Moment, quarantine: Duration) -> u32 {
+        self.count(now, quarantine, |event| {
+            event.is_own && event.is_broken(now)
+        })
+    }
+
+    /// Returns the number of strikes if the broken attempts of all nodes were confirmed as crashes.
     pub(crate) fn possible_strikes(&self, now: Moment, quarantine: Duration) -> u32 {
-        let pending = self.pending.iter().filter(|it| it.is_broken(now));
-        let mut periods: Vec<AttemptPeriod> = pending.map(|it| it.period).collect();
-        if now.since(self.newest) >= quarantine {
-            return chain_length(&periods, Moment::ZERO);
-        }
-        periods.extend(&self.crashes);
-        self.count(periods)
+        self.count(now, quarantine, |event| event.is_broken(now))
     }
 
     /// Returns the time since the newest crash was confirmed or reported.
@@ -156,35 +203,51 @@
 
     /// Returns the time until the last suspicion of a broken attempt ends, or `None` without one.
     pub(crate) fn confirmation_left(&self, now: Moment) -> Option<Duration> {
-        let broken = self.pending.iter().filter(|it| it.is_broken(now));
-        let newest = broken.map(|it| it.period.until).max()?;
+        let broken = self.events.iter().filter(|event| event.is_broken(now));
+        let newest = broken.map(|event| event.period.until).max()?;
         Some(CONFIRMATION_TIMEOUT.saturating_sub(now.since(newest)))
     }
 
     /// Returns the key by which records are evicted, the least first.
     pub(crate) fn eviction_key(&self) -> (u32, Moment) {
-        (self.count(self.crashes.clone()), self.newest)
+        (self.strikes(self.newest, Duration::MAX), self.newest)
     }
 
-    /// Counts attempts that ran one after the other, and those after the reported strikes.
-    fn count(&self, mut periods: Vec<AttemptPeriod>) -> u32 {
-        periods.sort_unstable_by_key(|it| it.until);
-        let own = chain_length(&periods, Moment::ZERO);
-        own.max(self.reported.count + chain_length(&periods, self.reported.since))
+    fn is_quarantined(&self, now: Moment, quarantine: Duration) -> bool {
+        self.newest > Moment::ZERO && now.since(self.newest) < quarantine
     }
-}
 
-impl Suspicion {
-    fn concerns(&self, group: GroupId, epoch: Epoch) -> bool {
-        self.group == group && self.epoch == epoch
+    /// Counts attempts that ran one after the other, among the confirmed crashes and the
+    /// suspicions for which `counts` returns true.
+    fn count(
+        &self,
+        now: Moment,
+        quarantine: Duration,
+        counts: impl Fn(&CrashEvent) -> bool,
+    ) -> u32 {
+        let is_quarantined = self.is_quarantined(now, quarantine);
+        let events = self
+            .events
+            .iter()
+            .filter(|event| (is_quarantined && event.is_confirmed) || counts(event));
+        let mut periods: Vec<AttemptPeriod> = events.map(|event| event.period).collect();
+        periods.sort_unstable_by_key(|period| period.until);
+        let known = chain_length(&periods, Moment::ZERO);
+        if !is_quarantined {
+            return known;
+        }
+        known.max(self.reported.count + chain_length(&periods, self.reported.since))
     }
+}
 
-    fn is_broken(&self, now: Moment) -> bool {
-        self.evidence == Evidence::Broken && self.is_active(now)
+impl CrashEvent {
+    /// Returns whether the event is an unconfirmed suspicion that may still be confirmed.
+    pub(crate) fn is_pending(&self, now: Moment) -> bool {
+        !self.is_confirmed && now.since(self.period.until) < CONFIRMATION_TIMEOUT
     }
 
-    fn is_active(&self, now: Moment) -> bool {
-        now.since(self.period.until) < CONFIRMATION_TIMEOUT
+    fn is_broken(&self, now: Moment) -> bool {
+        self.evidence == Evidence::Broken && self.is_pending(now)
     }
 }
 
@@ -201,11 +264,3 @@
     }
     count
 }
-
-/// Adds an entry and drops the oldest one beyond the limit.
-fn push_bounded<T>(entries: &mut Vec<T>, entry: T) {
-    if entries.len() >= MAX_ENTRIES {
-        entries.remove(0);
-    }
-    entries.push(entry);
-}
--- a/crates/tanagerhub_traffic/src/crash_row.rs
+++ b/crates/tanagerhub_traffic/src/crash_row.rs
@@ -1,61 +1,140 @@
-//! Rows of the store by which nodes share the strikes of crashing requests.
+//! Rows of the store by which nodes share what they know of crashing requests.
 
-use tanagerhub_table::RowKey;
+use std::time::Duration;
 
-/// The name of the table that contains the strikes of crashing requests.
+use bincode::config::standard;
+use bincode::serde::{decode_from_slice, encode_to_vec};
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
+use tanagerhub_catalogue::{Epoch, GroupId};
+use tanagerhub_table::{RowKey, Transaction, TransactionId};
+
+/// The name of the table of crashing requests.
 pub const CRASHES_TABLE: &str = "crashes";
 
-/// A row that states that a request has a number of strikes.
+/// The key of a row: a request and the group that failed under it.
 ///
-/// Each number is a row of its own, so that nodes which write at the same time can't lower the
-/// count, and a write that is repeated or applied late changes nothing.
+/// A group fails once at an epoch. So each crash is a row of its own, and writes at the same time,
+/// repeated or late ones can't hide another crash.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub struct CrashRow {
+pub struct CrashKey {
     /// Fingerprint of the request.
     pub fingerprint: u64,
-    /// Number of strikes.
-    pub strikes: u32,
+    /// The group that failed.
+    pub group: GroupId,
+    /// The group's epoch.
+    pub epoch: Epoch,
+}
+
+/// The value of a row.
+#[serde_as]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashRow {
+    /// Time from the end of the attempt to the writing of the row.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub age: Duration,
+    /// Time for which the attempt ran.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub duration: Duration,
+    /// Whether the group was confirmed as crashed.
+    pub confirmed: bool,
 }
 
 /// Changes of rows to be written to the store.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct CrashRowChanges {
     /// Rows to write.
-    pub puts: Vec<CrashRow>,
+    pub puts: Vec<(CrashKey, CrashRow)>,
     /// Rows to delete.
-    pub deletes: Vec<CrashRow>,
+    pub deletes: Vec<CrashKey>,
 }
 
-impl CrashRow {
+impl CrashKey {
     /// Returns the key of the row.
     ///
     /// # Examples
     ///
     /// ```
-    /// use tanagerhub_traffic::CrashRow;
+    /// use tanagerhub_catalogue::{Epoch, GroupId};
+    /// use tanagerhub_traffic::CrashKey;
     ///
-    /// let row = CrashRow { fingerprint: 0x2a, strikes: 2 };
-    /// assert_eq!(row.key().name(), "000000000000002a/2");
-    /// assert_eq!(CrashRow::parse(row.key().name()), Some(row));
+    /// let key = CrashKey { fingerprint: 0x2a, group: GroupId(1), epoch: Epoch(3) };
+    /// let row_key = key.row_key();
+    /// assert_eq!(row_key.name(), "000000000000002a/0000000000000001/3");
+    /// assert_eq!(CrashKey::parse(row_key.name()), Some(key));
     /// ```
     #[must_use]
-    pub fn key(&self) -> RowKey {
-        let name = format!("{:016x}/{}", self.fingerprint, self.strikes);
+    pub fn row_key(&self) -> RowKey {
+        let GroupId(group) = self.group;
+        let Epoch(epoch) = self.epoch;
+        let name = format!("{:016x}/{group:016x}/{epoch}", self.fingerprint);
         RowKey::in_table(CRASHES_TABLE, &name)
     }
 
     /// Parses the name of a row; returns `None` if it has another form.
     #[must_use]
     pub fn parse(name: &str) -> Option<Self> {
-        let (fingerprint, strikes) = name.split_once('/')?;
-        Some(Self {
-            fingerprint: u64::from_str_radix(fingerprint, 16).ok()?,
-            strikes: strikes.parse().ok()?,
+        let mut parts = name.split('/');
+        let mut hex_part = || u64::from_str_radix(parts.next()?, 16).ok();
+        let (fingerprint, group) = (hex_part()?, hex_part()?);
+        let epoch = parts.next()?.parse().ok()?;
+        parts.next().is_none().then_some(Self {
+            fingerprint,
+            group: GroupId(group),
+            epoch: Epoch(epoch),
         })
     }
 }
 
+impl CrashRow {
+    fn encode(self) -> Vec<u8> {
+        encode_to_vec(self, standard()).expect("durations and flags can always be encoded")
+    }
+
+    /// Decodes the value of a row; returns `None` if it has another form.
+    #[must_use]
+    pub fn decode(value: &[u8]) -> Option<Self> {
+        let (row, used) = decode_from_slice(value, standard()).ok()?;
+        (used == value.len()).then_some(row)
+    }
+}
+
 impl CrashRowChanges {
+    /// Returns a transaction that writes the changes unconditionally.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use tanagerhub_catalogue::{Epoch, GroupId};
+    /// use tanagerhub_table::{TransactionId, Write};
+    /// use tanagerhub_traffic::{CrashKey, CrashRow, CrashRowChanges};
+    ///
+    /// let key = CrashKey { fingerprint: 0x2a, group: GroupId(1), epoch: Epoch(3) };
+    /// let row = CrashRow {
+    ///     age: Duration::from_millis(40),
+    ///     duration: Duration::from_millis(500),
+    ///     confirmed: true,
+    /// };
+    /// let changes = CrashRowChanges { puts: vec![(key, row)], deletes: Vec::new() };
+    /// let transaction = changes.transaction(TransactionId(1));
+    /// let Write::Put { value, .. } = &transaction.writes[0] else {
+    ///     panic!("the row is written");
+    /// };
+    /// assert_eq!(CrashRow::decode(value), Some(row));
+    /// ```
+    #[must_use]
+    pub fn transaction(&self, id: TransactionId) -> Transaction {
+        let mut transaction = Transaction::new(id);
+        for (key, row) in &self.puts {
+            transaction = transaction.put(key.row_key(), row.encode());
+        }
+        for key in &self.deletes {
+            transaction = transaction.delete(key.row_key());
+        }
+        transaction
+    }
+
     /// Returns whether there is nothing to write.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/crates/tanagerhub_traffic/src/crash_table.rs
+++ b/crates/tanagerhub_traffic/src/crash_table.rs
@@ -9,10 +9,12 @@
 use tanagerhub_clock::Moment;
 
 use crate::crash_record::{CONFIRMATION_TIMEOUT, CrashRecord, Evidence};
-use crate::{CrashDecision, CrashRow};
+use crate::{CrashDecision, CrashKey};
 
-/// Number of strikes after which a request is refused.
+/// Number of strikes after which a request is refused. Suspicions of this node count too.
 pub(crate) const STRIKE_LIMIT: u32 = 2;
+/// Number of strikes after which a request is refused if suspicions of other nodes are among them.
+const SUSPICION_LIMIT: u32 = 3;
 /// Period within which broken attempts may have a common cause.
 const MASS_FAILURE_WINDOW: Duration = Duration::from_secs(5);
 /// Maximum number of groups that one crashing request affects within [`MASS_FAILURE_WINDOW`]; if
@@ -66,7 +68,7 @@
     /// When groups were found to have lost a member.
     lost_at: HashMap<(GroupId, Epoch), Moment>,
     /// Rows of the store that are no longer needed.
-    pub(crate) obsolete_rows: Vec<CrashRow>,
+    pub(crate) obsolete_rows: Vec<CrashKey>,
     decisions: Vec<CrashDecision>,
 }
 
@@ -226,7 +228,8 @@
         if record.strikes(now, self.quarantine) >= STRIKE_LIMIT {
             return Some(self.quarantine.saturating_sub(record.age(now)));
         }
-        let is_suspected = record.possible_strikes(now, self.quarantine) >= STRIKE_LIMIT;
+        let is_suspected = record.own_possible_strikes(now, self.quarantine) >= STRIKE_LIMIT
+            || record.possible_strikes(now, self.quarantine) >= SUSPICION_LIMIT;
         if !is_suspected || self.is_mass_failure(now) {
             return None;
         }
@@ -277,13 +280,6 @@
         record.is_some()
     }
 
-    /// Removes requests without an active strike or pending suspicion.
-    pub fn expire(&mut self, now: Moment) {
-        let quarantine = self.quarantine;
-        self.records
-            .retain(|_, record| !record.is_empty(now, quarantine));
-    }
-
     /// Returns the number of fingerprints in the table.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -330,7 +326,7 @@
         if self.records.len() < MAX_FINGERPRINTS || self.records.contains_key(&fingerprint) {
             return;
         }
-        self.expire(now);
+        self.expire_events(now, true);
         if self.records.len() < MAX_FINGERPRINTS {
             return;
         }
--- a/crates/tanagerhub_traffic/src/lib.rs
+++ b/crates/tanagerhub_traffic/src/lib.rs
@@ -40,7 +40,7 @@
 pub use counters::Counters;
 pub use crash_decision::CrashDecision;
 pub use crash_record::Evidence;
-pub use crash_row::{CRASHES_TABLE, CrashRow, CrashRowChanges};
+pub use crash_row::{CRASHES_TABLE, CrashKey, CrashRow, CrashRowChanges};
 pub use crash_table::{CrashFact, CrashTable, FailedAttempt};
 pub use decision::{AttemptEvent, AttemptKey, Decision, Dispatch, Next, Outcome, Reason, Refusal};
 pub use drain::{Drain, DrainState};
