--- a/crates/tanagerhub/src/gateway/control/crashes.rs
+++ b/crates/tanagerhub/src/gateway/control/crashes.rs
@@ -10,6 +10,8 @@
 use crate::gateway::control::feeds::{log_feed_failure, log_feed_recovery};
 use crate::gateway::feed::FeedUpdate;
 
+/// The minimum time between two writes.
+const WRITE_INTERVAL: Duration = Duration::from_millis(200);
 /// The delay after a failed write; it doubles with each further failure.
 const WRITE_RETRY_DELAY: Duration = Duration::from_millis(300);
 /// The maximum of this delay.
@@ -25,7 +27,7 @@
     /// The number of consecutive failed writes.
     failures: u32,
     /// The moment before which no write starts.
-    retry_at: Moment,
+    write_at: Moment,
     expired_at: Moment,
     feed_failed: bool,
 }
@@ -34,7 +36,7 @@
     /// Logs the decisions on crashing requests, and writes new crashes to the store.
     pub(super) fn share_crashes(&mut self, now: Moment) {
         let writer = &mut self.view.crash_writer;
-        let may_write = !writer.is_writing && now >= writer.retry_at;
+        let may_write = !writer.is_writing && now >= writer.write_at;
         let expires = now.since(writer.expired_at) >= EXPIRY_PERIOD;
         if expires {
             writer.expired_at = now;
@@ -73,12 +75,13 @@
         writer.is_writing = false;
         if matches!(commit, CommitResult::Applied(_)) {
             writer.failures = 0;
+            writer.write_at = now + WRITE_INTERVAL;
             return;
         }
         log::warn!(commit:?; "crashes under requests not written");
         let factor = 2_u32.saturating_pow(writer.failures);
         let delay = WRITE_RETRY_DELAY.saturating_mul(factor);
-        writer.retry_at = now + delay.min(MAX_WRITE_RETRY_DELAY);
+        writer.write_at = now + delay.min(MAX_WRITE_RETRY_DELAY);
         writer.failures = writer.failures.saturating_add(1);
         self.traffic
             .update(|traffic, _| traffic.crash_table().restore_row_changes(changes));
--- a/crates/tanagerhub/src/gateway/feed_timing.rs
+++ b/crates/tanagerhub/src/gateway/feed_timing.rs
@@ -180,7 +180,7 @@
     };
     let crashes = FeedTiming {
         wait: Duration::from_millis(if large { 10_000 } else { 1_500 }),
-        interval: Duration::from_millis(if large { 1_000 } else { 300 }),
+        interval: Duration::from_millis(if large { 1_000 } else { 500 }),
         direct: false,
     };
     FeedTimings {
