--- a/crates/tanagerhub/src/gateway.rs
+++ b/crates/tanagerhub/src/gateway.rs
@@ -20,6 +20,7 @@
 mod group_activity;
 mod relay;
 mod relay_log;
+mod servers;
 mod shared;
 mod start;
 mod state_dump;
--- /dev/null
+++ b/crates/tanagerhub/src/gateway/servers.rs
@@ -0,0 +1,124 @@
+//! Serves callers, readiness checks, metrics and peers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use async_channel::Sender;
+use async_std::net::TcpListener;
+use http::header::{CONTENT_TYPE, HeaderValue};
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use tanagerhub_clock::Clock;
+use tanagerhub_proxy::{ResponseBody, Server, ServerLimits, empty_body, full_body, serve};
+
+use crate::gateway::control::GatewayEvent;
+use crate::gateway::feed::FeedSpec;
+use crate::gateway::front::Frontend;
+use crate::gateway::relay::Relay;
+use crate::gateway::shared::SharedState;
+use crate::gateway::{GatewayError, GatewayMetrics};
+
+/// Binds an address and serves it with a handler.
+async fn listen<H, F>(
+    purpose: &'static str,
+    address: SocketAddr,
+    clock: &Clock,
+    handler: H,
+) -> Result<Server, GatewayError>
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<ResponseBody>> + Send + 'static,
+{
+    let listen_error = |source| GatewayError::Listen {
+        purpose,
+        address,
+        source,
+    };
+    let listener = TcpListener::bind(address).await.map_err(listen_error)?;
+    serve(listener, ServerLimits::default(), clock.clone(), handler).map_err(listen_error)
+}
+
+/// Serves the changes of the tables to peers.
+pub(crate) async fn serve_peers(
+    address: SocketAddr,
+    clock: &Clock,
+    specs: &[&FeedSpec],
+) -> Result<Server, GatewayError> {
+    let tables = specs
+        .iter()
+        .map(|spec| (spec.table, Arc::clone(&spec.relay)))
+        .collect();
+    let relay = Arc::new(Relay::new(clock.clone(), tables));
+    let handler = move |request: Request<Incoming>| Arc::clone(&relay).handle(request);
+    listen("peer", address, clock, handler).await
+}
+
+pub(crate) async fn serve_callers(
+    address: SocketAddr,
+    clock: &Clock,
+    frontend: Arc<Frontend>,
+) -> Result<Server, GatewayError> {
+    let handler = move |request: Request<Incoming>| Arc::clone(&frontend).handle(request);
+    listen("caller", address, clock, handler).await
+}
+
+pub(crate) async fn serve_ready(
+    address: SocketAddr,
+    clock: &Clock,
+    shared: &Arc<SharedState>,
+) -> Result<Server, GatewayError> {
+    let shared = Arc::clone(shared);
+    let handler = move |_: Request<Incoming>| {
+        let is_ready = shared.is_ready();
+        async move {
+            let mut response = Response::new(empty_body());
+            if !is_ready {
+                *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+            }
+            response
+        }
+    };
+    listen("ready", address, clock, handler).await
+}
+
+pub(crate) async fn serve_metrics(
+    address: SocketAddr,
+    clock: &Clock,
+    metrics: GatewayMetrics,
+    events: &Sender<GatewayEvent>,
+) -> Result<Server, GatewayError> {
+    let events = events.clone();
+    let handler = move |request: Request<Incoming>| {
+        let (metrics, events) = (metrics.clone(), events.clone());
+        async move {
+            if request.uri().path() == "/state" {
+                return state_response(&events).await;
+            }
+            text_response(metrics.text(), "text/plain; version=0.0.4")
+        }
+    };
+    listen("metrics", address, clock, handler).await
+}
+
+async fn state_response(events: &Sender<GatewayEvent>) -> Response<ResponseBody> {
+    let (sender, receiver) = async_channel::bounded(1);
+    let sent = events.send(GatewayEvent::Dump(sender)).await.is_ok();
+    let dump = if sent {
+        receiver.recv().await.ok()
+    } else {
+        None
+    };
+    if let Some(dump) = dump {
+        return text_response(dump, "application/json");
+    }
+    let mut response = Response::new(empty_body());
+    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    response
+}
+
+fn text_response(content: String, content_type: &'static str) -> Response<ResponseBody> {
+    let mut response = Response::new(full_body(content));
+    let content_type = HeaderValue::from_static(content_type);
+    response.headers_mut().insert(CONTENT_TYPE, content_type);
+    response
+}
--- a/crates/tanagerhub/src/gateway/start.rs
+++ b/crates/tanagerhub/src/gateway/start.rs
@@ -7,18 +7,12 @@
 use std::time::Duration;
 
 use async_channel::Sender;
-use async_std::net::TcpListener;
 use async_std::task;
 use futures_lite::future;
-use http::header::{CONTENT_TYPE, HeaderValue};
-use http::{Request, Response, StatusCode};
-use hyper::body::Incoming;
 use tanagerhub_catalogue::{DataCentreId, NodeId};
 use tanagerhub_clock::Clock;
 use tanagerhub_groups::{Groups, Presence, RelayEndpoint};
-use tanagerhub_proxy::{
-    Client, PoolLimits, ResponseBody, Server, ServerLimits, empty_body, full_body, serve,
-};
+use tanagerhub_proxy::{Client, PoolLimits, Server};
 use tanagerhub_traffic::{CRASHES_TABLE, GroupObservation, Selection, Traffic, TrafficSettings};
 
 use crate::gateway::control::{ControlView, GatewayControl, GatewayEvent};
@@ -27,7 +21,8 @@
 use crate::gateway::feed_timing::{SharedFeedTiming, SharedFeedTimings};
 use crate::gateway::front::Frontend;
 use crate::gateway::group_activity::GroupActivities;
-use crate::gateway::relay::{Peers, Relay, RelayClient, RelayTable};
+use crate::gateway::relay::{Peers, RelayClient};
+use crate::gateway::servers::{serve_callers, serve_metrics, serve_peers, serve_ready};
 use crate::gateway::shared::SharedState;
 use crate::gateway::{Adapters, GatewayMetrics, GatewaySettings};
 use crate::traffic_handle::TrafficHandle;
@@ -128,7 +123,7 @@
         let peers = Arc::new(Peers::default());
         let specs = feed_specs(&adapters, &timings);
         if let Some(address) = settings.peer_address {
-            auxiliary_servers.push(serve_peers(address, &clock, &specs).await?);
+            auxiliary_servers.push(serve_peers(address, &clock, &specs.all()).await?);
         }
         let boot = rand::random_range(1..u64::MAX);
         let control = GatewayControl {
@@ -265,26 +260,6 @@
     }
 }
 
-/// Binds an address and serves it with a handler.
-async fn listen<H, F>(
-    purpose: &'static str,
-    address: SocketAddr,
-    clock: &Clock,
-    handler: H,
-) -> Result<Server, GatewayError>
-where
-    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
-    F: Future<Output = Response<ResponseBody>> + Send + 'static,
-{
-    let listen_error = |source| GatewayError::Listen {
-        purpose,
-        address,
-        source,
-    };
-    let listener = TcpListener::bind(address).await.map_err(listen_error)?;
-    serve(listener, ServerLimits::default(), clock.clone(), handler).map_err(listen_error)
-}
-
 fn traffic_handle(
     settings: &GatewaySettings,
     clock: &Clock,
@@ -342,6 +317,12 @@
     crashes: FeedSpec,
 }
 
+impl FeedSpecs {
+    const fn all(&self) -> [&FeedSpec; 4] {
+        [&self.operators, &self.vms, &self.nodes, &self.crashes]
+    }
+}
+
 fn feed_specs(adapters: &Adapters, timings: &SharedFeedTimings) -> FeedSpecs {
     let spec = |table, timing: &Arc<SharedFeedTiming>| FeedSpec {
         table,
@@ -373,22 +354,6 @@
     ]
 }
 
-/// Serves the changes of the tables to peers.
-async fn serve_peers(
-    address: SocketAddr,
-    clock: &Clock,
-    specs: &FeedSpecs,
-) -> Result<Server, GatewayError> {
-    let table = |spec: &FeedSpec| -> (&'static str, Arc<RelayTable>) {
-        (spec.table, Arc::clone(&spec.relay))
-    };
-    let specs = [&specs.operators, &specs.vms, &specs.nodes, &specs.crashes];
-    let tables = specs.map(table);
-    let relay = Arc::new(Relay::new(clock.clone(), tables.into()));
-    let handler = move |request: Request<Incoming>| Arc::clone(&relay).handle(request);
-    listen("peer", address, clock, handler).await
-}
-
 async fn sweep_connections(clock: Clock, client: Client) {
     loop {
         clock.sleep(SWEEP_PERIOD).await;
@@ -416,73 +381,3 @@
         }
     }
 }
-
-async fn serve_callers(
-    address: SocketAddr,
-    clock: &Clock,
-    frontend: Arc<Frontend>,
-) -> Result<Server, GatewayError> {
-    let handler = move |request: Request<Incoming>| Arc::clone(&frontend).handle(request);
-    listen("caller", address, clock, handler).await
-}
-
-async fn serve_ready(
-    address: SocketAddr,
-    clock: &Clock,
-    shared: &Arc<SharedState>,
-) -> Result<Server, GatewayError> {
-    let shared = Arc::clone(shared);
-    let handler = move |_: Request<Incoming>| {
-        let is_ready = shared.is_ready();
-        async move {
-            let mut response = Response::new(empty_body());
-            if !is_ready {
-                *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-            }
-            response
-        }
-    };
-    listen("ready", address, clock, handler).await
-}
-
-async fn serve_metrics(
-    address: SocketAddr,
-    clock: &Clock,
-    metrics: GatewayMetrics,
-    events: &Sender<GatewayEvent>,
-) -> Result<Server, GatewayError> {
-    let events = events.clone();
-    let handler = move |request: Request<Incoming>| {
-        let (metrics, events) = (metrics.clone(), events.clone());
-        async move {
-            if request.uri().path() == "/state" {
-                return state_response(&events).await;
-            }
-            text_response(metrics.text(), "text/plain; version=0.0.4")
-        }
-    };
-    listen("metrics", address, clock, handler).await
-}
-
-async fn state_response(events: &Sender<GatewayEvent>) -> Response<ResponseBody> {
-    let (sender, receiver) = async_channel::bounded(1);
-    let sent = events.send(GatewayEvent::Dump(sender)).await.is_ok();
-    let dump = if sent {
-        receiver.recv().await.ok()
-    } else {
-        None
-    };
-    if let Some(dump) = dump {
-        return text_response(dump, "application/json");
-    }
-    let mut response = Response::new(empty_body());
-    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-    response
-}
-
-fn text_response(content: String, content_type: &'static str) -> Response<ResponseBody> {
-    let mut response = Response::new(full_body(content));
-    let content_type = HeaderValue::from_static(content_type);
-    response.headers_mut().insert(CONTENT_TYPE, content_type);
-    response
-}
