--- /dev/null
+++ b/crates/tanagerhub/src/gateway/attempt_error.rs
@@ -0,0 +1,91 @@
+//! Failures of attempts at backend servers.
+
+use std::time::Duration;
+
+use http::StatusCode;
+use tanagerhub_proxy::{BodyError, SendError};
+use tanagerhub_traffic::{AttemptEvent, Outcome, Reason, Refusal};
+
+use crate::gateway::failure::Failure;
+
+/// The retry delay for a caller whose key has lapsed.
+const KEY_LAPSED_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// The reason why an attempt has no usable response.
+pub(crate) enum AttemptError {
+    Send(SendError),
+    Body(BodyError),
+    NotRun,
+    Misdirected,
+    Foreign,
+    /// A member of the group is unreachable, so all its streams are silent.
+    Silent,
+    /// No first byte arrived in time, and the request may move to another group.
+    Overdue,
+    /// The stream ended without any data.
+    Empty,
+    /// The deadline of the request has passed.
+    Expired,
+    /// The store has not confirmed the keys for too long, so the key may have been revoked.
+    KeyLapsed,
+    /// The group no longer exists in the published routes.
+    UnknownGroup,
+}
+
+impl AttemptError {
+    /// Returns the event to report, or the failure that ends the request.
+    pub(crate) fn event(&self) -> Result<AttemptEvent, Failure> {
+        match self {
+            Self::Send(SendError::NotSent { .. } | SendError::ConnectionClosed { .. })
+            | Self::UnknownGroup => Ok(AttemptEvent::ConnectFailed),
+            Self::NotRun | Self::Misdirected => Ok(AttemptEvent::RefusedNotRun),
+            Self::Silent => Ok(AttemptEvent::Silent),
+            Self::Overdue => Ok(AttemptEvent::TimedOut),
+            Self::Send(_) | Self::Body(_) | Self::Foreign | Self::Empty => Ok(AttemptEvent::Broke),
+            Self::Expired => Err(deadline_passed()),
+            Self::KeyLapsed => {
+                let reason = "the store has not confirmed the key for too long";
+                Err(Failure::unavailable(reason, KEY_LAPSED_RETRY_AFTER))
+            }
+        }
+    }
+
+    /// Returns the name of the error in the log and in metrics.
+    pub(crate) const fn label(&self) -> &'static str {
+        match self {
+            Self::Send(SendError::NotSent { .. }) => "not_sent",
+            Self::Send(SendError::ConnectionClosed { .. }) => "turned_away",
+            Self::Send(SendError::Broken { .. }) => "broken",
+            Self::Send(SendError::Malformed { .. }) => "malformed",
+            Self::Body(_) => "body_cut",
+            Self::NotRun => "not_run",
+            Self::Misdirected => "misdirected",
+            Self::Foreign => "foreign",
+            Self::Silent => "silent",
+            Self::Overdue => "overdue",
+            Self::Empty => "empty",
+            Self::Expired => "expired",
+            Self::KeyLapsed => "key_lapsed",
+            Self::UnknownGroup => "group_unknown",
+        }
+    }
+
+    /// Returns the cause in words, or nothing where the label says all.
+    pub(crate) fn detail(&self) -> String {
+        match self {
+            Self::Send(error) => error.to_string(),
+            Self::Body(error) => error.to_string(),
+            _ => String::new(),
+        }
+    }
+}
+
+/// Returns the failure of a request whose deadline passed while a backend server may have run it.
+fn deadline_passed() -> Failure {
+    Failure::from_refusal(&Refusal {
+        reason: Reason::DeadlinePassed,
+        retry_after: None,
+        outcome: Outcome::Unknown,
+        status: StatusCode::GATEWAY_TIMEOUT.as_u16(),
+    })
+}
--- a/crates/tanagerhub/src/gateway/exchange.rs
+++ b/crates/tanagerhub/src/gateway/exchange.rs
@@ -10,13 +10,11 @@
 use tanagerhub_catalogue::{Epoch, GroupId};
 use tanagerhub_clock::Moment;
 use tanagerhub_proxy::{
-    BackendResponse, BackendResponseBody, BodyError, ResponseBody, Reuse, SendError, full_body,
-    strip_hop_headers,
-};
-use tanagerhub_traffic::{
-    AttemptEvent, Decision, Dispatch, Next, Outcome, Reason, Refusal, RequestInfo,
+    BackendResponse, BackendResponseBody, ResponseBody, Reuse, full_body, strip_hop_headers,
 };
+use tanagerhub_traffic::{AttemptEvent, Decision, Dispatch, Next, RequestInfo};
 
+use crate::gateway::attempt_error::AttemptError;
 use crate::gateway::call::Call;
 use crate::gateway::control::GatewayEvent;
 use crate::gateway::failure::Failure;
@@ -88,27 +86,6 @@
     Stream(Box<StartedStream>),
 }
 
-/// The reason why an attempt has no usable response.
-enum AttemptError {
-    Send(SendError),
-    Body(BodyError),
-    NotRun,
-    Misdirected,
-    Foreign,
-    /// A member of the group is unreachable, so all its streams are silent.
-    Silent,
-    /// No first byte arrived in time, and the request may move to another group.
-    Overdue,
-    /// The stream ended without any data.
-    Empty,
-    /// The deadline of the request has passed.
-    Expired,
-    /// The store has not confirmed the keys for too long, so the key may have been revoked.
-    KeyLapsed,
-    /// The group no longer exists in the published routes.
-    UnknownGroup,
-}
-
 impl Exchange {
     pub(crate) fn new(frontend: Arc<Frontend>, call: Call) -> Self {
         Self {
@@ -218,23 +195,7 @@
             took_ms = self.frontend.clock.now().since(self.call.arrived).as_millis();
             "attempt failed"
         );
-        let event = match error {
-            AttemptError::Send(SendError::NotSent { .. } | SendError::ConnectionClosed { .. })
-            | AttemptError::UnknownGroup => AttemptEvent::ConnectFailed,
-            AttemptError::NotRun | AttemptError::Misdirected => AttemptEvent::RefusedNotRun,
-            AttemptError::Silent => AttemptEvent::Silent,
-            AttemptError::Overdue => AttemptEvent::TimedOut,
-            AttemptError::Send(_)
-            | AttemptError::Body(_)
-            | AttemptError::Foreign
-            | AttemptError::Empty => AttemptEvent::Broke,
-            AttemptError::Expired => return Err(deadline_passed()),
-            AttemptError::KeyLapsed => {
-                let reason = "the store has not confirmed the key for too long";
-                return Err(Failure::unavailable(reason, Duration::from_millis(500)));
-            }
-        };
-        Ok(self.report(dispatch, event))
+        Ok(self.report(dispatch, error.event()?))
     }
 
     /// Sends the request to one group and reads the response: only the first bytes of a stream, but
@@ -499,46 +460,7 @@
     }
 }
 
-impl AttemptError {
-    const fn label(&self) -> &'static str {
-        match self {
-            Self::Send(SendError::NotSent { .. }) => "not_sent",
-            Self::Send(SendError::ConnectionClosed { .. }) => "turned_away",
-            Self::Send(SendError::Broken { .. }) => "broken",
-            Self::Send(SendError::Malformed { .. }) => "malformed",
-            Self::Body(_) => "body_cut",
-            Self::NotRun => "not_run",
-            Self::Misdirected => "misdirected",
-            Self::Foreign => "foreign",
-            Self::Silent => "silent",
-            Self::Overdue => "overdue",
-            Self::Empty => "empty",
-            Self::Expired => "expired",
-            Self::KeyLapsed => "key_lapsed",
-            Self::UnknownGroup => "group_unknown",
-        }
-    }
-
-    fn detail(&self) -> String {
-        match self {
-            Self::Send(error) => error.to_string(),
-            Self::Body(error) => error.to_string(),
-            _ => String::new(),
-        }
-    }
-}
-
 /// Returns the failure of a request whose decision was lost, which never happens on a healthy node.
 fn lost_decision() -> Failure {
     Failure::new(StatusCode::INTERNAL_SERVER_ERROR, "the decision was lost")
 }
-
-/// Returns the failure of a request whose deadline passed while a backend server may have run it.
-fn deadline_passed() -> Failure {
-    Failure::from_refusal(&Refusal {
-        reason: Reason::DeadlinePassed,
-        retry_after: None,
-        outcome: Outcome::Unknown,
-        status: StatusCode::GATEWAY_TIMEOUT.as_u16(),
-    })
-}
