--- a/crates/tanagerhub_fleet/tests/support/simulation.rs
+++ b/crates/tanagerhub_fleet/tests/support/simulation.rs
@@ -4,6 +4,10 @@
     reason = "each test target uses a part of the shared simulation"
 )]
 
+mod engine;
+mod invariants;
+mod table;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
@@ -14,195 +18,19 @@
     Epoch, Fencing, GroupId, Limits, ModelEntry, NodeId, Rank, Vm, VmId, VmState,
 };
 use tanagerhub_clock::Moment;
-use tanagerhub_fleet::rows::{EntryRow, GroupRow, VmRow, decode, group_of};
+use tanagerhub_fleet::rows::GroupRow;
 use tanagerhub_fleet::{
     EngineState, Fleet, FleetAction, FleetEvent, FleetSettings, GroupView, Health, MemberReport,
-    NotServing, Order, OrderFailure, OrderKind, OrderResponse, Peer, ProbeFailure, RowQuery,
-    StoreFailure, Temperature,
+    NotServing, Order, OrderFailure, OrderKind, OrderResponse, Peer, ProbeFailure, StoreFailure,
 };
-use tanagerhub_table::{CommitOutcome, Row, RowKey, RowVersion, Transaction, TransactionId, Write};
+use tanagerhub_table::CommitOutcome;
+
+pub use self::engine::{Engine, VmCondition};
+pub use self::table::Table;
 
 pub const SECOND: Duration = Duration::from_secs(1);
 const LATENCY: Duration = Duration::from_millis(5);
 
-/// The condition of an engine's VM.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum VmCondition {
-    Alive,
-    /// Does not respond; keeps its state.
-    Paused,
-    /// Does not respond; returns without weights.
-    Dead,
-    /// The VM is running, but its engine is not.
-    Refusing,
-}
-
-#[derive(Debug)]
-pub struct Engine {
-    pub vm: VmId,
-    pub condition: VmCondition,
-    pub boot: BootId,
-    pub group: Option<GroupId>,
-    pub epoch: Epoch,
-    pub rank: Rank,
-    pub weights: Option<String>,
-    pub ready_at: Option<Moment>,
-    pub warm_at: Option<Moment>,
-    pub checks_fencing: bool,
-    pub leaving: bool,
-    /// When the engine was last ready, by the group and epoch that it was in.
-    pub ready_at_epoch: BTreeMap<(GroupId, Epoch), Moment>,
-    pub loads: u32,
-}
-
-impl Engine {
-    fn state(&self, now: Moment) -> EngineState {
-        match self.ready_at {
-            None => EngineState::Empty,
-            Some(at) if now < at => EngineState::Loading,
-            Some(_) => EngineState::Ready,
-        }
-    }
-
-    pub fn report(&self, now: Moment) -> MemberReport {
-        let warm = self.warm_at.is_some_and(|at| now >= at);
-        MemberReport {
-            vm: self.vm,
-            boot: self.boot,
-            group: self.group,
-            epoch: self.epoch,
-            rank: self.rank,
-            state: self.state(now),
-            temperature: if warm {
-                Temperature::Warm
-            } else {
-                Temperature::Cold
-            },
-            leaving: self.leaving,
-            running: 0,
-            waiting: 0,
-        }
-    }
-
-    fn restart(&mut self) {
-        self.boot = BootId(self.boot.0 + 1);
-        self.group = None;
-        self.epoch = Epoch(0);
-        self.weights = None;
-        self.ready_at = None;
-        self.warm_at = None;
-    }
-}
-
-/// A table with injectable faults.
-#[derive(Debug, Default)]
-pub struct Table {
-    pub rows: BTreeMap<RowKey, Row>,
-    pub down: bool,
-    /// The number of next commits whose responses are lost after the write.
-    pub lost_responses: u32,
-    pub commits: u64,
-    pub reads: u64,
-    version: u64,
-}
-
-impl Table {
-    fn commit(&mut self, transaction: &Transaction) -> CommitOutcome {
-        if self.down {
-            return CommitOutcome::NotApplied;
-        }
-        self.commits += 1;
-        for condition in &transaction.conditions {
-            let found = self.rows.get(condition.key()).map(|row| row.version);
-            if !condition.holds(found) {
-                return CommitOutcome::Conflict {
-                    key: condition.key().clone(),
-                };
-            }
-        }
-        let mut written = Vec::new();
-        for write in &transaction.writes {
-            self.version += 1;
-            match write {
-                Write::Put { key, value } => {
-                    let row = Row {
-                        key: key.clone(),
-                        version: RowVersion(self.version),
-                        transaction: transaction.id,
-                        value: value.clone(),
-                    };
-                    self.rows.insert(key.clone(), row.clone());
-                    written.push(row);
-                }
-                Write::Delete { key } => {
-                    self.rows.remove(key);
-                }
-            }
-        }
-        if self.lost_responses > 0 {
-            self.lost_responses -= 1;
-            return CommitOutcome::Unknown;
-        }
-        CommitOutcome::Committed { rows: written }
-    }
-
-    fn read(&mut self, query: &RowQuery) -> Result<Vec<Row>, StoreFailure> {
-        if self.down {
-            return Err(StoreFailure::Unavailable);
-        }
-        self.reads += 1;
-        Ok(match query {
-            RowQuery::Keys(keys) => keys
-                .iter()
-                .filter_map(|key| self.rows.get(key).cloned())
-                .collect(),
-            RowQuery::Prefix(prefix) => self
-                .rows
-                .values()
-                .filter(|row| row.key.as_str().starts_with(prefix))
-                .cloned()
-                .collect(),
-        })
-    }
-
-    /// Writes a row without any condition.
-    pub fn put<T: serde::Serialize>(&mut self, key: RowKey, content: &T) {
-        self.version += 1;
-        let row = Row {
-            key: key.clone(),
-            version: RowVersion(self.version),
-            transaction: TransactionId(0),
-            value: tanagerhub_fleet::rows::encode(content),
-        };
-        self.rows.insert(key, row);
-    }
-
-    /// Returns the rows of all groups but standby groups.
-    pub fn groups(&self) -> BTreeMap<GroupId, GroupRow> {
-        let mut groups = self.all_groups();
-        groups.retain(|_, row| !row.standby);
-        groups
-    }
-
-    /// Returns the rows of all groups, including standby groups.
-    pub fn all_groups(&self) -> BTreeMap<GroupId, GroupRow> {
-        self.rows
-            .values()
-            .filter_map(|row| Some((group_of(&row.key)?, decode(row).ok()?)))
-            .collect()
-    }
-
-    pub fn vm(&self, vm: VmId) -> VmRow {
-        let row = self.rows.get(&tanagerhub_fleet::rows::vm_key(vm));
-        row.and_then(|row| decode(row).ok()).unwrap_or_default()
-    }
-
-    pub fn entry(&self, entry: EntryId) -> EntryRow {
-        let row = self.rows.get(&tanagerhub_fleet::rows::entry_key(entry));
-        row.and_then(|row| decode(row).ok()).unwrap_or_default()
-    }
-}
-
 #[derive(Debug)]
 pub struct Node {
     pub id: NodeId,
@@ -699,71 +527,4 @@
             .next()
             .expect("the group does not exist")
     }
-
-    /// Checks the invariants of the table and of all nodes' views; panics with the one that is
-    /// violated.
-    pub fn check_invariants(&mut self) {
-        let groups = self.table.all_groups();
-        let mut group_by_vm = BTreeMap::new();
-        for (id, row) in &groups {
-            for vm in &row.members {
-                let other = group_by_vm.insert(*vm, *id);
-                assert_eq!(other, None, "VM {vm} is in two groups");
-                assert_eq!(self.table.vm(*vm).group, Some(*id), "row of VM {vm}");
-            }
-        }
-        for entry in &self.catalogue.entries {
-            let counts_as_held =
-                |row: &&GroupRow| row.entry == entry.id() && !row.draining && !row.standby;
-            let held = groups.values().filter(counts_as_held).count();
-            assert_eq!(held, self.table.entry(entry.id()).held as usize);
-            let max = entry.limits.replicas_max as usize;
-            let (old_held, old_max) = self
-                .held
-                .insert(entry.id(), (held, max))
-                .unwrap_or((0, max));
-            assert!(
-                held <= old_held || held <= max.max(old_max),
-                "{} grew to {held} replicas, its limit is {max}",
-                entry.name
-            );
-        }
-        for vm in &self.vms {
-            let epoch = self.table.vm(vm.id()).epoch;
-            let old = self.epochs.insert(vm.id(), epoch).unwrap_or_default();
-            assert!(epoch >= old, "epoch of {} fell", vm.name);
-        }
-        self.check_views();
-    }
-
-    fn check_views(&self) {
-        let mut slots: BTreeMap<(GroupId, Epoch), u32> = BTreeMap::new();
-        for node in self.nodes.iter().filter(|node| node.running) {
-            for view in node.fleet.groups(self.now) {
-                *slots.entry((view.id, view.epoch)).or_default() += view.cold_slots;
-                if view.eligible {
-                    self.check_complete(&view);
-                }
-            }
-        }
-        for ((id, epoch), count) in slots {
-            assert!(count <= 2, "group {id} epoch {epoch}: {count} cold slots");
-        }
-    }
-
-    fn check_complete(&self, view: &GroupView) {
-        let limit = Duration::from_secs(2) + self.tick;
-        for member in &view.members {
-            let seen = self.engines[&member.vm]
-                .ready_at_epoch
-                .get(&(view.id, view.epoch));
-            let age = seen.map(|at| self.now.since(*at));
-            assert!(
-                age.is_some_and(|age| age <= limit),
-                "group {} is eligible, member {} is missing since {age:?}",
-                view.id,
-                member.vm
-            );
-        }
-    }
 }
