--- a/crates/tanagerhub_fleet/src/fleet/job.rs
+++ b/crates/tanagerhub_fleet/src/fleet/job.rs
@@ -4,7 +4,7 @@
 
 use tanagerhub_catalogue::{EntryId, Epoch, GroupId, VmId};
 use tanagerhub_clock::Moment;
-use tanagerhub_table::{Attempt, Row, RowKey};
+use tanagerhub_table::{Attempt, Row, RowKey, Transaction};
 
 use crate::MemberReport;
 use crate::decision::Reason;
@@ -105,6 +105,25 @@
     pub(super) reason: Reason,
 }
 
+impl Change {
+    /// Returns a change of a group's row that frees no VM.
+    pub(super) fn of_row(
+        group: GroupId,
+        row: GroupRow,
+        transaction: Transaction,
+        reason: Reason,
+    ) -> Self {
+        Self {
+            attempt: Attempt::new(transaction),
+            group,
+            fencing_epoch: row.epoch,
+            row: Some(row),
+            freed: Vec::new(),
+            reason,
+        }
+    }
+}
+
 /// The rows and reports from which a change is built.
 #[derive(Debug)]
 pub(super) struct Prepared {
--- a/crates/tanagerhub_fleet/src/fleet/transactions.rs
+++ b/crates/tanagerhub_fleet/src/fleet/transactions.rs
@@ -225,14 +225,7 @@
         if !row.standby {
             transaction = prepared.put_held(transaction, row.entry, held.saturating_sub(1));
         }
-        Some(Change {
-            attempt: Attempt::new(transaction),
-            group: id,
-            fencing_epoch: row.epoch,
-            row: Some(row),
-            freed: Vec::new(),
-            reason: Reason::Drained,
-        })
+        Some(Change::of_row(id, row, transaction, Reason::Drained))
     }
 
     /// Puts a standby group into service.
@@ -246,14 +239,7 @@
         row.standby = false;
         let mut transaction = prepared.replace(self.transaction(), group_key(id), encode(&row));
         transaction = prepared.put_held(transaction, row.entry, held + 1);
-        Some(Change {
-            attempt: Attempt::new(transaction),
-            group: id,
-            fencing_epoch: row.epoch,
-            row: Some(row),
-            freed: Vec::new(),
-            reason: Reason::Promoted,
-        })
+        Some(Change::of_row(id, row, transaction, Reason::Promoted))
     }
 
     fn move_slots(&mut self, id: GroupId, prepared: &Prepared) -> Option<Change> {
@@ -264,14 +250,7 @@
         row.slots = self.reassigned_slots(id)?;
         row.moves += 1;
         let transaction = prepared.replace(self.transaction(), group_key(id), encode(&row));
-        Some(Change {
-            attempt: Attempt::new(transaction),
-            group: id,
-            fencing_epoch: row.epoch,
-            row: Some(row),
-            freed: Vec::new(),
-            reason: Reason::SlotsMoved,
-        })
+        Some(Change::of_row(id, row, transaction, Reason::SlotsMoved))
     }
 
     /// Returns whether all of these VMs are still listed and neither leaving, marked out nor left
