Count crashes of a group that answered again after a failure

Found while reading the mends: an attempt was taken for later than its group's failure, and so not counted, for up to 15 s after a loss that proved false (the VM was back and served on), and after a broken attempt of long ago where the next one ended without an answer.

An answer of the group now ends its known loss too, and old failures are dropped before each look. crashes_of_recovered_group_counted fails in both cases on the code before and passes now.

--- a/crates/tanagerhub_traffic/src/crash_record.rs
+++ b/crates/tanagerhub_traffic/src/crash_record.rs
@@ -246,7 +246,8 @@
         !self.is_confirmed && now.since(self.period.until) < CONFIRMATION_TIMEOUT
     }
 
-    fn is_broken(&self, now: Moment) -> bool {
+    /// Returns whether the event is a suspicion of a broken attempt that may still be confirmed.
+    pub(crate) fn is_broken(&self, now: Moment) -> bool {
         self.evidence == Evidence::Broken && self.is_pending(now)
     }
 }
--- a/crates/tanagerhub_traffic/src/crash_sharing.rs
+++ b/crates/tanagerhub_traffic/src/crash_sharing.rs
@@ -28,11 +28,14 @@
     pub fn take_row_changes(&mut self, now: Moment) -> CrashRowChanges {
         let mut puts = Vec::new();
         for (fingerprint, record) in &mut self.records {
+            if !record.events.iter().any(|event| event.needs_row(now)) {
+                continue;
+            }
             let strikes = record.own_possible_strikes(now, self.quarantine);
             if !record.is_settled && strikes < STRIKE_LIMIT {
                 continue;
             }
-            for event in record.events.iter_mut().filter(|event| event.is_own) {
+            for event in &mut record.events {
                 if puts.len() < MAX_ROWS_PER_CHANGE && event.needs_row(now) {
                     event.row = event.wanted_row();
                     puts.push((event.key(*fingerprint), event.to_row(now)));
@@ -160,13 +163,12 @@
         }
     }
 
-    /// Returns whether the store should hold more of this event than it does.
+    /// Returns whether this node should write more of its event to the store than it did.
     ///
     /// Without a confirmation, only a broken attempt is worth a row.
     fn needs_row(&self, now: Moment) -> bool {
-        let is_evidence =
-            self.is_confirmed || (self.evidence == Evidence::Broken && self.is_pending(now));
-        is_evidence && self.row < self.wanted_row()
+        let is_evidence = self.is_confirmed || self.is_broken(now);
+        self.is_own && is_evidence && self.row < self.wanted_row()
     }
 
     const fn wanted_row(&self) -> RowState {
--- a/crates/tanagerhub_traffic/src/crash_table.rs
+++ b/crates/tanagerhub_traffic/src/crash_table.rs
@@ -127,11 +127,13 @@
             started,
             evidence,
         } = attempt;
+        self.down_since
+            .retain(|_, since| now.since(*since) < DOWN_TIME);
+        self.lost_at
+            .retain(|_, at| now.since(*at) < CONFIRMATION_TIMEOUT);
         if evidence == Evidence::Broken {
             self.record_broken_attempt(now, group, epoch);
         }
-        self.lost_at
-            .retain(|_, at| now.since(*at) < CONFIRMATION_TIMEOUT);
         let lost_at = self.lost_at.get(&(group, epoch)).copied();
         let failed_at = self.down_since.get(&(group, epoch)).copied().or(lost_at);
         // An attempt that started after the group had failed can't be the cause.
@@ -187,6 +189,7 @@
     /// Records that a group began a response, so that it is up.
     pub(crate) fn record_response(&mut self, group: GroupId, epoch: Epoch) {
         self.down_since.remove(&(group, epoch));
+        self.lost_at.remove(&(group, epoch));
     }
 
     /// Clears a request that a group has run without a crash.
@@ -297,8 +300,6 @@
             self.broken_attempts.pop_front();
         }
         self.broken_attempts.push_back((now, group));
-        self.down_since
-            .retain(|_, since| now.since(*since) < DOWN_TIME);
         self.down_since.entry((group, epoch)).or_insert(now);
     }
 
--- a/crates/tanagerhub_traffic/tests/failures.rs
+++ b/crates/tanagerhub_traffic/tests/failures.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use support::traffic_simulation::{SHOP, TrafficSimulation};
-use tanagerhub_catalogue::Epoch;
+use tanagerhub_catalogue::{Epoch, GroupId};
 use tanagerhub_traffic::{
     AttemptEvent, CrashFact, Decision, GroupObservation, Next, Outcome, Reason, Repeat, Route,
 };
@@ -522,3 +522,36 @@
     assert_eq!(sent.len(), 2, "one suspect and the unsuspected request");
     assert!(sent.contains(&unsuspected));
 }
+
+#[parameterized(
+    after_false_loss = { true },
+    after_old_break = { false },
+)]
+fn crashes_of_recovered_group_counted(lost_before: bool) {
+    let mut simulation = TrafficSimulation::new(1);
+    let (group, epoch) = (GroupId(1), Epoch(1));
+    if lost_before {
+        let lost = [(group, epoch)];
+        simulation.traffic.record_losses(simulation.now, &lost);
+        simulation.advance(100);
+        let info = simulation.info(SHOP).attempts(1);
+        let answered = simulation.submit_dispatched(info);
+        simulation.report(answered.attempt, AttemptEvent::FirstByte);
+        simulation.report(answered.attempt, AttemptEvent::Finished { tokens: 1 });
+    } else {
+        let info = simulation.info(SHOP).attempts(1);
+        let broken = simulation.submit_dispatched(info);
+        simulation.report(broken.attempt, AttemptEvent::Broke);
+        simulation.advance(6_000);
+    }
+    simulation.advance(100);
+    let info = simulation.info(SHOP).fingerprint(99).attempts(1);
+    let crashing = simulation.submit_dispatched(info);
+    simulation.advance(600);
+    simulation.report(crashing.attempt, AttemptEvent::CallerLeft);
+    simulation
+        .traffic
+        .record_losses(simulation.now, &[(group, epoch)]);
+    let crashes = simulation.traffic.crash_table();
+    assert!(crashes.is_suspect(simulation.now, 99));
+}
