Count a crash for the epoch at which its attempt ran

Callers could still see a request end one silent server after the other.

Cause: when an attempt ended, its crash was looked for at the epoch that the group had by then. A group that loses a member is renewed under the next epoch within a second; a caller of a silent server leaves after two. So neither the loss nor a withdrawal matched, and the crash was not counted. A broken attempt that was reported late fared the same.

An attempt now keeps the epoch at which it was started. Evidence: crashes_noticed_after_renewal_counted fails in its three cases on the code before and passes now.

--- a/crates/tanagerhub_traffic/src/in_flight.rs
+++ b/crates/tanagerhub_traffic/src/in_flight.rs
@@ -4,6 +4,7 @@
 
 use slotmap::new_key_type;
 use smallvec::SmallVec;
+use tanagerhub_catalogue::Epoch;
 use tanagerhub_clock::Moment;
 
 use crate::groups::GroupKey;
@@ -77,6 +78,8 @@
 pub(crate) struct Attempt {
     pub(crate) request: RequestKey,
     pub(crate) group: GroupKey,
+    /// The group's epoch when the attempt started; the group may have been renewed since.
+    pub(crate) epoch: Epoch,
     pub(crate) started: Moment,
     pub(crate) progress: Progress,
     /// Wait for the first byte; zero until it is received.
--- a/crates/tanagerhub_traffic/src/traffic/dispatch.rs
+++ b/crates/tanagerhub_traffic/src/traffic/dispatch.rs
@@ -70,6 +70,7 @@
         let attempt = self.attempts.insert(Attempt {
             request: key,
             group: choice.group,
+            epoch: group.route.epoch,
             started: now,
             progress: Progress::Nothing,
             first_byte_wait: Duration::ZERO,
--- a/crates/tanagerhub_traffic/src/traffic/reports.rs
+++ b/crates/tanagerhub_traffic/src/traffic/reports.rs
@@ -118,7 +118,7 @@
         if let Some(group) = self.groups.arena.get_mut(attempt.group) {
             group.first_byte(now, wait);
             self.crashes
-                .record_response(group.route.group, group.route.epoch);
+                .record_response(group.route.group, attempt.epoch);
         }
         let Some(state) = self.requests.get_mut(request) else {
             return Next::Done;
@@ -217,7 +217,7 @@
             let failed = FailedAttempt {
                 fingerprint: request.info.fingerprint,
                 group: group.route.group,
-                epoch: group.route.epoch,
+                epoch: attempt.epoch,
                 started: attempt.started,
                 evidence,
             };
--- a/crates/tanagerhub_traffic/tests/failures.rs
+++ b/crates/tanagerhub_traffic/tests/failures.rs
@@ -555,3 +555,23 @@
     let crashes = simulation.traffic.crash_table();
     assert!(crashes.is_suspect(simulation.now, 99));
 }
+
+#[parameterized(
+    broke = { AttemptEvent::Broke },
+    silent = { AttemptEvent::Silent },
+    caller_left = { AttemptEvent::CallerLeft },
+)]
+fn crashes_noticed_after_renewal_counted(event: AttemptEvent) {
+    let mut simulation = TrafficSimulation::new(1);
+    let info = simulation.info(SHOP).fingerprint(99).attempts(1);
+    let crashing = simulation.submit_dispatched(info);
+    simulation.advance(100);
+    let lost = [(crashing.group, crashing.epoch)];
+    simulation.traffic.record_losses(simulation.now, &lost);
+    simulation.table.routes[0].epoch = Epoch(2);
+    simulation.apply_routes();
+    simulation.advance(1_000);
+    simulation.report(crashing.attempt, event);
+    let facts = simulation.traffic.crash_table().facts(simulation.now, 1);
+    assert_eq!(facts.first().map(|fact| fact.strikes), Some(1));
+}
