Report observations for the epoch at which their attempt ran

A failure of a former epoch had the members of the renewed group probed, and on the product's own interface a token from a former epoch attested the renewed group as complete.

observation_names_epoch_of_attempt fails in its four cases on the code before and passes now.

--- a/crates/tanagerhub_traffic/src/traffic/reports.rs
+++ b/crates/tanagerhub_traffic/src/traffic/reports.rs
@@ -100,7 +100,7 @@
             && group.mark_cold(now)
         {
             self.counters.turned_cold += 1;
-            let (group, epoch) = (group.route.group, group.route.epoch);
+            let (group, epoch) = (group.route.group, self.attempts[key].epoch);
             self.record_observation(GroupObservation::Cold { group, epoch });
         }
         Next::Continue
@@ -196,7 +196,7 @@
         if let Some(group) = self.groups.arena.get_mut(self.attempts[key].group)
             && group.should_report_complete(now)
         {
-            let (group, epoch) = (group.route.group, group.route.epoch);
+            let (group, epoch) = (group.route.group, self.attempts[key].epoch);
             self.record_observation(GroupObservation::Responded { group, epoch });
         }
     }
@@ -247,7 +247,7 @@
     fn group_silent(&mut self, now: Moment, key: AttemptKey) -> Next {
         if let Some(group) = self.groups.arena.get_mut(self.attempts[key].group) {
             group.suspend(now);
-            let (group, epoch) = (group.route.group, group.route.epoch);
+            let (group, epoch) = (group.route.group, self.attempts[key].epoch);
             self.record_observation(GroupObservation::Failed { group, epoch });
         }
         self.suspect_crash(now, key, self.evidence_without_end(key));
@@ -296,7 +296,7 @@
     fn fail_group(&mut self, now: Moment, key: AttemptKey) {
         if let Some(group) = self.groups.arena.get_mut(self.attempts[key].group) {
             group.record_failure(now);
-            let (group, epoch) = (group.route.group, group.route.epoch);
+            let (group, epoch) = (group.route.group, self.attempts[key].epoch);
             self.record_observation(GroupObservation::Failed { group, epoch });
         }
     }
--- a/crates/tanagerhub_traffic/tests/failures.rs
+++ b/crates/tanagerhub_traffic/tests/failures.rs
@@ -575,3 +575,23 @@
     let facts = simulation.traffic.crash_table().facts(simulation.now, 1);
     assert_eq!(facts.first().map(|fact| fact.strikes), Some(1));
 }
+
+#[parameterized(
+    cold = { AttemptEvent::Cold, |group, epoch| GroupObservation::Cold { group, epoch } },
+    responded = { AttemptEvent::Token(1), |group, epoch| GroupObservation::Responded { group, epoch } },
+    failed = { AttemptEvent::Broke, |group, epoch| GroupObservation::Failed { group, epoch } },
+    silent = { AttemptEvent::Silent, |group, epoch| GroupObservation::Failed { group, epoch } },
+)]
+fn observation_names_epoch_of_attempt(
+    event: AttemptEvent,
+    observation: fn(GroupId, Epoch) -> GroupObservation,
+) {
+    let mut simulation = TrafficSimulation::new(1);
+    let info = simulation.info(SHOP);
+    let dispatch = simulation.submit_dispatched(info);
+    simulation.table.routes[0].epoch = Epoch(2);
+    simulation.apply_routes();
+    simulation.report(dispatch.attempt, event);
+    let observations = simulation.traffic.take_observations();
+    assert_eq!(observations, [observation(dispatch.group, Epoch(1))]);
+}
