--- /dev/null
+++ b/crates/tanagerhub/tests/support/backend_server.rs
@@ -0,0 +1,150 @@
+//! Scripted backend servers on loopback.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use async_std::io::prelude::*;
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task;
+
+/// The response of a backend server to one request: parts to write in order. Then it closes the
+/// connection, or keeps it open without sending anything.
+#[derive(Debug, Clone, Default)]
+pub struct Script {
+    pub parts: Vec<Vec<u8>>,
+    pub keep_open: bool,
+    /// The delay before the first byte.
+    pub delay: Duration,
+    /// Whether the backend server ends and accepts no more connections.
+    pub crash: bool,
+}
+
+impl Script {
+    /// Returns a response with this status and body.
+    pub fn response(status: u16, headers: &str, body: &str) -> Self {
+        let length = body.len();
+        let text =
+            format!("HTTP/1.1 {status} X\r\n{headers}Content-Length: {length}\r\n\r\n{body}");
+        Self {
+            parts: vec![text.into_bytes()],
+            ..Self::default()
+        }
+    }
+
+    /// Returns a stream of the events `from..=to`, either complete or cut off after the last one.
+    pub fn events(from: u32, to: u32, complete: bool) -> Self {
+        let head = "HTTP/1.1 200 X\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n";
+        let mut parts = vec![head.as_bytes().to_vec()];
+        for id in from..=to {
+            let event = format!("id: {id}\ndata: {id}\n\n");
+            parts.push(format!("{:x}\r\n{event}\r\n", event.len()).into_bytes());
+        }
+        if complete {
+            parts.push(b"0\r\n\r\n".to_vec());
+        }
+        Self {
+            parts,
+            ..Self::default()
+        }
+    }
+
+    /// Returns a script that sends nothing and keeps the connection open.
+    pub fn silence() -> Self {
+        Self {
+            keep_open: true,
+            ..Self::default()
+        }
+    }
+
+    /// Returns a script that ends the backend server without a response.
+    pub fn crash() -> Self {
+        Self {
+            crash: true,
+            ..Self::default()
+        }
+    }
+
+    /// Adds a delay before the first byte.
+    pub fn after(self, delay: Duration) -> Self {
+        Self { delay, ..self }
+    }
+}
+
+/// A backend server on loopback that records the requests that it receives.
+#[derive(Debug, Clone)]
+pub struct BackendServer {
+    pub address: SocketAddr,
+    request_heads: Arc<Mutex<Vec<String>>>,
+    scripts: Arc<Mutex<Vec<Script>>>,
+    /// The task that accepts connections, while the backend server runs.
+    accept_task: Arc<Mutex<Option<task::JoinHandle<()>>>>,
+}
+
+impl BackendServer {
+    /// Starts a backend server that runs the scripts in order, one per request, and repeats the
+    /// last one.
+    pub async fn start(scripts: Vec<Script>) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let backend = Self {
+            address: listener.local_addr().unwrap(),
+            request_heads: Arc::default(),
+            scripts: Arc::new(Mutex::new(scripts)),
+            accept_task: Arc::default(),
+        };
+        let server = backend.clone();
+        let accept_task = task::spawn(async move {
+            loop {
+                let (stream, _) = listener.accept().await.unwrap();
+                task::spawn(server.clone().serve(stream));
+            }
+        });
+        *backend.accept_task.lock().unwrap() = Some(accept_task);
+        backend
+    }
+
+    /// Returns the heads of the received requests in lower case.
+    pub fn request_heads(&self) -> Vec<String> {
+        self.request_heads.lock().unwrap().clone()
+    }
+
+    fn script(&self) -> Script {
+        let mut scripts = self.scripts.lock().unwrap();
+        if scripts.len() > 1 {
+            return scripts.remove(0);
+        }
+        scripts[0].clone()
+    }
+
+    async fn serve(self, mut stream: TcpStream) {
+        let mut request = Vec::new();
+        let mut buffer = [0; 4_096];
+        while !request.windows(4).any(|end| end == b"\r\n\r\n") {
+            let count = stream.read(&mut buffer).await.unwrap_or(0);
+            if count == 0 {
+                return;
+            }
+            request.extend_from_slice(&buffer[..count]);
+        }
+        let head = String::from_utf8_lossy(&request).to_lowercase();
+        self.request_heads.lock().unwrap().push(head);
+        let script = self.script();
+        if script.crash {
+            let accept_task = self.accept_task.lock().unwrap().take();
+            if let Some(accept_task) = accept_task {
+                accept_task.cancel().await;
+            }
+            return;
+        }
+        task::sleep(script.delay).await;
+        for part in script.parts {
+            if stream.write_all(&part).await.is_err() {
+                return;
+            }
+            task::sleep(Duration::from_millis(2)).await;
+        }
+        if script.keep_open {
+            let _: Result<usize, _> = stream.read(&mut buffer).await;
+        }
+    }
+}
