Log whether a response was complete, and connections that end before it

The hypotheses on LOST (docs/incidents/streams-given-up-in-silence.md) can't be told apart where a request leaves no line at all. Added: complete in request ended, silent_ms in stream broke, a line where the connection of a request ends before its response, and a counter of incomplete responses by cause.

--- a/crates/tanagerhub/src/gateway/exchange.rs
+++ b/crates/tanagerhub/src/gateway/exchange.rs
@@ -59,6 +59,8 @@
     last_group: Option<(GroupId, Epoch)>,
     /// When the first response or the first bytes of a stream arrived.
     first_byte: Option<Moment>,
+    /// Whether the log has reported the end of the request.
+    ended: bool,
 }
 
 /// A response that has been read completely.
@@ -382,8 +384,8 @@
         request
     }
 
-    fn finish_buffered(&self, response: BufferedResponse) -> Response<ResponseBody> {
-        self.log_end(response.status, "answered");
+    fn finish_buffered(&mut self, response: BufferedResponse) -> Response<ResponseBody> {
+        self.log_end(response.status, "answered", true);
         response.into_response()
     }
 
@@ -391,16 +393,21 @@
     /// node's own failure.
     fn fail(mut self, failure: Failure) -> Response<ResponseBody> {
         if let Some(response) = self.last_failure.take() {
-            self.log_end(response.status, "failed by the backend server");
+            self.log_end(response.status, "failed by the backend server", true);
             return response.into_response();
         }
-        self.log_end(failure.status, &failure.reason);
+        self.log_end(failure.status, &failure.reason, true);
         failure.into_response()
     }
 
-    pub(crate) fn log_end(&self, status: StatusCode, outcome: &str) {
+    /// Logs the end of the request; `complete` tells whether its caller gets a whole response.
+    pub(crate) fn log_end(&mut self, status: StatusCode, outcome: &str, complete: bool) {
+        self.trace.ended = true;
         let took = self.frontend.clock.now().since(self.call.arrived);
         self.frontend.metrics.request(status.as_u16(), took);
+        if !complete {
+            self.frontend.metrics.incomplete_response("cut");
+        }
         let first = self.trace.first_byte.map(|at| at.since(self.call.arrived));
         let (group, epoch) = self.trace.last_group.unzip();
         let group = group.map(|group| group.to_string());
@@ -408,6 +415,7 @@
             request = self.call.id.as_str(),
             status = status.as_u16(),
             outcome,
+            complete,
             attempts = self.trace.attempts,
             group = group.as_deref(),
             epoch = epoch.map(|epoch| epoch.0),
@@ -418,6 +426,29 @@
     }
 }
 
+impl Drop for Exchange {
+    /// Logs a request whose connection ended before its response.
+    fn drop(&mut self) {
+        if self.trace.ended {
+            return;
+        }
+        self.frontend.metrics.incomplete_response("caller_left");
+        let (group, epoch) = self.trace.last_group.unzip();
+        let group = group.map(|group| group.to_string());
+        let first = self.trace.first_byte.map(|at| at.since(self.call.arrived));
+        let took = self.frontend.clock.now().since(self.call.arrived);
+        log::info!(
+            request = self.call.id.as_str(),
+            attempts = self.trace.attempts,
+            group = group.as_deref(),
+            epoch = epoch.map(|epoch| epoch.0),
+            first_ms = first.map(|first| first.as_millis()),
+            took_ms = took.as_millis();
+            "connection ended before the response was complete"
+        );
+    }
+}
+
 /// Returns the decision that follows a failed attempt.
 pub(crate) fn decision_after(next: &Next) -> Result<Decision, Failure> {
     match next {
--- a/crates/tanagerhub/src/gateway/gateway_metrics.rs
+++ b/crates/tanagerhub/src/gateway/gateway_metrics.rs
@@ -18,6 +18,7 @@
     registry: Arc<Mutex<Registry>>,
     requests: Family<Status, Counter>,
     attempts: Family<Outcome, Counter>,
+    incomplete_responses: Family<Outcome, Counter>,
     store_calls: Family<Outcome, Counter>,
     feed_calls: Family<FeedCall, Counter>,
     orders: Family<Outcome, Counter>,
@@ -57,6 +58,7 @@
         let mut registry = Registry::with_prefix("tanagerhub");
         let new_histogram = || Histogram::new(exponential_buckets(0.005, 2.0, 12));
         let (requests, attempts) = (Family::default(), Family::default());
+        let incomplete_responses = Family::default();
         let (store_calls, orders) = (Family::default(), Family::default());
         let (probes, feed_calls) = (Family::default(), Family::default());
         let crash_decisions = Family::default();
@@ -72,6 +74,11 @@
             "Attempts at back ends, by what became of them",
             &attempts,
         );
+        add(
+            "incomplete_responses",
+            "Requests that ended without a complete response, by cause",
+            &incomplete_responses,
+        );
         add(
             "store_calls",
             "Calls of the store, by outcome",
@@ -110,6 +117,7 @@
             registry: Arc::new(Mutex::new(registry)),
             requests,
             attempts,
+            incomplete_responses,
             store_calls,
             feed_calls,
             orders,
@@ -166,6 +174,13 @@
         self.attempts.get_or_create(&Outcome { outcome }).inc();
     }
 
+    pub(crate) fn incomplete_response(&self, outcome: &'static str) {
+        let counter = self
+            .incomplete_responses
+            .get_or_create(&Outcome { outcome });
+        counter.inc();
+    }
+
     pub(crate) fn store_call(&self, outcome: &'static str) {
         self.store_calls.get_or_create(&Outcome { outcome }).inc();
     }
--- a/crates/tanagerhub/src/gateway/streaming.rs
+++ b/crates/tanagerhub/src/gateway/streaming.rs
@@ -158,13 +158,16 @@
     /// Resumes the stream at another group; returns `None` if that is impossible.
     async fn resume_elsewhere(&mut self, cause: BreakCause) -> Option<()> {
         let dispatch = self.started.dispatch;
+        let silence = self.exchange.frontend.clock.now();
+        let silence = silence.since(self.started.watch.last_activity());
         log::info!(
             request = self.exchange.call.id.as_str(),
             group:% = dispatch.group,
             epoch = dispatch.epoch.0,
             fingerprint:% = format_args!("{:016x}", self.exchange.call.fingerprint),
             event = self.relay.tokens(),
-            cause = cause.description().as_str();
+            cause = cause.description().as_str(),
+            silent_ms = silence.as_millis();
             "stream broke"
         );
         self.exchange.frontend.metrics.attempt("stream_broke");
@@ -193,14 +196,14 @@
         let tokens = self.relay.tokens();
         let event = AttemptEvent::Finished { tokens };
         self.exchange.report(self.started.dispatch, event);
-        self.exchange.log_end(self.status, "streamed");
+        self.exchange.log_end(self.status, "streamed", true);
     }
 
     /// Logs the end of an incomplete stream and returns `None`. The response then ends with
     /// [`IncompleteBody`], so that the caller can't mistake it for a complete one.
     fn abort(&mut self, reason: &str) -> Option<()> {
         self.done = true;
-        self.exchange.log_end(self.status, reason);
+        self.exchange.log_end(self.status, reason, false);
         None
     }
 }
