--- a/crates/tanagerhub/tests/gateway.rs
+++ b/crates/tanagerhub/tests/gateway.rs
@@ -2,6 +2,8 @@
 
 #[path = "support/deployment.rs"]
 mod deployment;
+#[path = "gateway/silence.rs"]
+mod silence;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/tanagerhub/tests/support/backend_server.rs
+++ b/crates/tanagerhub/tests/support/backend_server.rs
@@ -16,6 +16,8 @@
     pub keep_open: bool,
     /// The delay before the first byte.
     pub delay: Duration,
+    /// A pause before the part with this index.
+    pub pause: Option<(usize, Duration)>,
     /// Whether the backend server ends and accepts no more connections.
     pub crash: bool,
 }
@@ -69,6 +71,22 @@
     pub fn after(self, delay: Duration) -> Self {
         Self { delay, ..self }
     }
+
+    /// Adds a pause before the part with this index.
+    pub fn pausing(self, part: usize, pause: Duration) -> Self {
+        Self {
+            pause: Some((part, pause)),
+            ..self
+        }
+    }
+
+    /// Keeps the connection open after the last part.
+    pub fn then_silent(self) -> Self {
+        Self {
+            keep_open: true,
+            ..self
+        }
+    }
 }
 
 /// A backend server on loopback that records the requests that it receives.
@@ -137,7 +155,10 @@
             return;
         }
         task::sleep(script.delay).await;
-        for part in script.parts {
+        for (index, part) in script.parts.into_iter().enumerate() {
+            if let Some((_, pause)) = script.pause.filter(|(part, _)| *part == index) {
+                task::sleep(pause).await;
+            }
             if stream.write_all(&part).await.is_err() {
                 return;
             }
--- a/crates/tanagerhub/tests/support/deployment.rs
+++ b/crates/tanagerhub/tests/support/deployment.rs
@@ -3,7 +3,7 @@
 
 mod backend_server;
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -19,20 +19,30 @@
     GatewaySettings, HeadError, KeyHolder, OperatorRow, ResponseKind, Store, Upstream,
 };
 use tanagerhub_catalogue::{
-    Catalogue, CatalogueVersion, Class, Entry, EntryKind, Ingress, IngressRoute, KeyHash, Limits,
-    RouteKind, RouteTarget, ServiceEntry, Vm, VmState,
+    Catalogue, CatalogueVersion, Class, Entry, EntryId, EntryKind, Epoch, GroupId, Ingress,
+    IngressRoute, KeyHash, Limits, RouteKind, RouteTarget, ServiceEntry, Vm, VmState,
 };
 use tanagerhub_clock::{Clock, ManualClock};
-use tanagerhub_groups::{Order, OrderResult, ProbeFailure, VmReport};
+use tanagerhub_groups::{
+    EngineSpec, GroupReport, GroupState, LoadLimit, ModelSpec, Order, OrderResult, ProbeFailure,
+    VmReport,
+};
 use tanagerhub_proxy::ServerLimits;
 use tanagerhub_standins::unused_address;
 use tanagerhub_table::{
     CommitResult, FeedError, FeedPage, RowKey, RowVersion, StoreTime, Transaction, VersionedRow,
     Write,
 };
+use xxhash_rust::xxh3::xxh3_64;
 
 pub use self::backend_server::{BackendServer, Script};
 
+/// The service whose backend servers form groups.
+const ENGINE: &str = "engine";
+/// Its model.
+const MODEL: &str = "model";
+/// The catalogue entry of the model.
+const MODEL_ENTRY: &str = "engine/model";
 /// The step by which the manual clock follows real time.
 const CLOCK_STEP: Duration = Duration::from_millis(1);
 
@@ -150,10 +160,13 @@
 }
 
 /// Engines that accept no orders and report the previous state.
-#[derive(Debug)]
-struct NoEngines;
+#[derive(Debug, Default)]
+pub struct TestEngines {
+    /// Names of VMs that don't respond to probes.
+    pub unreachable: Mutex<BTreeSet<String>>,
+}
 
-impl Engines for NoEngines {
+impl Engines for TestEngines {
     fn order<'a>(
         &'a self,
         _name: &'a str,
@@ -164,7 +177,11 @@
     }
 
     fn report<'a>(&'a self, known: &'a VmReport) -> BoxFuture<'a, Result<VmReport, ProbeFailure>> {
-        Box::pin(async { Ok(known.clone()) })
+        let responds = !self.unreachable.lock().unwrap().contains(&known.vm.name);
+        let result = responds
+            .then(|| known.clone())
+            .ok_or(ProbeFailure::Unanswered);
+        Box::pin(async { result })
     }
 }
 
@@ -215,11 +232,17 @@
             address: word().parse().map_err(|error| format!("{error}"))?,
             data_centre: "here".to_owned(),
             domain: String::new(),
-            state: if word() == "leaving" {
+            state: VmState::Live,
+        };
+        let role = word();
+        let is_head = role == "head";
+        let vm = Vm {
+            state: if role == "leaving" {
                 VmState::Leaving
             } else {
                 VmState::Live
             },
+            ..vm
         };
         Ok(VmReport {
             vm,
@@ -227,9 +250,14 @@
             slots: 4,
             cold_remaining: Duration::ZERO,
             staged: Vec::new(),
-            served_model: None,
+            served_model: is_head.then(|| MODEL.to_owned()),
             busy: None,
-            group: None,
+            group: is_head.then(|| GroupReport {
+                group: GroupId(xxh3_64(name.as_bytes())),
+                epoch: Epoch(1),
+                rank: 0,
+                state: GroupState::Open,
+            }),
         })
     }
 
@@ -247,7 +275,7 @@
             timeout: text("deadline")
                 .and_then(|millis| millis.parse().ok())
                 .map(Duration::from_millis),
-            model: None,
+            model: text("model"),
             prompt_tokens: 0,
             max_tokens: 0,
             last_event: 0,
@@ -285,6 +313,7 @@
 pub struct TestSetup {
     pub store: Arc<MemoryStore>,
     pub dialect: Arc<TestDialect>,
+    pub engines: Arc<TestEngines>,
     pub gateway: Option<Gateway>,
     pub settings: GatewaySettings,
     pub manual_clock: Arc<ManualClock>,
@@ -317,9 +346,10 @@
         let settings = GatewaySettings::new(node, "here", callers, ready)
             .metrics(metrics)
             .retries(1.0, 1_000.0);
+        let engines = Arc::<TestEngines>::default();
         let adapters = Adapters {
             store: Arc::clone(&store) as Arc<dyn Store>,
-            engines: Arc::new(NoEngines),
+            engines: Arc::clone(&engines) as Arc<dyn Engines>,
             dialect: Arc::clone(&dialect) as Arc<dyn Dialect>,
         };
         let metrics = GatewayMetrics::default();
@@ -336,6 +366,7 @@
         Self {
             store,
             dialect,
+            engines,
             gateway: Some(gateway),
             settings,
             manual_clock,
@@ -391,7 +422,7 @@
             version: self.version,
             catalogue: Arc::new(Catalogue {
                 version: CatalogueVersion(self.version),
-                entries: vec![entry("desk"), entry("llm")],
+                entries: vec![entry("desk"), entry("llm"), entry(MODEL_ENTRY)],
                 ..Catalogue::default()
             }),
             ingress: Ingress::new(vec![
@@ -400,8 +431,9 @@
                 route("/public/", RouteKind::Idempotent, "desk", true),
                 route("/stream/", RouteKind::ResumableStream, "llm", false),
                 route("/once/", RouteKind::Stream, "llm", false),
+                route("/grouped/", RouteKind::ResumableStream, ENGINE, false),
             ]),
-            engines: Vec::new(),
+            engines: vec![engine()],
             start_limits: HashMap::new(),
             keys: keys
                 .iter()
@@ -420,6 +452,13 @@
         self.store.put("vms", name, &row);
     }
 
+    /// Writes the row of the head of a group to the store, and waits until the node has received it.
+    pub async fn register_head(&self, name: &str, backend: &BackendServer) {
+        let row = format!("{ENGINE} {} head", backend.address);
+        self.store.put("vms", name, &row);
+        task::sleep(Duration::from_millis(1_300)).await;
+    }
+
     /// Replaces a backend server that has crashed by one at the same address, and waits until the
     /// nodes have received the rows.
     pub async fn replace_backend(&self, name: &str, by: &str, service: &str, at: &BackendServer) {
@@ -459,6 +498,26 @@
     }
 }
 
+/// Returns the engine of a model whose groups are not formed by the node.
+fn engine() -> EngineSpec {
+    EngineSpec {
+        service: ENGINE.to_owned(),
+        slots: 4,
+        models: vec![ModelSpec {
+            name: MODEL.to_owned(),
+            entry: EntryId::of(MODEL_ENTRY),
+            group_size: 0,
+            share: 0.0,
+            load_time: Duration::ZERO,
+            join_time: Duration::ZERO,
+        }],
+        load_limit: LoadLimit {
+            per_second: 1.0,
+            concurrent: 1,
+        },
+    }
+}
+
 async fn exchange(address: SocketAddr, request: &str) -> String {
     let mut stream = TcpStream::connect(address).await.unwrap();
     stream.write_all(request.as_bytes()).await.unwrap();
