Promise nothing for a request that was sent before its key lapsed

What callers would see: a request that may run once had reached a server, its connection broke while the store had not confirmed the keys for too long, and the answer was 503 with Retry-After: not run, come again. It may have run.

Cause: any failure to send counted as a lapsed key while keys were unconfirmed. Now only one that left the server without a byte of the request does.

The test failed before: key_lapsed_after_dispatch_promises_nothing: left: 503 right: 502

--- a/crates/tanagerhub/src/gateway/attempt.rs
+++ b/crates/tanagerhub/src/gateway/attempt.rs
@@ -180,10 +180,13 @@
         .client
         .send(dispatch.address, request, reuse, are_keys_valid)
         .await;
-    if !are_keys_valid() && sent.is_err() {
-        return Err(AttemptError::KeyLapsed);
-    }
-    let mut response = sent.map_err(AttemptError::Send)?;
+    let mut response = sent.map_err(|error| {
+        if error.may_have_run() || are_keys_valid() {
+            AttemptError::Send(error)
+        } else {
+            AttemptError::KeyLapsed
+        }
+    })?;
     let dialect = &frontend.dialect;
     match dialect.response_kind(&call.id, response.status, &response.headers) {
         ResponseKind::NotRun => return Err(AttemptError::NotRun),
--- a/crates/tanagerhub/tests/gateway.rs
+++ b/crates/tanagerhub/tests/gateway.rs
@@ -380,6 +380,26 @@
     });
 }
 
+/// Status 503 would promise that the request has not run.
+#[test]
+fn key_lapsed_after_dispatch_promises_nothing() {
+    task::block_on(async {
+        let breaks = Script::default().after(Duration::from_millis(600));
+        let desk = BackendServer::start(vec![breaks]).await;
+        let setup = TestSetup::with_backends(&[("desk", &desk)]).await;
+        let request = setup.send("POST", "/unsafe/x");
+        let lapse = async {
+            task::sleep(Duration::from_millis(200)).await;
+            setup.store.down.store(true, Ordering::SeqCst);
+            task::sleep(Duration::from_millis(100)).await;
+            setup.manual_clock.advance(setup.settings.key_life);
+        };
+        let (response, ()) = futures_lite::future::zip(request, lapse).await;
+        assert_eq!(status(&response), 502, "{response}");
+        assert_eq!(desk.request_heads().len(), 1);
+    });
+}
+
 #[test]
 fn leaving_backend_server_gets_no_request() {
     task::block_on(async {
