Let a broken stream wait for a group for half of the time that callers wait for events

What callers saw: streams whose server broke were cut 200 ms later, half of the objective, though the objective no longer mattered and seconds were left.

Cause: the queue timeout of a request that waits for its first byte applied to a resumed stream too. It now waits for half of the time after which callers abandon a stream that shows nothing (0.95 s or more).

What callers gain is not measured apart.

--- a/crates/tanagerhub/src/gateway/front.rs
+++ b/crates/tanagerhub/src/gateway/front.rs
@@ -30,6 +30,9 @@
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// The share of its objective for which a request may wait for a group.
 const QUEUE_TIMEOUT_SHARE: f64 = 0.5;
+/// The share of the time that callers wait for an event for which a broken stream may wait for a
+/// group; the group needs the rest until its first event.
+const RESUME_TIMEOUT_SHARE: f64 = 0.5;
 /// The minimum time that callers wait for the first byte of a stream.
 const MIN_FIRST_BYTE_TIMEOUT: Duration = Duration::from_millis(1_900);
 /// The timeout of a request where neither the caller nor the route sets a shorter one.
@@ -244,6 +247,7 @@
         .class(class_of_priority(priority))
         .attempts(route.max_attempts)
         .queue_timeout(route.first_byte_objective.mul_f64(QUEUE_TIMEOUT_SHARE))
+        .resume_timeout(first_byte_timeout(route).mul_f64(RESUME_TIMEOUT_SHARE))
 }
 
 /// Returns the timeout for the first byte of a stream; callers abandon a stream that shows nothing
--- a/crates/tanagerhub_traffic/src/request.rs
+++ b/crates/tanagerhub_traffic/src/request.rs
@@ -67,6 +67,9 @@
     pub attempts: Option<u32>,
     /// Maximum wait for a group; `None` for as long as the deadline allows.
     pub queue_timeout: Option<Duration>,
+    /// Maximum wait for a group that resumes a broken stream; `None` for as long as the deadline
+    /// allows.
+    pub resume_timeout: Option<Duration>,
     /// Time from submission within which the first byte is on time; `None` for no objective.
     pub objective: Option<Duration>,
 }
@@ -88,6 +91,7 @@
             deadline: Moment::ZERO,
             attempts: None,
             queue_timeout: None,
+            resume_timeout: None,
             objective: None,
         }
     }
@@ -117,6 +121,19 @@
         self
     }
 
+    /// Sets the maximum wait for a group that resumes a broken stream.
+    #[must_use]
+    pub const fn resume_timeout(mut self, resume_timeout: Duration) -> Self {
+        self.resume_timeout = Some(resume_timeout);
+        self
+    }
+
+    /// Returns the moment until which a broken stream may wait from now on, at most `latest`.
+    pub(crate) fn resume_deadline(&self, now: Moment, latest: Moment) -> Moment {
+        self.resume_timeout
+            .map_or(latest, |resume_timeout| latest.min(now + resume_timeout))
+    }
+
     /// Returns the moment until which it may wait from now on, at most `latest`.
     pub(crate) fn queue_deadline(&self, now: Moment, latest: Moment) -> Moment {
         self.queue_timeout
--- a/crates/tanagerhub_traffic/src/traffic/queueing.rs
+++ b/crates/tanagerhub_traffic/src/traffic/queueing.rs
@@ -106,7 +106,11 @@
         let entry = self.entries.get_mut(&request.info.entry)?;
         let left = request.info.max_tokens.saturating_sub(request.tokens_sent);
         let until = entry.latest_start(now, request.info.deadline, left);
-        let until = request.info.queue_deadline(now, until);
+        let until = if request.tokens_sent > 0 {
+            request.info.resume_deadline(now, until)
+        } else {
+            request.info.queue_deadline(now, until)
+        };
         if until <= now {
             return None;
         }
--- a/crates/tanagerhub_traffic/tests/routes.rs
+++ b/crates/tanagerhub_traffic/tests/routes.rs
@@ -8,7 +8,8 @@
 use tanagerhub_catalogue::{EntryId, OrganisationId, RequestId};
 use tanagerhub_clock::Moment;
 use tanagerhub_traffic::{
-    AttemptEvent, Decision, Dispatch, Next, Reason, Repeat, RequestInfo, Traffic, TrafficSettings,
+    AttemptEvent, Decision, Dispatch, Next, Reason, Repeat, RequestInfo, RouteTable, Traffic,
+    TrafficSettings,
 };
 use yare::parameterized;
 
@@ -112,6 +113,26 @@
     assert!(matches!(ended[..], [(RequestId(2), Decision::Refuse(_))]));
 }
 
+/// The objective no longer matters to a stream whose caller has its first events.
+#[parameterized(
+    waiting = { 0, 200 },
+    streaming = { 3, 900 },
+)]
+fn broken_stream_waits_for_group(tokens: u32, wait: u64) {
+    let mut traffic = traffic(settings(), &[(1, 1, None)]);
+    let request = info(1, START).repeat(Repeat::Resume);
+    let request = request.resume_timeout(Duration::from_millis(900));
+    let first = dispatched(&traffic.submit(START, request));
+    if tokens > 0 {
+        traffic.report(START, first.attempt, AttemptEvent::Token(tokens));
+    }
+    traffic.apply_routes(START, RouteTable { routes: Vec::new() });
+    let next = traffic.report(START, first.attempt, AttemptEvent::Broke);
+    assert_eq!(next, Next::Wait(at(wait)));
+    assert!(traffic.poll(at(wait - 1)).is_empty());
+    assert_eq!(traffic.poll(at(wait)).len(), 1);
+}
+
 #[test]
 fn report_request_attempts_used() {
     let mut traffic = traffic(settings(), &[(1, 9, None), (2, 9, None), (3, 9, None)]);
