Read a row that had to exist and is gone as overwritten, not as unchanged

After a lost answer, Attempt::read_back took a missing row for proof that the transaction was not applied, also where the transaction required a version of that row: the row was then deleted since, by itself or after this write. No caller acted on the difference so far (fleet and membership treat both alike), so callers saw nothing.

Test (before: left NotApplied, right Overwritten): read_back_classifies_missing_row:: required_version in tanagerhub_table, attempt.

--- a/crates/tanagerhub_table/src/attempt.rs
+++ b/crates/tanagerhub_table/src/attempt.rs
@@ -43,11 +43,11 @@
 pub enum ReadBack {
     /// The row carries the transaction's id, so the transaction was applied.
     Applied,
-    /// The row carries another id: the transaction was not applied, or another transaction has
-    /// overwritten the row since.
+    /// The row carries another id, or is gone although it had to exist: the transaction was not
+    /// applied, or another transaction has overwritten or deleted the row since.
     Overwritten,
-    /// The row is unchanged or absent: the transaction was not applied, unless another one has
-    /// deleted the row since. A copy of the request may still arrive at the table.
+    /// The row is unchanged: the transaction was not applied, unless it created the row and another
+    /// one has deleted it since. A copy of the request may still arrive at the table.
     NotApplied,
 }
 
@@ -99,22 +99,14 @@
     }
 
     fn classify_row(&self, row: Option<&Row>) -> ReadBack {
-        let Some(row) = row else {
-            return ReadBack::NotApplied;
-        };
-        if row.transaction == self.transaction.id {
+        if row.is_some_and(|row| row.transaction == self.transaction.id) {
             return ReadBack::Applied;
         }
-        let unchanged = self
-            .transaction
-            .conditions
-            .iter()
-            .any(|condition| match condition {
-                crate::Condition::Version { key, version } => {
-                    *key == row.key && *version == row.version
-                }
-                crate::Condition::Absent { .. } => false,
-            });
+        let key = row.map(|row| &row.key).or_else(|| self.read_back_key());
+        let version = row.map(|row| row.version);
+        let mut conditions = self.transaction.conditions.iter();
+        let condition = conditions.find(|condition| Some(condition.key()) == key);
+        let unchanged = condition.map_or(row.is_none(), |condition| condition.holds(version));
         if unchanged {
             ReadBack::NotApplied
         } else {
--- a/crates/tanagerhub_table/tests/attempt.rs
+++ b/crates/tanagerhub_table/tests/attempt.rs
@@ -35,6 +35,23 @@
     assert_eq!(attempt.read_back(Some(&row)), expected);
 }
 
+#[parameterized(
+    required_version = { Some(RowVersion(4)), ReadBack::Overwritten },
+    required_absent = { None, ReadBack::NotApplied },
+)]
+fn read_back_classifies_missing_row(required: Option<RowVersion>, expected: ReadBack) {
+    let key = RowKey::new("group/1");
+    let sent = Transaction::new(SENT);
+    let sent = match required {
+        Some(version) => sent.require_version(key.clone(), version),
+        None => sent.require_absent(key.clone()),
+    };
+    let mut attempt = Attempt::new(sent.put(key, Vec::new()));
+    attempt.record_outcome(&CommitOutcome::Unknown);
+    assert_eq!(attempt.read_back(None), expected);
+    assert_eq!(attempt.state(), AttemptState::NotApplied);
+}
+
 #[test]
 fn record_outcome_unknown_requires_read_back() {
     let mut attempt = attempt();
