Renew attestations of known groups at the limit, and limit merged ones

The limit of 4,096 groups stood outside the directory: at the limit a node's own newer attestations of groups it knew were dropped, so that complete groups would have gone out of use after their TTL, while what peers sent was merged past every limit. The limit now stands where attestations are recorded and holds for unknown groups only, from both sides.

--- a/crates/tanagerhub_membership/src/attestations.rs
+++ b/crates/tanagerhub_membership/src/attestations.rs
@@ -17,6 +17,8 @@
 const BUCKETS: usize = 16;
 /// Number of low bits of a group's id that do not select its bucket.
 const BUCKET_SHIFT: u32 = u64::BITS - BUCKETS.trailing_zeros();
+/// Maximum number of groups; at the limit, other groups are ignored until some expire.
+const MAX_GROUPS: usize = 4_096;
 /// Maximum number of attestations listed in full in one batch.
 const MAX_LISTED: usize = 60;
 
@@ -74,12 +76,15 @@
 
 impl Attestations {
     /// Records that a group was complete at a moment. Returns whether the attestation is newer
-    /// than the recorded one.
+    /// than the recorded one, or the first of its group and within [`MAX_GROUPS`].
     pub(crate) fn record(&mut self, group: GroupId, new: Attestation) -> bool {
         let old = self.known.get(&group).copied();
         if old.is_some_and(|old| (old.epoch, old.at) >= (new.epoch, new.at)) {
             return false;
         }
+        if old.is_none() && self.known.len() >= MAX_GROUPS {
+            return false;
+        }
         self.known.insert(group, new);
         if old.is_none_or(|old| old.epoch != new.epoch) {
             self.rehash(bucket_of(group));
--- a/crates/tanagerhub_membership/src/shared_facts.rs
+++ b/crates/tanagerhub_membership/src/shared_facts.rs
@@ -10,11 +10,11 @@
 use crate::attestations::{Attestation, Attestations};
 use crate::{AgedFact, AttestationBatch, DirectoryDigest, Fact, FactBatch, FactKey, WireFact};
 
-/// Maximum number of attestations, and of other facts; at the limit, [`SharedFacts::record`] drops
-/// every attestation, and other facts with new keys, until some expire.
-const MAX_FACTS: usize = 4_096;
+/// Maximum number of facts other than attestations; at the limit, [`SharedFacts::record`] drops
+/// facts with new keys until some expire.
+const MAX_OTHER: usize = 4_096;
 /// Maximum number of facts other than attestations in one batch.
-const MAX_OTHER: usize = 12;
+const MAX_LISTED: usize = 12;
 
 #[derive(Debug, Clone, Copy)]
 struct KnownFact {
@@ -63,11 +63,8 @@
             health,
         } = aged.fact
         {
-            let room = self.attested.len() < MAX_FACTS;
-            return room
-                && self
-                    .attested
-                    .record(group, Attestation { epoch, health, at });
+            let attestation = Attestation { epoch, health, at };
+            return self.attested.record(group, attestation);
         }
         let key = aged.fact.key();
         let new = KnownFact {
@@ -77,7 +74,7 @@
         let order = |known: &KnownFact| (known.fact.precedence(), known.at);
         match self.others.get(&key) {
             Some(old) if order(&new) <= order(old) => return false,
-            None if self.others.len() >= MAX_FACTS => return false,
+            None if self.others.len() >= MAX_OTHER => return false,
             Some(_) | None => {}
         }
         self.others.insert(key, new);
@@ -166,7 +163,7 @@
         let before = until.map(|end| self.others.range((Bound::Unbounded, end)));
         let all = after.chain(before.into_iter().flatten());
         let all = all.filter(|(_, known)| wanted(&known.fact));
-        let window: Vec<_> = all.take(MAX_OTHER).map(|(_, known)| *known).collect();
+        let window: Vec<_> = all.take(MAX_LISTED).map(|(_, known)| *known).collect();
         self.cursor = window.last().map(|known| known.fact.key());
         let item = |known: &KnownFact| WireFact::new(known.fact, now.since(known.at));
         window.iter().map(item).collect()
--- a/crates/tanagerhub_membership/tests/shared_facts.rs
+++ b/crates/tanagerhub_membership/tests/shared_facts.rs
@@ -60,6 +60,35 @@
     assert_eq!(facts.len(), 4_096);
 }
 
+/// Records as many attestations as fit, from the group `first` on.
+fn fill(facts: &mut SharedFacts, first: u64, now: Moment) {
+    for group in first..first + 5_000 {
+        record(facts, attested(group, 1), 0, now);
+    }
+    assert_eq!(facts.len(), 4_096);
+}
+
+#[test]
+fn record_beyond_size_renews_known_group() {
+    let mut facts = SharedFacts::default();
+    fill(&mut facts, 0, Moment::ZERO);
+    let later = Moment::from_millis(1_000);
+    assert!(record(&mut facts, attested(7, 1), 0, later));
+    assert!(record(&mut facts, attested(8, 2), 0, later));
+    assert!(!record(&mut facts, attested(5_000, 1), 0, later));
+    assert_eq!(facts.len(), 4_096);
+}
+
+#[test]
+fn merge_beyond_size() {
+    let (mut one, mut two) = (SharedFacts::default(), SharedFacts::default());
+    let now = Moment::from_millis(10_000);
+    fill(&mut one, 10_000, now);
+    fill(&mut two, 0, now);
+    transfer(&mut one, &mut two, 0, now);
+    assert_eq!(two.len(), 4_096);
+}
+
 #[test]
 fn expire_by_kind() {
     let mut facts = SharedFacts::default();
