Record a group as drained when it has drained, not when that begins

The decisions of a node said drained as soon as the group's row was marked as draining, while requests still ran there, and again when it was dissolved. The first is now recorded as draining; drained stays for the second.

Test (before: left 1, right 0): drained_recorded_once_the_group_has_drained in tanagerhub_fleet, lifecycle.

--- a/crates/tanagerhub_fleet/src/decision.rs
+++ b/crates/tanagerhub_fleet/src/decision.rs
@@ -99,8 +99,9 @@
     Promoted,
     /// A standby group is being dissolved because a replica needs its VMs.
     YieldStandby,
-    /// The group has drained and is being dissolved. Also recorded once its row is marked as
-    /// draining.
+    /// The group's row was marked as draining by this node.
+    Draining,
+    /// The group has drained and is being dissolved.
     Drained,
     /// The group was dissolved by this node, and its VMs are free.
     Dissolved,
--- a/crates/tanagerhub_fleet/src/fleet/transactions.rs
+++ b/crates/tanagerhub_fleet/src/fleet/transactions.rs
@@ -225,7 +225,7 @@
         if !row.standby {
             transaction = prepared.put_held(transaction, row.entry, held.saturating_sub(1));
         }
-        Some(Change::of_row(id, row, transaction, Reason::Drained))
+        Some(Change::of_row(id, row, transaction, Reason::Draining))
     }
 
     /// Puts a standby group into service.
--- a/crates/tanagerhub_fleet/tests/lifecycle.rs
+++ b/crates/tanagerhub_fleet/tests/lifecycle.rs
@@ -134,6 +134,31 @@
     assert!(simulation.view(0, id).is_none());
 }
 
+#[test]
+fn drained_recorded_once_the_group_has_drained() {
+    let mut simulation = formed_simulation(2);
+    let (id, row) = simulation.first_group();
+    let vm = simulation.vms.iter().find(|vm| vm.id() == row.members[1]);
+    let name = vm.expect("the VM is not listed").name.clone();
+    simulation.catalogue.marks.mark_vm(&name, Mark::Out);
+    simulation.send_state_to_all();
+    let drained = |simulation: &Simulation| {
+        let of = |node: &simulation::Node| node.fleet.explain(Subject::Group(id));
+        let all = simulation.nodes.iter().flat_map(of);
+        all.filter(|one| one.reason == Reason::Drained).count()
+    };
+    simulation.run_until(Duration::from_secs(5), |simulation| {
+        simulation.table.groups()[&id].draining
+    });
+    simulation.run(SECOND / 2);
+    assert!(simulation.table.groups().contains_key(&id));
+    assert_eq!(drained(&simulation), 0);
+    simulation.run_until(Duration::from_mins(1), |simulation| {
+        !simulation.table.groups().contains_key(&id)
+    });
+    assert_eq!(drained(&simulation), 1);
+}
+
 #[test]
 fn data_centre_marked_out_and_in() {
     let mut simulation = formed_simulation(3);
