Count a plain service as cold again after it restarted

Responses of a plain service were counted since it was listed or turned cold, and a restart is neither: a service that came back after a crash got full load at its first report, since it had answered eight requests in its former life. A new boot now sets the count to zero and the service to cold.

Test (before: left Serving, right Warming, at both nodes): service_vm_is_cold_after_restart in tanagerhub_fleet, lifecycle.

--- a/crates/tanagerhub_fleet/src/fleet/group.rs
+++ b/crates/tanagerhub_fleet/src/fleet/group.rs
@@ -64,7 +64,7 @@
     pub(super) watch_rank: Option<usize>,
     /// Whether the group was complete at the last tick.
     pub(super) complete: bool,
-    /// The number of responses of a plain service since it was listed or turned cold.
+    /// The number of responses of a plain service since it was listed, restarted or turned cold.
     pub(super) responses: u32,
 }
 
--- a/crates/tanagerhub_fleet/src/fleet/members.rs
+++ b/crates/tanagerhub_fleet/src/fleet/members.rs
@@ -4,7 +4,7 @@
 use tanagerhub_clock::Moment;
 
 use crate::decision::Reason;
-use crate::{EngineState, MemberReport, ProbeFailure};
+use crate::{EngineState, Health, MemberReport, ProbeFailure};
 
 use super::Fleet;
 use super::group::{Group, Member};
@@ -192,6 +192,10 @@
         ReportStatus::Loading | ReportStatus::Misplaced | ReportStatus::Overtaken(_) => {}
     }
     member.present_at = None;
+    if status == ReportStatus::Restarted && !takes_orders {
+        group.responses = 0;
+        group.set_health(sent, Health::Cold);
+    }
     group.invalidate_attestations(sent);
 }
 
--- a/crates/tanagerhub_fleet/src/settings.rs
+++ b/crates/tanagerhub_fleet/src/settings.rs
@@ -88,7 +88,7 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub order_limit: Duration,
     /// The number of responses after which a plain service counts as warm, counted since it was
-    /// listed or turned cold.
+    /// listed, restarted or turned cold.
     pub warm_answers: u32,
     /// The number of decisions that are kept for [`Fleet::explain`](crate::Fleet::explain).
     pub decisions: usize,
--- a/crates/tanagerhub_fleet/tests/lifecycle.rs
+++ b/crates/tanagerhub_fleet/tests/lifecycle.rs
@@ -256,3 +256,44 @@
     simulation.run(3 * SECOND);
     assert_eq!(simulation.eligible(0) + simulation.eligible(1), 0);
 }
+
+#[test]
+fn service_vm_is_cold_after_restart() {
+    let mut vms = domains(3, 1);
+    vms[0].service = Some("shop".to_owned());
+    let mut simulation = Simulation::new(2, vms, model_catalogue(&[("shop", 1, 0, 0)]));
+    let vm = simulation.vms[0].id();
+    simulation.engine(vm).ready_at = Some(simulation.now);
+    simulation.checking = false;
+    simulation.run(3 * SECOND);
+    let view = simulation.views(0).next();
+    let view = view.expect("the service has no group");
+    let answer = |simulation: &mut Simulation, count| {
+        for _ in 0..count {
+            let event = FleetEvent::TokenStreamed {
+                group: view.id,
+                epoch: view.epoch,
+                at: simulation.now,
+            };
+            simulation.deliver(0, event.clone());
+            simulation.deliver(1, event);
+            simulation.step();
+        }
+        simulation.run(SECOND);
+    };
+    let phases = |simulation: &Simulation| {
+        let phase = |index| simulation.view(index, view.id).map(|view| view.phase);
+        [phase(0), phase(1)]
+    };
+    answer(&mut simulation, 8);
+    assert_eq!(phases(&simulation), [Some(Phase::Serving); 2]);
+    simulation.set_condition(vm, simulation::VmCondition::Refusing);
+    simulation.run(3 * SECOND);
+    assert_eq!(phases(&simulation), [Some(Phase::Broken); 2]);
+    simulation.set_condition(vm, simulation::VmCondition::Alive);
+    simulation.engine(vm).ready_at = Some(simulation.now);
+    simulation.run(3 * SECOND);
+    assert_eq!(phases(&simulation), [Some(Phase::Warming); 2]);
+    answer(&mut simulation, 8);
+    assert_eq!(phases(&simulation), [Some(Phase::Serving); 2]);
+}
