--- a/crates/tanagerhub_table/src/store_clock.rs
+++ b/crates/tanagerhub_table/src/store_clock.rs
@@ -11,7 +11,11 @@
 /// The data in a response was current at some moment between the sending of its call and the
 /// arrival of the response. The store's clock narrows this down: a call with a short round trip
 /// gives a precise reference point between the two clocks, from which the moment of a later, slow
-/// response is computed. Every returned moment is a lower bound.
+/// response is computed. Every returned moment is a lower bound if the store's clock is steady.
+///
+/// A step of that clock backward, or forward by more than the response's delay, is detected. A
+/// shorter step forward can't be told from a shorter delay; moments are then too late by the step
+/// until a response arrives within that time.
 ///
 /// # Examples
 ///
