Say that 0 connections must be above zero, not that they are empty

NodeSettings::check reported 0 connections with the error of an empty text, so an operator read that the setting must not be empty; SettingsError::Zero was never built.

Test (before: left Empty, right Zero): check_zero_connections in tanagerhub, node_settings.

--- a/crates/tanagerhub/src/node_settings.rs
+++ b/crates/tanagerhub/src/node_settings.rs
@@ -128,7 +128,7 @@
         DataCentreId::of(&self.data_centre)
     }
 
-    /// Checks that the required settings have a value.
+    /// Checks that the required settings have a value, and numbers are above zero where they must be.
     ///
     /// # Errors
     ///
@@ -143,7 +143,7 @@
             return Err(SettingsError::Empty { setting: "region" });
         }
         if self.max_connections == 0 {
-            return Err(SettingsError::Empty {
+            return Err(SettingsError::Zero {
                 setting: "connections",
             });
         }
@@ -154,7 +154,7 @@
 /// Why a setting is invalid.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum SettingsError {
-    /// A required setting is empty, or a number that must be above zero is zero.
+    /// A required setting is empty.
     #[error("setting \"{setting}\" must not be empty")]
     Empty {
         /// The name of the setting, as in its flag.
