Receive the body of a refused request before its refusal

The gateway checks route and key before it reads the body; a connection whose request isn't read to its end is then closed with unread bytes, so the kernel resets it, and a caller that is still sending finds a failed write in place of its 404, 401, 400 or 413.

Why this works: RequestBody receives and drops the rest of the body for at most 500 ms before the refusal goes out, and the connection stays open for the next request. A body that isn't over by then, or whose caller waits for `100 Continue`, gets its refusal with `Connection: close`; the server then ends its sending side only, and goes on receiving for at most 2 s and 16 MB, so that no reset overtakes the response. The same after a head that is too long or malformed. Dropped bytes are never kept. After a request that was read completely a connection closes at once, as before: what crosses the close must not count as read.

--- a/crates/tanagerhub/src/gateway/front.rs
+++ b/crates/tanagerhub/src/gateway/front.rs
@@ -9,11 +9,10 @@
 use http::request::Parts;
 use http::uri::PathAndQuery;
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt as _, Limited};
 use hyper::body::Incoming;
 use tanagerhub_catalogue::{Class, IngressRoute, KeyHash, OrganisationId, RequestId};
 use tanagerhub_clock::{Clock, Moment};
-use tanagerhub_proxy::{Client, ResponseBody, strip_hop_headers};
+use tanagerhub_proxy::{Client, RequestBody, RequestBodyError, ResponseBody, strip_hop_headers};
 use tanagerhub_traffic::RequestInfo;
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
@@ -57,7 +56,8 @@
     ) -> Response<ResponseBody> {
         let arrived = self.clock.now();
         self.shared.mark_in_use();
-        match self.accept(arrived, request).await {
+        let (parts, mut body) = RequestBody::split(request);
+        match self.accept(arrived, parts, &mut body).await {
             Ok((call, info)) => {
                 let exchange = Exchange::new(Arc::clone(&self), call);
                 exchange.run(info).await
@@ -73,7 +73,8 @@
                     age_ms = self.shared.age().as_millis();
                     "refused at the entry"
                 );
-                refused.failure.into_response()
+                let response = refused.failure.into_response();
+                body.discard(&self.clock, response).await
             }
         }
     }
@@ -82,9 +83,9 @@
     async fn accept(
         &self,
         arrived: Moment,
-        request: Request<Incoming>,
+        mut parts: Parts,
+        body: &mut RequestBody,
     ) -> Result<(Call, RequestInfo), RefusedRequest> {
-        let (mut parts, body) = request.into_parts();
         let head = self.dialect.head(&parts).map_err(|error| {
             RefusedRequest::new("", 0, Failure::new(StatusCode::BAD_REQUEST, error.reason))
         })?;
@@ -198,18 +199,14 @@
         .ok_or_else(|| Failure::new(StatusCode::NOT_FOUND, "no route leads there"))
 }
 
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Failure> {
-    match Limited::new(body, limit).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(Failure::new(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            format!("the body is longer than {limit} bytes"),
-        )),
-        Err(error) => Err(Failure::new(
-            StatusCode::BAD_REQUEST,
-            format!("the body can't be read: {error}"),
-        )),
-    }
+async fn read_body(body: &mut RequestBody, limit: usize) -> Result<Bytes, Failure> {
+    body.read(limit).await.map_err(|error| {
+        let status = match error {
+            RequestBodyError::TooLong { .. } => StatusCode::PAYLOAD_TOO_LARGE,
+            RequestBodyError::Broken(_) => StatusCode::BAD_REQUEST,
+        };
+        Failure::new(status, error.to_string())
+    })
 }
 
 fn root_path() -> PathAndQuery {
--- a/crates/tanagerhub/tests/gateway.rs
+++ b/crates/tanagerhub/tests/gateway.rs
@@ -2,6 +2,8 @@
 
 #[path = "support/deployment.rs"]
 mod deployment;
+#[path = "gateway/framing.rs"]
+mod framing;
 #[path = "gateway/silence.rs"]
 mod silence;
 
--- a/crates/tanagerhub_proxy/src/server.rs
+++ b/crates/tanagerhub_proxy/src/server.rs
@@ -21,6 +21,7 @@
 use tanagerhub_clock::{Clock, Moment};
 
 use crate::ResponseBody;
+use crate::request_body::{UnreadBody, linger};
 use crate::response_body::GuardedBody;
 
 /// Delay after a failed accept, such as when file descriptors are exhausted.
@@ -88,6 +89,8 @@
     in_flight: AtomicUsize,
     /// When the connection last became idle, in milliseconds since the clock's start.
     idle_since_ms: AtomicU64,
+    /// Whether the caller may still be sending the request of the last response.
+    unread: AtomicBool,
     close_tx: Sender<()>,
 }
 
@@ -301,6 +304,7 @@
     let state = Arc::new(ConnectionState {
         in_flight: AtomicUsize::new(0),
         idle_since_ms: AtomicU64::new(shared.now_ms()),
+        unread: AtomicBool::new(false),
         close_tx,
     });
     shared.connections().insert(id, Arc::clone(&state));
@@ -339,7 +343,7 @@
         .max_buf_size(limits.max_head_bytes.max(MIN_BUFFER_BYTES))
         .auto_date_header(false)
         .title_case_headers(true)
-        .serve_connection(FuturesIo::new(stream), service);
+        .serve_connection(FuturesIo::new(stream.clone()), service);
     let mut connection = std::pin::pin!(connection);
     let close_requested = async {
         let _: Result<(), _> = close_rx.recv().await;
@@ -352,23 +356,29 @@
         connection.as_mut().graceful_shutdown();
         connection.await
     };
+    let refused_head = result.as_ref().is_err_and(hyper::Error::is_parse);
     if let Err(error) = result {
         log::debug!(error:%; "a caller's connection failed");
     }
+    if refused_head || state.unread.load(Ordering::Relaxed) {
+        linger(&shared.clock, stream).await;
+    }
 }
 
-/// Keeps the request in flight until the response body is sent; when draining, closes the
-/// connection after the response.
+/// Keeps the request in flight until the response body is sent. When draining, or if the request
+/// has not been read to its end, closes the connection after the response.
 fn finish_response(
     response: Response<ResponseBody>,
     in_flight: InFlightGuard,
 ) -> Response<GuardedBody<InFlightGuard>> {
     let draining = in_flight.shared.draining.load(Ordering::Relaxed);
+    let unread = response.extensions().get::<UnreadBody>().is_some();
+    in_flight.state.unread.store(unread, Ordering::Relaxed);
     let mut response = response.map(|body| GuardedBody {
         body,
         _guard: in_flight,
     });
-    if draining {
+    if draining || unread {
         response
             .headers_mut()
             .insert(CONNECTION, HeaderValue::from_static("close"));
