Close connections that receive a lot without progress of the response

A flooding backend server kept the connection, and a thread of the executor, for as long as it liked, past the deadline of the request.

Each connection now counts what it receives since the request was sent, since the head of its response, and since each chunk of the body. Beyond 1 MB a read fails, which closes the connection as malformed: an idempotent request goes to another backend server, another one gets 502 and is not sent again. What the parser reads ahead is bounded to 128 KB, far below that, so no valid response is affected. Where a server sends little, the deadline of the request closes its connection (slow_endless_response_closed).

--- a/crates/tanagerhub/tests/gateway/framing.rs
+++ b/crates/tanagerhub/tests/gateway/framing.rs
@@ -1,4 +1,6 @@
-//! Bodies of callers and responses of backend servers whose length isn't as usual.
+//! Framing of callers' requests and of backend servers' responses.
 
+#[path = "framing/endless.rs"]
+mod endless;
 #[path = "framing/refusals.rs"]
 mod refusals;
--- a/crates/tanagerhub/tests/support/backend_server.rs
+++ b/crates/tanagerhub/tests/support/backend_server.rs
@@ -2,12 +2,17 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_std::io::prelude::*;
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 
+/// The time for which a response without end is written if the gateway doesn't close its connection.
+const MAX_ENDLESS_TIME: Duration = Duration::from_secs(10);
+/// The size of such a response.
+const MAX_ENDLESS_BYTES: usize = 256 << 20;
+
 /// The response of a backend server to one request: parts to write in order. Then it closes the
 /// connection, or keeps it open without sending anything.
 #[derive(Debug, Clone, Default)]
@@ -18,6 +23,10 @@
     pub delay: Duration,
     /// A pause before the part with this index.
     pub pause: Option<(usize, Duration)>,
+    /// Bytes that are repeated after the last part until the gateway closes the connection.
+    pub endless: Vec<u8>,
+    /// A pause after each repetition of these bytes.
+    pub endless_pause: Duration,
     /// Whether the backend server ends and accepts no more connections.
     pub crash: bool,
 }
@@ -80,6 +89,14 @@
         }
     }
 
+    /// Repeats these bytes after the last part until the gateway closes the connection.
+    pub fn then_endless(self, bytes: &[u8]) -> Self {
+        Self {
+            endless: bytes.to_vec(),
+            ..self
+        }
+    }
+
     /// Keeps the connection open after the last part.
     pub fn then_silent(self) -> Self {
         Self {
@@ -89,12 +106,22 @@
     }
 }
 
+/// The end of a connection on which a backend server sent bytes without end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EndlessResult {
+    /// Whether the gateway closed the connection.
+    pub closed: bool,
+    pub sent_bytes: usize,
+    pub took: Duration,
+}
+
 /// A backend server on loopback that records the requests that it receives.
 #[derive(Debug, Clone)]
 pub struct BackendServer {
     pub address: SocketAddr,
     request_heads: Arc<Mutex<Vec<String>>>,
     scripts: Arc<Mutex<Vec<Script>>>,
+    endless_results: Arc<Mutex<Vec<EndlessResult>>>,
     /// The task that accepts connections, while the backend server runs.
     accept_task: Arc<Mutex<Option<task::JoinHandle<()>>>>,
 }
@@ -108,6 +135,7 @@
             address: listener.local_addr().unwrap(),
             request_heads: Arc::default(),
             scripts: Arc::new(Mutex::new(scripts)),
+            endless_results: Arc::default(),
             accept_task: Arc::default(),
         };
         let server = backend.clone();
@@ -126,6 +154,17 @@
         self.request_heads.lock().unwrap().clone()
     }
 
+    /// Waits until this number of responses without end have ended, and returns how.
+    pub async fn endless_results(&self, count: usize) -> Vec<EndlessResult> {
+        loop {
+            let results = self.endless_results.lock().unwrap().clone();
+            if results.len() >= count {
+                return results;
+            }
+            task::sleep(Duration::from_millis(5)).await;
+        }
+    }
+
     fn script(&self) -> Script {
         let mut scripts = self.scripts.lock().unwrap();
         if scripts.len() > 1 {
@@ -164,8 +203,38 @@
             }
             task::sleep(Duration::from_millis(2)).await;
         }
+        if !script.endless.is_empty() {
+            let result = write_endless(&mut stream, &script.endless, script.endless_pause).await;
+            self.endless_results.lock().unwrap().push(result);
+            return;
+        }
         if script.keep_open {
             let _: Result<usize, _> = stream.read(&mut buffer).await;
         }
     }
 }
+
+/// Repeats bytes until the other side closes the connection, within limits.
+async fn write_endless(stream: &mut TcpStream, bytes: &[u8], pause: Duration) -> EndlessResult {
+    let started = Instant::now();
+    let mut result = EndlessResult {
+        closed: false,
+        sent_bytes: 0,
+        took: Duration::ZERO,
+    };
+    while result.took < MAX_ENDLESS_TIME && result.sent_bytes < MAX_ENDLESS_BYTES {
+        let left = MAX_ENDLESS_TIME.saturating_sub(result.took);
+        let written = async_std::future::timeout(left, stream.write_all(bytes)).await;
+        result.took = started.elapsed();
+        match written {
+            Ok(Ok(())) => result.sent_bytes += bytes.len(),
+            Ok(Err(_)) => {
+                result.closed = true;
+                break;
+            }
+            Err(_) => break,
+        }
+        task::sleep(pause).await;
+    }
+    result
+}
--- a/crates/tanagerhub/tests/support/deployment.rs
+++ b/crates/tanagerhub/tests/support/deployment.rs
@@ -35,7 +35,7 @@
 };
 use xxhash_rust::xxh3::xxh3_64;
 
-pub use self::backend_server::{BackendServer, Script};
+pub use self::backend_server::{BackendServer, EndlessResult, Script};
 
 /// The service whose backend servers form groups.
 const ENGINE: &str = "engine";
--- a/crates/tanagerhub_proxy/src/backend_response.rs
+++ b/crates/tanagerhub_proxy/src/backend_response.rs
@@ -13,7 +13,8 @@
 use hyper::body::Incoming;
 use tanagerhub_clock::Clock;
 
-use crate::pool::{Pool, Sender};
+use crate::metered_stream::ReadMeter;
+use crate::pool::{Connection, Pool};
 
 /// The head of a backend server's response, with the body still to be read.
 #[derive(Debug)]
@@ -58,7 +59,7 @@
 /// A connection that is returned to the pool once the body has been read to its end.
 #[derive(Debug)]
 pub(crate) struct ReusableConnection {
-    pub(crate) sender: Sender,
+    pub(crate) connection: Connection,
     pub(crate) pool: Arc<Pool>,
     pub(crate) announced_idle: Option<Duration>,
 }
@@ -70,6 +71,7 @@
     address: SocketAddr,
     body: Incoming,
     clock: Clock,
+    meter: Arc<ReadMeter>,
     reusable: Option<ReusableConnection>,
     ended: bool,
 }
@@ -88,12 +90,14 @@
         address: SocketAddr,
         body: Incoming,
         clock: Clock,
+        meter: Arc<ReadMeter>,
         reusable: Option<ReusableConnection>,
     ) -> Self {
         Self {
             address,
             body,
             clock,
+            meter,
             reusable,
             ended: false,
         }
@@ -113,6 +117,7 @@
                     if let Ok(bytes) = frame.into_data()
                         && !bytes.is_empty()
                     {
+                        self.meter.record_progress();
                         return Ok(Some(bytes));
                     }
                 }
@@ -143,13 +148,13 @@
     /// Marks the body as complete and returns the connection to the pool.
     fn finish(&mut self) {
         self.ended = true;
-        if let Some(connection) = self.reusable.take() {
+        if let Some(reusable) = self.reusable.take() {
             let now = self.clock.now();
-            connection.pool.put(
+            reusable.pool.put(
                 self.address,
-                connection.sender,
+                reusable.connection,
                 now,
-                connection.announced_idle,
+                reusable.announced_idle,
             );
         }
     }
--- a/crates/tanagerhub_proxy/src/client.rs
+++ b/crates/tanagerhub_proxy/src/client.rs
@@ -1,5 +1,6 @@
 //! HTTP client for requests to backend servers.
 
+use std::error::Error as _;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -16,7 +17,8 @@
 use tanagerhub_clock::Clock;
 
 use crate::backend_response::ReusableConnection;
-use crate::pool::{Pool, Sender};
+use crate::metered_stream::{MeteredStream, ReadMeter};
+use crate::pool::{Connection, Pool};
 use crate::{BackendResponse, BackendResponseBody, PoolLimits, SendError};
 
 /// Minimum wait on a new connection before sending a request that must not run twice; the time that
@@ -25,6 +27,9 @@
 /// Maximum of the same wait, however long the connection took to open.
 const MAX_EARLY_CLOSE_WAIT: Duration = Duration::from_millis(20);
 
+/// Maximum size of a response head, and of what is read ahead of a body.
+const MAX_HEAD_BYTES: usize = 128 << 10;
+
 /// Which connections a request may use.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default)]
 pub enum Reuse {
@@ -88,13 +93,14 @@
         may_send: impl Fn() -> bool,
     ) -> Result<BackendResponse, SendError> {
         loop {
-            let (mut sender, is_new) = self.connection(address, reuse).await?;
+            let (mut connection, is_new) = self.connection(address, reuse).await?;
             if !may_send() {
                 let reason = "sending is no longer allowed".to_owned();
                 return Err(SendError::NotSent { address, reason });
             }
-            match sender.try_send_request(request).await {
-                Ok(response) => return Ok(self.backend_response(address, sender, response)),
+            connection.meter.record_progress();
+            match connection.sender.try_send_request(request).await {
+                Ok(response) => return Ok(self.backend_response(address, connection, response)),
                 Err(mut failure) => match failure.take_message() {
                     // The pooled connection was already closed and no byte was written: retry.
                     Some(unsent) if !is_new => request = unsent,
@@ -129,11 +135,11 @@
         &self,
         address: SocketAddr,
         reuse: Reuse,
-    ) -> Result<(Sender, bool), SendError> {
+    ) -> Result<(Connection, bool), SendError> {
         if reuse == Reuse::Idle
-            && let Some(sender) = self.pool.take(address, self.clock.now())
+            && let Some(connection) = self.pool.take(address, self.clock.now())
         {
-            return Ok((sender, false));
+            return Ok((connection, false));
         }
         let started = self.clock.now();
         let opened = self
@@ -141,18 +147,18 @@
             .timeout(self.connect_timeout, open(address))
             .await;
         let timed_out = || Err(io::Error::from(io::ErrorKind::TimedOut));
-        let sender = opened
+        let connection = opened
             .unwrap_or_else(timed_out)
             .map_err(|error| connect_error(address, &error))?;
         if reuse == Reuse::Never {
             let connect_time = self.clock.now().since(started);
             self.wait_for_early_close(connect_time).await;
-            if sender.is_closed() {
+            if connection.sender.is_closed() {
                 let reason = "closed immediately after it was opened".to_owned();
                 return Err(SendError::ConnectionClosed { address, reason });
             }
         }
-        Ok((sender, true))
+        Ok((connection, true))
     }
 
     /// Waits about one round trip, so that an immediate close by the backend server is received.
@@ -168,36 +174,41 @@
     fn backend_response(
         &self,
         address: SocketAddr,
-        sender: Sender,
+        connection: Connection,
         response: Response<Incoming>,
     ) -> BackendResponse {
         let (head, body) = response.into_parts();
+        let meter = Arc::clone(&connection.meter);
+        meter.record_progress();
         let reusable = (!requests_close(&head.headers)).then(|| ReusableConnection {
-            sender,
+            connection,
             pool: Arc::clone(&self.pool),
             announced_idle: announced_idle_time(&head.headers),
         });
         BackendResponse {
             status: head.status,
             headers: head.headers,
-            body: BackendResponseBody::new(address, body, self.clock.clone(), reusable),
+            body: BackendResponseBody::new(address, body, self.clock.clone(), meter, reusable),
         }
     }
 }
 
-async fn open(address: SocketAddr) -> io::Result<Sender> {
+async fn open(address: SocketAddr) -> io::Result<Connection> {
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
-    let (sender, connection) = http1::Builder::new()
+    let meter = Arc::<ReadMeter>::default();
+    let stream = MeteredStream::new(stream, Arc::clone(&meter));
+    let (sender, task) = http1::Builder::new()
         .title_case_headers(true)
+        .max_buf_size(MAX_HEAD_BYTES)
         .handshake(FuturesIo::new(stream))
         .await
         .map_err(io::Error::other)?;
     task::spawn(async move {
         // Connection errors are reported by the request that uses the connection.
-        drop(connection.await);
+        drop(task.await);
     });
-    Ok(sender)
+    Ok(Connection { sender, meter })
 }
 
 /// Classifies a failure to open a connection.
@@ -214,8 +225,12 @@
 
 /// Classifies a failure after bytes of the request may have been sent.
 fn response_error(address: SocketAddr, error: &hyper::Error) -> SendError {
-    let reason = error.to_string();
-    if error.is_parse() {
+    let cause = error
+        .source()
+        .and_then(|cause| cause.downcast_ref::<io::Error>());
+    let reason = cause.map_or_else(|| error.to_string(), ToString::to_string);
+    let is_invalid = cause.is_some_and(|cause| cause.kind() == io::ErrorKind::InvalidData);
+    if error.is_parse() || is_invalid {
         return SendError::Malformed { address, reason };
     }
     SendError::Broken { address, reason }
--- a/crates/tanagerhub_proxy/src/lib.rs
+++ b/crates/tanagerhub_proxy/src/lib.rs
@@ -8,6 +8,7 @@
 mod backend_response;
 mod client;
 mod hop;
+mod metered_stream;
 mod pool;
 mod request_body;
 mod response_body;
--- /dev/null
+++ b/crates/tanagerhub_proxy/src/metered_stream.rs
@@ -0,0 +1,89 @@
+//! Limits what a connection receives without any progress of its response.
+//!
+//! The HTTP parser itself accepts interim responses, or digits of a chunk's size, without end.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::task::{Context, Poll, ready};
+
+use async_std::net::TcpStream;
+use futures_lite::{AsyncRead, AsyncWrite};
+
+/// Maximum number of bytes between the request, the head of its response and each chunk of the body.
+/// It exceeds what the parser reads ahead.
+const MAX_BYTES_WITHOUT_PROGRESS: usize = 1 << 20;
+
+/// Counts the bytes received since the last progress of a response.
+#[derive(Debug, Default)]
+pub(crate) struct ReadMeter(AtomicUsize);
+
+impl ReadMeter {
+    pub(crate) fn record_progress(&self) {
+        self.0.store(0, Ordering::Relaxed);
+    }
+
+    fn record_bytes(&self, count: usize) {
+        self.0.fetch_add(count, Ordering::Relaxed);
+    }
+
+    fn is_exceeded(&self) -> bool {
+        self.0.load(Ordering::Relaxed) > MAX_BYTES_WITHOUT_PROGRESS
+    }
+}
+
+/// A stream whose reads fail once its meter exceeds the limit.
+#[derive(Debug)]
+pub(crate) struct MeteredStream {
+    stream: TcpStream,
+    meter: Arc<ReadMeter>,
+}
+
+impl MeteredStream {
+    pub(crate) const fn new(stream: TcpStream, meter: Arc<ReadMeter>) -> Self {
+        Self { stream, meter }
+    }
+}
+
+impl AsyncRead for MeteredStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        if self.meter.is_exceeded() {
+            let reason = "too many bytes without progress of the response";
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, reason)));
+        }
+        let count = ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        self.meter.record_bytes(count);
+        Poll::Ready(Ok(count))
+    }
+}
+
+impl AsyncWrite for MeteredStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffers: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(context, buffers)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_close(context)
+    }
+}
--- a/crates/tanagerhub_proxy/src/pool.rs
+++ b/crates/tanagerhub_proxy/src/pool.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,6 +10,8 @@
 use hyper::client::conn::http1::SendRequest;
 use tanagerhub_clock::Moment;
 
+use crate::metered_stream::ReadMeter;
+
 /// How many idle connections are kept, and for how long.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PoolLimits {
@@ -32,7 +34,12 @@
     }
 }
 
-pub(crate) type Sender = SendRequest<Full<Bytes>>;
+/// An open connection to a backend server.
+#[derive(Debug)]
+pub(crate) struct Connection {
+    pub(crate) sender: SendRequest<Full<Bytes>>,
+    pub(crate) meter: Arc<ReadMeter>,
+}
 
 #[derive(Debug)]
 pub(crate) struct Pool {
@@ -42,7 +49,7 @@
 
 #[derive(Debug)]
 struct IdleConnection {
-    sender: Sender,
+    connection: Connection,
     expires_at: Moment,
 }
 
@@ -55,12 +62,12 @@
     }
 
     /// Removes and returns the most recently used connection that is still usable.
-    pub(crate) fn take(&self, address: SocketAddr, now: Moment) -> Option<Sender> {
+    pub(crate) fn take(&self, address: SocketAddr, now: Moment) -> Option<Connection> {
         let mut idle = self.lock();
         let connections = idle.get_mut(&address)?;
-        while let Some(connection) = connections.pop() {
-            if now < connection.expires_at && connection.sender.is_ready() {
-                return Some(connection.sender);
+        while let Some(idle) = connections.pop() {
+            if now < idle.expires_at && idle.connection.sender.is_ready() {
+                return Some(idle.connection);
             }
         }
         None
@@ -70,7 +77,7 @@
     pub(crate) fn put(
         &self,
         address: SocketAddr,
-        sender: Sender,
+        connection: Connection,
         now: Moment,
         announced_idle: Option<Duration>,
     ) {
@@ -80,7 +87,10 @@
         let expires_at = now + idle_timeout.min(self.limits.idle_timeout);
         let mut idle = self.lock();
         let connections = idle.entry(address).or_default();
-        connections.push(IdleConnection { sender, expires_at });
+        connections.push(IdleConnection {
+            connection,
+            expires_at,
+        });
         if connections.len() > self.limits.max_idle {
             connections.remove(0);
         }
@@ -89,8 +99,7 @@
     /// Drops connections that are closed or past their idle time.
     pub(crate) fn remove_expired(&self, now: Moment) {
         self.lock().retain(|_, connections| {
-            connections
-                .retain(|connection| now < connection.expires_at && !connection.sender.is_closed());
+            connections.retain(|idle| now < idle.expires_at && !idle.connection.sender.is_closed());
             !connections.is_empty()
         });
     }
@@ -102,7 +111,7 @@
 
     /// Returns the number of idle connections that are not closed.
     pub(crate) fn len(&self) -> usize {
-        let open = |connection: &&IdleConnection| !connection.sender.is_closed();
+        let open = |idle: &&IdleConnection| !idle.connection.sender.is_closed();
         self.lock()
             .values()
             .map(|connections| connections.iter().filter(open).count())
