--- a/crates/tanagerhub_proxy/src/lib.rs
+++ b/crates/tanagerhub_proxy/src/lib.rs
@@ -8,7 +8,9 @@
 mod backend_response;
 mod client;
 mod hop;
+mod metered_stream;
 mod pool;
+mod request_body;
 mod response_body;
 mod send_error;
 mod server;
@@ -17,6 +19,7 @@
 pub use client::{Client, Reuse};
 pub use hop::strip_hop_headers;
 pub use pool::PoolLimits;
+pub use request_body::{RequestBody, RequestBodyError};
 pub use response_body::{IncompleteBody, ResponseBody, empty_body, full_body, stream_body};
 pub use send_error::SendError;
 pub use server::{LimitsHandle, Server, ServerLimits, serve};
