Tell a refused probe from one without an answer

A probe whose connection was refused and one that timed out had the same result, Unanswered. So the planner could not know a server that has ended, where nothing listens any more, from one that stands still and goes on.

A refusal is now a result of its own. Nothing depends on the new result yet.

--- a/crates/tanagerhub_groups/src/event.rs
+++ b/crates/tanagerhub_groups/src/event.rs
@@ -79,9 +79,12 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, thiserror::Error)]
 #[serde(rename_all = "snake_case")]
 pub enum ProbeFailure {
-    /// The VM could not be reached, or did not respond before the timeout.
+    /// The VM could not be reached, or did not respond before the timeout. It may go on later.
     #[error("the VM did not respond to the probe")]
     Unanswered,
+    /// The VM's host refused the connection, because no backend server listens at the address.
+    #[error("the connection for the probe was refused")]
+    Refused,
     /// The VM is reachable, but closed the connection.
     #[error("the VM closed the connection")]
     TurnedAway,
