Don't count a short silence as evidence that a request crashed a server

A request under which two servers ended is refused by all nodes for ten minutes. That a server ended under a request without a response is known from the loss of a member, and a VM counted as lost with the first unanswered probe after a suspicion. So the requests that ran at a sound server while it was silent for a second had a confirmed crash to their name.

A group has now lost a member once the VM has ended, which after silence alone takes `silence_timeout`. A refused probe, another start, or a removal without notice confirm as early as before.

Streams still learn of the unreachable member at once (take_degraded).

--- a/crates/tanagerhub_groups/src/groups.rs
+++ b/crates/tanagerhub_groups/src/groups.rs
@@ -144,8 +144,8 @@
         std::mem::take(&mut self.degraded)
     }
 
-    /// Takes the groups, with their epochs, that lost a member since the last call: it became
-    /// unreachable, restarted, or was removed without notice.
+    /// Takes the groups, with their epochs, that lost a member since the last call: it ended or was
+    /// silent for too long, restarted, or was removed without notice.
     pub fn take_lost_groups(&mut self) -> Vec<(GroupId, Epoch)> {
         self.vms.take_lost_groups()
     }
--- a/crates/tanagerhub_groups/src/groups/vms.rs
+++ b/crates/tanagerhub_groups/src/groups/vms.rs
@@ -261,8 +261,8 @@
         })
     }
 
-    /// Returns the groups that lost a member since the last call: it was found unreachable,
-    /// restarted, or removed without notice.
+    /// Returns the groups that lost a member since the last call: it ended or was silent for too
+    /// long, restarted, or was removed without notice.
     pub(super) fn take_lost_groups(&mut self) -> Vec<(GroupId, Epoch)> {
         std::mem::take(&mut self.lost_groups)
     }
@@ -408,8 +408,10 @@
                 let had_ended = entry.has_ended(settings);
                 entry.record_failure(now, sent, cause, settings);
                 let ends = !had_ended && entry.has_ended(settings);
-                if !was_unreachable && entry.is_unreachable(settings) {
+                if ends {
                     self.lost_groups.push(entry.report.served_group());
+                }
+                if !was_unreachable && entry.is_unreachable(settings) {
                     return Some(ReachabilityChange::Unreachable(cause));
                 }
                 ends.then_some(ReachabilityChange::Ended(cause))
--- a/crates/tanagerhub_groups/tests/silence.rs
+++ b/crates/tanagerhub_groups/tests/silence.rs
@@ -156,6 +156,26 @@
     assert!(!simulation.assigned(0).contains(&member));
 }
 
+/// Each node tells its traffic which groups lost a member, which confirms that requests crashed it.
+#[parameterized(
+    planner = { 0, 1_000, false },
+    other_node = { 1, 1_000, false },
+    planner_for_good = { 0, 2_000, true },
+    other_node_for_good = { 1, 2_000, true },
+)]
+fn report_group_of_silent_member(node: usize, millis: u64, is_lost: bool) {
+    let mut simulation = serving_simulation();
+    let head = simulation.open_heads("small").remove(0);
+    let group = membership(&mut simulation, &head);
+    simulation.nodes[node].groups.take_lost_groups();
+    simulation.silence(&head);
+    suspect(&mut simulation, &head);
+    simulation.run(Duration::from_millis(millis));
+    let lost = simulation.nodes[node].groups.take_lost_groups();
+    assert_eq!(lost.contains(&group), is_lost);
+    assert!(simulation.degraded.contains(&group));
+}
+
 /// Two silences with a response between them are not one long silence.
 #[test]
 fn silences_do_not_add_up() {
