Keep a late attempt until another group has responded

What callers saw: idempotent requests got 502, 504 or another group's 500 though their own server would have answered.

Cause: the same as for silent groups: the late attempt ended before another one had a response. It now continues beside the second attempt, and the first response counts.

Failed before: late_request_not_given_up::refused and broken: 502, failed: 500, silent: 504; expected: the late response of the first server.

--- a/crates/tanagerhub/src/gateway/exchange.rs
+++ b/crates/tanagerhub/src/gateway/exchange.rs
@@ -61,9 +61,16 @@
 enum Step {
     /// The attempt that was sent first, or the only one, has ended or has a response.
     First(Result<Received, AttemptError>),
-    /// So has the attempt that takes over from a silent one.
+    /// So has the attempt that is to take over from it.
     Second(Result<Received, AttemptError>),
-    /// No response has arrived in time, and the request may move to another group.
+    /// The request may be sent to another group too, for this reason.
+    Late(LateCause),
+}
+
+/// The reason why a request may be sent to another group before its attempt has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum LateCause {
+    /// No response has arrived in time.
     Overdue,
     /// A member of the group is unreachable.
     Silent,
@@ -119,8 +126,8 @@
         }
     }
 
-    /// Follows an attempt, and one that takes over while its group is silent, until a response has
-    /// started or all attempts have failed.
+    /// Follows an attempt, and one that is to take over while it is late, until a response has started
+    /// or all attempts have failed.
     pub(crate) async fn follow(
         &mut self,
         attempt: RunningAttempt,
@@ -128,9 +135,9 @@
     ) -> Result<Followed, Failure> {
         let mut first = attempt;
         let mut second: Option<RunningAttempt> = None;
-        let mut alarmed = false;
+        let mut cause = LateCause::Overdue;
         loop {
-            let next = match self.next_step(&mut first, second.as_mut(), alarmed).await {
+            let next = match self.next_step(&mut first, second.as_mut(), cause).await {
                 Step::First(Ok(received)) => {
                     match self.accept_response(first.with_response(received)) {
                         Ok(response) => return Ok(Ok(response)),
@@ -138,18 +145,18 @@
                     }
                 }
                 Step::First(Err(error)) => self.handle_failure(first.dispatch, &error)?,
-                Step::Overdue => self.handle_failure(first.dispatch, &AttemptError::Overdue)?,
                 Step::Second(result) => {
                     if let Some(attempt) = second.take()
-                        && let Some(response) = self.taken_over(first.dispatch, attempt, result)
+                        && let Some(response) =
+                            self.taken_over(first.dispatch, cause, attempt, result)
                     {
                         return Ok(Ok(response));
                     }
                     continue;
                 }
-                Step::Silent => {
-                    alarmed = true;
-                    second = self.take_over(first.dispatch, last_event);
+                Step::Late(late) => {
+                    cause = late;
+                    second = self.take_over(first.dispatch, cause, last_event);
                     continue;
                 }
             };
@@ -158,7 +165,7 @@
                 return Ok(Err(next));
             };
             first = other;
-            alarmed = false;
+            cause = LateCause::Overdue;
         }
     }
 
@@ -167,7 +174,7 @@
         &self,
         first: &mut RunningAttempt,
         second: Option<&mut RunningAttempt>,
-        alarmed: bool,
+        cause: LateCause,
     ) -> Step {
         let takes_over = second.is_some();
         let RunningAttempt {
@@ -182,12 +189,11 @@
                 return future::pending().await;
             }
             let silent = async {
-                if alarmed {
-                    self.frontend.clock.sleep(MOVE_POLL_PERIOD).await;
-                } else {
-                    watch.wait_for_alarm().await;
+                match cause {
+                    LateCause::Silent => self.frontend.clock.sleep(MOVE_POLL_PERIOD).await,
+                    LateCause::Overdue => watch.wait_for_alarm().await,
                 }
-                Step::Silent
+                Step::Late(LateCause::Silent)
             };
             future::or(self.wait_until_overdue(*dispatch, watch, *sent), silent).await
         };
@@ -290,28 +296,35 @@
         RunningAttempt::start(&self.frontend, &self.call, dispatch, last_event)
     }
 
-    /// Sends the request to another group too, because its own one is silent, if one has room.
+    /// Sends the request to another group too, if one has room.
     ///
-    /// The silent attempt continues, since its group may be sound and go on.
-    pub(crate) fn take_over(&mut self, silent: Dispatch, tokens: u32) -> Option<RunningAttempt> {
+    /// The late attempt continues, since its group may be sound and go on.
+    pub(crate) fn take_over(
+        &mut self,
+        late: Dispatch,
+        cause: LateCause,
+        tokens: u32,
+    ) -> Option<RunningAttempt> {
         let ticket = self.ticket.as_ref()?;
-        let dispatch = ticket.take_over(silent.attempt, tokens)?;
+        let dispatch = ticket.take_over(late.attempt, tokens)?;
         log::info!(
             request = self.call.id.as_str(),
-            group:% = silent.group,
-            epoch = silent.epoch.0,
+            group:% = late.group,
+            epoch = late.epoch.0,
+            cause = cause.error().label(),
             by:% = dispatch.group,
             event = tokens;
-            "another group is to take over from a silent one"
+            "another group is to take over from a late one"
         );
         Some(self.begin(dispatch, tokens))
     }
 
-    /// Handles the result of an attempt that was to take over from a silent one. Returns its
-    /// response if that is used, which ends the silent attempt.
+    /// Handles the result of an attempt that was to take over from a late one. Returns its response
+    /// if that is used, which ends the late attempt.
     pub(crate) fn taken_over(
         &mut self,
-        silent: Dispatch,
+        late: Dispatch,
+        cause: LateCause,
         attempt: RunningAttempt,
         result: Result<Received, AttemptError>,
     ) -> Option<AttemptResponse> {
@@ -320,9 +333,9 @@
             Ok(received) => {
                 if !self.is_failure(&received) {
                     if !self.streaming {
-                        self.log_failed_attempt(silent, &AttemptError::Silent);
+                        self.log_failed_attempt(late, &cause.error());
                     }
-                    self.report(silent, AttemptEvent::Silent);
+                    self.report(late, cause.event());
                 }
                 self.accept_response(attempt.with_response(received)).ok()
             }
@@ -330,7 +343,7 @@
                 self.log_failed_attempt(dispatch, &error);
                 match error.event() {
                     Ok(event) => drop(self.report(dispatch, event)),
-                    Err(_) => self.cancel_others(silent),
+                    Err(_) => self.cancel_others(late),
                 }
                 None
             }
@@ -346,8 +359,7 @@
 
     /// Waits until the response is late and the request may be sent to another group.
     ///
-    /// Meanwhile a group that sends nothing is suspected, so that its members are probed. A late
-    /// response is better than none, so a request that can't move keeps waiting.
+    /// Meanwhile a group that sends nothing is suspected, so that its members are probed.
     async fn wait_until_overdue(
         &self,
         dispatch: Dispatch,
@@ -369,7 +381,7 @@
         while !self.may_move(dispatch) {
             self.frontend.clock.sleep(MOVE_POLL_PERIOD).await;
         }
-        Step::Overdue
+        Step::Late(LateCause::Overdue)
     }
 
     async fn sleep_until(&self, at: Moment) {
@@ -430,6 +442,22 @@
     }
 }
 
+impl LateCause {
+    const fn error(self) -> AttemptError {
+        match self {
+            Self::Overdue => AttemptError::Overdue,
+            Self::Silent => AttemptError::Silent,
+        }
+    }
+
+    const fn event(self) -> AttemptEvent {
+        match self {
+            Self::Overdue => AttemptEvent::TimedOut,
+            Self::Silent => AttemptEvent::Silent,
+        }
+    }
+}
+
 impl Drop for Exchange {
     /// Logs a request whose connection ended before its response.
     fn drop(&mut self) {
--- a/crates/tanagerhub/src/gateway/streaming.rs
+++ b/crates/tanagerhub/src/gateway/streaming.rs
@@ -10,7 +10,7 @@
 
 use crate::gateway::attempt::{AttemptResponse, Received, RunningAttempt, StartedStream};
 use crate::gateway::attempt_error::AttemptError;
-use crate::gateway::exchange::{Exchange, MOVE_POLL_PERIOD, decision_after};
+use crate::gateway::exchange::{Exchange, LateCause, MOVE_POLL_PERIOD, decision_after};
 use crate::gateway::failure::Failure;
 
 /// A stream that is being relayed to its caller.
@@ -101,7 +101,7 @@
                 Step::Silent => {
                     self.alarmed = true;
                     let (dispatch, tokens) = (self.started.dispatch, self.relay.tokens());
-                    self.takeover = self.exchange.take_over(dispatch, tokens);
+                    self.takeover = self.exchange.take_over(dispatch, LateCause::Silent, tokens);
                     continue;
                 }
                 Step::TakenOver(result) => {
@@ -183,7 +183,9 @@
             return;
         };
         let silent = self.started.dispatch;
-        let response = self.exchange.taken_over(silent, attempt, result);
+        let response = self
+            .exchange
+            .taken_over(silent, LateCause::Silent, attempt, result);
         if let Some(AttemptResponse::Stream(started)) = response {
             self.log_break(&BreakCause::Silent);
             self.continue_with(*started);
--- a/crates/tanagerhub/tests/gateway/framing/endless.rs
+++ b/crates/tanagerhub/tests/gateway/framing/endless.rs
@@ -126,7 +126,7 @@
         let llm = BackendServer::start(vec![endless(start, piece), whole]).await;
         let setup = TestSetup::with_backends(&[("llm", &llm), ("llm", &llm)]).await;
         let response = setup.send("POST", "/stream/x").await;
-        assert!(response.contains("id: 2"));
+        assert!(response.contains("id: 2"), "{response}");
         assert!(response.ends_with("0\r\n\r\n"));
         assert_closed(&llm.endless_results(1).await);
     });
--- a/crates/tanagerhub/tests/gateway/silence.rs
+++ b/crates/tanagerhub/tests/gateway/silence.rs
@@ -111,3 +111,32 @@
         assert_eq!(event_ids(&response), ["1", "2", "3"]);
     });
 }
+
+/// A late request is sent to another backend server too, and the first response counts.
+#[parameterized(
+    refused = { Script::response(503, "not-run: 1\r\n", "") },
+    failed = { Script::response(500, "", "failed") },
+    broken = { Script::default() },
+    silent = { Script::silence() },
+)]
+fn late_request_not_given_up(other: Script) {
+    task::block_on(async {
+        let late = Script::response(200, "", "found").after(SILENCE);
+        let desk = BackendServer::start(vec![late, other]).await;
+        let setup = TestSetup::with_backends(&[("desk", &desk), ("desk", &desk)]).await;
+        let response = setup.send("GET", "/safe/x").await;
+        assert!(response.ends_with("found"), "{response}");
+        assert_eq!(desk.request_heads().len(), 2);
+    });
+}
+
+#[test]
+fn late_request_moved() {
+    task::block_on(async {
+        let scripts = vec![Script::silence(), Script::response(200, "", "found")];
+        let desk = BackendServer::start(scripts).await;
+        let setup = TestSetup::with_backends(&[("desk", &desk), ("desk", &desk)]).await;
+        let response = setup.send("GET", "/safe/x").await;
+        assert!(response.ends_with("found"), "{response}");
+    });
+}
