Deliver the events before one out of order, and resume after them

Cause: events that came in one chunk with a bad one (out of order, an invalid number, too large) were dropped with it, but counted as delivered, and the stream was resumed after them. They are now delivered first.

Found by tracing a test that failed on a busy machine (cut_stream_out_of_order lacked event 2; there, the buffered event is lost with the cut, which is allowed). Failed before: deliver_events_before_one_out_of_order: left: [3, 4, 5, 6] right: [1, 2, 3, 4, 5, 6]

--- a/crates/tanagerhub/src/gateway/streaming.rs
+++ b/crates/tanagerhub/src/gateway/streaming.rs
@@ -25,6 +25,8 @@
     alarmed: bool,
     /// The attempt that resumes the stream at another group while this one is silent.
     takeover: Option<RunningAttempt>,
+    /// Why the rest of the last chunk can't be relayed, until its first events are delivered.
+    relay_error: Option<RelayError>,
     done: bool,
 }
 
@@ -70,6 +72,7 @@
             expiry: Box::pin(async move { clock.sleep(left).await }),
             alarmed: false,
             takeover: None,
+            relay_error: None,
             done: false,
         };
         let events = stream::unfold(streaming, Self::next);
@@ -86,11 +89,14 @@
         }
         loop {
             let broken = match self.step().await {
-                Step::Chunk(chunk) => match self.relay_chunk(&chunk) {
-                    Ok(events) if events.is_empty() => continue,
-                    Ok(events) => return Some((Ok(events), self)),
-                    Err(error) => BreakCause::Relay(error),
-                },
+                Step::Chunk(chunk) => {
+                    let (events, relayed) = self.relay_chunk(&chunk);
+                    self.relay_error = relayed.err();
+                    if events.is_empty() {
+                        continue;
+                    }
+                    return Some((Ok(events), self));
+                }
                 Step::End => match self.relay.end() {
                     Ok(()) => {
                         self.finish();
@@ -121,6 +127,9 @@
     }
 
     async fn step(&mut self) -> Step {
+        if let Some(error) = self.relay_error.take() {
+            return Step::Broken(BreakCause::Relay(error));
+        }
         let first = std::mem::take(&mut self.started.first);
         if !first.is_empty() {
             return Step::Chunk(first);
@@ -160,8 +169,9 @@
         future::or(chunk, future::or(taken_over, future::or(silent, expired))).await
     }
 
-    /// Adds a chunk and returns the events that it completes.
-    fn relay_chunk(&mut self, chunk: &[u8]) -> Result<Bytes, RelayError> {
+    /// Adds a chunk and returns the events that it completes, and whether it can be relayed to its
+    /// end.
+    fn relay_chunk(&mut self, chunk: &[u8]) -> (Bytes, Result<(), RelayError>) {
         if std::mem::take(&mut self.alarmed) {
             // The group still sends data, so the alarm was false.
             self.started.watch.rearm();
@@ -173,8 +183,8 @@
             .watch
             .record_activity(self.exchange.frontend.clock.now());
         let mut events = Vec::with_capacity(chunk.len());
-        self.relay.push(chunk, &mut events)?;
-        Ok(events.into())
+        let relayed = self.relay.push(chunk, &mut events);
+        (events.into(), relayed)
     }
 
     /// Continues the stream at the group that takes over, if its response can be used.
--- a/crates/tanagerhub/tests/gateway.rs
+++ b/crates/tanagerhub/tests/gateway.rs
@@ -272,6 +272,29 @@
     });
 }
 
+/// The events before the one out of order count as delivered, so the resumed stream begins after
+/// them.
+#[test]
+fn deliver_events_before_one_out_of_order() {
+    task::block_on(async {
+        let gap = "HTTP/1.1 200 X\r\n\r\nid: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 5\ndata: 5\n\n";
+        let gap = Script {
+            parts: vec![gap.as_bytes().to_vec()],
+            ..Script::default()
+        };
+        let scripts = vec![gap, Script::events(3, 6, true)];
+        let llm = BackendServer::start(scripts).await;
+        let setup = TestSetup::with_backends(&[("llm", &llm), ("llm", &llm)]).await;
+        let response = setup.send("POST", "/stream/x").await;
+        let ids: Vec<&str> = response
+            .lines()
+            .filter(|line| line.starts_with("id: "))
+            .collect();
+        let expected: Vec<String> = (1..=6).map(|id| format!("id: {id}")).collect();
+        assert_eq!(ids, expected, "{response}");
+    });
+}
+
 #[test]
 fn time_out_at_deadline() {
     task::block_on(async {
