Free the attempt of a dispatch that its caller didn't wait for

A caller that left between the delivery of a dispatch and its task left the attempt running for good: the group's slot was lost to this node until its restart, and a stop waited for it to the end. The ticket now takes what is left in its mailbox.

Failed before: drop_frees_dispatch_not_taken: left: 1 right: 0 open requests.

--- a/crates/tanagerhub/src/ticket.rs
+++ b/crates/tanagerhub/src/ticket.rs
@@ -83,5 +83,16 @@
                 .with(|traffic, now| traffic.report(now, attempt, AttemptEvent::CallerLeft));
         }
         self.traffic.remove_request(self.id);
+        // A decision that was delivered and not taken has started an attempt too.
+        while let Ok(decision) = self.mailbox.try_recv() {
+            if let Decision::Dispatch(dispatch) = decision {
+                self.traffic.with(|traffic, now| {
+                    traffic.report(now, dispatch.attempt, AttemptEvent::CallerLeft)
+                });
+            }
+        }
     }
 }
+
+#[cfg(test)]
+mod tests;
