--- a/crates/tanagerhub/src/gateway/streaming.rs
+++ b/crates/tanagerhub/src/gateway/streaming.rs
@@ -258,6 +258,9 @@
     }
 
     fn finish(&mut self) {
+        if self.takeover.take().is_some() {
+            self.exchange.cancel_others(self.started.dispatch);
+        }
         let tokens = self.relay.tokens();
         let event = AttemptEvent::Finished { tokens };
         self.exchange.report(self.started.dispatch, event);
--- a/crates/tanagerhub_traffic/src/traffic/reports.rs
+++ b/crates/tanagerhub_traffic/src/traffic/reports.rs
@@ -256,6 +256,7 @@
 
     fn finished(&mut self, now: Moment, key: AttemptKey, tokens: Option<u32>) -> Next {
         let next = self.first_byte(now, key);
+        self.cancel_others(key);
         let Some(attempt) = self.end_attempt(key) else {
             return Next::Done;
         };
--- a/crates/tanagerhub_traffic/tests/takeover.rs
+++ b/crates/tanagerhub_traffic/tests/takeover.rs
@@ -129,3 +129,15 @@
         submit(&mut traffic, request(id));
     }
 }
+
+#[test]
+fn finished_request_frees_takeover() {
+    let mut traffic = traffic(2);
+    let (silent, other) = taken_over(&mut traffic);
+    let event = AttemptEvent::Finished { tokens: 9 };
+    assert_eq!(traffic.report(NOW, silent.attempt, event), Next::Done);
+    assert!(!traffic.is_live(other.attempt));
+    let status = traffic.status(NOW);
+    let running: u32 = status.entries.iter().map(|it| it.running).sum();
+    assert_eq!(running, 0);
+}
