Keep a silent member whose entry may be listed again

The entry of a sound VM may expire while the store is away, and is back within two seconds of its return. Until then the VM keeps its place if it answers probes; but one unanswered probe made it lost at once, so a member that was silent for a second just then had its group renewed, and the group's streams ended.

A removal counts with an unanswered probe only once it is confirmed, as it does without one. A VM that refuses the probe is lost at once, as before.

The cases `for_good` hold that a VM that is not listed again in time is replaced.

--- a/crates/tanagerhub_groups/src/groups/vms.rs
+++ b/crates/tanagerhub_groups/src/groups/vms.rs
@@ -100,17 +100,17 @@
 
     /// Returns whether the VM is unreachable, or removed from the store for good.
     pub(super) fn is_unavailable(&self, settings: &GroupsSettings) -> bool {
-        self.removed.is_some_and(|removal| removal.confirmed) || self.is_unreachable(settings)
+        !self.is_listed() || self.is_unreachable(settings)
     }
 
     /// Returns whether the VM will not go on: it has ended, or was removed from the store for good.
     pub(super) fn is_lost(&self, settings: &GroupsSettings) -> bool {
-        self.removed.is_some_and(|removal| removal.confirmed) || self.has_ended(settings)
+        !self.is_listed() || self.has_ended(settings)
     }
 
     /// Returns whether the VM is unreachable, and not merely silent for a short time.
     pub(super) fn has_ended(&self, settings: &GroupsSettings) -> bool {
-        self.is_unreachable(settings) && (self.ended || self.removed.is_some())
+        self.is_unreachable(settings) && (self.ended || !self.is_listed())
     }
 
     /// Returns whether an unanswered probe that is sent now shows that the VM has been silent for
--- a/crates/tanagerhub_groups/tests/silence.rs
+++ b/crates/tanagerhub_groups/tests/silence.rs
@@ -212,6 +212,35 @@
     assert!(is_routed(&simulation, 0, &head));
 }
 
+/// The entry of a VM may expire in an outage of the store, and is back shortly after it.
+#[parameterized(
+    head = { 0, true },
+    member = { 2, true },
+    head_for_good = { 0, false },
+    member_for_good = { 2, false },
+)]
+fn silent_member_not_relisted_yet_keeps_place(rank: usize, is_back: bool) {
+    let mut simulation = serving_simulation();
+    let head = simulation.open_heads("big").remove(0);
+    let (group, epoch) = membership(&mut simulation, &head);
+    let silent = simulation.members(&head)[rank].clone();
+    for node in 0..2 {
+        simulation.send_event(node, GroupsEvent::StoreReachable);
+    }
+    simulation.unlist(&silent);
+    simulation.silence(&silent);
+    simulation.run(SECOND);
+    assert_eq!(planned(&simulation, group).0, epoch);
+    if is_back {
+        simulation.resume(&silent);
+        simulation.report(&silent, |_| {});
+    }
+    simulation.run(2 * SECOND);
+    assert_eq!(planned(&simulation, group).0 == epoch, is_back);
+    assert_eq!(planned(&simulation, group).1.contains(&silent), is_back);
+    assert!(!is_back || is_routed(&simulation, 1, &head));
+}
+
 /// A group that lacks a member for good must not take those of a group with a silent member.
 #[parameterized(
     first = { 0 },
