Don't count an entry that expired in an outage as a crash

The entry of a sound VM may expire while the store is away, and is back within two seconds of its return.

The loss is now reported when the removal is confirmed: at once where the store has been reachable, after `relist_grace` following an outage.

report_group_of_expired_vm::relisted: assertion `left == right` failed left: [(GroupId, Epoch(720897))] right: []

The case `dropped` passed before: a VM that isn't listed again is reported.

--- a/crates/tanagerhub_groups/src/groups/vms.rs
+++ b/crates/tanagerhub_groups/src/groups/vms.rs
@@ -149,6 +149,15 @@
         self.removed.is_none_or(|removal| !removal.confirmed)
     }
 
+    /// Confirms the removal if it is final. Returns the group that has lost a member with it, unless
+    /// the VM left with notice.
+    fn confirm_removal(&mut self, now: Moment) -> Option<(GroupId, Epoch)> {
+        let leaves = self.is_leaving();
+        let removal = self.removed.as_mut().filter(|it| !it.confirmed)?;
+        removal.confirmed = removal.relist_deadline <= now;
+        (removal.confirmed && !leaves).then(|| self.report.served_group())
+    }
+
     /// Applies a probed report, whose state may be older than the probe by up to
     /// [`MAX_REPORT_LAG`]. If the store may have reported a newer state, only `busy` is applied,
     /// which the store's rows don't contain.
@@ -344,15 +353,13 @@
         if entry.removed.is_some() {
             return None;
         }
-        if !entry.is_leaving() {
-            self.lost_groups.push(entry.report.served_group());
-        }
         entry.removed = Some(Removal {
             since: now,
             relist_deadline,
-            confirmed: relist_deadline <= now,
+            confirmed: false,
         });
         let vm = entry.report.vm.name.clone();
+        self.lost_groups.extend(entry.confirm_removal(now));
         Some(Decision::VmGone { vm })
     }
 
@@ -361,15 +368,11 @@
         self.relist_until = now + settings.relist_grace;
     }
 
-    /// Confirms removals that are final, and drops VMs whose retention has passed.
+    /// Confirms the removals that are final, and drops VMs whose retention has passed.
     pub(super) fn drop_removed(&mut self, now: Moment) {
-        for removal in self
-            .list
-            .values_mut()
-            .filter_map(|entry| entry.removed.as_mut())
-        {
-            removal.confirmed |= removal.relist_deadline <= now;
-        }
+        let entries = self.list.values_mut();
+        let lost = entries.filter_map(|entry| entry.confirm_removal(now));
+        self.lost_groups.extend(lost);
         self.list.retain(|_, entry| {
             entry
                 .removed
--- a/crates/tanagerhub_groups/tests/repair.rs
+++ b/crates/tanagerhub_groups/tests/repair.rs
@@ -251,6 +251,28 @@
     assert_eq!(simulation.nodes[0].groups.heads().len(), before);
 }
 
+/// A VM whose entry expired in an outage, and is back shortly after it, has not ended.
+#[parameterized(
+    relisted = { true },
+    dropped = { false },
+)]
+fn report_group_of_expired_vm(is_back: bool) {
+    let mut simulation = serving_simulation();
+    let head = simulation.open_heads("small").remove(0);
+    let membership = simulation.server(&head).report.group.unwrap();
+    simulation.nodes[0].groups.take_lost_groups();
+    simulation.send_event(0, GroupsEvent::StoreReachable);
+    simulation.unlist(&head);
+    simulation.run(SECOND);
+    if is_back {
+        simulation.report(&head, |_| {});
+    }
+    simulation.run(SECOND);
+    let lost = simulation.nodes[0].groups.take_lost_groups();
+    let expected = (!is_back).then_some((membership.group, membership.epoch));
+    assert_eq!(lost, Vec::from_iter(expected));
+}
+
 #[test]
 fn drop_vm_not_relisted_after_outage() {
     let mut simulation = serving_simulation();
