Judge a silent or rejecting member by more than one probe, and repeat its alarm

Each suspicion now repeats the alarm.

Failed before: late_response_after_silence_keeps_member and one_failed_probe_keeps_member::rejected: left: Epoch(851969) right: Epoch(786436); suspicion_of_unreachable_member_raises_alarm_again: no alarm.

--- a/crates/tanagerhub_groups/src/groups/probe.rs
+++ b/crates/tanagerhub_groups/src/groups/probe.rs
@@ -204,14 +204,18 @@
 
     /// Probes all members of a group at once, because its requests failed.
     pub(super) fn suspected(&mut self, now: Moment, id: GroupId, epoch: Epoch) {
-        let members: Vec<VmId> = self
+        let members: Vec<(VmId, bool)> = self
             .vms
             .list
             .iter()
             .filter(|(_, entry)| entry.report.state_in(id, epoch).is_some())
-            .map(|(vm, _)| *vm)
+            .map(|(vm, entry)| (*vm, entry.is_unreachable(&self.settings)))
             .collect();
-        for vm in members {
+        // Requests that went on since the member became unreachable wait for another alarm.
+        if members.iter().any(|(_, is_unreachable)| *is_unreachable) {
+            self.degraded.push((id, epoch));
+        }
+        for (vm, _) in members {
             self.suspect(now, vm);
         }
     }
--- a/crates/tanagerhub_groups/src/groups/vms.rs
+++ b/crates/tanagerhub_groups/src/groups/vms.rs
@@ -20,6 +20,9 @@
 const ARRIVAL_GAP: Duration = Duration::from_millis(700);
 /// The longest time until all VMs that start together are listed.
 const MAX_ARRIVAL_TIME: Duration = Duration::from_secs(3);
+/// How long a VM must reject probes until it is considered ended; a shorter time may be a fault of
+/// the link.
+const MIN_REJECTION_TIME: Duration = Duration::from_millis(500);
 /// How long a suspicion affects the failure count of a VM.
 const SUSPICION_LIFETIME: Duration = Duration::from_millis(500);
 /// How long a VM is kept after its removal from the store; nothing depends on it after this time.
@@ -223,15 +226,15 @@
         settings: &GroupsSettings,
     ) {
         self.ended |= match cause {
+            ProbeFailure::TurnedAway => self
+                .busy_period
+                .is_some_and(|busy| now.since(busy.first) >= MIN_REJECTION_TIME),
             ProbeFailure::Unanswered => {
-                let silence = Silence::extended(self.silence, now, sent);
+                let silence = Silence::extended(self.silence, now, sent, settings.silence_timeout);
                 self.silence = Some(silence);
-                silence.length(sent) >= settings.silence_timeout
+                silence.is_final()
             }
-            ProbeFailure::Refused
-            | ProbeFailure::TurnedAway
-            | ProbeFailure::Misdirected
-            | ProbeFailure::Malformed => true,
+            ProbeFailure::Refused | ProbeFailure::Misdirected | ProbeFailure::Malformed => true,
         };
         // A suspicion and a failed probe are independent evidence, and together count as enough
         // failed probes.
--- a/crates/tanagerhub_groups/tests/silence.rs
+++ b/crates/tanagerhub_groups/tests/silence.rs
@@ -298,3 +298,51 @@
     let first = orders.find(|(to, _)| *to == vm);
     assert!(matches!(first, Some((_, Order::Close { .. }))), "{first:?}");
 }
+
+/// A single probe that is rejected or late says little about a VM.
+#[parameterized(
+    rejected = { ProbeFailure::TurnedAway, 100 },
+    late = { ProbeFailure::Unanswered, 100 },
+)]
+fn one_failed_probe_keeps_member(failure: ProbeFailure, millis: u64) {
+    let mut simulation = serving_simulation();
+    let head = simulation.open_heads("big").remove(0);
+    let member = simulation.members(&head)[2].clone();
+    let (group, epoch) = membership(&mut simulation, &head);
+    simulation.isolate(&member, failure);
+    suspect(&mut simulation, &head);
+    simulation.run(Duration::from_millis(millis));
+    simulation.isolated.clear();
+    simulation.run(SECOND);
+    assert_eq!(planned(&simulation, group).0, epoch);
+}
+
+/// The VM goes on, but its response to the one probe after the timeout is late.
+#[test]
+fn late_response_after_silence_keeps_member() {
+    let mut simulation = serving_simulation();
+    let head = simulation.open_heads("big").remove(0);
+    let member = simulation.members(&head)[2].clone();
+    let (group, epoch) = membership(&mut simulation, &head);
+    simulation.silence(&member);
+    suspect(&mut simulation, &head);
+    simulation.run(GroupsSettings::default().silence_timeout + Duration::from_millis(60));
+    simulation.resume(&member);
+    simulation.run(SECOND);
+    assert_eq!(planned(&simulation, group).0, epoch);
+}
+
+#[test]
+fn suspicion_of_unreachable_member_raises_alarm_again() {
+    let mut simulation = serving_simulation();
+    let head = simulation.open_heads("big").remove(0);
+    let member = simulation.members(&head)[2].clone();
+    let membership = membership(&mut simulation, &head);
+    simulation.silence(&member);
+    suspect(&mut simulation, &head);
+    simulation.run(Duration::from_millis(400));
+    simulation.degraded.clear();
+    suspect(&mut simulation, &head);
+    simulation.run(Duration::from_millis(100));
+    assert!(simulation.degraded.contains(&membership));
+}
