Forward no part of a chunk that contains a malformed event

What callers saw: a stream that resumed after a malformed event and ended as complete, but without the events before that one (ORDER). The relay counted the whole events of the chunk as forwarded when a later event of the same chunk was malformed; the gateway dropped the chunk on the error, and resumed after the last counted event.

The new tests on the code before:

framing::streams::resume_after_malformed_event::gap, bad_id assertion `left == right` failed: HTTP/1.1 200 OK left: [4, 5, 6] right: [1, 2, 3, 4, 5, 6] push_refused_after_events: 3 of 3 failed

EventRelay::push now forwards and counts a chunk completely or not at all, so the position from which a stream resumes is what the caller has, whatever its user does with the output on an error. Events without an id that come before the first token are skipped in a resumed stream only if the first stream forwarded one.

--- a/crates/tanagerhub/tests/gateway/framing.rs
+++ b/crates/tanagerhub/tests/gateway/framing.rs
@@ -4,3 +4,5 @@
 mod endless;
 #[path = "framing/refusals.rs"]
 mod refusals;
+#[path = "framing/streams.rs"]
+mod streams;
--- a/crates/tanagerhub_traffic/src/event_relay.rs
+++ b/crates/tanagerhub_traffic/src/event_relay.rs
@@ -35,13 +35,22 @@
 pub struct EventRelay {
     /// The received part of an incomplete event.
     partial: Vec<u8>,
-    tokens: u32,
+    progress: Progress,
     resumed: bool,
-    done: bool,
     /// Whether the end of the body marks the end of the stream.
     framed_by_body: bool,
 }
 
+/// What has been forwarded to the caller.
+#[derive(Debug, Clone, Copy, Default)]
+struct Progress {
+    tokens: u32,
+    /// Whether an event with data has been forwarded.
+    begun: bool,
+    /// Whether the final event has been forwarded.
+    done: bool,
+}
+
 /// The fields of one event that the relay uses.
 #[derive(Debug, Default)]
 struct Event {
@@ -56,7 +65,10 @@
     #[must_use]
     pub fn framed_by_body(after: u32) -> Self {
         Self {
-            tokens: after,
+            progress: Progress {
+                tokens: after,
+                ..Progress::default()
+            },
             framed_by_body: true,
             ..Self::default()
         }
@@ -67,8 +79,19 @@
     /// # Errors
     ///
     /// Fails when a token is missing, an id is not a number, an event is too large, or an event
-    /// follows the final one. No part of the offending event is forwarded.
+    /// follows the final one. Then no part of the chunk is forwarded or counted, so a resumed stream
+    /// repeats the events that precede the offending one.
     pub fn push(&mut self, chunk: &[u8], out: &mut Vec<u8>) -> Result<(), RelayError> {
+        let (progress, length) = (self.progress, out.len());
+        let pushed = self.push_events(chunk, out);
+        if pushed.is_err() {
+            self.progress = progress;
+            out.truncate(length);
+        }
+        pushed
+    }
+
+    fn push_events(&mut self, chunk: &[u8], out: &mut Vec<u8>) -> Result<(), RelayError> {
         let mut rest = chunk;
         if !self.partial.is_empty() {
             rest = self.complete_partial(rest, out)?;
@@ -88,30 +111,31 @@
     /// Fails when an event is incomplete, or when the stream has to end with a final event and that
     /// has not been received.
     pub const fn end(&self) -> Result<(), RelayError> {
-        if (self.done || self.framed_by_body) && self.partial.is_empty() {
+        if (self.progress.done || self.framed_by_body) && self.partial.is_empty() {
             return Ok(());
         }
         Err(RelayError::Truncated {
-            tokens: self.tokens,
+            tokens: self.progress.tokens,
         })
     }
 
     /// Drops an incomplete event; the next bytes belong to a resumed stream.
     pub fn resume(&mut self) {
         self.partial.clear();
-        self.resumed = true;
+        // Events before the first token have to be forwarded if the first stream didn't.
+        self.resumed = self.progress.begun;
     }
 
     /// Returns the number of tokens that the caller has.
     #[must_use]
     pub const fn tokens(&self) -> u32 {
-        self.tokens
+        self.progress.tokens
     }
 
     /// Returns whether the final event has been forwarded.
     #[must_use]
     pub const fn is_done(&self) -> bool {
-        self.done
+        self.progress.done
     }
 
     /// Completes the buffered event with the start of `rest`; returns the bytes that follow it.
@@ -148,23 +172,25 @@
             out.extend_from_slice(bytes);
             return Ok(());
         }
-        if self.done {
+        if self.progress.done {
             return Err(RelayError::AfterEnd);
         }
+        let tokens = self.progress.tokens;
         match event.id {
-            Some(id) if id <= self.tokens => return Ok(()),
-            Some(id) if id > self.tokens + 1 => {
+            Some(id) if id <= tokens => return Ok(()),
+            Some(id) if id > tokens + 1 => {
                 return Err(RelayError::Gap {
-                    expected: self.tokens + 1,
+                    expected: tokens + 1,
                     found: id,
                 });
             }
-            Some(id) => self.tokens = id,
+            Some(id) => self.progress.tokens = id,
             // Events before the first token were forwarded by the first stream.
             None if self.resumed && !event.is_final => return Ok(()),
             None => {}
         }
-        self.done = event.is_final;
+        self.progress.begun = true;
+        self.progress.done = event.is_final;
         self.resumed = self.resumed && event.id.is_none();
         out.extend_from_slice(bytes);
         Ok(())
--- a/crates/tanagerhub_traffic/tests/event_relay.rs
+++ b/crates/tanagerhub_traffic/tests/event_relay.rs
@@ -40,6 +40,36 @@
     assert_eq!(relay.push(text.as_bytes(), &mut Vec::new()), Err(error));
 }
 
+/// A resumed stream repeats the events that precede a malformed one in its chunk.
+#[parameterized(
+    gap = { "id: 9\ndata: i\n\n" },
+    bad_id = { "id: one\ndata: a\n\n" },
+    after_end = { "data: [DONE]\n\nid: 3\ndata: c\n\n" },
+)]
+fn push_refused_after_events(malformed: &str) {
+    let mut relay = EventRelay::default();
+    let mut out = Vec::new();
+    relay.push(event(1, "\n").as_bytes(), &mut out).unwrap();
+    let chunk = event(2, "\n") + malformed;
+    relay.push(chunk.as_bytes(), &mut out).unwrap_err();
+    assert_eq!(out, event(1, "\n").as_bytes());
+    assert_eq!(relay.tokens(), 1);
+    assert!(!relay.is_done());
+}
+
+/// Nothing of the first stream was forwarded, so the resumed one begins with its first event.
+#[test]
+fn push_resumed_from_start() {
+    let mut relay = EventRelay::default();
+    let mut out = Vec::new();
+    let malformed = stream(1..=1, "\n").replace("id: 1", "id: one");
+    relay.push(malformed.as_bytes(), &mut out).unwrap_err();
+    relay.resume();
+    let whole = stream(1..=2, "\n");
+    relay.push(whole.as_bytes(), &mut out).unwrap();
+    assert_eq!(String::from_utf8(out).unwrap(), whole);
+}
+
 #[test]
 fn push_endless_line() {
     let mut relay = EventRelay::default();
