Break a stream that sends nothing but comments or known events

The relay bounded a single event, but forwarded events without data (comments, blank lines, lines without a field), and dropped events that the caller already had, for as long as the backend server sent them.

The relay now counts the bytes of complete events that make no progress: 256 KB of them after the last event in order are an error, like one event of that size. A stream that may resume goes on at another backend server, another one is cut, and the connection is closed. A resumed stream may still repeat everything from its start, since events in order reset the count.

--- a/crates/tanagerhub/tests/gateway/framing.rs
+++ b/crates/tanagerhub/tests/gateway/framing.rs
@@ -2,6 +2,8 @@
 
 #[path = "framing/endless.rs"]
 mod endless;
+#[path = "framing/endless_streams.rs"]
+mod endless_streams;
 #[path = "framing/refusals.rs"]
 mod refusals;
 #[path = "framing/streams.rs"]
--- a/crates/tanagerhub_traffic/src/event_relay.rs
+++ b/crates/tanagerhub_traffic/src/event_relay.rs
@@ -4,6 +4,8 @@
 
 /// Size of the largest event that is forwarded.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
+/// Maximum size of events without progress, such as comments, between two new ones.
+const MAX_IDLE_BYTES: usize = 256 * 1024;
 /// Data of the event that ends a response.
 const FINAL_DATA: &[u8] = b"[DONE]";
 
@@ -36,6 +38,10 @@
     /// The received part of an incomplete event.
     partial: Vec<u8>,
     progress: Progress,
+    /// Bytes of complete events since the last event in order.
+    idle_bytes: usize,
+    /// The id of the last event of this stream that the caller already had.
+    repeated: u32,
     resumed: bool,
     /// Whether the end of the body marks the end of the stream.
     framed_by_body: bool,
@@ -78,8 +84,8 @@
     ///
     /// # Errors
     ///
-    /// Fails when a token is missing, an id is not a number, an event is too large, or an event
-    /// follows the final one. Then no part of the chunk is forwarded or counted, so a resumed stream
+    /// Fails when a token is missing, an id is not a number, an event is too large, an event follows
+    /// the final one, or nothing but comments and known events arrive for too long. Then no part of the chunk is forwarded or counted, so a resumed stream
     /// repeats the events that precede the offending one.
     pub fn push(&mut self, chunk: &[u8], out: &mut Vec<u8>) -> Result<(), RelayError> {
         let (progress, length) = (self.progress, out.len());
@@ -122,6 +128,8 @@
     /// Drops an incomplete event; the next bytes belong to a resumed stream.
     pub fn resume(&mut self) {
         self.partial.clear();
+        self.idle_bytes = 0;
+        self.repeated = 0;
         // Events before the first token have to be forwarded if the first stream didn't.
         self.resumed = self.progress.begun;
     }
@@ -170,14 +178,20 @@
         let event = Event::parse(bytes)?;
         if !event.has_data {
             out.extend_from_slice(bytes);
-            return Ok(());
+            return self.count_idle(bytes.len());
         }
         if self.progress.done {
             return Err(RelayError::AfterEnd);
         }
         let tokens = self.progress.tokens;
         match event.id {
-            Some(id) if id <= tokens => return Ok(()),
+            // A resumed stream may repeat all events, once and in order.
+            Some(id) if id <= tokens && id > self.repeated => {
+                self.repeated = id;
+                self.idle_bytes = 0;
+                return Ok(());
+            }
+            Some(id) if id <= tokens => return self.count_idle(bytes.len()),
             Some(id) if id > tokens + 1 => {
                 return Err(RelayError::Gap {
                     expected: tokens + 1,
@@ -186,15 +200,27 @@
             }
             Some(id) => self.progress.tokens = id,
             // Events before the first token were forwarded by the first stream.
-            None if self.resumed && !event.is_final => return Ok(()),
+            None if self.resumed && !event.is_final => return self.count_idle(bytes.len()),
             None => {}
         }
+        self.idle_bytes = 0;
         self.progress.begun = true;
         self.progress.done = event.is_final;
         self.resumed = self.resumed && event.id.is_none();
         out.extend_from_slice(bytes);
         Ok(())
     }
+
+    /// Counts a complete event that makes no progress.
+    const fn count_idle(&mut self, size: usize) -> Result<(), RelayError> {
+        self.idle_bytes += size;
+        if self.idle_bytes <= MAX_IDLE_BYTES {
+            return Ok(());
+        }
+        Err(RelayError::Idle {
+            limit: MAX_IDLE_BYTES,
+        })
+    }
 }
 
 impl Event {
--- a/crates/tanagerhub_traffic/src/relay_error.rs
+++ b/crates/tanagerhub_traffic/src/relay_error.rs
@@ -20,6 +20,12 @@
         /// Size limit of an event, in bytes.
         limit: usize,
     },
+    /// Too many bytes arrived without a new event.
+    #[error("no new event within {limit} bytes")]
+    Idle {
+        /// Maximum size of events without progress, in bytes.
+        limit: usize,
+    },
     /// An event with data follows the final event.
     #[error("an event follows the final one")]
     AfterEnd,
--- a/crates/tanagerhub_traffic/tests/event_relay.rs
+++ b/crates/tanagerhub_traffic/tests/event_relay.rs
@@ -80,6 +80,39 @@
     assert!(out.is_empty());
 }
 
+#[parameterized(
+    comments = { ": still there\n\n" },
+    blank_lines = { "\n\n" },
+    known_events = { "id: 1\ndata: a\n\n" },
+    unknown_fields = { "garbage\n\n" },
+)]
+fn push_without_progress(text: &str) {
+    let mut relay = EventRelay::default();
+    let mut out = Vec::new();
+    relay.push(event(1, "\n").as_bytes(), &mut out).unwrap();
+    let chunk = text.repeat(100);
+    let chunks = 2 * 256 * 1024 / chunk.len();
+    let failed = (0..chunks).find_map(|_| relay.push(chunk.as_bytes(), &mut out).err());
+    assert_eq!(failed, Some(RelayError::Idle { limit: 256 * 1024 }));
+    assert!(out.len() <= 256 * 1024 + event(1, "\n").len());
+}
+
+/// Comments between events, and a long stream that is repeated from its start, are no flood.
+#[test]
+fn push_long_stream_again() {
+    let mut relay = EventRelay::default();
+    let mut out = Vec::new();
+    let comment = ": still there\n\n";
+    let events: String = (1..=20_000)
+        .map(|token| event(token, "\n") + comment)
+        .collect();
+    for _ in 0..2 {
+        relay.push(events.as_bytes(), &mut out).unwrap();
+        relay.resume();
+    }
+    assert_eq!(relay.tokens(), 20_000);
+}
+
 #[test]
 fn push_keep_alive_comment() {
     let mut relay = EventRelay::default();
