Test responses that end with their connection

No fault was found: the tests passed at once, but for two cases of their own making (the scripted server closed a connection that it hadn't said it would close, and the resumed stream went out on it).

--- a/crates/tanagerhub/tests/gateway/framing/streams.rs
+++ b/crates/tanagerhub/tests/gateway/framing/streams.rs
@@ -4,9 +4,10 @@
 use yare::parameterized;
 
 use super::endless::chunk;
-use crate::deployment::{BackendServer, Script, TestSetup};
+use crate::deployment::{BackendServer, Script, TestSetup, status};
 
-const CHUNKED_HEAD: &str = "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n";
+const CHUNKED_HEAD: &str =
+    "HTTP/1.1 200 X\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n";
 
 fn events(ids: std::ops::RangeInclusive<u32>) -> String {
     let events = ids.map(|id| format!("id: {id}\ndata: {id}\n\n"));
@@ -20,13 +21,6 @@
     ids.map(|id| id.parse().unwrap()).collect()
 }
 
-fn script(parts: &[&str]) -> Script {
-    Script {
-        parts: parts.iter().map(|part| part.as_bytes().to_vec()).collect(),
-        ..Script::default()
-    }
-}
-
 /// The events before the malformed one come in the same chunk and must not be lost.
 #[parameterized(
     gap = { "id: 9\ndata: 9\n\n" },
@@ -35,7 +29,7 @@
 fn resume_after_malformed_event(malformed: &str) {
     task::block_on(async {
         let body = chunk(&(events(1..=3) + malformed));
-        let broken = script(&[CHUNKED_HEAD, &body]);
+        let broken = Script::parts(&[CHUNKED_HEAD, &body]);
         let whole = Script::events(1, 6, true);
         let llm = BackendServer::start(vec![broken, whole]).await;
         let setup = TestSetup::with_backends(&[("llm", &llm), ("llm", &llm)]).await;
@@ -44,3 +38,110 @@
         assert!(response.ends_with("0\r\n\r\n"), "{response}");
     });
 }
+
+const UNFRAMED: &str = "HTTP/1.1 200 X\r\n\r\n";
+const UNFRAMED_EVENTS: &str = "HTTP/1.1 200 X\r\nContent-Type: text/event-stream\r\n\r\n";
+const OLD_VERSION: &str = "HTTP/1.0 200 X\r\n\r\n";
+const CLOSING: &str = "HTTP/1.1 200 X\r\nConnection: close\r\n\r\n";
+const CLOSING_EVENTS: &str =
+    "HTTP/1.1 200 X\r\nConnection: close\r\nContent-Type: text/event-stream\r\n\r\n";
+
+/// A response that ends with its connection is complete, unless the connection was reset.
+#[parameterized(
+    unframed = { UNFRAMED, &["one", "two"] },
+    event_stream = { UNFRAMED_EVENTS, &["data: one\n\n", "data: two\n\n"] },
+    old_version = { OLD_VERSION, &["one", "two"] },
+    closing = { CLOSING, &["one", "two"] },
+    empty = { UNFRAMED, &[] },
+)]
+fn response_ended_by_connection(head: &str, body: &[&str]) {
+    task::block_on(async {
+        let whole = Script::parts(&[&[head], body].concat());
+        let reset = whole.clone().then_reset();
+        let scripts = vec![whole.clone(), whole.clone(), reset.clone(), whole, reset];
+        let desk = BackendServer::start(scripts).await;
+        let setup = TestSetup::with_backends(&[("desk", &desk), ("desk", &desk)]).await;
+        let expected = body.concat();
+        let length = format!("content-length: {}\r\n", expected.len());
+        for path in ["/safe/x", "/unsafe/x", "/safe/x"] {
+            let response = setup.send("POST", path).await;
+            assert_eq!(status(&response), 200, "{response}");
+            assert!(response.to_lowercase().contains(&length), "{response}");
+            assert!(
+                response.ends_with(&format!("\r\n\r\n{expected}")),
+                "{response}"
+            );
+        }
+        // The third request was sent twice, since its first response was reset.
+        assert_eq!(desk.request_heads().len(), 4);
+        let response = setup.send("POST", "/unsafe/x").await;
+        assert_eq!(status(&response), 502, "{response}");
+        assert_eq!(desk.request_heads().len(), 5);
+    });
+}
+
+/// A stream that ends with its connection after a whole event is complete.
+#[parameterized(
+    unframed = { UNFRAMED },
+    event_stream = { UNFRAMED_EVENTS },
+    old_version = { OLD_VERSION },
+    closing = { CLOSING },
+    closing_events = { CLOSING_EVENTS },
+    length = { "HTTP/1.1 200 X\r\nContent-Length: 45\r\n\r\n" },
+    chunks = { CHUNKED_HEAD },
+)]
+fn stream_ended_after_event(head: &str) {
+    task::block_on(async {
+        let mut pieces = [events(1..=1), events(2..=2), events(3..=3)];
+        if head == CHUNKED_HEAD {
+            pieces = pieces.map(|piece| chunk(&piece));
+            pieces[2].push_str("0\r\n\r\n");
+        }
+        let whole = Script::parts(&[head, &pieces[0], &pieces[1], &pieces[2]]);
+        let llm = BackendServer::start(vec![whole]).await;
+        let setup = TestSetup::with_backends(&[("llm", &llm), ("llm", &llm)]).await;
+        for path in ["/stream/x", "/once/x"] {
+            let response = setup.send("POST", path).await;
+            assert_eq!(event_ids(&response), [1, 2, 3], "{response}");
+            assert!(response.ends_with("0\r\n\r\n"), "{response}");
+        }
+        assert_eq!(llm.request_heads().len(), 2);
+    });
+}
+
+/// A stream that was broken off resumes if it may, and must not look complete otherwise.
+#[parameterized(
+    unframed = { UNFRAMED, "id: 3\nda", false },
+    event_stream = { UNFRAMED_EVENTS, "id: 3\nda", false },
+    in_blank_line = { UNFRAMED, "id: 3\ndata: 3\n", false },
+    old_version = { OLD_VERSION, "id: 3\nda", false },
+    closing = { CLOSING_EVENTS, "id", false },
+    length = { "HTTP/1.1 200 X\r\nConnection: close\r\nContent-Length: 31\r\n\r\n", "i", false },
+    short_length = { "HTTP/1.1 200 X\r\nContent-Length: 45\r\n\r\n", "", false },
+    chunks_in_event = { CHUNKED_HEAD, "2\r\nid\r\n0\r\n\r\n", false },
+    chunks_cut = { CHUNKED_HEAD, "", false },
+    reset = { UNFRAMED, "", true },
+    reset_events = { CLOSING_EVENTS, "", true },
+    reset_in_event = { UNFRAMED, "id: 3\nda", true },
+)]
+fn stream_broken_off(head: &str, last: &str, reset: bool) {
+    task::block_on(async {
+        let mut first = events(1..=2);
+        if head == CHUNKED_HEAD {
+            first = chunk(&first);
+        }
+        let mut broken = Script::parts(&[head, &first, last]);
+        broken.reset = reset;
+        let scripts = vec![broken.clone(), Script::events(3, 4, true), broken];
+        let llm = BackendServer::start(scripts).await;
+        let setup = TestSetup::with_backends(&[("llm", &llm), ("llm", &llm)]).await;
+        let response = setup.send("POST", "/stream/x").await;
+        assert_eq!(event_ids(&response), [1, 2, 3, 4], "{response}");
+        assert!(response.ends_with("0\r\n\r\n"), "{response}");
+        assert!(llm.request_heads()[1].contains("after: 2"));
+        let response = setup.send("POST", "/once/x").await;
+        assert_eq!(event_ids(&response), [1, 2], "{response}");
+        assert!(!response.ends_with("0\r\n\r\n"), "{response}");
+        assert_eq!(llm.request_heads().len(), 3);
+    });
+}
--- a/crates/tanagerhub/tests/support/backend_server.rs
+++ b/crates/tanagerhub/tests/support/backend_server.rs
@@ -13,6 +13,9 @@
 /// The size of such a response.
 const MAX_ENDLESS_BYTES: usize = 256 << 20;
 
+/// The maximum size of a request that a backend server receives.
+const MAX_REQUEST_BYTES: usize = 16_384;
+
 /// The response of a backend server to one request: parts to write in order. Then it closes the
 /// connection, or keeps it open without sending anything.
 #[derive(Debug, Clone, Default)]
@@ -29,6 +32,8 @@
     pub endless_pause: Duration,
     /// Whether the backend server ends and accepts no more connections.
     pub crash: bool,
+    /// Whether the connection ends with a reset.
+    pub reset: bool,
 }
 
 impl Script {
@@ -76,6 +81,22 @@
         }
     }
 
+    /// Returns a script that sends these parts and then closes the connection.
+    pub fn parts(parts: &[&str]) -> Self {
+        Self {
+            parts: parts.iter().map(|part| part.as_bytes().to_vec()).collect(),
+            ..Self::default()
+        }
+    }
+
+    /// Ends the connection with a reset.
+    pub fn then_reset(self) -> Self {
+        Self {
+            reset: true,
+            ..self
+        }
+    }
+
     /// Adds a delay before the first byte.
     pub fn after(self, delay: Duration) -> Self {
         Self { delay, ..self }
@@ -174,18 +195,25 @@
     }
 
     async fn serve(self, mut stream: TcpStream) {
-        let mut request = Vec::new();
-        let mut buffer = [0; 4_096];
-        while !request.windows(4).any(|end| end == b"\r\n\r\n") {
-            let count = stream.read(&mut buffer).await.unwrap_or(0);
+        let mut buffer = vec![0; MAX_REQUEST_BYTES];
+        let mut count = 0;
+        while !buffer[..count].windows(4).any(|end| end == b"\r\n\r\n") {
+            let before = count;
+            count = stream.peek(&mut buffer).await.unwrap_or(0);
             if count == 0 {
                 return;
             }
-            request.extend_from_slice(&buffer[..count]);
+            if count == before {
+                task::sleep(Duration::from_millis(1)).await;
+            }
         }
-        let head = String::from_utf8_lossy(&request).to_lowercase();
+        let head = String::from_utf8_lossy(&buffer[..count]).to_lowercase();
         self.request_heads.lock().unwrap().push(head);
         let script = self.script();
+        // Closing a connection with unread bytes resets it.
+        if !script.reset && stream.read_exact(&mut buffer[..count]).await.is_err() {
+            return;
+        }
         if script.crash {
             let accept_task = self.accept_task.lock().unwrap().take();
             if let Some(accept_task) = accept_task {
