Remove headers named by every Connection header

Only the first `Connection` header was read, and not at all if it contained a byte outside ASCII. A hop-by-hop header named by a second one was passed on to the backend server or to the caller.

The new test on the code before:

strip_named_headers::several, empty_options: left: ["x-other", "x-kept"] right: ["x-kept"] close_first, not_ascii_first, not_ascii_beside: left: ["x-kept", "x-hop", "x-other"] right: ["x-kept"] test result: FAILED. 1 passed; 5 failed

The options of all `Connection` headers are now read as bytes; an option that is no header name names no header. Now: 6 of 6 pass.

--- a/crates/tanagerhub_proxy/src/hop.rs
+++ b/crates/tanagerhub_proxy/src/hop.rs
@@ -32,15 +32,15 @@
 /// assert_eq!(headers.len(), 1);
 /// ```
 pub fn strip_hop_headers(headers: &mut HeaderMap) {
-    if let Some(named) = headers.get(CONNECTION).cloned() {
-        let named = named.to_str().unwrap_or_default();
-        for name in named.split(',').map(str::trim) {
-            // The options `close` and `keep-alive` are no header names, but removing headers with
-            // these names does no harm, because no such header has to be forwarded.
-            headers.remove(name);
-        }
-    }
-    for name in &HOP_BY_HOP {
+    // The options `close` and `keep-alive` are no header names, but removing headers with these
+    // names does no harm, because no such header has to be forwarded.
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .flat_map(|value| value.as_bytes().split(|byte| *byte == b','))
+        .filter_map(|option| HeaderName::from_bytes(option.trim_ascii()).ok())
+        .collect();
+    for name in named.iter().chain(&HOP_BY_HOP) {
         headers.remove(name);
     }
 }
