Test that surplus bytes on a pooled connection reach no request

Bytes after a complete response belong to no request. No fault was found: hyper closes an idle connection on which bytes arrive, and each case passed at once (a surplus response with or after the response, part of a head, a body of a 204, a line end; the next request 0 to 20 ms later).

--- a/crates/tanagerhub_proxy/tests/client.rs
+++ b/crates/tanagerhub_proxy/tests/client.rs
@@ -226,3 +226,44 @@
         assert_eq!(server_task.await, 0);
     });
 }
+
+/// Bytes after a complete response belong to no request, whenever they arrive.
+#[parameterized(
+    with_response = { b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\naHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nb", b"" },
+    after_response = { b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na", b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nb" },
+    chunked = { b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nb" },
+    part_of_head = { b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\naHTTP", b"" },
+    no_body = { b"HTTP/1.1 204 OK\r\n\r\nb", b"" },
+    line_ends = { b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na\r\n", b"" },
+)]
+fn surplus_bytes_reach_no_request(response: &'static [u8], surplus: &'static [u8]) {
+    task::block_on(async {
+        for delay in [0, 0, 1, 5, 20] {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let address = listener.local_addr().unwrap();
+            let server_task = task::spawn(async move {
+                let mut connections = Vec::new();
+                let mut buffer = [0; 4_096];
+                loop {
+                    let (mut stream, _) = listener.accept().await.unwrap();
+                    stream.read(&mut buffer).await.unwrap();
+                    stream.write_all(response).await.unwrap();
+                    let _: std::io::Result<()> = stream.write_all(surplus).await;
+                    connections.push(stream);
+                }
+            });
+            let client = client();
+            for _ in 0..3 {
+                let sent = client.send(address, get(), Reuse::Idle, || true);
+                let sent = async_std::future::timeout(Duration::from_secs(2), sent).await;
+                // A request may fail on a connection that turned out to be faulty.
+                if let Ok(response) = sent.unwrap() {
+                    let body = response.body.read(100).await.unwrap();
+                    assert_ne!(body, "b", "after {delay} ms");
+                }
+                task::sleep(Duration::from_millis(delay)).await;
+            }
+            server_task.cancel().await;
+        }
+    });
+}
