Refuse a request whose body doesn't arrive before its deadline

A request whose body stalls was awaited without end: its caller got nothing at its deadline, and the connection and the bytes received so far were kept until the caller left, since a connection with a request in flight is never idle.

The new test on the code before (no response within 5 s, deadline 300 ms):

stalled_body_refused::no_body, length, chunks, awaited: called `Result::unwrap()` on an `Err` value: TimeoutError test result: FAILED. 0 passed; 4 failed

The body is now awaited until the deadline of the request (the caller's timeout or the route's, the shorter one), then the request is refused with 408, which promises that it hasn't run. Such a refusal doesn't wait any longer for the rest, and the connection closes after it. Now: 4 of 4 pass.

--- a/crates/tanagerhub/src/gateway/front.rs
+++ b/crates/tanagerhub/src/gateway/front.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use async_channel::Sender;
-use bytes::Bytes;
 use http::header::{AUTHORIZATION, CONTENT_LENGTH, HOST};
 use http::request::Parts;
 use http::uri::PathAndQuery;
@@ -99,9 +98,16 @@
         let holder = self
             .key_holder(&configuration, route, &head)
             .map_err(refused)?;
-        let body = read_body(body, configuration.max_body_bytes)
-            .await
-            .map_err(refused)?;
+        let timeout = head
+            .timeout
+            .unwrap_or(MAX_REQUEST_TIMEOUT)
+            .min(route.timeout);
+        let deadline = arrived + timeout;
+        let left = deadline.since(self.clock.now());
+        let body = body
+            .read(&self.clock, configuration.max_body_bytes, left)
+            .await;
+        let body = body.map_err(|error| refused(body_failure(&error)))?;
         let id = xxh3_64(head.id.as_bytes());
         let service = route.target(id).unwrap_or_default();
         let entry = configuration
@@ -112,10 +118,6 @@
                     "the service has no such model",
                 ))
             })?;
-        let timeout = head
-            .timeout
-            .unwrap_or(MAX_REQUEST_TIMEOUT)
-            .min(route.timeout);
         let priority = holder
             .and_then(|holder| holder.priority)
             .unwrap_or(route.priority);
@@ -141,7 +143,7 @@
             keyed: holder.is_some(),
             urgency: route.kind.is_stream().then_some(priority),
             objective: route.first_byte_objective,
-            deadline: arrived + timeout,
+            deadline,
             first_byte_deadline: arrived + first_byte_timeout(route).min(timeout),
             last_event: head.last_event,
         };
@@ -199,14 +201,13 @@
         .ok_or_else(|| Failure::new(StatusCode::NOT_FOUND, "no route leads there"))
 }
 
-async fn read_body(body: &mut RequestBody, limit: usize) -> Result<Bytes, Failure> {
-    body.read(limit).await.map_err(|error| {
-        let status = match error {
-            RequestBodyError::TooLong { .. } => StatusCode::PAYLOAD_TOO_LARGE,
-            RequestBodyError::Broken(_) => StatusCode::BAD_REQUEST,
-        };
-        Failure::new(status, error.to_string())
-    })
+fn body_failure(error: &RequestBodyError) -> Failure {
+    let status = match error {
+        RequestBodyError::TooLong { .. } => StatusCode::PAYLOAD_TOO_LARGE,
+        RequestBodyError::TimedOut { .. } => StatusCode::REQUEST_TIMEOUT,
+        RequestBodyError::Broken(_) => StatusCode::BAD_REQUEST,
+    };
+    Failure::new(status, error.to_string())
 }
 
 fn root_path() -> PathAndQuery {
--- a/crates/tanagerhub/tests/gateway/framing/refusals.rs
+++ b/crates/tanagerhub/tests/gateway/framing/refusals.rs
@@ -7,12 +7,14 @@
 use async_std::task;
 use yare::parameterized;
 
-use crate::deployment::{TestSetup, status};
+use crate::deployment::{BackendServer, Script, TestSetup, status};
 
 /// The size of a body that doesn't fit into the socket's buffers at once.
 const LONG_BODY_BYTES: usize = 400_000;
 /// The number of requests per case, since a lost response depends on timing.
 const REQUESTS: usize = 30;
+/// The permission to send a body.
+const CONTINUE: &str = "HTTP/1.1 100 Continue\r\n\r\n";
 const PIECES: usize = 4;
 /// Far longer than a refusal may take; it only keeps a fault from blocking the test run.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(5);
@@ -86,6 +88,7 @@
 }
 
 fn is_complete(response: &str) -> bool {
+    let response = response.trim_start_matches(CONTINUE);
     let Some((head, body)) = response.split_once("\r\n\r\n") else {
         return false;
     };
@@ -155,3 +158,27 @@
         assert!(lost.is_empty(), "{} of {REQUESTS}: {lost:?}", lost.len());
     });
 }
+
+/// A request whose body never ends is refused at its deadline and not run.
+#[parameterized(
+    length = { "Content-Length: 10\r\n\r\na" },
+    no_body = { "Content-Length: 10\r\n\r\n" },
+    chunks = { "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n" },
+    awaited = { "Content-Length: 10\r\nExpect: 100-continue\r\n\r\n" },
+)]
+fn stalled_body_refused(rest: &str) {
+    task::block_on(async {
+        let desk = BackendServer::start(vec![Script::response(200, "", "found")]).await;
+        let setup = TestSetup::with_backends(&[("desk", &desk)]).await;
+        let address = setup.settings.caller_address;
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        let head = "POST /safe/ HTTP/1.1\r\nHost: shop\r\nid: 1\r\nkey: k1\r\ndeadline: 300\r\n";
+        let request = format!("{head}{rest}");
+        stream.write_all(request.as_bytes()).await.unwrap();
+        let response = async_std::future::timeout(RESPONSE_TIMEOUT, read_response(&mut stream));
+        let response = response.await.unwrap().unwrap();
+        let response = response.trim_start_matches(CONTINUE);
+        assert_eq!(status(response), 408, "{response}");
+        assert!(desk.request_heads().is_empty());
+    });
+}
--- a/crates/tanagerhub_proxy/src/request_body.rs
+++ b/crates/tanagerhub_proxy/src/request_body.rs
@@ -44,6 +44,8 @@
     Unread,
     Ended,
     Broken,
+    /// The body did not arrive in time.
+    Stalled,
 }
 
 /// Why the body of a request could not be read to its end.
@@ -55,6 +57,12 @@
         /// Maximum body size in bytes.
         limit: usize,
     },
+    /// The body did not end within the timeout.
+    #[error("the body did not arrive within {} ms", timeout.as_millis())]
+    TimedOut {
+        /// Time for which the body was awaited.
+        timeout: Duration,
+    },
     /// The connection failed, or the body violates the HTTP protocol.
     #[error("the body can't be read: {0}")]
     Broken(hyper::Error),
@@ -79,8 +87,22 @@
     ///
     /// # Errors
     ///
-    /// Fails when the body exceeds `limit`, is malformed, or ends with its connection.
-    pub async fn read(&mut self, limit: usize) -> Result<Bytes, RequestBodyError> {
+    /// Fails when the body exceeds `limit`, does not end within `timeout`, is malformed, or ends
+    /// with its connection.
+    pub async fn read(
+        &mut self,
+        clock: &Clock,
+        limit: usize,
+        timeout: Duration,
+    ) -> Result<Bytes, RequestBodyError> {
+        let read = clock.timeout(timeout, self.read_to_end(limit)).await;
+        read.unwrap_or_else(|| {
+            self.state = ReadState::Stalled;
+            Err(RequestBodyError::TimedOut { timeout })
+        })
+    }
+
+    async fn read_to_end(&mut self, limit: usize) -> Result<Bytes, RequestBodyError> {
         let mut all = Vec::new();
         while let Some(chunk) = self.next().await? {
             if all.len() + chunk.len() > limit {
@@ -94,7 +116,7 @@
     /// Receives and drops the rest of the body, and then returns the response to the request.
     ///
     /// The response waits for a limited time, and not at all for a caller that waits for permission
-    /// to send its body. If the body has not ended by then, the connection closes after the
+    /// to send its body, or whose body has already been awaited for too long. If the body has not ended by then, the connection closes after the
     /// response, but continues to receive bytes for a limited time.
     ///
     /// # Examples
@@ -124,7 +146,7 @@
         clock: &Clock,
         mut response: Response<ResponseBody>,
     ) -> Response<ResponseBody> {
-        if self.state != ReadState::Awaited {
+        if self.state == ReadState::Unread {
             let _: Option<()> = clock
                 .timeout(MAX_DISCARD_TIME, self.discard_to_limit())
                 .await;
--- a/crates/tanagerhub_proxy/tests/request_body.rs
+++ b/crates/tanagerhub_proxy/tests/request_body.rs
@@ -13,6 +13,8 @@
 
 /// Maximum size of a body that the server accepts.
 const BODY_LIMIT: usize = 100;
+/// Far longer than any body takes that a test sends to its end.
+const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 /// Within this time a caller has a refusal, even if it never ends its body.
 const REFUSAL_TIME: Duration = Duration::from_secs(1);
 /// Within this time the server closes a connection whose caller never stops sending.
@@ -26,7 +28,7 @@
     let mut response = Response::new(full_body("refused"));
     *response.status_mut() = StatusCode::NOT_FOUND;
     if parts.uri.path() != "/refused" {
-        match body.read(BODY_LIMIT).await {
+        match body.read(&Clock::real(), BODY_LIMIT, BODY_TIMEOUT).await {
             Ok(bytes) => return Response::new(full_body(format!("{} bytes", bytes.len()))),
             Err(_) => *response.status_mut() = StatusCode::PAYLOAD_TOO_LARGE,
         }
