--- a/crates/tanagerhub_traffic/tests/event_relay.rs
+++ b/crates/tanagerhub_traffic/tests/event_relay.rs
@@ -40,6 +40,36 @@
     assert_eq!(relay.push(text.as_bytes(), &mut Vec::new()), Err(error));
 }
 
+/// A resumed stream repeats the events that precede a malformed one in its chunk.
+#[parameterized(
+    gap = { "id: 9\ndata: i\n\n" },
+    bad_id = { "id: one\ndata: a\n\n" },
+    after_end = { "data: [DONE]\n\nid: 3\ndata: c\n\n" },
+)]
+fn push_refused_after_events(malformed: &str) {
+    let mut relay = EventRelay::default();
+    let mut out = Vec::new();
+    relay.push(event(1, "\n").as_bytes(), &mut out).unwrap();
+    let chunk = event(2, "\n") + malformed;
+    relay.push(chunk.as_bytes(), &mut out).unwrap_err();
+    assert_eq!(out, event(1, "\n").as_bytes());
+    assert_eq!(relay.tokens(), 1);
+    assert!(!relay.is_done());
+}
+
+/// Nothing of the first stream was forwarded, so the resumed one begins with its first event.
+#[test]
+fn push_resumed_from_start() {
+    let mut relay = EventRelay::default();
+    let mut out = Vec::new();
+    let malformed = stream(1..=1, "\n").replace("id: 1", "id: one");
+    relay.push(malformed.as_bytes(), &mut out).unwrap_err();
+    relay.resume();
+    let whole = stream(1..=2, "\n");
+    relay.push(whole.as_bytes(), &mut out).unwrap();
+    assert_eq!(String::from_utf8(out).unwrap(), whole);
+}
+
 #[test]
 fn push_endless_line() {
     let mut relay = EventRelay::default();
@@ -50,6 +80,39 @@
     assert!(out.is_empty());
 }
 
+#[parameterized(
+    comments = { ": still there\n\n" },
+    blank_lines = { "\n\n" },
+    known_events = { "id: 1\ndata: a\n\n" },
+    unknown_fields = { "garbage\n\n" },
+)]
+fn push_without_progress(text: &str) {
+    let mut relay = EventRelay::default();
+    let mut out = Vec::new();
+    relay.push(event(1, "\n").as_bytes(), &mut out).unwrap();
+    let chunk = text.repeat(100);
+    let chunks = 2 * 256 * 1024 / chunk.len();
+    let failed = (0..chunks).find_map(|_| relay.push(chunk.as_bytes(), &mut out).err());
+    assert_eq!(failed, Some(RelayError::Idle { limit: 256 * 1024 }));
+    assert!(out.len() <= 256 * 1024 + event(1, "\n").len());
+}
+
+/// Comments between events, and a long stream that is repeated from its start, are no flood.
+#[test]
+fn push_long_stream_again() {
+    let mut relay = EventRelay::default();
+    let mut out = Vec::new();
+    let comment = ": still there\n\n";
+    let events: String = (1..=20_000)
+        .map(|token| event(token, "\n") + comment)
+        .collect();
+    for _ in 0..2 {
+        relay.push(events.as_bytes(), &mut out).unwrap();
+        relay.resume();
+    }
+    assert_eq!(relay.tokens(), 20_000);
+}
+
 #[test]
 fn push_keep_alive_comment() {
     let mut relay = EventRelay::default();
