Let the configuration decide that is in force once a body has been received

What callers would see beside a change of the configuration: 404 for a route that exists. A request whose body arrived after the change was sent to the service of the old configuration, which the catalogue no longer had. Route and key are now looked up again after the body. An entry that the routes have and the catalogue doesn't have yet is answered 503, not run, instead of 404.

Failed before: route_moved_before_body_received: left: 404 right: 200

--- a/crates/tanagerhub/src/gateway/failure.rs
+++ b/crates/tanagerhub/src/gateway/failure.rs
@@ -42,7 +42,6 @@
     /// request has not run.
     pub(crate) fn from_refusal(refusal: &Refusal) -> Self {
         let status = match (refusal.reason, refusal.outcome) {
-            (Reason::UnknownEntry, Outcome::NotRun) => StatusCode::NOT_FOUND,
             (Reason::RequestRate | Reason::TokenRate | Reason::Concurrency, Outcome::NotRun) => {
                 StatusCode::TOO_MANY_REQUESTS
             }
--- a/crates/tanagerhub/src/gateway/front.rs
+++ b/crates/tanagerhub/src/gateway/front.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use async_channel::Sender;
+use bytes::Bytes;
 use http::header::{AUTHORIZATION, CONTENT_LENGTH, HOST};
 use http::request::Parts;
 use http::uri::PathAndQuery;
@@ -82,6 +83,8 @@
     }
 
     /// Reads a request completely, and checks its route, key, size and model.
+    ///
+    /// The configuration that is in force once the body has been received decides.
     async fn accept(
         &self,
         arrived: Moment,
@@ -91,26 +94,14 @@
         let head = self.dialect.head(&parts).map_err(|error| {
             RefusedRequest::new("", 0, Failure::new(StatusCode::BAD_REQUEST, error.reason))
         })?;
-        let Some(configuration) = self.shared.configuration() else {
-            let failure =
-                Failure::unavailable("no configuration is known yet", NOT_READY_RETRY_AFTER);
-            return Err(RefusedRequest::new(&head.id, 0, failure));
-        };
+        let body = self.receive_body(arrived, &head, &parts, body).await?;
+        let configuration = self.configuration(&head)?;
         let refused = |failure| RefusedRequest::new(&head.id, configuration.version, failure);
         let route = find_route(&configuration, &head, &parts).map_err(refused)?;
         let holder = self
             .key_holder(&configuration, route, &head)
             .map_err(refused)?;
-        let timeout = head
-            .timeout
-            .unwrap_or(MAX_REQUEST_TIMEOUT)
-            .min(route.timeout);
-        let deadline = arrived + timeout;
-        let left = deadline.since(self.clock.now());
-        let body = body
-            .read(&self.clock, configuration.max_body_bytes, left)
-            .await;
-        let body = body.map_err(|error| refused(body_failure(&error)))?;
+        let timeout = request_timeout(&head, route);
         let id = xxh3_64(head.id.as_bytes());
         let service = route.target(id).unwrap_or_default();
         let entry = configuration
@@ -146,7 +137,7 @@
             keyed: holder.is_some(),
             urgency: route.kind.is_stream().then_some(priority),
             objective: route.first_byte_objective,
-            deadline,
+            deadline: arrived + timeout,
             first_byte_deadline: arrived + first_byte_timeout(route).min(timeout),
             last_event: head.last_event,
         };
@@ -154,6 +145,36 @@
         Ok((call, info))
     }
 
+    /// Receives the body of a request whose route and key are known.
+    async fn receive_body(
+        &self,
+        arrived: Moment,
+        head: &CallHead,
+        parts: &Parts,
+        body: &mut RequestBody,
+    ) -> Result<Bytes, RefusedRequest> {
+        let configuration = self.configuration(head)?;
+        let refused = |failure| RefusedRequest::new(&head.id, configuration.version, failure);
+        let route = find_route(&configuration, head, parts).map_err(refused)?;
+        self.key_holder(&configuration, route, head)
+            .map_err(refused)?;
+        let deadline = arrived + request_timeout(head, route);
+        let left = deadline.since(self.clock.now());
+        let body = body
+            .read(&self.clock, configuration.max_body_bytes, left)
+            .await;
+        body.map_err(|error| refused(body_failure(&error)))
+    }
+
+    /// Returns the configuration in force.
+    fn configuration(&self, head: &CallHead) -> Result<Arc<Configuration>, RefusedRequest> {
+        self.shared.configuration().ok_or_else(|| {
+            let failure =
+                Failure::unavailable("no configuration is known yet", NOT_READY_RETRY_AFTER);
+            RefusedRequest::new(&head.id, 0, failure)
+        })
+    }
+
     /// Returns the holder of a request's key, or `None` if the route needs no key.
     fn key_holder<'a>(
         &self,
@@ -248,6 +269,13 @@
         .resume_timeout(first_byte_timeout(route).mul_f64(RESUME_TIMEOUT_SHARE))
 }
 
+/// Returns how long the caller of a request waits, and its route allows.
+fn request_timeout(head: &CallHead, route: &IngressRoute) -> Duration {
+    head.timeout
+        .unwrap_or(MAX_REQUEST_TIMEOUT)
+        .min(route.timeout)
+}
+
 /// Returns the timeout for the first byte of a stream; callers abandon a stream that shows nothing
 /// for long.
 fn first_byte_timeout(route: &IngressRoute) -> Duration {
--- a/crates/tanagerhub/tests/gateway.rs
+++ b/crates/tanagerhub/tests/gateway.rs
@@ -405,6 +405,29 @@
     });
 }
 
+/// The body arrives after a configuration that moves its route to another service.
+#[test]
+fn route_moved_before_body_received() {
+    task::block_on(async {
+        let desk = BackendServer::start(vec![Script::response(200, "", "hello")]).await;
+        let mut setup = TestSetup::with_backends(&[("desk", &desk), ("shelf", &desk)]).await;
+        let mut stream = TcpStream::connect(setup.settings.caller_address)
+            .await
+            .unwrap();
+        let head = "POST /safe/x HTTP/1.1\r\nHost: shop\r\nid: 1\r\nkey: k1\r\n";
+        let head = format!("{head}Content-Length: 2\r\n\r\na");
+        stream.write_all(head.as_bytes()).await.unwrap();
+        task::sleep(Duration::from_millis(100)).await;
+        setup.configure_with(&["k1"], "shelf");
+        task::sleep(Duration::from_millis(500)).await;
+        stream.write_all(b"b").await.unwrap();
+        let mut buffer = [0; 1_024];
+        let count = stream.read(&mut buffer).await.unwrap();
+        let response = String::from_utf8_lossy(&buffer[..count]).into_owned();
+        assert_eq!(status(&response), 200, "{response}");
+    });
+}
+
 /// Status 503 would promise that the request has not run.
 #[test]
 fn key_lapsed_after_dispatch_promises_nothing() {
--- a/crates/tanagerhub/tests/support/deployment.rs
+++ b/crates/tanagerhub/tests/support/deployment.rs
@@ -387,6 +387,11 @@
 
     /// Publishes a configuration with one route per kind, such as `/safe/`, and the given keys.
     pub fn configure(&mut self, keys: &[&str]) {
+        self.configure_with(keys, "desk");
+    }
+
+    /// The same with another service in place of `desk`.
+    pub fn configure_with(&mut self, keys: &[&str], desk: &str) {
         self.version += 1;
         let route = |prefix: &str, kind, service: &str, public| {
             let mut route = IngressRoute::new("shop", prefix);
@@ -422,13 +427,13 @@
             version: self.version,
             catalogue: Arc::new(Catalogue {
                 version: CatalogueVersion(self.version),
-                entries: vec![entry("desk"), entry("llm"), entry(MODEL_ENTRY)],
+                entries: vec![entry(desk), entry("llm"), entry(MODEL_ENTRY)],
                 ..Catalogue::default()
             }),
             ingress: Ingress::new(vec![
-                route("/safe/", RouteKind::Idempotent, "desk", false),
-                route("/unsafe/", RouteKind::Unrepeatable, "desk", false),
-                route("/public/", RouteKind::Idempotent, "desk", true),
+                route("/safe/", RouteKind::Idempotent, desk, false),
+                route("/unsafe/", RouteKind::Unrepeatable, desk, false),
+                route("/public/", RouteKind::Idempotent, desk, true),
                 route("/stream/", RouteKind::ResumableStream, "llm", false),
                 route("/once/", RouteKind::Stream, "llm", false),
                 route("/grouped/", RouteKind::ResumableStream, ENGINE, false),
