--- a/crates/tanagerhub/src/gateway/exchange.rs
+++ b/crates/tanagerhub/src/gateway/exchange.rs
@@ -195,7 +195,8 @@
                 }
                 Step::Late(LateCause::Silent)
             };
-            future::or(self.wait_until_overdue(*dispatch, watch, *sent), silent).await
+            let overdue = self.wait_until_overdue(*dispatch, watch, *sent, cause);
+            future::or(overdue, silent).await
         };
         let second = async {
             match second {
@@ -365,6 +366,7 @@
         dispatch: Dispatch,
         watch: &ActivityWatch,
         sent: Moment,
+        cause: LateCause,
     ) -> Step {
         let factor = if self.call.kind.is_stream() {
             STREAM_TIMEOUT_FACTOR
@@ -374,7 +376,7 @@
         let timeout = (self.call.objective * factor).max(MIN_ATTEMPT_TIMEOUT);
         let suspicion_delay = watch.silence_limit().max(MIN_SUSPICION_DELAY).min(timeout);
         self.sleep_until(sent + suspicion_delay).await;
-        if watch.last_activity() < sent {
+        if cause == LateCause::Overdue && watch.last_activity() < sent {
             self.suspect(dispatch);
         }
         self.sleep_until(sent + timeout).await;
