Decode the parts of a prompt that requests share, and log them for failed attempts

The logs named the fingerprint of a failed request, but nothing that tells which part of their prompts the requests under which groups were lost had in common.

--- a/crates/tanagerhub/src/gateway/call.rs
+++ b/crates/tanagerhub/src/gateway/call.rs
@@ -28,6 +28,8 @@
     pub max_tokens: u32,
     /// The number of the last event of the stream that the caller has received; 0 for none.
     pub last_event: u32,
+    /// Hashes of the prompt's parts that other requests may share, in order.
+    pub shared_parts: Vec<u64>,
 }
 
 /// The values that the gateway adds to a request for a backend server.
@@ -70,6 +72,8 @@
     pub(crate) last_event: u32,
     /// Hash of target, organisation and body, by which crashes are counted.
     pub(crate) fingerprint: u64,
+    /// The parts of the prompt that other requests may share, by which crashes are counted too.
+    pub(crate) parts: Vec<u64>,
 }
 
 impl Call {
@@ -87,6 +91,12 @@
         last_event > self.last_event
     }
 
+    /// Returns the parts of the prompt for the log.
+    pub(crate) fn part_list(&self) -> String {
+        let parts = self.parts.iter().map(|part| format!("{part:016x}"));
+        parts.collect::<Vec<_>>().join(",")
+    }
+
     /// Returns whether the request may run more than once.
     pub(crate) const fn is_repeatable(&self) -> bool {
         !matches!(Self::repeat(self.kind), Repeat::Never)
--- a/crates/tanagerhub/src/gateway/exchange.rs
+++ b/crates/tanagerhub/src/gateway/exchange.rs
@@ -260,6 +260,7 @@
             group:% = dispatch.group,
             epoch = dispatch.epoch.0,
             fingerprint:% = format_args!("{:016x}", self.call.fingerprint),
+            parts = self.call.part_list().as_str(),
             cause = label,
             detail = error.detail().as_str(),
             took_ms = self.frontend.clock.now().since(self.call.arrived).as_millis();
--- a/crates/tanagerhub/src/gateway/front.rs
+++ b/crates/tanagerhub/src/gateway/front.rs
@@ -32,6 +32,8 @@
 const QUEUE_TIMEOUT_SHARE: f64 = 0.5;
 /// The minimum time that callers wait for the first byte of a stream.
 const MIN_FIRST_BYTE_TIMEOUT: Duration = Duration::from_millis(1_900);
+/// The maximum number of parts of a prompt by which crashes are counted.
+const MAX_PARTS: usize = 32;
 /// The timeout of a request where neither the caller nor the route sets a shorter one.
 const MAX_REQUEST_TIMEOUT: Duration = Duration::from_mins(10);
 
@@ -143,6 +145,7 @@
             deadline: arrived + timeout,
             first_byte_deadline: arrived + first_byte_timeout(route).min(timeout),
             last_event: head.last_event,
+            parts: head.shared_parts.iter().copied().take(MAX_PARTS).collect(),
         };
         let info = request_info(&call, &head, route, priority);
         Ok((call, info))
--- a/crates/tanagerhub/src/gateway/streaming.rs
+++ b/crates/tanagerhub/src/gateway/streaming.rs
@@ -237,6 +237,7 @@
             group:% = dispatch.group,
             epoch = dispatch.epoch.0,
             fingerprint:% = format_args!("{:016x}", self.exchange.call.fingerprint),
+            parts = self.exchange.call.part_list().as_str(),
             event = self.relay.tokens(),
             cause = cause.description().as_str(),
             silent_ms = now.since(watch.last_activity()).as_millis();
--- a/crates/tanagerhub/tests/support/deployment.rs
+++ b/crates/tanagerhub/tests/support/deployment.rs
@@ -279,6 +279,10 @@
             prompt_tokens: 0,
             max_tokens: 0,
             last_event: 0,
+            shared_parts: text("parts").map_or_else(Vec::new, |parts| {
+                let parts = parts.split(',').map(|part| xxh3_64(part.as_bytes()));
+                parts.collect()
+            }),
         })
     }
 
