--- a/crates/tanagerhub/src/gateway/front.rs
+++ b/crates/tanagerhub/src/gateway/front.rs
@@ -244,6 +244,7 @@
         .repeat(Call::repeat(call.kind))
         .tokens(head.prompt_tokens, head.max_tokens)
         .fingerprint(call.fingerprint)
+        .parts(call.parts.iter().copied())
         .class(class_of_priority(priority))
         .attempts(route.max_attempts)
         .queue_timeout(route.first_byte_objective.mul_f64(QUEUE_TIMEOUT_SHARE))
--- a/crates/tanagerhub/tests/gateway.rs
+++ b/crates/tanagerhub/tests/gateway.rs
@@ -1,5 +1,7 @@
 //! End-to-end tests of a gateway over real sockets, with an in-memory store.
 
+#[path = "gateway/crashing_parts.rs"]
+mod crashing_parts;
 #[path = "support/deployment.rs"]
 mod deployment;
 #[path = "gateway/silence.rs"]
--- a/crates/tanagerhub/tests/support/backend_server.rs
+++ b/crates/tanagerhub/tests/support/backend_server.rs
@@ -20,6 +20,8 @@
     pub pause: Option<(usize, Duration)>,
     /// Whether the backend server ends and accepts no more connections.
     pub crash: bool,
+    /// Text in the head of a request that ends the backend server when it runs the request.
+    pub crash_text: Option<&'static str>,
 }
 
 impl Script {
@@ -67,6 +69,14 @@
         }
     }
 
+    /// Ends the backend server at a request with this text in its head.
+    pub fn crashing_on(self, text: &'static str) -> Self {
+        Self {
+            crash_text: Some(text),
+            ..self
+        }
+    }
+
     /// Adds a delay before the first byte.
     pub fn after(self, delay: Duration) -> Self {
         Self { delay, ..self }
@@ -145,9 +155,11 @@
             request.extend_from_slice(&buffer[..count]);
         }
         let head = String::from_utf8_lossy(&request).to_lowercase();
-        self.request_heads.lock().unwrap().push(head);
         let script = self.script();
-        if script.crash {
+        let crash_text = script.crash_text;
+        let crashes = script.crash || crash_text.is_some_and(|text| head.contains(text));
+        self.request_heads.lock().unwrap().push(head);
+        if crashes {
             let accept_task = self.accept_task.lock().unwrap().take();
             if let Some(accept_task) = accept_task {
                 accept_task.cancel().await;
--- a/crates/tanagerhub_traffic/src/lib.rs
+++ b/crates/tanagerhub_traffic/src/lib.rs
@@ -48,7 +48,7 @@
 pub use fair_queue::{FairQueue, QueueKey, Queued};
 pub use rate_limit::RateLimit;
 pub use relay_error::RelayError;
-pub use request::{Prefixes, Repeat, RequestInfo};
+pub use request::{Parts, Prefixes, Repeat, RequestInfo};
 pub use retry_budget::RetryBudget;
 pub use route_table::{LoadReport, Route, RouteTable};
 pub use settings::{Selection, TrafficSettings};
--- a/crates/tanagerhub_traffic/src/request.rs
+++ b/crates/tanagerhub_traffic/src/request.rs
@@ -10,6 +10,9 @@
 /// Chained hashes of a prompt's blocks, shortest prefix first.
 pub type Prefixes = SmallVec<[u64; 8]>;
 
+/// Hashes of the parts of a prompt that other requests may share, in order.
+pub type Parts = SmallVec<[u64; 4]>;
+
 /// Whether a request may be sent again after a byte of it was sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -60,6 +63,8 @@
     pub repeat: Repeat,
     /// Hash of organisation, entry and body; equal requests have equal fingerprints.
     pub fingerprint: u64,
+    /// Hashes of the parts of its prompt that other requests may share, in order.
+    pub parts: Parts,
     /// Moment by which the response must be complete.
     pub deadline: Moment,
     /// Maximum number of attempts; `None` for
@@ -85,6 +90,7 @@
             prefixes: Prefixes::new(),
             repeat: Repeat::Never,
             fingerprint: id.0,
+            parts: Parts::new(),
             deadline: Moment::ZERO,
             attempts: None,
             queue_timeout: None,
@@ -159,6 +165,13 @@
         self
     }
 
+    /// Sets the hashes of the parts of its prompt that other requests may share, in order.
+    #[must_use]
+    pub fn parts(mut self, parts: impl IntoIterator<Item = u64>) -> Self {
+        self.parts = parts.into_iter().collect();
+        self
+    }
+
     /// Sets the class, in place of the entry's.
     #[must_use]
     pub const fn class(mut self, class: Class) -> Self {
