Blame the part of a prompt that crashes replicas, whatever else requests hold

Cause: crashes were counted by the fingerprint of whole requests only.

Now each failed attempt counts for the parts of its prompt too. The part with the most crashes comes first, and what it explains doesn't count for the others, so parts that were merely in the same groups aren't blamed. A complete response to an attempt that began after a crash clears that crash at all nodes. Requests with a blamed part are refused when they come, when they leave the queue and before a retry. Nodes share these crashes as rows whose names earlier versions ignore. A common cause, such as a data centre without power, breaks groups at one moment and counts once.

--- a/crates/tanagerhub_traffic/src/crash_decision.rs
+++ b/crates/tanagerhub_traffic/src/crash_decision.rs
@@ -1,19 +1,19 @@
-//! Changes in what a node knows about requests that crash backend servers.
+//! Changes in what a node knows about requests and parts of prompts that crash backend servers.
 
 use serde::Serialize;
-use serde_with::serde_as;
-use tanagerhub_catalogue::{Epoch, GroupId, IdHex};
+use tanagerhub_catalogue::{Epoch, GroupId};
 
-/// A change in what a node knows about crashing requests, for the log and the metrics.
-#[serde_as]
+use crate::CrashSubject;
+
+/// A change in what a node knows about crashing requests and parts, for the log and the metrics.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 #[serde(tag = "decision", rename_all = "snake_case")]
 pub enum CrashDecision {
     /// An attempt ended in a way that a crash of the group would explain.
     Suspected {
-        /// Fingerprint of the request.
-        #[serde_as(as = "IdHex")]
-        fingerprint: u64,
+        /// The request or part.
+        #[serde(flatten)]
+        subject: CrashSubject,
         /// The group that ran the attempt.
         group: GroupId,
         /// The group's epoch.
@@ -21,9 +21,9 @@
     },
     /// The group of a suspicion was confirmed as crashed.
     Struck {
-        /// Fingerprint of the request.
-        #[serde_as(as = "IdHex")]
-        fingerprint: u64,
+        /// The request or part.
+        #[serde(flatten)]
+        subject: CrashSubject,
         /// The group that crashed.
         group: GroupId,
         /// The group's epoch.
@@ -33,9 +33,9 @@
     },
     /// A crash or suspicion of this node is to be written to the store.
     Shared {
-        /// Fingerprint of the request.
-        #[serde_as(as = "IdHex")]
-        fingerprint: u64,
+        /// The request or part.
+        #[serde(flatten)]
+        subject: CrashSubject,
         /// The group that failed.
         group: GroupId,
         /// The group's epoch.
@@ -45,9 +45,9 @@
     },
     /// A row of the store told of a crash or suspicion of another node.
     Reported {
-        /// Fingerprint of the request.
-        #[serde_as(as = "IdHex")]
-        fingerprint: u64,
+        /// The request or part.
+        #[serde(flatten)]
+        subject: CrashSubject,
         /// The group that failed.
         group: GroupId,
         /// The group's epoch.
@@ -57,17 +57,31 @@
     },
     /// A complete response cleared a request that had strikes or suspicions.
     Cleared {
-        /// Fingerprint of the request.
-        #[serde_as(as = "IdHex")]
-        fingerprint: u64,
+        /// The request or part.
+        #[serde(flatten)]
+        subject: CrashSubject,
         /// The number of strikes that were cleared.
         strikes: u32,
     },
-    /// A request was refused because of its crashes.
+    /// A part is to blame for crashes, so that requests with it are refused.
+    Blamed {
+        /// The part.
+        #[serde(flatten)]
+        subject: CrashSubject,
+        /// The number of crashes that it explains.
+        strikes: u32,
+    },
+    /// A part is no longer to blame.
+    Absolved {
+        /// The part.
+        #[serde(flatten)]
+        subject: CrashSubject,
+    },
+    /// A request was refused because of its crashes, or those of a part.
     Refused {
-        /// Fingerprint of the request.
-        #[serde_as(as = "IdHex")]
-        fingerprint: u64,
+        /// The request or part.
+        #[serde(flatten)]
+        subject: CrashSubject,
         /// The number of strikes that it has.
         strikes: u32,
     },
@@ -83,6 +97,8 @@
             Self::Shared { .. } => "shared",
             Self::Reported { .. } => "reported",
             Self::Cleared { .. } => "cleared",
+            Self::Blamed { .. } => "blamed",
+            Self::Absolved { .. } => "absolved",
             Self::Refused { .. } => "refused",
         }
     }
--- a/crates/tanagerhub_traffic/src/crash_record.rs
+++ b/crates/tanagerhub_traffic/src/crash_record.rs
@@ -1,16 +1,21 @@
-//! The crashes that are attributed to one request.
+//! The crashes that are attributed to one request or part of prompts.
 
 use std::time::Duration;
 
 use tanagerhub_catalogue::{Epoch, GroupId};
 use tanagerhub_clock::Moment;
 
-use crate::FailedAttempt;
+use crate::{CrashSubject, FailedAttempt};
 
 /// Maximum time from a failed attempt to the confirmation that the group crashed.
 pub(crate) const CONFIRMATION_TIMEOUT: Duration = Duration::from_secs(15);
 /// Maximum number of failed attempts kept for one request.
 const MAX_EVENTS: usize = 32;
+/// Maximum number of failed attempts kept for one part. A part to blame must explain all crashes
+/// that are known of the others.
+const MAX_PART_EVENTS: usize = 256;
+/// Time for which a crash counts for a part that is not blamed.
+const PART_MEMORY: Duration = Duration::from_mins(1);
 
 /// What a failed attempt says about its group.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -23,7 +28,7 @@
     Interrupted,
 }
 
-/// The failed attempts of one request.
+/// The failed attempts of one request, or of all requests with one part.
 ///
 /// Crashes under attempts that overlap in time count once, because they may have a common cause,
 /// such as a data centre that loses power.
@@ -36,6 +41,9 @@
     /// Whether a request with these events has ended without a complete response. Until then its
     /// next attempt may clear it.
     pub(crate) is_settled: bool,
+    /// The greatest number of parts that were seen before this one in a prompt.
+    pub(crate) depth: usize,
+    max_events: usize,
 }
 
 /// A failed attempt, and what is known about its group since then.
@@ -49,10 +57,12 @@
     pub(crate) is_confirmed: bool,
     /// Whether this node sent the attempt.
     pub(crate) is_own: bool,
+    /// Whether this node learned of it from the complete list of rows, as it does at its start.
+    pub(crate) is_listed: bool,
     pub(crate) row: RowState,
 }
 
-/// The time in which an attempt ran.
+/// The time in which an attempt ran, or in which a group crashed under a part.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct AttemptPeriod {
     pub(crate) from: Moment,
@@ -82,6 +92,18 @@
 }
 
 impl CrashRecord {
+    /// Creates a record without events.
+    pub(crate) fn new(subject: CrashSubject) -> Self {
+        let max_events = match subject {
+            CrashSubject::Request(_) => MAX_EVENTS,
+            CrashSubject::Part(_) => MAX_PART_EVENTS,
+        };
+        Self {
+            max_events,
+            ..Self::default()
+        }
+    }
+
     /// Adds a suspicion; returns `false` if there is an event of this group and epoch with the same
     /// or stronger evidence.
     pub(crate) fn suspect(&mut self, now: Moment, attempt: &FailedAttempt) -> bool {
@@ -89,6 +111,11 @@
             from: attempt.started,
             until: now,
         };
+        self.suspect_in(period, attempt)
+    }
+
+    /// Adds a suspicion of a group that crashed within this period.
+    pub(crate) fn suspect_in(&mut self, period: AttemptPeriod, attempt: &FailedAttempt) -> bool {
         self.insert(CrashEvent {
             group: attempt.group,
             epoch: attempt.epoch,
@@ -96,6 +123,7 @@
             period,
             is_confirmed: false,
             is_own: true,
+            is_listed: false,
             row: RowState::Absent,
         })
     }
@@ -110,7 +138,7 @@
             }
             return is_stronger;
         }
-        let has_room = self.events.len() < MAX_EVENTS;
+        let has_room = self.events.len() < self.max_events;
         if has_room {
             self.events.push(event);
         }
@@ -173,6 +201,34 @@
         expired
     }
 
+    /// Removes and returns the events of a part that are too old to count.
+    pub(crate) fn expire_part(
+        &mut self,
+        now: Moment,
+        quarantine: Duration,
+        is_blamed: bool,
+    ) -> Vec<CrashEvent> {
+        let keeps_all = is_blamed && self.is_quarantined(now, quarantine);
+        let counts = |event: &CrashEvent| {
+            if event.is_confirmed {
+                keeps_all || now.since(event.period.until) < PART_MEMORY
+            } else {
+                event.is_pending(now)
+            }
+        };
+        let (kept, expired) = self.events.drain(..).partition(counts);
+        self.events = kept;
+        expired
+    }
+
+    /// Removes and returns the crashes that ended before `started`.
+    pub(crate) fn clear_before(&mut self, started: Moment) -> Vec<CrashEvent> {
+        let is_earlier = |event: &CrashEvent| event.period.until <= started;
+        let (cleared, kept) = self.events.drain(..).partition(is_earlier);
+        self.events = kept;
+        cleared
+    }
+
     /// Returns whether there is neither an active crash nor a suspicion.
     pub(crate) fn is_empty(&self, now: Moment, quarantine: Duration) -> bool {
         !self.is_quarantined(now, quarantine)
--- a/crates/tanagerhub_traffic/src/crash_row.rs
+++ b/crates/tanagerhub_traffic/src/crash_row.rs
@@ -1,4 +1,4 @@
-//! Rows of the store by which nodes share what they know of crashing requests.
+//! Rows of the store by which nodes share what they know of crashing requests and parts.
 
 use std::time::Duration;
 
@@ -9,17 +9,21 @@
 use tanagerhub_catalogue::{Epoch, GroupId};
 use tanagerhub_table::{RowKey, Transaction, TransactionId};
 
+use crate::CrashSubject;
+
 /// The name of the table of crashing requests.
 pub const CRASHES_TABLE: &str = "crashes";
+/// The beginning of the names of rows about parts. Nodes of earlier versions ignore such rows.
+const PART_PREFIX: &str = "part-";
 
-/// The key of a row: a request and the group that failed under it.
+/// The key of a row: a request or part, and the group that failed under it.
 ///
 /// A group fails once at an epoch. So each crash is a row of its own, and writes at the same time,
 /// repeated or late ones can't hide another crash.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct CrashKey {
-    /// Fingerprint of the request.
-    pub fingerprint: u64,
+    /// The request or part.
+    pub subject: CrashSubject,
     /// The group that failed.
     pub group: GroupId,
     /// The group's epoch.
@@ -56,9 +60,10 @@
     ///
     /// ```
     /// use tanagerhub_catalogue::{Epoch, GroupId};
-    /// use tanagerhub_traffic::CrashKey;
+    /// use tanagerhub_traffic::{CrashKey, CrashSubject};
     ///
-    /// let key = CrashKey { fingerprint: 0x2a, group: GroupId(1), epoch: Epoch(3) };
+    /// let subject = CrashSubject::Request(0x2a);
+    /// let key = CrashKey { subject, group: GroupId(1), epoch: Epoch(3) };
     /// let row_key = key.row_key();
     /// assert_eq!(row_key.name(), "000000000000002a/0000000000000001/3");
     /// assert_eq!(CrashKey::parse(row_key.name()), Some(key));
@@ -67,19 +72,28 @@
     pub fn row_key(&self) -> RowKey {
         let GroupId(group) = self.group;
         let Epoch(epoch) = self.epoch;
-        let name = format!("{:016x}/{group:016x}/{epoch}", self.fingerprint);
+        let (prefix, id) = match self.subject {
+            CrashSubject::Request(fingerprint) => ("", fingerprint),
+            CrashSubject::Part(part) => (PART_PREFIX, part),
+        };
+        let name = format!("{prefix}{id:016x}/{group:016x}/{epoch}");
         RowKey::in_table(CRASHES_TABLE, &name)
     }
 
     /// Parses the name of a row; returns `None` if it has another form.
     #[must_use]
     pub fn parse(name: &str) -> Option<Self> {
-        let mut parts = name.split('/');
-        let mut hex_part = || u64::from_str_radix(parts.next()?, 16).ok();
-        let (fingerprint, group) = (hex_part()?, hex_part()?);
-        let epoch = parts.next()?.parse().ok()?;
-        parts.next().is_none().then_some(Self {
-            fingerprint,
+        let (new_subject, ids): (fn(u64) -> CrashSubject, &str) =
+            match name.strip_prefix(PART_PREFIX) {
+                Some(ids) => (CrashSubject::Part, ids),
+                None => (CrashSubject::Request, name),
+            };
+        let mut ids = ids.split('/');
+        let mut hex_id = || u64::from_str_radix(ids.next()?, 16).ok();
+        let (subject, group) = (new_subject(hex_id()?), hex_id()?);
+        let epoch = ids.next()?.parse().ok()?;
+        ids.next().is_none().then_some(Self {
+            subject,
             group: GroupId(group),
             epoch: Epoch(epoch),
         })
@@ -108,9 +122,10 @@
     /// use std::time::Duration;
     /// use tanagerhub_catalogue::{Epoch, GroupId};
     /// use tanagerhub_table::{TransactionId, Write};
-    /// use tanagerhub_traffic::{CrashKey, CrashRow, CrashRowChanges};
+    /// use tanagerhub_traffic::{CrashKey, CrashRow, CrashRowChanges, CrashSubject};
     ///
-    /// let key = CrashKey { fingerprint: 0x2a, group: GroupId(1), epoch: Epoch(3) };
+    /// let subject = CrashSubject::Request(0x2a);
+    /// let key = CrashKey { subject, group: GroupId(1), epoch: Epoch(3) };
     /// let row = CrashRow {
     ///     age: Duration::from_millis(40),
     ///     duration: Duration::from_millis(500),
--- a/crates/tanagerhub_traffic/src/crash_sharing.rs
+++ b/crates/tanagerhub_traffic/src/crash_sharing.rs
@@ -3,53 +3,68 @@
 //! Each node sees only the crashes under its own attempts, and forgets them when it restarts. The
 //! rows of the store hold the crashes, confirmed or suspected, that all nodes have seen.
 
+use std::cmp::Reverse;
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use tanagerhub_clock::Moment;
 
 use crate::crash_record::{AttemptPeriod, CrashEvent, CrashRecord, Evidence, RowState};
 use crate::crash_table::STRIKE_LIMIT;
-use crate::{CrashDecision, CrashKey, CrashRow, CrashRowChanges, CrashTable};
+use crate::{CrashDecision, CrashKey, CrashRow, CrashRowChanges, CrashSubject, CrashTable};
 
 /// Maximum number of rows written, and of rows deleted, in one transaction.
 const MAX_ROWS_PER_CHANGE: usize = 40;
+/// Time for which the only crash of this node under a part waits before it is shared. Most parts
+/// are cleared by then.
+const PART_SHARE_DELAY: Duration = Duration::from_millis(400);
 
 impl CrashTable {
     /// Records that a request ended without a complete response, so that its crashes may be shared.
     pub(crate) fn settle(&mut self, fingerprint: u64) {
-        if let Some(record) = self.records.get_mut(&fingerprint) {
+        let record = self.records.get_mut(&CrashSubject::Request(fingerprint));
+        if let Some(record) = record {
             record.is_settled = true;
         }
     }
 
     /// Returns changes of rows that are to be written to the store, and expects that they will be.
     ///
-    /// A request whose only crash may still be cleared by its next attempt is left out.
+    /// A request whose only crash may still be cleared by its next attempt is left out, and so is
+    /// for a short time a part with only one.
     pub fn take_row_changes(&mut self, now: Moment) -> CrashRowChanges {
-        let mut puts = Vec::new();
-        for (fingerprint, record) in &mut self.records {
-            if !record.events.iter().any(|event| event.needs_row(now)) {
-                continue;
-            }
-            let strikes = record.own_possible_strikes(now, self.quarantine);
-            if !record.is_settled && strikes < STRIKE_LIMIT {
-                continue;
-            }
-            for event in &mut record.events {
-                if puts.len() < MAX_ROWS_PER_CHANGE && event.needs_row(now) {
-                    event.row = event.wanted_row();
-                    puts.push((event.key(*fingerprint), event.to_row(now)));
+        let mut waiting = Vec::new();
+        for (subject, record) in &self.records {
+            let is_shared = match subject {
+                CrashSubject::Request(_) => {
+                    let strikes = record.own_possible_strikes(now, self.quarantine);
+                    record.is_settled || strikes >= STRIKE_LIMIT
                 }
+                CrashSubject::Part(_) => record.is_part_shared(now),
+            };
+            if is_shared {
+                let events = record.events.iter();
+                let events = events.filter(|event| event.needs_row(*subject, now));
+                let row = |event: &CrashEvent| (event.key(*subject), event.to_row(now));
+                waiting.extend(events.map(|event| (Reverse(record.events.len()), row(event))));
             }
         }
+        waiting.sort_unstable_by_key(|(events, (key, _))| (*events, *key));
+        waiting.truncate(MAX_ROWS_PER_CHANGE);
+        let mut puts: Vec<(CrashKey, CrashRow)> = waiting.into_iter().map(|it| it.1).collect();
         puts.sort_unstable_by_key(|(key, _)| *key);
         for (key, row) in &puts {
-            self.record(CrashDecision::Shared {
-                fingerprint: key.fingerprint,
-                group: key.group,
-                epoch: key.epoch,
-                confirmed: row.confirmed,
-            });
+            if let Some(event) = self.find_event(*key) {
+                event.row = event.wanted_row();
+            }
+            if self.is_reported(key.subject) {
+                self.record(CrashDecision::Shared {
+                    subject: key.subject,
+                    group: key.group,
+                    epoch: key.epoch,
+                    confirmed: row.confirmed,
+                });
+            }
         }
         let count = MAX_ROWS_PER_CHANGE.min(self.obsolete_rows.len());
         let deletes = self.obsolete_rows.drain(..count).collect();
@@ -68,13 +83,17 @@
 
     /// Applies a row of the store.
     pub fn apply_row(&mut self, now: Moment, key: CrashKey, row: CrashRow) {
+        self.apply(now, key, row, false);
+    }
+
+    fn apply(&mut self, now: Moment, key: CrashKey, row: CrashRow, is_listed: bool) {
         let CrashKey {
-            fingerprint,
+            subject,
             group,
             epoch,
         } = key;
-        self.ensure_capacity(now, fingerprint);
-        let record = self.records.entry(fingerprint).or_default();
+        self.blame.is_outdated |= matches!(subject, CrashSubject::Part(_));
+        let record = self.record_of(now, subject);
         let until = now.before(row.age);
         let is_new = record.insert(CrashEvent {
             group,
@@ -86,6 +105,7 @@
             },
             is_confirmed: false,
             is_own: false,
+            is_listed,
             row: RowState::Suspicion,
         });
         let Some(event) = record.find(group, epoch) else {
@@ -93,9 +113,9 @@
         };
         event.row = event.row.max(row.state());
         let is_confirmed = row.confirmed && record.apply_confirmation(now, group, epoch);
-        if is_new || is_confirmed {
+        if (is_new || is_confirmed) && self.is_reported(subject) {
             self.record(CrashDecision::Reported {
-                fingerprint,
+                subject,
                 group,
                 epoch,
                 confirmed: row.confirmed,
@@ -105,24 +125,26 @@
 
     /// Applies the deletion of a row: another node cleared the request, or the row is too old.
     pub fn remove_row(&mut self, key: CrashKey) {
-        let Some(record) = self.records.get_mut(&key.fingerprint) else {
+        let Some(record) = self.records.get_mut(&key.subject) else {
             return;
         };
         record
             .events
-            .retain(|event| event.row == RowState::Absent || event.key(key.fingerprint) != key);
+            .retain(|event| event.row == RowState::Absent || event.key(key.subject) != key);
+        self.blame.is_outdated |= matches!(key.subject, CrashSubject::Part(_));
     }
 
     /// Applies the complete list of rows.
     pub fn apply_all_rows(&mut self, now: Moment, rows: &[(CrashKey, CrashRow)]) {
         let listed: BTreeSet<CrashKey> = rows.iter().map(|(key, _)| *key).collect();
-        for (fingerprint, record) in &mut self.records {
+        for (subject, record) in &mut self.records {
             record.events.retain(|event| {
-                event.row == RowState::Absent || listed.contains(&event.key(*fingerprint))
+                event.row == RowState::Absent || listed.contains(&event.key(*subject))
             });
         }
+        self.blame.is_outdated = true;
         for (key, row) in rows {
-            self.apply_row(now, *key, *row);
+            self.apply(now, *key, *row, true);
         }
     }
 
@@ -130,34 +152,62 @@
     /// are deleted from the store too.
     pub fn expire_events(&mut self, now: Moment, deletes_rows: bool) {
         let mut obsolete = Vec::new();
-        for (fingerprint, record) in &mut self.records {
-            let expired = record.expire(now, self.quarantine);
-            obsolete.extend(rows_of(*fingerprint, &expired));
+        for (subject, record) in &mut self.records {
+            let expired = match subject {
+                CrashSubject::Request(_) => record.expire(now, self.quarantine),
+                CrashSubject::Part(part) => {
+                    let is_blamed = self.blame.contains(*part);
+                    let expired = record.expire_part(now, self.quarantine, is_blamed);
+                    self.blame.is_outdated |= !expired.is_empty();
+                    expired
+                }
+            };
+            obsolete.extend(rows_of(*subject, &expired));
         }
         if deletes_rows {
             self.obsolete_rows.extend(obsolete);
         }
         let quarantine = self.quarantine;
-        self.records
-            .retain(|_, record| !record.is_empty(now, quarantine));
+        self.records.retain(|subject, record| match subject {
+            CrashSubject::Request(_) => !record.is_empty(now, quarantine),
+            CrashSubject::Part(_) => !record.events.is_empty(),
+        });
+        self.blame.expire(now);
+        self.decide_blame(now);
+    }
+
+    /// Marks the rows of these events as obsolete.
+    pub(crate) fn delete_rows(&mut self, subject: CrashSubject, events: &[CrashEvent]) {
+        self.obsolete_rows.extend(rows_of(subject, events));
     }
 
-    /// Marks the rows of a request as obsolete.
-    pub(crate) fn delete_rows(&mut self, fingerprint: u64, record: &CrashRecord) {
-        self.obsolete_rows
-            .extend(rows_of(fingerprint, &record.events));
+    /// Returns whether the log reports the sharing of a subject's crashes: any request, but only
+    /// parts with several.
+    fn is_reported(&self, subject: CrashSubject) -> bool {
+        let count = self.records.get(&subject).map_or(0, |it| it.events.len());
+        matches!(subject, CrashSubject::Request(_)) || count > 1
     }
 
     fn find_event(&mut self, key: CrashKey) -> Option<&mut CrashEvent> {
-        let record = self.records.get_mut(&key.fingerprint)?;
+        let record = self.records.get_mut(&key.subject)?;
         record.find(key.group, key.epoch)
     }
 }
 
+impl CrashRecord {
+    /// Returns whether the crashes of a part are shared: once this node saw two of them, or the
+    /// only one has not been cleared for some time.
+    fn is_part_shared(&self, now: Moment) -> bool {
+        let own = self.events.iter().filter(|it| it.is_own && it.is_confirmed);
+        let is_old = |event: &CrashEvent| now.since(event.period.until) >= PART_SHARE_DELAY;
+        own.clone().count() > 1 || own.clone().any(is_old)
+    }
+}
+
 impl CrashEvent {
-    fn key(&self, fingerprint: u64) -> CrashKey {
+    fn key(&self, subject: CrashSubject) -> CrashKey {
         CrashKey {
-            fingerprint,
+            subject,
             group: self.group,
             epoch: self.epoch,
         }
@@ -165,9 +215,10 @@
 
     /// Returns whether this node should write more of its event to the store than it did.
     ///
-    /// Without a confirmation, only a broken attempt is worth a row.
-    fn needs_row(&self, now: Moment) -> bool {
-        let is_evidence = self.is_confirmed || self.is_broken(now);
+    /// Without a confirmation, only a broken attempt is worth a row, and nothing of a part.
+    fn needs_row(&self, subject: CrashSubject, now: Moment) -> bool {
+        let is_suspicion = matches!(subject, CrashSubject::Request(_)) && self.is_broken(now);
+        let is_evidence = self.is_confirmed || is_suspicion;
         self.is_own && is_evidence && self.row < self.wanted_row()
     }
 
@@ -199,7 +250,7 @@
 }
 
 /// Returns the keys of the events that the store holds.
-fn rows_of(fingerprint: u64, events: &[CrashEvent]) -> Vec<CrashKey> {
+fn rows_of(subject: CrashSubject, events: &[CrashEvent]) -> Vec<CrashKey> {
     let stored = events.iter().filter(|event| event.row != RowState::Absent);
-    stored.map(|event| event.key(fingerprint)).collect()
+    stored.map(|event| event.key(subject)).collect()
 }
--- a/crates/tanagerhub_traffic/src/crash_table.rs
+++ b/crates/tanagerhub_traffic/src/crash_table.rs
@@ -1,4 +1,4 @@
-//! Detection of requests that crash the backend servers that run them.
+//! Detection of requests and parts of prompts that crash the backend servers that run them.
 
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::Duration;
@@ -8,8 +8,9 @@
 use tanagerhub_catalogue::{Epoch, GroupId, IdHex};
 use tanagerhub_clock::Moment;
 
+use crate::crash_parts::Blame;
 use crate::crash_record::{CONFIRMATION_TIMEOUT, CrashRecord, Evidence};
-use crate::{CrashDecision, CrashKey};
+use crate::{CrashDecision, CrashKey, CrashSubject};
 
 /// Number of strikes after which a request is refused. Suspicions of this node count too.
 pub(crate) const STRIKE_LIMIT: u32 = 2;
@@ -24,12 +25,12 @@
 const MAX_BROKEN_ATTEMPTS: usize = 256;
 /// Time for which a group that broke an attempt counts as down, unless it responds.
 const DOWN_TIME: Duration = Duration::from_secs(2);
-/// Maximum number of fingerprints in the table.
-const MAX_FINGERPRINTS: usize = 4_096;
+/// Maximum number of fingerprints, and of parts, in the table.
+const MAX_SUBJECTS: usize = 4_096;
 /// Maximum number of decisions held until the control thread takes them.
 const MAX_DECISIONS: usize = 1_024;
 
-/// Counts crashes by the fingerprint of the requests that ran.
+/// Counts crashes by the fingerprint of the requests that ran, and by the parts of their prompts.
 ///
 /// An attempt that breaks adds a suspicion to its request if it was running when its group first
 /// failed; so does one without a response. When control confirms that the group crashed, the
@@ -38,6 +39,10 @@
 /// one group, so a second crash is attributed to a single request. A complete response clears the
 /// request. While many groups fail at once, suspicions have no effect until they are confirmed.
 ///
+/// No two requests with a crashing part need be alike. So each failed attempt also counts for the
+/// parts of its prompt. A part is to blame once it explains enough confirmed crashes, one after the
+/// other, that no other part explains better; a later attempt that runs completely clears it.
+///
 /// # Examples
 ///
 /// ```
@@ -60,7 +65,8 @@
 #[derive(Debug)]
 pub struct CrashTable {
     pub(crate) quarantine: Duration,
-    pub(crate) records: HashMap<u64, CrashRecord>,
+    pub(crate) records: HashMap<CrashSubject, CrashRecord>,
+    pub(crate) blame: Blame,
     /// Time and group of recent broken attempts, oldest first.
     broken_attempts: VecDeque<(Moment, GroupId)>,
     /// Since when groups have been down: the first broken attempt since their last response.
@@ -110,6 +116,7 @@
         Self {
             quarantine,
             records: HashMap::new(),
+            blame: Blame::default(),
             broken_attempts: VecDeque::new(),
             down_since: HashMap::new(),
             lost_at: HashMap::new(),
@@ -120,6 +127,11 @@
 
     /// Records that an attempt ended without a complete response while the group ran the request.
     pub fn suspect(&mut self, now: Moment, attempt: FailedAttempt) {
+        self.suspect_parts(now, attempt, &[]);
+    }
+
+    /// Records a failed attempt for its request; returns whether it is evidence of a crash.
+    pub(crate) fn suspect_attempt(&mut self, now: Moment, attempt: FailedAttempt) -> bool {
         let FailedAttempt {
             fingerprint,
             group,
@@ -139,19 +151,25 @@
         // An attempt that started after the group had failed can't be the cause.
         let is_late = failed_at.is_some_and(|at| started > at);
         if is_late || (evidence == Evidence::Interrupted && lost_at.is_none()) {
-            return;
+            return false;
         }
-        self.ensure_capacity(now, fingerprint);
-        let record = self.records.entry(fingerprint).or_default();
-        let is_new = record.suspect(now, &attempt);
+        let subject = CrashSubject::Request(fingerprint);
+        let is_new = self.record_of(now, subject).suspect(now, &attempt);
         if is_new && evidence == Evidence::Broken {
             self.record(CrashDecision::Suspected {
-                fingerprint,
+                subject,
                 group,
                 epoch,
             });
         }
-        if lost_at.is_some() {
+        self.confirm_known_loss(now, &attempt);
+        true
+    }
+
+    /// Confirms the crashes of a failed attempt whose group is known to have lost a member.
+    pub(crate) fn confirm_known_loss(&mut self, now: Moment, attempt: &FailedAttempt) {
+        let (group, epoch) = (attempt.group, attempt.epoch);
+        if self.lost_at.contains_key(&(group, epoch)) {
             self.confirm_up_to(now, group, epoch, Evidence::Interrupted);
         }
     }
@@ -171,19 +189,26 @@
 
     fn confirm_up_to(&mut self, now: Moment, group: GroupId, epoch: Epoch, weakest: Evidence) {
         let mut struck = Vec::new();
-        for (fingerprint, record) in &mut self.records {
-            if record.confirm(now, group, epoch, weakest) {
+        for (subject, record) in &mut self.records {
+            if !record.confirm(now, group, epoch, weakest) {
+                continue;
+            }
+            let is_part = matches!(subject, CrashSubject::Part(_));
+            self.blame.is_outdated |= is_part;
+            let strikes = record.strikes(now, self.quarantine);
+            if !is_part || strikes > 1 {
                 struck.push(CrashDecision::Struck {
-                    fingerprint: *fingerprint,
+                    subject: *subject,
                     group,
                     epoch,
-                    strikes: record.strikes(now, self.quarantine),
+                    strikes,
                 });
             }
         }
         for decision in struck {
             self.record(decision);
         }
+        self.decide_blame(now);
     }
 
     /// Records that a group began a response, so that it is up.
@@ -194,26 +219,22 @@
 
     /// Clears a request that a group has run without a crash.
     pub fn record_success(&mut self, now: Moment, fingerprint: u64) {
-        if let Some(record) = self.records.remove(&fingerprint) {
-            self.delete_rows(fingerprint, &record);
+        let subject = CrashSubject::Request(fingerprint);
+        if let Some(record) = self.records.remove(&subject) {
+            self.delete_rows(subject, &record.events);
             let strikes = record.strikes(now, self.quarantine);
             if record.possible_strikes(now, self.quarantine) > 0 {
-                self.record(CrashDecision::Cleared {
-                    fingerprint,
-                    strikes,
-                });
+                self.record(CrashDecision::Cleared { subject, strikes });
             }
         }
     }
 
     /// Records that a request was refused because of its crashes.
     pub(crate) fn record_refusal(&mut self, now: Moment, fingerprint: u64) {
-        let record = self.records.get(&fingerprint);
+        let subject = CrashSubject::Request(fingerprint);
+        let record = self.records.get(&subject);
         let strikes = record.map_or(0, |record| record.strikes(now, self.quarantine));
-        self.record(CrashDecision::Refused {
-            fingerprint,
-            strikes,
-        });
+        self.record(CrashDecision::Refused { subject, strikes });
     }
 
     /// Returns the decisions since the last call, and clears them.
@@ -227,7 +248,7 @@
     /// confirmation times out.
     #[must_use]
     pub fn refused_for(&self, now: Moment, fingerprint: u64) -> Option<Duration> {
-        let record = self.records.get(&fingerprint)?;
+        let record = self.records.get(&CrashSubject::Request(fingerprint))?;
         if record.strikes(now, self.quarantine) >= STRIKE_LIMIT {
             return Some(self.quarantine.saturating_sub(record.age(now)));
         }
@@ -242,7 +263,7 @@
     /// Returns whether the request has a strike or a suspicion and no mass failure explains it.
     #[must_use]
     pub fn is_suspect(&self, now: Moment, fingerprint: u64) -> bool {
-        let record = self.records.get(&fingerprint);
+        let record = self.records.get(&CrashSubject::Request(fingerprint));
         record.is_some_and(|record| record.possible_strikes(now, self.quarantine) > 0)
             && !self.is_mass_failure(now)
     }
@@ -250,12 +271,15 @@
     /// Returns the active strikes to send to other nodes: newest first, at most `limit` facts.
     #[must_use]
     pub fn facts(&self, now: Moment, limit: usize) -> Vec<CrashFact> {
-        let fact = |(fingerprint, record): (&u64, &CrashRecord)| CrashFact {
-            fingerprint: *fingerprint,
-            strikes: record.strikes(now, self.quarantine),
-            age: record.age(now),
+        let fact = |(subject, record): (&CrashSubject, &CrashRecord)| match subject {
+            CrashSubject::Request(fingerprint) => Some(CrashFact {
+                fingerprint: *fingerprint,
+                strikes: record.strikes(now, self.quarantine),
+                age: record.age(now),
+            }),
+            CrashSubject::Part(_) => None,
         };
-        let mut facts: Vec<CrashFact> = self.records.iter().map(fact).collect();
+        let mut facts: Vec<CrashFact> = self.records.iter().filter_map(fact).collect();
         facts.retain(|fact| fact.strikes > 0);
         facts.sort_unstable_by_key(|fact| (fact.age, fact.fingerprint));
         facts.truncate(limit);
@@ -269,27 +293,30 @@
         if fact.age >= self.quarantine {
             return;
         }
-        self.ensure_capacity(now, fact.fingerprint);
-        let record = self.records.entry(fact.fingerprint).or_default();
+        let record = self.record_of(now, CrashSubject::Request(fact.fingerprint));
         record.report(fact.strikes, now.before(fact.age));
     }
 
     /// Clears a request on an operator's command; returns whether it was in the table.
     pub fn clear(&mut self, fingerprint: u64) -> bool {
-        let record = self.records.remove(&fingerprint);
+        self.remove(CrashSubject::Request(fingerprint))
+    }
+
+    fn remove(&mut self, subject: CrashSubject) -> bool {
+        let record = self.records.remove(&subject);
         if let Some(record) = &record {
-            self.delete_rows(fingerprint, record);
+            self.delete_rows(subject, &record.events);
         }
         record.is_some()
     }
 
-    /// Returns the number of fingerprints in the table.
+    /// Returns the number of fingerprints and parts in the table.
     #[must_use]
     pub fn len(&self) -> usize {
         self.records.len()
     }
 
-    /// Returns whether the table has no fingerprints.
+    /// Returns whether the table has no fingerprints and no parts.
     #[must_use]
     pub fn is_empty(&self) -> bool {
         self.records.is_empty()
@@ -321,23 +348,46 @@
         self.decisions.push(decision);
     }
 
-    /// Makes room for a new fingerprint; evicts the one with the fewest strikes, and among equals
-    /// the one with the oldest strike.
-    pub(crate) fn ensure_capacity(&mut self, now: Moment, fingerprint: u64) {
-        if self.records.len() < MAX_FINGERPRINTS || self.records.contains_key(&fingerprint) {
+    /// Returns the record of a request or part, after making room for a new one.
+    pub(crate) fn record_of(&mut self, now: Moment, subject: CrashSubject) -> &mut CrashRecord {
+        if self.records.len() >= MAX_SUBJECTS && !self.records.contains_key(&subject) {
+            self.make_room(now, subject);
+        }
+        let record = self.records.entry(subject);
+        record.or_insert_with(|| CrashRecord::new(subject))
+    }
+
+    /// Evicts the request or part with the fewest strikes, and among equals the one with the oldest
+    /// strike, if there are too many of the kind of `subject`. Parts to blame are kept.
+    fn make_room(&mut self, now: Moment, subject: CrashSubject) {
+        let is_same_kind = |other: &CrashSubject| match (subject, other) {
+            (CrashSubject::Request(_), CrashSubject::Request(_))
+            | (CrashSubject::Part(_), CrashSubject::Part(_)) => true,
+            (CrashSubject::Request(_) | CrashSubject::Part(_), _) => false,
+        };
+        let count = |table: &Self| {
+            let subjects = table.records.keys();
+            subjects.filter(|it| is_same_kind(it)).count()
+        };
+        if count(self) < MAX_SUBJECTS {
             return;
         }
         self.expire_events(now, true);
-        if self.records.len() < MAX_FINGERPRINTS {
+        if count(self) < MAX_SUBJECTS {
             return;
         }
+        let is_evictable = |other: &CrashSubject| match other {
+            CrashSubject::Part(part) if self.blame.contains(*part) => false,
+            _ => is_same_kind(other),
+        };
         let evicted = self
             .records
             .iter()
-            .min_by_key(|(id, record)| (record.eviction_key(), **id))
-            .map(|(id, _)| *id);
+            .filter(|(it, _)| is_evictable(it))
+            .min_by_key(|(it, record)| (record.eviction_key(), **it))
+            .map(|(it, _)| *it);
         if let Some(evicted) = evicted {
-            self.clear(evicted);
+            self.remove(evicted);
         }
     }
 }
--- a/crates/tanagerhub_traffic/src/traffic/admission.rs
+++ b/crates/tanagerhub_traffic/src/traffic/admission.rs
@@ -44,7 +44,7 @@
         if info.deadline <= now {
             return Err(refusal(Reason::DeadlinePassed, None));
         }
-        if let Some(refusal) = self.crash_refusal(now, info.fingerprint) {
+        if let Some(refusal) = self.crash_refusal(now, info.fingerprint, &info.parts) {
             return Err(refusal);
         }
         let class = info.class;
@@ -115,10 +115,19 @@
         self.weights.get(&organisation).copied().unwrap_or(1)
     }
 
-    /// Returns why and for how long a request is refused because of its crashes, or `None`.
-    pub(super) fn crash_refusal(&mut self, now: Moment, fingerprint: u64) -> Option<Refusal> {
-        let wait = self.crashes.refused_for(now, fingerprint)?;
-        self.crashes.record_refusal(now, fingerprint);
+    /// Returns why and for how long a request is refused because of its crashes or those of a part
+    /// of its prompt, or `None`.
+    pub(super) fn crash_refusal(
+        &mut self,
+        now: Moment,
+        fingerprint: u64,
+        parts: &[u64],
+    ) -> Option<Refusal> {
+        if let Some(wait) = self.crashes.refused_for(now, fingerprint) {
+            self.crashes.record_refusal(now, fingerprint);
+            return Some(refusal(Reason::Crashes, Some(wait)));
+        }
+        let wait = self.crashes.refuse_parts(now, parts)?;
         Some(refusal(Reason::Crashes, Some(wait)))
     }
 
--- a/crates/tanagerhub_traffic/src/traffic/dispatch.rs
+++ b/crates/tanagerhub_traffic/src/traffic/dispatch.rs
@@ -54,6 +54,15 @@
         request.is_some_and(|request| self.crashes.is_suspect(now, request.info.fingerprint))
     }
 
+    /// Whether a part of the request's prompt is to blame for crashes.
+    pub(super) fn is_blamed(&self, now: Moment, key: RequestKey) -> bool {
+        let request = self.requests.get(key);
+        request.is_some_and(|request| {
+            let parts = &request.info.parts;
+            self.crashes.parts_refused_for(now, parts).is_some()
+        })
+    }
+
     fn start(
         &mut self,
         now: Moment,
--- a/crates/tanagerhub_traffic/src/traffic/queueing.rs
+++ b/crates/tanagerhub_traffic/src/traffic/queueing.rs
@@ -154,7 +154,7 @@
             return;
         };
         let (key, group) = (running.request, running.group);
-        if running.has_first_byte() || self.is_suspect(now, key) {
+        if running.has_first_byte() || self.is_suspect(now, key) || self.is_blamed(now, key) {
             return;
         }
         let Some(request) = self.requests.get_mut(key) else {
@@ -224,8 +224,9 @@
 
     /// Returns the refusal of a waiting request whose crashes became known while it waited.
     fn waiting_crash_refusal(&mut self, now: Moment, key: RequestKey) -> Option<Refusal> {
-        let fingerprint = self.requests.get(key)?.info.fingerprint;
-        self.crash_refusal(now, fingerprint)
+        let info = &self.requests.get(key)?.info;
+        let (fingerprint, parts) = (info.fingerprint, info.parts.clone());
+        self.crash_refusal(now, fingerprint, &parts)
     }
 
     /// Whether only some groups fit this request, so that requests behind it may be sent first.
--- a/crates/tanagerhub_traffic/src/traffic/reports.rs
+++ b/crates/tanagerhub_traffic/src/traffic/reports.rs
@@ -221,7 +221,8 @@
                 started: attempt.started,
                 evidence,
             };
-            self.crashes.suspect(now, failed);
+            let parts = &request.info.parts;
+            self.crashes.suspect_parts(now, failed, parts);
         }
     }
 
@@ -264,6 +265,11 @@
             return Next::Done;
         };
         self.crashes.record_success(now, request.info.fingerprint);
+        if is_complete_run(&request, &attempt, tokens) {
+            let parts = &request.info.parts;
+            self.crashes
+                .record_part_success(now, parts, attempt.started);
+        }
         self.counters.finished += 1;
         if let Some(entry) = self.entries.get_mut(&request.info.entry) {
             let generated = tokens.map(|tokens| tokens.saturating_sub(attempt.resume_at));
@@ -342,7 +348,12 @@
         let request = &self.requests[key];
         if let Some(reason) = self.repeat_denial(now, request, failure) {
             if reason == Reason::Crashes {
-                self.crashes.record_refusal(now, request.info.fingerprint);
+                let info = &request.info;
+                if self.crashes.refused_for(now, info.fingerprint).is_some() {
+                    self.crashes.record_refusal(now, info.fingerprint);
+                } else {
+                    self.crashes.record_part_refusal(&info.parts);
+                }
             }
             return Some(reason);
         }
@@ -369,10 +380,10 @@
         if request.info.deadline <= now {
             return Some(Reason::DeadlinePassed);
         }
-        if self
-            .crashes
-            .refused_for(now, request.info.fingerprint)
-            .is_some()
+        let crashes = &self.crashes;
+        let info = &request.info;
+        if crashes.refused_for(now, info.fingerprint).is_some()
+            || crashes.parts_refused_for(now, &info.parts).is_some()
         {
             return Some(Reason::Crashes);
         }
@@ -425,6 +436,17 @@
     }
 }
 
+/// Returns whether an attempt's response shows that the group wrote it to its end.
+///
+/// A stream must have had a further token. Any other response may be a failure, which is not
+/// accepted for a request that may be repeated.
+fn is_complete_run(request: &Request, attempt: &Attempt, tokens: Option<u32>) -> bool {
+    match tokens {
+        Some(tokens) => tokens > attempt.resume_at,
+        None => request.info.repeat == Repeat::Whole,
+    }
+}
+
 /// Returns whether an attempt that failed this way may have run.
 const fn outcome_of(failure: Failure, has_first_byte: bool) -> Outcome {
     match (failure, has_first_byte) {
