Test what blames parts of prompts, and evict many of them at once

The flood of parts took 304 s for 10,000 crashes at first: each one recounted and searched the whole table.

--- a/crates/tanagerhub_traffic/src/crash_blame.rs
+++ b/crates/tanagerhub_traffic/src/crash_blame.rs
@@ -9,7 +9,7 @@
 use crate::crash_record::{AttemptPeriod, CrashRecord};
 
 /// Number of separate crashes for which a part is blamed.
-const BLAME_LIMIT: usize = 3;
+pub(crate) const BLAME_LIMIT: usize = 3;
 /// Number of crashes for which a part is blamed if at least two of them are separate. A part that
 /// groups have run without a crash before needs as many even if enough are separate.
 const CRASH_LIMIT: usize = 5;
--- a/crates/tanagerhub_traffic/src/crash_parts.rs
+++ b/crates/tanagerhub_traffic/src/crash_parts.rs
@@ -85,6 +85,7 @@
             let Some(record) = self.records.get_mut(&subject) else {
                 continue;
             };
+            let may_be_blamed = record.may_be_blamed();
             let cleared = record.clear_before(started);
             if cleared.is_empty() {
                 continue;
@@ -92,7 +93,7 @@
             if record.events.is_empty() {
                 self.records.remove(&subject);
             }
-            self.blame.is_outdated = true;
+            self.blame.is_outdated |= may_be_blamed;
             self.delete_rows(subject, &cleared);
         }
         self.decide_blame(now);
@@ -115,7 +116,7 @@
             let record = self.records.get_mut(&CrashSubject::Part(*part));
             if let Some(record) = record.filter(|record| record.depth < depth) {
                 record.depth = depth;
-                self.blame.is_outdated = true;
+                self.blame.is_outdated |= record.may_be_blamed();
             }
         }
         self.decide_blame(now);
--- a/crates/tanagerhub_traffic/src/crash_record.rs
+++ b/crates/tanagerhub_traffic/src/crash_record.rs
@@ -5,6 +5,7 @@
 use tanagerhub_catalogue::{Epoch, GroupId};
 use tanagerhub_clock::Moment;
 
+use crate::crash_blame::BLAME_LIMIT;
 use crate::{CrashSubject, FailedAttempt};
 
 /// Maximum time from a failed attempt to the confirmation that the group crashed.
@@ -221,6 +222,11 @@
         expired
     }
 
+    /// Returns whether a part with these crashes may be blamed.
+    pub(crate) fn may_be_blamed(&self) -> bool {
+        self.events.len() >= BLAME_LIMIT
+    }
+
     /// Removes and returns the crashes that ended before `started`.
     pub(crate) fn clear_before(&mut self, started: Moment) -> Vec<CrashEvent> {
         let is_earlier = |event: &CrashEvent| event.period.until <= started;
--- a/crates/tanagerhub_traffic/src/crash_sharing.rs
+++ b/crates/tanagerhub_traffic/src/crash_sharing.rs
@@ -92,7 +92,6 @@
             group,
             epoch,
         } = key;
-        self.blame.is_outdated |= matches!(subject, CrashSubject::Part(_));
         let record = self.record_of(now, subject);
         let until = now.before(row.age);
         let is_new = record.insert(CrashEvent {
@@ -113,6 +112,8 @@
         };
         event.row = event.row.max(row.state());
         let is_confirmed = row.confirmed && record.apply_confirmation(now, group, epoch);
+        let may_be_blamed = record.may_be_blamed();
+        self.blame.is_outdated |= matches!(subject, CrashSubject::Part(_)) && may_be_blamed;
         if (is_new || is_confirmed) && self.is_reported(subject) {
             self.record(CrashDecision::Reported {
                 subject,
@@ -128,10 +129,11 @@
         let Some(record) = self.records.get_mut(&key.subject) else {
             return;
         };
+        let may_be_blamed = record.may_be_blamed();
         record
             .events
             .retain(|event| event.row == RowState::Absent || event.key(key.subject) != key);
-        self.blame.is_outdated |= matches!(key.subject, CrashSubject::Part(_));
+        self.blame.is_outdated |= matches!(key.subject, CrashSubject::Part(_)) && may_be_blamed;
     }
 
     /// Applies the complete list of rows.
@@ -157,8 +159,9 @@
                 CrashSubject::Request(_) => record.expire(now, self.quarantine),
                 CrashSubject::Part(part) => {
                     let is_blamed = self.blame.contains(*part);
+                    let may_be_blamed = record.may_be_blamed();
                     let expired = record.expire_part(now, self.quarantine, is_blamed);
-                    self.blame.is_outdated |= !expired.is_empty();
+                    self.blame.is_outdated |= may_be_blamed && !expired.is_empty();
                     expired
                 }
             };
--- a/crates/tanagerhub_traffic/src/crash_table.rs
+++ b/crates/tanagerhub_traffic/src/crash_table.rs
@@ -27,6 +27,8 @@
 const DOWN_TIME: Duration = Duration::from_secs(2);
 /// Maximum number of fingerprints, and of parts, in the table.
 const MAX_SUBJECTS: usize = 4_096;
+/// Number of fingerprints or parts that are evicted at once when there are too many.
+const EVICTION_COUNT: usize = 64;
 /// Maximum number of decisions held until the control thread takes them.
 const MAX_DECISIONS: usize = 1_024;
 
@@ -194,7 +196,7 @@
                 continue;
             }
             let is_part = matches!(subject, CrashSubject::Part(_));
-            self.blame.is_outdated |= is_part;
+            self.blame.is_outdated |= is_part && record.may_be_blamed();
             let strikes = record.strikes(now, self.quarantine);
             if !is_part || strikes > 1 {
                 struck.push(CrashDecision::Struck {
@@ -357,8 +359,8 @@
         record.or_insert_with(|| CrashRecord::new(subject))
     }
 
-    /// Evicts the request or part with the fewest strikes, and among equals the one with the oldest
-    /// strike, if there are too many of the kind of `subject`. Parts to blame are kept.
+    /// Evicts the requests or parts with the fewest strikes, and among equals those with the oldest
+    /// strikes, if there are too many of the kind of `subject`. Parts to blame are kept.
     fn make_room(&mut self, now: Moment, subject: CrashSubject) {
         let is_same_kind = |other: &CrashSubject| match (subject, other) {
             (CrashSubject::Request(_), CrashSubject::Request(_))
@@ -380,13 +382,12 @@
             CrashSubject::Part(part) if self.blame.contains(*part) => false,
             _ => is_same_kind(other),
         };
-        let evicted = self
-            .records
-            .iter()
-            .filter(|(it, _)| is_evictable(it))
-            .min_by_key(|(it, record)| (record.eviction_key(), **it))
-            .map(|(it, _)| *it);
-        if let Some(evicted) = evicted {
+        let evictable = self.records.iter().filter(|(it, _)| is_evictable(it));
+        let mut evictable: Vec<_> = evictable
+            .map(|(it, record)| (record.eviction_key(), *it))
+            .collect();
+        evictable.sort_unstable();
+        for (_, evicted) in evictable.into_iter().take(EVICTION_COUNT) {
             self.remove(evicted);
         }
     }
--- a/crates/tanagerhub_traffic/tests/crash_parts.rs
+++ b/crates/tanagerhub_traffic/tests/crash_parts.rs
@@ -5,7 +5,7 @@
 mod traffic_simulation;
 
 use tanagerhub_catalogue::Epoch;
-use tanagerhub_traffic::{AttemptEvent, Decision, Dispatch, Reason, RequestInfo};
+use tanagerhub_traffic::{AttemptEvent, Decision, Dispatch, Reason, Repeat, RequestInfo};
 use traffic_simulation::{SHOP, TrafficSimulation};
 use yare::parameterized;
 
@@ -84,3 +84,58 @@
     let refused = |(it, decision): &(_, Decision)| *it == id && is_refusal(decision);
     assert!(ready.iter().any(refused), "{ready:?}");
 }
+
+#[test]
+fn retry_refused_once_part_blamed() {
+    let mut simulation = TrafficSimulation::new(8);
+    let running = info(&mut simulation, &[9, BAD]).attempts(2);
+    let running = simulation.submit_dispatched(running);
+    simulation.report(running.attempt, AttemptEvent::Token(1));
+    crash_three(&mut simulation, &[FIRST, BAD]);
+    let refusal = simulation.report_failed(running.attempt, AttemptEvent::Broke);
+    assert_eq!(refusal.reason, Reason::Crashes);
+}
+
+#[parameterized(
+    complete_stream = { AttemptEvent::Finished { tokens: 3 }, false },
+    empty_stream = { AttemptEvent::Finished { tokens: 0 }, true },
+    response = { AttemptEvent::Responded, false },
+)]
+fn part_cleared_by_complete_response(event: AttemptEvent, refused: bool) {
+    let mut simulation = TrafficSimulation::new(8);
+    for _ in 0..2 {
+        let dispatch = start(&mut simulation, &[BAD]);
+        simulation.advance(100);
+        crash(&mut simulation, dispatch);
+    }
+    let sound = info(&mut simulation, &[BAD]).repeat(Repeat::Whole);
+    let sound = simulation.submit_dispatched(sound);
+    simulation.report(sound.attempt, event);
+    let dispatch = start(&mut simulation, &[BAD]);
+    simulation.advance(100);
+    crash(&mut simulation, dispatch);
+    assert_eq!(is_refused(&mut simulation, &[BAD]), refused);
+}
+
+#[test]
+fn part_not_cleared_by_failure_of_unrepeatable_request() {
+    let mut simulation = TrafficSimulation::new(8);
+    crash_three(&mut simulation, &[FIRST, BAD]);
+    let failed = info(&mut simulation, &[FIRST]).repeat(Repeat::Never);
+    let failed = simulation.submit_dispatched(failed);
+    simulation.report(failed.attempt, AttemptEvent::Responded);
+    assert!(is_refused(&mut simulation, &[BAD]));
+}
+
+/// Requests whose parts are under suspicion may run side by side, unlike suspected ones.
+#[test]
+fn sound_requests_with_suspected_part_not_kept_apart() {
+    let mut simulation = TrafficSimulation::new(1);
+    let dispatch = start(&mut simulation, &[FIRST, BAD]);
+    simulation.advance(100);
+    crash(&mut simulation, dispatch);
+    simulation.advance(10_000);
+    for _ in 0..4 {
+        start(&mut simulation, &[FIRST, 9]);
+    }
+}
