--- a/crates/tanagerhub/src/gateway/front.rs
+++ b/crates/tanagerhub/src/gateway/front.rs
@@ -9,11 +9,10 @@
 use http::request::Parts;
 use http::uri::PathAndQuery;
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt as _, Limited};
 use hyper::body::Incoming;
 use tanagerhub_catalogue::{Class, IngressRoute, KeyHash, OrganisationId, RequestId};
 use tanagerhub_clock::{Clock, Moment};
-use tanagerhub_proxy::{Client, ResponseBody, strip_hop_headers};
+use tanagerhub_proxy::{Client, RequestBody, RequestBodyError, ResponseBody, strip_hop_headers};
 use tanagerhub_traffic::RequestInfo;
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
@@ -30,6 +29,9 @@
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// The share of its objective for which a request may wait for a group.
 const QUEUE_TIMEOUT_SHARE: f64 = 0.5;
+/// The share of the time that callers wait for an event for which a broken stream may wait for a
+/// group; the group needs the rest until its first event.
+const RESUME_TIMEOUT_SHARE: f64 = 0.5;
 /// The minimum time that callers wait for the first byte of a stream.
 const MIN_FIRST_BYTE_TIMEOUT: Duration = Duration::from_millis(1_900);
 /// The maximum number of parts of a prompt by which crashes are counted.
@@ -59,7 +61,8 @@
     ) -> Response<ResponseBody> {
         let arrived = self.clock.now();
         self.shared.mark_in_use();
-        match self.accept(arrived, request).await {
+        let (parts, mut body) = RequestBody::split(request);
+        match self.accept(arrived, parts, &mut body).await {
             Ok((call, info)) => {
                 let exchange = Exchange::new(Arc::clone(&self), call);
                 exchange.run(info).await
@@ -75,7 +78,8 @@
                     age_ms = self.shared.age().as_millis();
                     "refused at the entry"
                 );
-                refused.failure.into_response()
+                let response = refused.failure.into_response();
+                body.discard(&self.clock, response).await
             }
         }
     }
@@ -84,9 +88,9 @@
     async fn accept(
         &self,
         arrived: Moment,
-        request: Request<Incoming>,
+        mut parts: Parts,
+        body: &mut RequestBody,
     ) -> Result<(Call, RequestInfo), RefusedRequest> {
-        let (mut parts, body) = request.into_parts();
         let head = self.dialect.head(&parts).map_err(|error| {
             RefusedRequest::new("", 0, Failure::new(StatusCode::BAD_REQUEST, error.reason))
         })?;
@@ -201,18 +205,14 @@
         .ok_or_else(|| Failure::new(StatusCode::NOT_FOUND, "no route leads there"))
 }
 
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Failure> {
-    match Limited::new(body, limit).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(Failure::new(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            format!("the body is longer than {limit} bytes"),
-        )),
-        Err(error) => Err(Failure::new(
-            StatusCode::BAD_REQUEST,
-            format!("the body can't be read: {error}"),
-        )),
-    }
+async fn read_body(body: &mut RequestBody, limit: usize) -> Result<Bytes, Failure> {
+    body.read(limit).await.map_err(|error| {
+        let status = match error {
+            RequestBodyError::TooLong { .. } => StatusCode::PAYLOAD_TOO_LARGE,
+            RequestBodyError::Broken(_) => StatusCode::BAD_REQUEST,
+        };
+        Failure::new(status, error.to_string())
+    })
 }
 
 fn root_path() -> PathAndQuery {
@@ -248,6 +248,7 @@
         .class(class_of_priority(priority))
         .attempts(route.max_attempts)
         .queue_timeout(route.first_byte_objective.mul_f64(QUEUE_TIMEOUT_SHARE))
+        .resume_timeout(first_byte_timeout(route).mul_f64(RESUME_TIMEOUT_SHARE))
 }
 
 /// Returns the timeout for the first byte of a stream; callers abandon a stream that shows nothing
--- a/crates/tanagerhub/src/gateway/streaming.rs
+++ b/crates/tanagerhub/src/gateway/streaming.rs
@@ -36,7 +36,7 @@
     /// A member of the group is unreachable.
     Silent,
     /// The attempt that takes over has ended or has a response.
-    TakenOver(Result<Received, AttemptError>),
+    TakenOver(Box<Result<Received, AttemptError>>),
     Expired,
 }
 
@@ -105,7 +105,7 @@
                     continue;
                 }
                 Step::TakenOver(result) => {
-                    self.finish_takeover(result);
+                    self.finish_takeover(*result);
                     continue;
                 }
                 Step::Broken(broken) => broken,
@@ -138,7 +138,7 @@
         };
         let taken_over = async {
             match &mut self.takeover {
-                Some(attempt) => Step::TakenOver(attempt.response.as_mut().await),
+                Some(attempt) => Step::TakenOver(Box::new(attempt.response.as_mut().await)),
                 None => future::pending().await,
             }
         };
--- a/crates/tanagerhub_fleet/tests/lifecycle.rs
+++ b/crates/tanagerhub_fleet/tests/lifecycle.rs
@@ -134,6 +134,31 @@
     assert!(simulation.view(0, id).is_none());
 }
 
+#[test]
+fn drained_recorded_once_the_group_has_drained() {
+    let mut simulation = formed_simulation(2);
+    let (id, row) = simulation.first_group();
+    let vm = simulation.vms.iter().find(|vm| vm.id() == row.members[1]);
+    let name = vm.expect("the VM is not listed").name.clone();
+    simulation.catalogue.marks.mark_vm(&name, Mark::Out);
+    simulation.send_state_to_all();
+    let drained = |simulation: &Simulation| {
+        let of = |node: &simulation::Node| node.fleet.explain(Subject::Group(id));
+        let all = simulation.nodes.iter().flat_map(of);
+        all.filter(|one| one.reason == Reason::Drained).count()
+    };
+    simulation.run_until(Duration::from_secs(5), |simulation| {
+        simulation.table.groups()[&id].draining
+    });
+    simulation.run(SECOND / 2);
+    assert!(simulation.table.groups().contains_key(&id));
+    assert_eq!(drained(&simulation), 0);
+    simulation.run_until(Duration::from_mins(1), |simulation| {
+        !simulation.table.groups().contains_key(&id)
+    });
+    assert_eq!(drained(&simulation), 1);
+}
+
 #[test]
 fn data_centre_marked_out_and_in() {
     let mut simulation = formed_simulation(3);
@@ -231,3 +256,44 @@
     simulation.run(3 * SECOND);
     assert_eq!(simulation.eligible(0) + simulation.eligible(1), 0);
 }
+
+#[test]
+fn service_vm_is_cold_after_restart() {
+    let mut vms = domains(3, 1);
+    vms[0].service = Some("shop".to_owned());
+    let mut simulation = Simulation::new(2, vms, model_catalogue(&[("shop", 1, 0, 0)]));
+    let vm = simulation.vms[0].id();
+    simulation.engine(vm).ready_at = Some(simulation.now);
+    simulation.checking = false;
+    simulation.run(3 * SECOND);
+    let view = simulation.views(0).next();
+    let view = view.expect("the service has no group");
+    let answer = |simulation: &mut Simulation, count| {
+        for _ in 0..count {
+            let event = FleetEvent::TokenStreamed {
+                group: view.id,
+                epoch: view.epoch,
+                at: simulation.now,
+            };
+            simulation.deliver(0, event.clone());
+            simulation.deliver(1, event);
+            simulation.step();
+        }
+        simulation.run(SECOND);
+    };
+    let phases = |simulation: &Simulation| {
+        let phase = |index| simulation.view(index, view.id).map(|view| view.phase);
+        [phase(0), phase(1)]
+    };
+    answer(&mut simulation, 8);
+    assert_eq!(phases(&simulation), [Some(Phase::Serving); 2]);
+    simulation.set_condition(vm, simulation::VmCondition::Refusing);
+    simulation.run(3 * SECOND);
+    assert_eq!(phases(&simulation), [Some(Phase::Broken); 2]);
+    simulation.set_condition(vm, simulation::VmCondition::Alive);
+    simulation.engine(vm).ready_at = Some(simulation.now);
+    simulation.run(3 * SECOND);
+    assert_eq!(phases(&simulation), [Some(Phase::Warming); 2]);
+    answer(&mut simulation, 8);
+    assert_eq!(phases(&simulation), [Some(Phase::Serving); 2]);
+}
