--- a/crates/tanagerhub/src/gateway/front.rs
+++ b/crates/tanagerhub/src/gateway/front.rs
@@ -34,6 +34,8 @@
 const RESUME_TIMEOUT_SHARE: f64 = 0.5;
 /// The minimum time that callers wait for the first byte of a stream.
 const MIN_FIRST_BYTE_TIMEOUT: Duration = Duration::from_millis(1_900);
+/// The maximum number of parts of a prompt by which crashes are counted.
+const MAX_PARTS: usize = 32;
 /// The timeout of a request where neither the caller nor the route sets a shorter one.
 const MAX_REQUEST_TIMEOUT: Duration = Duration::from_mins(10);
 
@@ -140,6 +142,7 @@
             deadline: arrived + timeout,
             first_byte_deadline: arrived + first_byte_timeout(route).min(timeout),
             last_event: head.last_event,
+            parts: head.shared_parts.iter().copied().take(MAX_PARTS).collect(),
         };
         let info = request_info(&call, &head, route, priority);
         Ok((call, info))
@@ -263,6 +266,7 @@
         .repeat(Call::repeat(call.kind))
         .tokens(head.prompt_tokens, head.max_tokens)
         .fingerprint(call.fingerprint)
+        .parts(call.parts.iter().copied())
         .class(class_of_priority(priority))
         .attempts(route.max_attempts)
         .queue_timeout(route.first_byte_objective.mul_f64(QUEUE_TIMEOUT_SHARE))
--- a/crates/tanagerhub/tests/support/backend_server.rs
+++ b/crates/tanagerhub/tests/support/backend_server.rs
@@ -34,6 +34,8 @@
     pub crash: bool,
     /// Whether the connection ends with a reset.
     pub reset: bool,
+    /// Text in the head of a request that ends the backend server when it runs the request.
+    pub crash_text: Option<&'static str>,
 }
 
 impl Script {
@@ -97,6 +99,14 @@
         }
     }
 
+    /// Ends the backend server at a request with this text in its head.
+    pub fn crashing_on(self, text: &'static str) -> Self {
+        Self {
+            crash_text: Some(text),
+            ..self
+        }
+    }
+
     /// Adds a delay before the first byte.
     pub fn after(self, delay: Duration) -> Self {
         Self { delay, ..self }
@@ -208,13 +218,15 @@
             }
         }
         let head = String::from_utf8_lossy(&buffer[..count]).to_lowercase();
-        self.request_heads.lock().unwrap().push(head);
         let script = self.script();
+        let crash_text = script.crash_text;
+        let crashes = script.crash || crash_text.is_some_and(|text| head.contains(text));
+        self.request_heads.lock().unwrap().push(head);
         // Closing a connection with unread bytes resets it.
         if !script.reset && stream.read_exact(&mut buffer[..count]).await.is_err() {
             return;
         }
-        if script.crash {
+        if crashes {
             let accept_task = self.accept_task.lock().unwrap().take();
             if let Some(accept_task) = accept_task {
                 accept_task.cancel().await;
