Join four tables in memory into MemoryTable

The stand-in platform and the tests of fleet, membership and traffic each had their own table with conditions, writes and versions. The rule stands once now, in tanagerhub_table, with tests of its own; faults stay with each stand-in. Two of them gave all rows of a transaction one version; each row has its own now, as at the stand-in platform. cargo test of tanagerhub_fleet, tanagerhub_membership and tanagerhub_traffic: all pass; no test was changed.

--- a/crates/tanagerhub_standins/src/platform_standin.rs
+++ b/crates/tanagerhub_standins/src/platform_standin.rs
@@ -14,14 +14,14 @@
 use serde::de::DeserializeOwned;
 use tanagerhub_catalogue::{Vm, VmState};
 use tanagerhub_clock::{Clock, Moment};
-use tanagerhub_table::{CommitOutcome, Row, Transaction};
+use tanagerhub_table::{CommitOutcome, MemoryTable, Row, Transaction};
 use tanagerhub_wire::platform::ReadRows;
 
 use crate::server::{Handler, Server};
 
 use rate::RateCounter;
 pub use rate::RateLimits;
-use table::Table;
+use table::read_rows;
 
 /// The platform's table, object store and list of VMs, with fault injection.
 #[derive(Debug)]
@@ -59,7 +59,7 @@
 
 #[derive(Debug, Default)]
 struct State {
-    table: Table,
+    table: MemoryTable,
     objects: HashMap<String, Vec<u8>>,
     vms: Vec<Vm>,
     pending_lists: VecDeque<(Moment, Vec<Vm>)>,
@@ -164,11 +164,14 @@
     /// Returns the rows whose keys start with `prefix`, in key order.
     #[must_use]
     pub fn rows(&self, prefix: &str) -> Vec<Row> {
-        self.shared.lock().table.read(&ReadRows::Prefix {
-            prefix: prefix.to_owned(),
-            after: None,
-            limit: u32::MAX,
-        })
+        read_rows(
+            &self.shared.lock().table,
+            &ReadRows::Prefix {
+                prefix: prefix.to_owned(),
+                after: None,
+                limit: u32::MAX,
+            },
+        )
     }
 
     /// Returns the number of calls since the start.
@@ -204,7 +207,7 @@
         if !state.allow_write(self.clock.now()) {
             return Ok(Response::new(StatusCode::TooManyRequests));
         }
-        let outcome = state.table.commit(transaction);
+        let outcome = state.table.commit(&transaction);
         match outcome {
             CommitOutcome::Committed { .. } => state.counts.commits += 1,
             _ => state.counts.conflicts += 1,
@@ -225,7 +228,7 @@
             return Ok(Response::new(StatusCode::TooManyRequests));
         }
         state.counts.row_reads += 1;
-        let rows = state.table.read(&rows);
+        let rows = read_rows(&state.table, &rows);
         drop(state);
         json_response(&rows)
     }
--- a/crates/tanagerhub_table/src/lib.rs
+++ b/crates/tanagerhub_table/src/lib.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod commit_outcome;
 mod feed;
+mod memory_table;
 mod row;
 mod store_clock;
 mod transaction;
@@ -15,6 +16,7 @@
 pub use attempt::{Attempt, AttemptState, ReadBack};
 pub use commit_outcome::CommitOutcome;
 pub use feed::{CommitResult, FeedError, FeedPage, StoreTime, VersionedRow};
+pub use memory_table::MemoryTable;
 pub use row::{Row, RowKey, RowVersion};
 pub use store_clock::StoreClock;
 pub use transaction::{Condition, Transaction, TransactionId, Write};
--- a/crates/tanagerhub_traffic/tests/support/claim_simulation.rs
+++ b/crates/tanagerhub_traffic/tests/support/claim_simulation.rs
@@ -186,7 +186,7 @@
 
     /// Removes expired rows; returns their number.
     pub fn sweep(&mut self, node: usize) -> usize {
-        let rows: Vec<_> = self.table.rows.values().cloned().collect();
+        let rows: Vec<_> = self.table.stored.rows().cloned().collect();
         let transaction = self.nodes[node].as_mut().and_then(|it| it.sweep(&rows));
         transaction.map_or(0, |transaction| {
             self.table.apply(&transaction);
--- a/crates/tanagerhub_traffic/tests/support/fake_table.rs
+++ b/crates/tanagerhub_traffic/tests/support/fake_table.rs
@@ -1,8 +1,6 @@
 //! An in-memory table with injected faults.
 
-use std::collections::BTreeMap;
-
-use tanagerhub_table::{CommitOutcome, Condition, Row, RowKey, RowVersion, Transaction, Write};
+use tanagerhub_table::{CommitOutcome, MemoryTable, Row, RowKey, Transaction};
 
 /// The fault that the table injects.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -25,22 +23,20 @@
 /// An in-memory table.
 #[derive(Debug)]
 pub struct FakeTable {
-    pub rows: BTreeMap<RowKey, Row>,
+    pub stored: MemoryTable,
     pub fault: Fault,
     /// Number of transactions applied.
     pub applied: u32,
     pub delayed: Vec<Transaction>,
-    version: u64,
 }
 
 impl Default for FakeTable {
     fn default() -> Self {
         Self {
-            rows: BTreeMap::new(),
+            stored: MemoryTable::default(),
             fault: Fault::None,
             applied: 0,
             delayed: Vec::new(),
-            version: 0,
         }
     }
 }
@@ -80,46 +76,15 @@
             self.fault,
             Fault::Refused | Fault::ResponseLost | Fault::NoResponse
         );
-        (!fails).then(|| {
-            keys.iter()
-                .filter_map(|key| self.rows.get(key))
-                .cloned()
-                .collect()
-        })
+        (!fails).then(|| self.stored.get_all(keys))
     }
 
     /// Applies a transaction if its conditions hold.
     pub fn apply(&mut self, transaction: &Transaction) -> CommitOutcome {
-        if let Some(failed) = transaction.conditions.iter().find(|it| !self.holds(it)) {
-            return CommitOutcome::Conflict {
-                key: failed.key().clone(),
-            };
-        }
-        self.applied += 1;
-        self.version += 1;
-        let mut written = Vec::new();
-        for write in &transaction.writes {
-            match write {
-                Write::Put { key, value } => {
-                    let row = Row {
-                        key: key.clone(),
-                        version: RowVersion(self.version),
-                        transaction: transaction.id,
-                        value: value.clone(),
-                    };
-                    self.rows.insert(key.clone(), row.clone());
-                    written.push(row);
-                }
-                Write::Delete { key } => {
-                    self.rows.remove(key);
-                }
-            }
+        let outcome = self.stored.commit(transaction);
+        if matches!(outcome, CommitOutcome::Committed { .. }) {
+            self.applied += 1;
         }
-        CommitOutcome::Committed { rows: written }
-    }
-
-    fn holds(&self, condition: &Condition) -> bool {
-        let found = self.rows.get(condition.key());
-        condition.holds(found.map(|row| row.version))
+        outcome
     }
 }
