--- a/crates/tanagerhub_fleet/tests/lifecycle.rs
+++ b/crates/tanagerhub_fleet/tests/lifecycle.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use simulation::{SECOND, Simulation, domains, model_catalogue};
-use tanagerhub_catalogue::{Mark, VmState};
+use tanagerhub_catalogue::{Mark, VmId, VmState};
 use tanagerhub_fleet::{FleetEvent, NotServing, Phase, Reason, Subject};
 
 const FORM_TIMEOUT: Duration = Duration::from_secs(140);
@@ -224,8 +224,8 @@
     simulation.run_until(FORM_TIMEOUT, |simulation| simulation.serving(0) == 2);
 }
 
-#[test]
-fn service_vm_is_watched() {
+/// Returns a simulation of two nodes in which a service runs on the VM.
+fn service_simulation() -> (Simulation, VmId) {
     let mut vms = domains(3, 1);
     vms[0].service = Some("shop".to_owned());
     let mut simulation = Simulation::new(2, vms, model_catalogue(&[("shop", 1, 0, 0)]));
@@ -233,6 +233,12 @@
     simulation.engine(vm).ready_at = Some(simulation.now);
     simulation.checking = false;
     simulation.run(3 * SECOND);
+    (simulation, vm)
+}
+
+#[test]
+fn service_vm_is_watched() {
+    let (mut simulation, vm) = service_simulation();
     let view = simulation
         .views(1)
         .next()
@@ -259,13 +265,7 @@
 
 #[test]
 fn service_vm_is_cold_after_restart() {
-    let mut vms = domains(3, 1);
-    vms[0].service = Some("shop".to_owned());
-    let mut simulation = Simulation::new(2, vms, model_catalogue(&[("shop", 1, 0, 0)]));
-    let vm = simulation.vms[0].id();
-    simulation.engine(vm).ready_at = Some(simulation.now);
-    simulation.checking = false;
-    simulation.run(3 * SECOND);
+    let (mut simulation, vm) = service_simulation();
     let view = simulation.views(0).next();
     let view = view.expect("the service has no group");
     let answer = |simulation: &mut Simulation, count| {
