--- a/crates/tanagerhub_fleet/examples/fleet_measure.rs
+++ b/crates/tanagerhub_fleet/examples/fleet_measure.rs
@@ -42,7 +42,10 @@
     let start = Instant::now();
     let fleet = measure::run_fleet(size, duration, &faults);
     println!("fleet {fleet:?} (ran {:?})", start.elapsed());
-    println!("naive {:?}", measure::run_naive(size, duration, &faults));
+    println!(
+        "naive {:?}",
+        measure::naive::run_naive(size, duration, &faults)
+    );
 }
 
 fn memory() {
--- a/crates/tanagerhub_fleet/tests/support/simulation.rs
+++ b/crates/tanagerhub_fleet/tests/support/simulation.rs
@@ -4,28 +4,27 @@
     reason = "each test target uses a part of the shared simulation"
 )]
 
+mod actions;
 mod engine;
 mod invariants;
+mod samples;
 mod table;
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
 use tanagerhub_catalogue::{
-    BootId, Catalogue, CatalogueVersion, Class, ColdLimit, DataCentreId, Entry, EntryId, EntryKind,
-    Epoch, Fencing, GroupId, Limits, ModelEntry, NodeId, Rank, Vm, VmId, VmState,
+    BootId, Catalogue, DataCentreId, EntryId, Epoch, GroupId, NodeId, Rank, Vm, VmId,
 };
 use tanagerhub_clock::Moment;
 use tanagerhub_fleet::rows::GroupRow;
 use tanagerhub_fleet::{
-    EngineState, Fleet, FleetAction, FleetEvent, FleetSettings, GroupView, Health, MemberReport,
-    NotServing, Order, OrderFailure, OrderKind, OrderResponse, Peer, ProbeFailure, StoreFailure,
+    EngineState, Fleet, FleetAction, FleetEvent, FleetSettings, GroupView, NotServing, Order, Peer,
 };
-use tanagerhub_table::CommitOutcome;
 
 pub use self::engine::{Engine, VmCondition};
+pub use self::samples::{domains, model_catalogue};
 pub use self::table::Table;
 
 pub const SECOND: Duration = Duration::from_secs(1);
@@ -79,31 +78,6 @@
     pub stranded: u64,
 }
 
-/// Returns a catalogue with one model entry for each `(name, span, min, max)`.
-pub fn model_catalogue(list: &[(&str, u16, u32, u32)]) -> Catalogue {
-    let entry = |&(name, span, min, max): &(&str, u16, u32, u32)| Entry {
-        name: name.to_owned(),
-        owner: "owner".to_owned(),
-        class: Class::Interactive,
-        limits: Limits {
-            replicas_min: min,
-            replicas_max: max,
-            cold: ColdLimit { concurrency: 2 },
-            ..Limits::default()
-        },
-        kind: EntryKind::Model(ModelEntry {
-            weights: format!("{name}-weights"),
-            span,
-            fencing: Fencing::Ignored,
-        }),
-    };
-    Catalogue {
-        version: CatalogueVersion(1),
-        entries: list.iter().map(entry).collect(),
-        ..Catalogue::default()
-    }
-}
-
 /// Returns whether the group is a complete replica, warm or cold.
 pub fn is_serving(view: &GroupView) -> bool {
     let slots = matches!(view.why_not, Some(NotServing::NoColdSlots));
@@ -115,29 +89,6 @@
     u64::try_from(duration.as_millis()).expect("the duration exceeds 64 bits of milliseconds")
 }
 
-/// Returns the VMs of `count` domains of `size` VMs each, spread over three data centres.
-pub fn domains(count: usize, size: usize) -> Vec<Vm> {
-    let vm = |domain: usize, index: usize| Vm {
-        name: format!("vm-{domain}-{index}"),
-        address: SocketAddr::from((
-            Ipv4Addr::new(
-                10,
-                u8::try_from(domain / 256).unwrap(),
-                u8::try_from(domain % 256).unwrap(),
-                u8::try_from(index).unwrap(),
-            ),
-            8_000,
-        )),
-        data_centre: format!("dc-{}", domain % 3),
-        domain: format!("domain-{domain}"),
-        service: None,
-        state: VmState::Live,
-    };
-    (0..count)
-        .flat_map(|domain| (0..size).map(move |index| vm(domain, index)))
-        .collect()
-}
-
 impl Simulation {
     pub fn new(nodes: usize, vms: Vec<Vm>, catalogue: Catalogue) -> Self {
         Self::with_settings(nodes, vms, catalogue, &FleetSettings::default().standbys(0))
@@ -349,141 +300,6 @@
         }
     }
 
-    fn perform(&mut self, index: usize, action: FleetAction, sent: Moment) {
-        let partitioned = self.nodes[index].store_partitioned;
-        let event = match action {
-            FleetAction::Commit(transaction) => FleetEvent::Committed {
-                transaction: transaction.id,
-                outcome: if partitioned {
-                    CommitOutcome::NotApplied
-                } else {
-                    self.table.commit(&transaction)
-                },
-            },
-            FleetAction::Read { read, query } => FleetEvent::Rows {
-                read,
-                result: if partitioned {
-                    Err(StoreFailure::Unavailable)
-                } else {
-                    self.table.read(&query)
-                },
-            },
-            FleetAction::Probe { vm, .. } => {
-                let result = self.probe(index, vm);
-                let event = FleetEvent::Probed { vm, sent, result };
-                let late = result == Err(ProbeFailure::Timeout);
-                let delay = if late {
-                    Duration::from_millis(500)
-                } else {
-                    LATENCY
-                };
-                return self.schedule(delay, QueuedItem::Event(index, event));
-            }
-            FleetAction::Order { order, .. } => {
-                if self.hold_orders {
-                    self.held_orders.push((index, order));
-                    return;
-                }
-                let (vm, group, epoch) = (order.vm, order.group, order.epoch);
-                let result = self.apply_order(index, order);
-                FleetEvent::Ordered {
-                    vm,
-                    group,
-                    epoch,
-                    result,
-                }
-            }
-            FleetAction::Attest {
-                group,
-                epoch,
-                age,
-                health,
-            } => return self.deliver_attestation(index, (group, epoch), age + LATENCY, health),
-        };
-        self.schedule(LATENCY, QueuedItem::Event(index, event));
-    }
-
-    fn deliver_attestation(
-        &mut self,
-        from: usize,
-        group: (GroupId, Epoch),
-        age: Duration,
-        health: Health,
-    ) {
-        if self.nodes[from].peers_partitioned {
-            return;
-        }
-        for index in 0..self.nodes.len() {
-            if index == from || self.nodes[index].peers_partitioned {
-                continue;
-            }
-            let event = FleetEvent::Attested {
-                from: self.nodes[from].id,
-                group: group.0,
-                epoch: group.1,
-                age: age + LATENCY,
-                health,
-            };
-            self.schedule(LATENCY, QueuedItem::Event(index, event));
-        }
-    }
-
-    fn probe(&self, index: usize, vm: VmId) -> Result<MemberReport, ProbeFailure> {
-        let engine = self.engines.get(&vm).ok_or(ProbeFailure::Timeout)?;
-        if self.partitioned.contains(&(index, vm)) {
-            return Err(ProbeFailure::Timeout);
-        }
-        match engine.condition {
-            VmCondition::Alive => Ok(engine.report(self.now)),
-            VmCondition::Refusing => Err(ProbeFailure::Refused),
-            VmCondition::Paused | VmCondition::Dead => Err(ProbeFailure::Timeout),
-        }
-    }
-
-    /// Delivers an order to its engine, and returns the engine's response.
-    pub fn apply_order(
-        &mut self,
-        index: usize,
-        order: Order,
-    ) -> Result<OrderResponse, OrderFailure> {
-        let (now, load, cold) = (self.now, self.load_time, self.cold_time);
-        let partitioned = self.partitioned.contains(&(index, order.vm));
-        let engine = self.engines.get_mut(&order.vm).ok_or(OrderFailure::Lost)?;
-        if partitioned || engine.condition != VmCondition::Alive {
-            return Err(OrderFailure::Lost);
-        }
-        if engine.checks_fencing && order.epoch < engine.epoch {
-            return Ok(OrderResponse::Stale {
-                epoch: engine.epoch,
-            });
-        }
-        engine.epoch = order.epoch;
-        match order.kind {
-            OrderKind::Release => {
-                engine.group = None;
-                engine.weights = None;
-                engine.ready_at = None;
-            }
-            OrderKind::Join { rank, weights, .. } => {
-                engine.group = Some(order.group);
-                engine.rank = rank;
-                if engine.weights.as_ref() != Some(&weights) || engine.ready_at.is_none() {
-                    engine.weights = Some(weights);
-                    engine.loads += 1;
-                    let slot = self
-                        .load_slots
-                        .iter_mut()
-                        .min()
-                        .expect("the load limit is zero");
-                    *slot = (*slot).max(now) + load;
-                    engine.ready_at = Some(*slot);
-                    engine.warm_at = Some(*slot + cold);
-                }
-            }
-        }
-        Ok(OrderResponse::Accepted)
-    }
-
     pub fn engine(&mut self, vm: VmId) -> &mut Engine {
         self.engines.get_mut(&vm).expect("the VM is not listed")
     }
--- a/crates/tanagerhub_fleet/tests/targets.rs
+++ b/crates/tanagerhub_fleet/tests/targets.rs
@@ -58,7 +58,7 @@
     let duration = Duration::from_hours(2);
     let faults = measure::random_faults(&measure::FLEET_224_VMS, duration, 1, 10, 7);
     let fleet = measure::run_fleet(&measure::FLEET_224_VMS, duration, &faults);
-    let naive = measure::run_naive(&measure::FLEET_224_VMS, duration, &faults);
+    let naive = measure::naive::run_naive(&measure::FLEET_224_VMS, duration, &faults);
     assert!(2 * fleet.excess <= 3 * fleet.floor, "{fleet:?}");
     assert!(10 * fleet.excess <= 7 * naive.excess, "{fleet:?} {naive:?}");
 }
