--- a/crates/tanagerhub_membership/src/membership.rs
+++ b/crates/tanagerhub_membership/src/membership.rs
@@ -4,6 +4,7 @@
 mod applying;
 mod probing;
 mod reading;
+mod responding;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
