--- a/crates/tanagerhub_standins/src/bin/tanagerhub-demo.rs
+++ b/crates/tanagerhub_standins/src/bin/tanagerhub-demo.rs
@@ -11,7 +11,7 @@
 use tanagerhub_clock::Clock;
 use tanagerhub_standins::{
     ADVISOR, ChatRequest, Checker, NodeSet, OPERATOR_TOKEN, RequestId, SAMPLE_KEY, SHOP_API, Site,
-    SiteSettings, sample_catalogue, wait_until,
+    SiteSettings, all_entries_served, sample_catalogue, wait_until,
 };
 
 #[global_allocator]
@@ -155,17 +155,6 @@
     Ok(())
 }
 
-/// Returns whether every entry has at least `replicas_min` serving replicas.
-fn all_entries_served(status: &Value) -> bool {
-    let entries = status["entries"].as_array();
-    entries.is_some_and(|entries| {
-        !entries.is_empty()
-            && entries
-                .iter()
-                .all(|entry| entry["serving"].as_u64() >= entry["replicas_min"].as_u64())
-    })
-}
-
 fn text(value: &Value) -> &str {
     value.as_str().unwrap_or("?")
 }
--- a/crates/tanagerhub_standins/src/lib.rs
+++ b/crates/tanagerhub_standins/src/lib.rs
@@ -26,7 +26,7 @@
 pub use engine_standin::{CRASH_MARKER, EngineSettings, EngineStandin, Fabric, ModelApi, Prompt};
 pub use loopback::unused_address;
 pub use node_set::{NodeSet, NodeSetError, OPERATOR_TOKEN};
-pub use operator::{Change, Operator, OperatorFailure};
+pub use operator::{Change, Operator, OperatorFailure, all_entries_served};
 pub use platform_standin::{PlatformCounts, PlatformStandin, RateLimits};
 pub use record::{
     Event, MarkTarget, MissingCause, Outcome, Record, RequestId, Started, StopCause, Verdict,
--- a/crates/tanagerhub_standins/src/operator.rs
+++ b/crates/tanagerhub_standins/src/operator.rs
@@ -244,3 +244,25 @@
     let body = response.body_bytes().await?;
     Ok((response.status(), body))
 }
+
+/// Returns whether every entry of a node's status has at least `replicas_min` serving replicas.
+///
+/// # Examples
+///
+/// ```
+/// use serde_json::json;
+/// use tanagerhub_standins::all_entries_served;
+///
+/// let status = json!({"entries": [{"serving": 1, "replicas_min": 2}]});
+/// assert!(!all_entries_served(&status));
+/// ```
+#[must_use]
+pub fn all_entries_served(status: &Value) -> bool {
+    let entries = status["entries"].as_array();
+    entries.is_some_and(|entries| {
+        !entries.is_empty()
+            && entries
+                .iter()
+                .all(|entry| entry["serving"].as_u64() >= entry["replicas_min"].as_u64())
+    })
+}
--- a/crates/tanagerhub_standins/tests/faults/harness.rs
+++ b/crates/tanagerhub_standins/tests/faults/harness.rs
@@ -1,7 +1,7 @@
 //! The simulated environment of the tests: a site, its nodes and a load on them.
 
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Condvar, Mutex, PoisonError};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Condvar, Mutex, PoisonError};
 use std::time::Duration;
 
 use async_std::task::{self, JoinHandle};
@@ -9,11 +9,14 @@
 use tanagerhub_catalogue::VmId;
 use tanagerhub_clock::Clock;
 use tanagerhub_standins::{
-    ADVISOR, CallResult, Caller, ChatRequest, Checker, EngineStandin, Event, NodeSet, Operator,
-    Outcome, RequestId, SAMPLE_KEY, SHOP_API, Site, SiteSettings, Started, Verdict,
+    ADVISOR, CallResult, Caller, ChatRequest, Checker, EngineStandin, Event, NodeSet, Outcome,
+    RequestId, SAMPLE_KEY, Site, SiteSettings, Started, Verdict, all_entries_served,
     sample_catalogue, wait_until,
 };
 
+use crate::load::Load;
+use crate::version_watch::VersionWatch;
+
 /// Timeout of one step of a test; far longer than any step takes, even on a host under load.
 pub const STEP_TIMEOUT: Duration = Duration::from_mins(1);
 /// Maximum number of tests that run at the same time.
@@ -247,23 +250,7 @@
 
     /// Starts a steady load on all nodes that are ready, from `lanes` callers.
     pub fn load(&self, lanes: usize) -> Load {
-        let stop = Arc::new(AtomicBool::new(false));
-        let nodes: Vec<_> = (0..self.nodes.len())
-            .map(|node| (self.caller(node), self.nodes.operator(node)))
-            .collect();
-        let lanes = (0..lanes).map(|_| {
-            let lane = Lane {
-                nodes: nodes.clone(),
-                name: self.name("lane"),
-                stop: Arc::clone(&stop),
-                clock: self.site.clock.clone(),
-            };
-            task::spawn(lane.run())
-        });
-        Load {
-            lanes: lanes.collect(),
-            stop,
-        }
+        Load::start(self, lanes)
     }
 
     async fn finish(mut self) {
@@ -275,142 +262,8 @@
     }
 }
 
-/// Records the versions in force at all ready nodes, repeatedly.
-struct VersionWatch {
-    task: JoinHandle<()>,
-    stop: Arc<AtomicBool>,
-}
-
-impl VersionWatch {
-    /// Time between two reads of the versions.
-    const READ_INTERVAL: Duration = Duration::from_millis(250);
-
-    fn start(operators: Vec<Operator>, clock: Clock) -> Self {
-        let stop = Arc::new(AtomicBool::new(false));
-        let stopped = Arc::clone(&stop);
-        let task = task::spawn(async move {
-            while !stopped.load(Ordering::Relaxed) {
-                for operator in &operators {
-                    if operator.is_ready().await {
-                        // A node that ends in the meantime returns no version.
-                        drop(operator.record_version().await);
-                    }
-                }
-                clock.sleep(Self::READ_INTERVAL).await;
-            }
-        });
-        Self { task, stop }
-    }
-
-    async fn stop(self) {
-        self.stop.store(true, Ordering::Relaxed);
-        self.task.await;
-    }
-}
-
 /// Returns the number of nodes that a node reports as fresh, which are those that accept requests.
 fn fresh_nodes(status: &Value) -> usize {
     let nodes = status["nodes"].as_array().into_iter().flatten();
     nodes.filter(|node| node["fresh"] == true).count()
 }
-
-fn all_entries_served(status: &Value) -> bool {
-    let entries = status["entries"].as_array();
-    entries.is_some_and(|entries| {
-        !entries.is_empty()
-            && entries
-                .iter()
-                .all(|entry| entry["serving"].as_u64() >= entry["replicas_min"].as_u64())
-    })
-}
-
-/// A steady load, until it is stopped.
-pub struct Load {
-    lanes: Vec<JoinHandle<Tally>>,
-    stop: Arc<AtomicBool>,
-}
-
-impl Load {
-    /// Waits until the requests in flight have ended, and returns the counts.
-    pub async fn stop(self) -> Tally {
-        self.stop.store(true, Ordering::Relaxed);
-        let mut tally = Tally::default();
-        for lane in self.lanes {
-            tally.add(&lane.await);
-        }
-        println!("load: {tally:?}");
-        tally
-    }
-}
-
-/// The number of requests of a load, by result.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct Tally {
-    pub complete: u32,
-    pub not_run: u32,
-    pub refused: u32,
-    pub truncated: u32,
-    pub lost: u32,
-}
-
-impl Tally {
-    fn count(&mut self, verdict: &Verdict) {
-        match verdict {
-            Verdict::Complete => self.complete += 1,
-            Verdict::Refused(Outcome::NotRun) => self.not_run += 1,
-            Verdict::Refused(_) => self.refused += 1,
-            Verdict::Truncated | Verdict::Wrong => self.truncated += 1,
-            Verdict::Lost => self.lost += 1,
-        }
-    }
-
-    const fn add(&mut self, other: &Self) {
-        self.complete += other.complete;
-        self.not_run += other.not_run;
-        self.refused += other.refused;
-        self.truncated += other.truncated;
-        self.lost += other.lost;
-    }
-}
-
-/// One caller that sends its requests one after the other.
-struct Lane {
-    nodes: Vec<(Caller, Operator)>,
-    name: String,
-    stop: Arc<AtomicBool>,
-    clock: Clock,
-}
-
-impl Lane {
-    /// Time between a response and the next request.
-    const REQUEST_INTERVAL: Duration = Duration::from_millis(10);
-
-    async fn run(self) -> Tally {
-        let mut tally = Tally::default();
-        let mut number = 0;
-        while !self.stop.load(Ordering::Relaxed) {
-            number += 1;
-            let (caller, operator) = &self.nodes[number % self.nodes.len()];
-            if operator.is_ready().await
-                && let Some(result) = self.call(caller, number).await
-            {
-                tally.count(&result.verdict);
-            }
-            self.clock.sleep(Self::REQUEST_INTERVAL).await;
-        }
-        tally
-    }
-
-    /// Sends one request; returns `None`, which is not counted, when the node can't be reached.
-    async fn call(&self, caller: &Caller, number: usize) -> Option<CallResult> {
-        let name = format!("{}-{number}", self.name);
-        let chat_request = ChatRequest::new(name.clone(), ADVISOR);
-        let result = match number % 4 {
-            0 => caller.book(SHOP_API, &name, Some(&name)).await,
-            1 => caller.items(SHOP_API, &name).await,
-            2 => caller.chat(&chat_request).await,
-            _ => caller.stream(&chat_request).await,
-        };
-        result.ok()
-    }
-}
--- a/crates/tanagerhub_standins/tests/faults/main.rs
+++ b/crates/tanagerhub_standins/tests/faults/main.rs
@@ -5,7 +5,9 @@
 mod data_centres;
 mod engines;
 mod harness;
+mod load;
 mod nodes;
 mod pairs;
 mod services;
 mod store;
+mod version_watch;
