Keep a plain service warm beside a node that sends it nothing

A node that had not itself seen eight answers of a plain service attested it as cold at each of its probes, also when its peers had told it that the service was warm. Where that node was the first watcher, a busy node held the service for cold from the next probe on, and for good, since answers beyond the eighth changed nothing: callers there got the cold limit of a warm service. A node now passes on what it knows by its peers, and what a peer finds cold is counted from zero.

Test (before: Warming after 18 answers, where the other node watches): service_stays_warm_beside_node_without_traffic in tanagerhub_fleet, lifecycle.

--- a/crates/tanagerhub_fleet/src/fleet/watch.rs
+++ b/crates/tanagerhub_fleet/src/fleet/watch.rs
@@ -166,6 +166,9 @@
         group.record_attestation(at);
         group.published_at = group.published_at.max(Some(at));
         if group.set_health(at, health) {
+            if health == Health::Cold {
+                group.responses = 0;
+            }
             self.record_health(now, id, health);
         }
     }
@@ -243,13 +246,13 @@
     }
 
     /// Returns the group's health according to its members' last reports, or to responses for a
-    /// plain service.
+    /// plain service, which other nodes may have found to be warm.
     fn reported_health(&self, warm_answers: u32) -> Health {
         if !self.has_row() {
             return if self.responses >= warm_answers {
                 Health::Warm
             } else {
-                Health::Cold
+                self.health
             };
         }
         self.members
--- a/crates/tanagerhub_fleet/tests/lifecycle.rs
+++ b/crates/tanagerhub_fleet/tests/lifecycle.rs
@@ -9,6 +9,7 @@
 use simulation::{SECOND, Simulation, domains, model_catalogue};
 use tanagerhub_catalogue::{Mark, VmId, VmState};
 use tanagerhub_fleet::{FleetEvent, NotServing, Phase, Reason, Subject};
+use yare::parameterized;
 
 const FORM_TIMEOUT: Duration = Duration::from_secs(140);
 
@@ -297,3 +298,26 @@
     answer(&mut simulation, 8);
     assert_eq!(phases(&simulation), [Some(Phase::Serving); 2]);
 }
+
+#[parameterized(first_watcher = { 0 }, other_node = { 1 })]
+fn service_stays_warm_beside_node_without_traffic(busy: usize) {
+    let (mut simulation, _) = service_simulation();
+    let view = simulation.views(busy).next();
+    let view = view.expect("the service has no group");
+    for answers in 1..=60 {
+        let event = FleetEvent::TokenStreamed {
+            group: view.id,
+            epoch: view.epoch,
+            at: simulation.now,
+        };
+        simulation.deliver(busy, event);
+        simulation.step();
+        let phase = simulation.view(busy, view.id).map(|view| view.phase);
+        let expected = if answers < 8 {
+            Phase::Warming
+        } else {
+            Phase::Serving
+        };
+        assert_eq!(phase, Some(expected), "after {answers} answers");
+    }
+}
