Tell peers at once that a plain service became warm

The answer with which a service became warm was published only if the last attestation was old enough, as with any other answer; so a peer's next attestation could still call it cold, and the count began again. A change of health is now published at once, as it is after a probe.

Test (before: left Warming, right Serving, at the other node): service_found_warm_is_warm_at_other_node in tanagerhub_fleet, lifecycle.

--- a/crates/tanagerhub_fleet/src/fleet/watch.rs
+++ b/crates/tanagerhub_fleet/src/fleet/watch.rs
@@ -192,13 +192,15 @@
         let fresh = group
             .published_at
             .is_none_or(|published_at| at.since(published_at) >= step);
+        let mut warmed = false;
         if !group.has_row() {
             group.responses = group.responses.saturating_add(1);
-            if group.responses == warm_answers && group.set_health(at, Health::Warm) {
-                self.record_health(now, id, Health::Warm);
-            }
+            warmed = group.responses == warm_answers && group.set_health(at, Health::Warm);
+        }
+        if warmed {
+            self.record_health(now, id, Health::Warm);
         }
-        if fresh {
+        if fresh || warmed {
             self.publish_attestation(now, id, at);
         }
     }
--- a/crates/tanagerhub_fleet/tests/lifecycle.rs
+++ b/crates/tanagerhub_fleet/tests/lifecycle.rs
@@ -321,3 +321,21 @@
         assert_eq!(phase, Some(expected), "after {answers} answers");
     }
 }
+
+#[test]
+fn service_found_warm_is_warm_at_other_node() {
+    let (mut simulation, _) = service_simulation();
+    let view = simulation.views(1).next();
+    let view = view.expect("the service has no group");
+    for _ in 0..8 {
+        let event = FleetEvent::TokenStreamed {
+            group: view.id,
+            epoch: view.epoch,
+            at: simulation.now,
+        };
+        simulation.deliver(1, event);
+    }
+    simulation.step();
+    let phase = |index| simulation.view(index, view.id).map(|view| view.phase);
+    assert_eq!([phase(0), phase(1)], [Some(Phase::Serving); 2]);
+}
