--- a/crates/tanagerhub_fleet/tests/cold.rs
+++ b/crates/tanagerhub_fleet/tests/cold.rs
@@ -27,6 +27,19 @@
         .collect()
 }
 
+/// Makes the first group cold, and returns the index of a node that holds slots of it.
+fn turn_cold(simulation: &mut Simulation) -> usize {
+    let row = simulation.first_group().1;
+    for vm in &row.members {
+        simulation.engine(*vm).warm_at = None;
+    }
+    simulation.run(2 * SECOND);
+    let holder = cold_slots_by_node(simulation)
+        .iter()
+        .position(|own| *own > 0);
+    holder.expect("no node holds cold slots")
+}
+
 #[test]
 fn slots_add_up_to_the_limit() {
     let mut simulation =
@@ -85,15 +98,7 @@
 #[test]
 fn slots_move_after_the_old_holder_stopped() {
     let mut simulation = formed_simulation(4);
-    let row = simulation.first_group().1;
-    for vm in &row.members {
-        simulation.engine(*vm).warm_at = None;
-    }
-    simulation.run(2 * SECOND);
-    let holder = cold_slots_by_node(&simulation)
-        .iter()
-        .position(|own| *own > 0);
-    let holder = holder.expect("no node holds cold slots");
+    let holder = turn_cold(&mut simulation);
     // The holder keeps running without its peers and the table.
     simulation.nodes[holder].peers_partitioned = true;
     simulation.nodes[holder].store_partitioned = true;
@@ -112,15 +117,8 @@
 #[test]
 fn slots_of_a_slow_reader_and_a_new_holder_never_overlap() {
     let mut simulation = formed_simulation(4);
-    let (id, row) = simulation.first_group();
-    for vm in &row.members {
-        simulation.engine(*vm).warm_at = None;
-    }
-    simulation.run(2 * SECOND);
-    let holder = cold_slots_by_node(&simulation)
-        .iter()
-        .position(|own| *own > 0);
-    let holder = holder.expect("no node holds cold slots");
+    let id = simulation.first_group().0;
+    let holder = turn_cold(&mut simulation);
     // The holder is partitioned from its peers only: it still reads the rows at its usual interval.
     simulation.nodes[holder].peers_partitioned = true;
     let others: Vec<usize> = (0..4).filter(|index| *index != holder).collect();
