--- a/crates/tanagerhub_fleet/tests/lifecycle.rs
+++ b/crates/tanagerhub_fleet/tests/lifecycle.rs
@@ -7,8 +7,9 @@
 use std::time::Duration;
 
 use simulation::{SECOND, Simulation, domains, model_catalogue};
-use tanagerhub_catalogue::{Mark, VmState};
+use tanagerhub_catalogue::{Mark, VmId, VmState};
 use tanagerhub_fleet::{FleetEvent, NotServing, Phase, Reason, Subject};
+use yare::parameterized;
 
 const FORM_TIMEOUT: Duration = Duration::from_secs(140);
 
@@ -224,8 +225,8 @@
     simulation.run_until(FORM_TIMEOUT, |simulation| simulation.serving(0) == 2);
 }
 
-#[test]
-fn service_vm_is_watched() {
+/// Returns a simulation of two nodes in which a service runs on the VM.
+fn service_simulation() -> (Simulation, VmId) {
     let mut vms = domains(3, 1);
     vms[0].service = Some("shop".to_owned());
     let mut simulation = Simulation::new(2, vms, model_catalogue(&[("shop", 1, 0, 0)]));
@@ -233,6 +234,12 @@
     simulation.engine(vm).ready_at = Some(simulation.now);
     simulation.checking = false;
     simulation.run(3 * SECOND);
+    (simulation, vm)
+}
+
+#[test]
+fn service_vm_is_watched() {
+    let (mut simulation, vm) = service_simulation();
     let view = simulation
         .views(1)
         .next()
@@ -259,13 +266,7 @@
 
 #[test]
 fn service_vm_is_cold_after_restart() {
-    let mut vms = domains(3, 1);
-    vms[0].service = Some("shop".to_owned());
-    let mut simulation = Simulation::new(2, vms, model_catalogue(&[("shop", 1, 0, 0)]));
-    let vm = simulation.vms[0].id();
-    simulation.engine(vm).ready_at = Some(simulation.now);
-    simulation.checking = false;
-    simulation.run(3 * SECOND);
+    let (mut simulation, vm) = service_simulation();
     let view = simulation.views(0).next();
     let view = view.expect("the service has no group");
     let answer = |simulation: &mut Simulation, count| {
@@ -297,3 +298,44 @@
     answer(&mut simulation, 8);
     assert_eq!(phases(&simulation), [Some(Phase::Serving); 2]);
 }
+
+#[parameterized(first_watcher = { 0 }, other_node = { 1 })]
+fn service_stays_warm_beside_node_without_traffic(busy: usize) {
+    let (mut simulation, _) = service_simulation();
+    let view = simulation.views(busy).next();
+    let view = view.expect("the service has no group");
+    for answers in 1..=60 {
+        let event = FleetEvent::TokenStreamed {
+            group: view.id,
+            epoch: view.epoch,
+            at: simulation.now,
+        };
+        simulation.deliver(busy, event);
+        simulation.step();
+        let phase = simulation.view(busy, view.id).map(|view| view.phase);
+        let expected = if answers < 8 {
+            Phase::Warming
+        } else {
+            Phase::Serving
+        };
+        assert_eq!(phase, Some(expected), "after {answers} answers");
+    }
+}
+
+#[test]
+fn service_found_warm_is_warm_at_other_node() {
+    let (mut simulation, _) = service_simulation();
+    let view = simulation.views(1).next();
+    let view = view.expect("the service has no group");
+    for _ in 0..8 {
+        let event = FleetEvent::TokenStreamed {
+            group: view.id,
+            epoch: view.epoch,
+            at: simulation.now,
+        };
+        simulation.deliver(1, event);
+    }
+    simulation.step();
+    let phase = |index| simulation.view(index, view.id).map(|view| view.phase);
+    assert_eq!([phase(0), phase(1)], [Some(Phase::Serving); 2]);
+}
