Probe a silent VM every 200 ms from the planner, so that silences don't add up

An unreachable VM was probed once a second, so the time between was not seen.

Failed before: two_short_silences_keep_member: left: Epoch(851969) right: Epoch(786436)

--- a/crates/tanagerhub_groups/src/groups/probe.rs
+++ b/crates/tanagerhub_groups/src/groups/probe.rs
@@ -14,6 +14,9 @@
 const SHORT_ROUND_LIMIT: Duration = Duration::from_secs(1);
 /// The share of the probes that goes to heads when a round takes longer.
 const HEADS_SHARE: f64 = 0.75;
+/// The longest interval at which the planner probes a VM that may go on, so that two short silences
+/// don't count as one.
+const SILENT_PROBE_INTERVAL: Duration = Duration::from_millis(200);
 /// The longest period for which unused probe credit accumulates.
 const MAX_CREDIT_PERIOD: Duration = Duration::from_millis(250);
 
@@ -75,8 +78,11 @@
             let Some(entry) = self.vms.get(vm) else {
                 continue;
             };
-            let has_waited =
-                now.since(entry.probed_at) >= next_probe_interval(entry, &self.settings);
+            let mut interval = next_probe_interval(entry, &self.settings);
+            if self.planner.is_held() && entry.is_silent() {
+                interval = interval.min(SILENT_PROBE_INTERVAL);
+            }
+            let has_waited = now.since(entry.probed_at) >= interval;
             if has_waited || entry.is_silence_due(now, &self.settings) {
                 self.probe(now, vm);
             }
--- a/crates/tanagerhub_groups/src/groups/vms.rs
+++ b/crates/tanagerhub_groups/src/groups/vms.rs
@@ -116,6 +116,11 @@
         self.is_unreachable(settings) && (self.ended || !self.is_listed())
     }
 
+    /// Returns whether the VM leaves probes unanswered and may still go on.
+    pub(super) const fn is_silent(&self) -> bool {
+        !self.ended && self.silence.is_some()
+    }
+
     /// Returns whether an unanswered probe that is sent now shows that the VM has been silent for
     /// too long.
     pub(super) fn is_silence_due(&self, now: Moment, settings: &GroupsSettings) -> bool {
--- a/crates/tanagerhub_groups/tests/silence.rs
+++ b/crates/tanagerhub_groups/tests/silence.rs
@@ -346,3 +346,20 @@
     simulation.run(Duration::from_millis(100));
     assert!(simulation.degraded.contains(&membership));
 }
+
+/// The VM goes on for half a second between two silences.
+#[test]
+fn two_short_silences_keep_member() {
+    let mut simulation = serving_simulation();
+    let head = simulation.open_heads("big").remove(0);
+    let member = simulation.members(&head)[2].clone();
+    let (group, epoch) = membership(&mut simulation, &head);
+    for millis in [400, 1_300] {
+        simulation.silence(&member);
+        suspect(&mut simulation, &head);
+        simulation.run(Duration::from_millis(millis));
+        simulation.resume(&member);
+        simulation.run(Duration::from_millis(500));
+    }
+    assert_eq!(planned(&simulation, group).0, epoch);
+}
