Confirm crashes by lost members alone on the users' platform

What callers would see: a sound request refused for ten minutes. Whenever a group left the routes, each broken attempt of the last 15 s there was taken for a crash: also where the group was merely silent, drained, in an evacuated data centre, or renewed by the planner's own order.

The gateway learns of lost members (record_losses); its setting routes_confirm is now off. The product's own interface has no such news and keeps it.

Failed before, as by_routes still shows: withdrawn_route_confirms_crashes, two resets and a withdrawn route each: the third request was refused.

--- a/crates/tanagerhub/src/gateway/start.rs
+++ b/crates/tanagerhub/src/gateway/start.rs
@@ -276,6 +276,7 @@
     traffic.hedges = false;
     traffic.filled = false;
     traffic.shares_retries = true;
+    traffic.routes_confirm = false;
     traffic.retry_ratio = settings.retry_ratio;
     traffic.retry_burst = settings.retry_slack;
     traffic.retry_floor = Duration::from_millis(300);
--- a/crates/tanagerhub_traffic/src/settings.rs
+++ b/crates/tanagerhub_traffic/src/settings.rs
@@ -78,6 +78,9 @@
     pub filled: bool,
     /// Whether `retry_burst` is divided among all nodes and entries, instead of applying to each.
     pub shares_retries: bool,
+    /// Whether a group that leaves the routes confirms the crashes suspected there, in addition to a
+    /// lost member.
+    pub routes_confirm: bool,
     /// Minimum retry delay in responses to refused callers.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "retry_floor_ms")]
@@ -121,6 +124,7 @@
             hedges: true,
             filled: true,
             shares_retries: false,
+            routes_confirm: true,
             retry_floor: Duration::from_secs(1),
         }
     }
--- a/crates/tanagerhub_traffic/src/traffic.rs
+++ b/crates/tanagerhub_traffic/src/traffic.rs
@@ -186,20 +186,20 @@
 
     /// Applies the control thread's routes.
     ///
-    /// A group that was eligible and is no longer, or has another epoch, confirms suspected
-    /// crashes.
+    /// Where the settings say so, a group that was eligible and is no longer, or has another epoch,
+    /// confirms suspected crashes.
     pub fn apply_routes(&mut self, now: Moment, table: RouteTable) {
         let before: Vec<(GroupId, Epoch)> = self.eligible_groups().collect();
         self.groups.update(now, table);
         for (group, epoch) in before {
-            if !self.is_eligible(group, epoch) {
+            if self.settings.routes_confirm && !self.is_eligible(group, epoch) {
                 self.crashes.confirm(now, group, epoch);
             }
         }
     }
 
-    /// Records that groups have lost a member, which confirms crashes of attempts without a
-    /// response.
+    /// Records that groups have lost a member, which confirms the crashes suspected there, also those
+    /// of attempts without a response.
     pub fn record_losses(&mut self, now: Moment, groups: &[(GroupId, Epoch)]) {
         for (group, epoch) in groups {
             self.crashes.record_loss(now, *group, *epoch);
--- a/crates/tanagerhub_traffic/tests/takeover.rs
+++ b/crates/tanagerhub_traffic/tests/takeover.rs
@@ -5,10 +5,11 @@
 
 use std::time::Duration;
 
-use tanagerhub_catalogue::{EntryId, OrganisationId, RequestId};
+use tanagerhub_catalogue::{EntryId, Epoch, GroupId, OrganisationId, RequestId};
 use tanagerhub_clock::Moment;
 use tanagerhub_traffic::{
-    AttemptEvent, Decision, Dispatch, Next, Repeat, RequestInfo, Traffic, TrafficSettings,
+    AttemptEvent, Decision, Dispatch, Next, Repeat, RequestInfo, Route, RouteTable, Traffic,
+    TrafficSettings,
 };
 use yare::parameterized;
 
@@ -141,3 +142,49 @@
     let running: u32 = status.entries.iter().map(|it| it.running).sum();
     assert_eq!(running, 0);
 }
+
+/// A group leaves the routes also when it is merely silent, drains or is renewed as planned.
+#[parameterized(
+    by_routes = { true, true },
+    by_losses = { false, false },
+)]
+fn withdrawn_route_confirms_crashes(routes_confirm: bool, refused: bool) {
+    let settings = TrafficSettings {
+        routes_confirm,
+        ..advisor::settings()
+    };
+    let listed = [(1, 2, None), (2, 2, None), (3, 2, None), (4, 2, None)];
+    let mut traffic = advisor::traffic(NOW, settings, &listed);
+    for id in 1..=2 {
+        let now = NOW + Duration::from_secs(id);
+        let info = request(id).fingerprint(77).attempts(1);
+        let Decision::Dispatch(first) = traffic.submit(now, info) else {
+            panic!("not dispatched");
+        };
+        let now = now + Duration::from_millis(100);
+        traffic.report(now, first.attempt, AttemptEvent::Broke);
+        for without in [Some(first.group), None] {
+            let routes = (1..=4).map(route);
+            let routes = routes.filter(|route| Some(route.group) != without);
+            let table = RouteTable {
+                routes: routes.collect(),
+            };
+            traffic.apply_routes(now, table);
+        }
+    }
+    let later = NOW + Duration::from_secs(20);
+    let request = request(9)
+        .fingerprint(77)
+        .deadline(later + Duration::from_secs(8));
+    let decision = traffic.submit(later, request);
+    assert_eq!(
+        matches!(decision, Decision::Refuse(_)),
+        refused,
+        "{decision:?}"
+    );
+}
+
+fn route(group: u64) -> Route {
+    let address = "127.0.0.1:9001".parse().unwrap();
+    Route::new(GroupId(group), Epoch(1), EntryId::of("advisor"), address)
+}
