Let other work continue while the HTTP parser reads

hyper decodes for as long as bytes are available. A caller that sent digits of a chunk's size without end kept the task of its connection, and a thread of the executor, so the refusal of its request was never sent, nor did any timeout act.

The new case on the code before:

refuse_endless_body::chunk_size: called `Result::unwrap()` on an `Err` value: TimeoutError

After 16 successive reads a connection, of a caller or to a backend server, now yields once, so the handler of the same task runs and its time limits hold.

--- a/crates/tanagerhub_proxy/src/client.rs
+++ b/crates/tanagerhub_proxy/src/client.rs
@@ -197,7 +197,7 @@
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
     let meter = Arc::<ReadMeter>::default();
-    let stream = MeteredStream::new(stream, Arc::clone(&meter));
+    let stream = MeteredStream::new(stream, Some(Arc::clone(&meter)));
     let (sender, task) = http1::Builder::new()
         .title_case_headers(true)
         .max_buf_size(MAX_HEAD_BYTES)
--- a/crates/tanagerhub_proxy/src/metered_stream.rs
+++ b/crates/tanagerhub_proxy/src/metered_stream.rs
@@ -1,12 +1,13 @@
-//! Limits what a connection receives without any progress of its response.
+//! Limits what the HTTP parser reads of a connection.
 //!
-//! The HTTP parser itself accepts interim responses, or digits of a chunk's size, without end.
+//! The parser itself accepts interim responses, or digits of a chunk's size, without end, and
+//! continues for as long as bytes are available.
 
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll};
 
 use async_std::net::TcpStream;
 use futures_lite::{AsyncRead, AsyncWrite};
@@ -14,6 +15,8 @@
 /// Maximum number of bytes between the request, the head of its response and each chunk of the body.
 /// It exceeds what the parser reads ahead.
 const MAX_BYTES_WITHOUT_PROGRESS: usize = 1 << 20;
+/// Maximum number of successive reads before other work of the same task continues.
+const MAX_SUCCESSIVE_READS: u32 = 16;
 
 /// Counts the bytes received since the last progress of a response.
 #[derive(Debug, Default)]
@@ -33,16 +36,26 @@
     }
 }
 
-/// A stream whose reads fail once its meter exceeds the limit.
+/// A stream whose reads yield regularly, and fail once its meter exceeds the limit.
 #[derive(Debug)]
 pub(crate) struct MeteredStream {
     stream: TcpStream,
-    meter: Arc<ReadMeter>,
+    meter: Option<Arc<ReadMeter>>,
+    successive_reads: u32,
 }
 
 impl MeteredStream {
-    pub(crate) const fn new(stream: TcpStream, meter: Arc<ReadMeter>) -> Self {
-        Self { stream, meter }
+    pub(crate) const fn new(stream: TcpStream, meter: Option<Arc<ReadMeter>>) -> Self {
+        Self {
+            stream,
+            meter,
+            successive_reads: 0,
+        }
+    }
+
+    fn is_exceeded(&self) -> bool {
+        let meter = self.meter.as_ref();
+        meter.is_some_and(|meter| meter.is_exceeded())
     }
 }
 
@@ -52,13 +65,24 @@
         context: &mut Context<'_>,
         buffer: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        if self.meter.is_exceeded() {
+        if self.is_exceeded() {
             let reason = "too many bytes without progress of the response";
             return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, reason)));
         }
-        let count = ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
-        self.meter.record_bytes(count);
-        Poll::Ready(Ok(count))
+        if self.successive_reads >= MAX_SUCCESSIVE_READS {
+            self.successive_reads = 0;
+            context.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        let Poll::Ready(result) = Pin::new(&mut self.stream).poll_read(context, buffer) else {
+            self.successive_reads = 0;
+            return Poll::Pending;
+        };
+        self.successive_reads += 1;
+        if let (Some(meter), Ok(count)) = (&self.meter, &result) {
+            meter.record_bytes(*count);
+        }
+        Poll::Ready(result)
     }
 }
 
--- a/crates/tanagerhub_proxy/src/server.rs
+++ b/crates/tanagerhub_proxy/src/server.rs
@@ -21,6 +21,7 @@
 use tanagerhub_clock::{Clock, Moment};
 
 use crate::ResponseBody;
+use crate::metered_stream::MeteredStream;
 use crate::request_body::{UnreadBody, linger};
 use crate::response_body::GuardedBody;
 
@@ -343,7 +344,10 @@
         .max_buf_size(limits.max_head_bytes.max(MIN_BUFFER_BYTES))
         .auto_date_header(false)
         .title_case_headers(true)
-        .serve_connection(FuturesIo::new(stream.clone()), service);
+        .serve_connection(
+            FuturesIo::new(MeteredStream::new(stream.clone(), None)),
+            service,
+        );
     let mut connection = std::pin::pin!(connection);
     let close_requested = async {
         let _: Result<(), _> = close_rx.recv().await;
--- a/crates/tanagerhub_proxy/tests/request_body.rs
+++ b/crates/tanagerhub_proxy/tests/request_body.rs
@@ -75,6 +75,7 @@
 #[parameterized(
     length = { "Content-Length: 9000000000", &[b'a'; 1_000] },
     chunks = { "Transfer-Encoding: chunked", b"5\r\naaaaa\r\n" },
+    chunk_size = { "Transfer-Encoding: chunked", &vec![b'0'; 100_000] },
     extension = { "Transfer-Encoding: chunked", b"5;aaaaaaaaaaaaa" },
 )]
 fn refuse_endless_body(framing: &str, piece: &[u8]) {
