--- a/crates/tanagerhub_proxy/src/server.rs
+++ b/crates/tanagerhub_proxy/src/server.rs
@@ -21,6 +21,7 @@
 use tanagerhub_clock::{Clock, Moment};
 
 use crate::ResponseBody;
+use crate::metered_stream::MeteredStream;
 use crate::request_body::{UnreadBody, linger};
 use crate::response_body::GuardedBody;
 
@@ -331,6 +332,8 @@
     if stream.set_nodelay(true).is_err() {
         return;
     }
+    let stream = Arc::new(stream);
+    let metered = MeteredStream::new(Arc::clone(&stream), None);
     let service = service_fn(|request| {
         let in_flight = InFlightGuard::new(state, shared);
         let response = handler(request);
@@ -343,7 +346,7 @@
         .max_buf_size(limits.max_head_bytes.max(MIN_BUFFER_BYTES))
         .auto_date_header(false)
         .title_case_headers(true)
-        .serve_connection(FuturesIo::new(stream.clone()), service);
+        .serve_connection(FuturesIo::new(metered), service);
     let mut connection = std::pin::pin!(connection);
     let close_requested = async {
         let _: Result<(), _> = close_rx.recv().await;
@@ -361,7 +364,7 @@
         log::debug!(error:%; "a caller's connection failed");
     }
     if refused_head || state.unread.load(Ordering::Relaxed) {
-        linger(&shared.clock, stream).await;
+        linger(&shared.clock, &stream).await;
     }
 }
 
