Blame a part that no longer runs before one that still does

A part that groups ran well before and that crashes them from some moment on was trusted like the popular parts beside it, so the blame went to and fro between them while groups crashed. A complete response that ends after the first of a part's crashes, though its attempt began earlier, doesn't clear the part, but shows that it still runs. Parts without one are now blamed first.

--- a/crates/tanagerhub_traffic/src/crash_blame.rs
+++ b/crates/tanagerhub_traffic/src/crash_blame.rs
@@ -20,8 +20,9 @@
 /// Divisor of the crashes of another part; a part that stands deeper in the prompts may lack the
 /// quotient, and at least one, and is still blamed first.
 const DEPTH_DIVISOR: usize = 8;
-/// Divisor of the crashes of a trusted part; another one needs the quotient to be blamed first.
-const TRUST_DIVISOR: usize = 2;
+/// Divisor of the crashes of a part that groups still run without a crash; another one needs the
+/// quotient to be blamed first.
+const RUNNING_DIVISOR: usize = 2;
 /// Time within which all nodes learn of a crash. Until then a crash counts only for the part that
 /// is blamed first.
 pub(crate) const SETTLE_TIME: Duration = Duration::from_millis(1_500);
@@ -44,6 +45,8 @@
 pub(crate) struct Standing {
     /// Whether groups have run it without a crash before.
     pub(crate) is_trusted: bool,
+    /// Whether such a run ended after the first of its crashes.
+    pub(crate) is_running: bool,
     /// Whether it is blamed already.
     pub(crate) is_blamed: bool,
 }
@@ -88,6 +91,7 @@
         let Standing {
             is_trusted,
             is_blamed,
+            ..
         } = self.standing;
         // The times in rows are inexact, so that the number of separate ones may change.
         let is_known = is_blamed && crashes >= BLAME_LIMIT;
@@ -144,11 +148,11 @@
 /// Chooses the part that is blamed first among those with these numbers of crashes.
 fn choose(mut suspects: Vec<(usize, &Candidate)>) -> Option<(usize, &Candidate)> {
     let most = |suspects: &[(usize, &Candidate)]| suspects.iter().map(|(count, _)| *count).max();
-    let needed = most(&suspects)?.div_ceil(TRUST_DIVISOR);
-    let is_untrusted =
-        |(count, it): &(usize, &Candidate)| *count >= needed && !it.standing.is_trusted;
-    if suspects.iter().any(is_untrusted) {
-        suspects.retain(is_untrusted);
+    let needed = most(&suspects)?.div_ceil(RUNNING_DIVISOR);
+    let only_crashes =
+        |(count, it): &(usize, &Candidate)| *count >= needed && !it.standing.is_running;
+    if suspects.iter().any(only_crashes) {
+        suspects.retain(only_crashes);
     }
     let most = most(&suspects)?;
     let needed = most - (most / DEPTH_DIVISOR).max(1);
--- a/crates/tanagerhub_traffic/src/crash_parts.rs
+++ b/crates/tanagerhub_traffic/src/crash_parts.rs
@@ -45,9 +45,13 @@
         }
     }
 
-    fn standing(&self, part: u64) -> Standing {
+    fn standing(&self, part: u64, record: &CrashRecord) -> Standing {
+        let trusted = self.trusted.get(&part);
+        let confirmed = record.events.iter().filter(|event| event.is_confirmed);
+        let first_crash = confirmed.map(|event| event.period.until).min();
         Standing {
-            is_trusted: self.trusted.contains_key(&part),
+            is_trusted: trusted.is_some(),
+            is_running: trusted.copied() > first_crash,
             is_blamed: self.contains(part),
         }
     }
@@ -143,7 +147,10 @@
         }
         self.correct_times();
         let candidate = |(subject, record): (&CrashSubject, &CrashRecord)| match subject {
-            CrashSubject::Part(part) => Candidate::new(*part, record, self.blame.standing(*part)),
+            CrashSubject::Part(part) => {
+                let standing = self.blame.standing(*part, record);
+                Candidate::new(*part, record, standing)
+            }
             CrashSubject::Request(_) => None,
         };
         let candidates: Vec<Candidate> = self.records.iter().filter_map(candidate).collect();
--- a/crates/tanagerhub_traffic/tests/crash_blame.rs
+++ b/crates/tanagerhub_traffic/tests/crash_blame.rs
@@ -179,6 +179,22 @@
     assert!(is_blamed(&mut table, 3_100, BAD));
 }
 
+#[test]
+fn part_that_still_runs_blamed_last() {
+    let mut table = table();
+    for part in [FIRST, BAD] {
+        table.record_part_success(ms(500), &[part], ms(200));
+    }
+    for (group, at) in [(1, 1_000), (2, 1_300), (3, 1_600), (4, 1_900)] {
+        crash(&mut table, at, group, &[&[BAD], &[BAD, FIRST]]);
+    }
+    // This run began before the crashes, so it clears none of them.
+    table.record_part_success(ms(2_000), &[FIRST], ms(900));
+    crash(&mut table, 2_200, 5, &[&[BAD], &[BAD, FIRST]]);
+    assert!(is_blamed(&mut table, 2_300, BAD));
+    assert!(!is_blamed(&mut table, 2_300, FIRST));
+}
+
 #[test]
 fn crashes_at_other_nodes_counted() {
     let mut table = table();
--- a/crates/tanagerhub_traffic/tests/crash_parts_random.rs
+++ b/crates/tanagerhub_traffic/tests/crash_parts_random.rs
@@ -1,5 +1,5 @@
-//! Over many seeds, nodes refuse a crashing part in time and keep serving what it shares nothing
-//! but callers and other parts with.
+//! Over many seeds, nodes refuse requests with a crashing part in time and keep serving those that
+//! share only other parts with them.
 
 #[path = "support/crash_simulation.rs"]
 mod crash_simulation;
@@ -56,8 +56,12 @@
     six_nodes = { Plan { nodes: 6, ..PLAN } },
     six_nodes_fast = { Plan { nodes: 6, bad_rate: 10.0, ..PLAN } },
     sound_before = { Plan { bad_from_ms: 6_000, ..PLAN } },
+    sound_before_fast = { Plan { bad_from_ms: 6_000, bad_rate: 10.0, ..PLAN } },
     sound_before_slow = { Plan { bad_from_ms: 6_000, bad_rate: 1.0, ..PLAN } },
     sound_before_first = { Plan { bad_from_ms: 6_000, bad_firsts: 0, ..PLAN } },
+    sound_before_first_fast = { Plan {
+        bad_from_ms: 6_000, bad_firsts: 0, bad_rate: 10.0, ..PLAN
+    } },
     restart = { Plan { restart_ms: Some(12_000), ..PLAN } },
     beside_other_crashes = { Plan { other_crash_rate: 0.2, ..PLAN } },
     beside_power_loss = { Plan { power_loss_ms: Some(3_000), ..PLAN } },
