--- a/crates/tanagerhub/tests/gateway.rs
+++ b/crates/tanagerhub/tests/gateway.rs
@@ -274,6 +274,29 @@
     });
 }
 
+/// The events before the one out of order count as delivered, so the resumed stream begins after
+/// them.
+#[test]
+fn deliver_events_before_one_out_of_order() {
+    task::block_on(async {
+        let gap = "HTTP/1.1 200 X\r\n\r\nid: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 5\ndata: 5\n\n";
+        let gap = Script {
+            parts: vec![gap.as_bytes().to_vec()],
+            ..Script::default()
+        };
+        let scripts = vec![gap, Script::events(3, 6, true)];
+        let llm = BackendServer::start(scripts).await;
+        let setup = TestSetup::with_backends(&[("llm", &llm), ("llm", &llm)]).await;
+        let response = setup.send("POST", "/stream/x").await;
+        let ids: Vec<&str> = response
+            .lines()
+            .filter(|line| line.starts_with("id: "))
+            .collect();
+        let expected: Vec<String> = (1..=6).map(|id| format!("id: {id}")).collect();
+        assert_eq!(ids, expected, "{response}");
+    });
+}
+
 #[test]
 fn time_out_at_deadline() {
     task::block_on(async {
@@ -384,6 +407,29 @@
     });
 }
 
+/// The body arrives after a configuration that moves its route to another service.
+#[test]
+fn route_moved_before_body_received() {
+    task::block_on(async {
+        let desk = BackendServer::start(vec![Script::response(200, "", "hello")]).await;
+        let mut setup = TestSetup::with_backends(&[("desk", &desk), ("shelf", &desk)]).await;
+        let mut stream = TcpStream::connect(setup.settings.caller_address)
+            .await
+            .unwrap();
+        let head = "POST /safe/x HTTP/1.1\r\nHost: shop\r\nid: 1\r\nkey: k1\r\n";
+        let head = format!("{head}Content-Length: 2\r\n\r\na");
+        stream.write_all(head.as_bytes()).await.unwrap();
+        task::sleep(Duration::from_millis(100)).await;
+        setup.configure_with(&["k1"], "shelf");
+        task::sleep(Duration::from_millis(500)).await;
+        stream.write_all(b"b").await.unwrap();
+        let mut buffer = [0; 1_024];
+        let count = stream.read(&mut buffer).await.unwrap();
+        let response = String::from_utf8_lossy(&buffer[..count]).into_owned();
+        assert_eq!(status(&response), 200, "{response}");
+    });
+}
+
 /// Status 503 would promise that the request has not run.
 #[test]
 fn key_lapsed_after_dispatch_promises_nothing() {
--- a/crates/tanagerhub_groups/tests/silence.rs
+++ b/crates/tanagerhub_groups/tests/silence.rs
@@ -212,6 +212,35 @@
     assert!(is_routed(&simulation, 0, &head));
 }
 
+/// The entry of a VM may expire in an outage of the store, and is back shortly after it.
+#[parameterized(
+    head = { 0, true },
+    member = { 2, true },
+    head_for_good = { 0, false },
+    member_for_good = { 2, false },
+)]
+fn silent_member_not_relisted_yet_keeps_place(rank: usize, is_back: bool) {
+    let mut simulation = serving_simulation();
+    let head = simulation.open_heads("big").remove(0);
+    let (group, epoch) = membership(&mut simulation, &head);
+    let silent = simulation.members(&head)[rank].clone();
+    for node in 0..2 {
+        simulation.send_event(node, GroupsEvent::StoreReachable);
+    }
+    simulation.unlist(&silent);
+    simulation.silence(&silent);
+    simulation.run(SECOND);
+    assert_eq!(planned(&simulation, group).0, epoch);
+    if is_back {
+        simulation.resume(&silent);
+        simulation.report(&silent, |_| {});
+    }
+    simulation.run(2 * SECOND);
+    assert_eq!(planned(&simulation, group).0 == epoch, is_back);
+    assert_eq!(planned(&simulation, group).1.contains(&silent), is_back);
+    assert!(!is_back || is_routed(&simulation, 1, &head));
+}
+
 /// A group that lacks a member for good must not take those of a group with a silent member.
 #[parameterized(
     first = { 0 },
@@ -269,3 +298,51 @@
     let first = orders.find(|(to, _)| *to == vm);
     assert!(matches!(first, Some((_, Order::Close { .. }))), "{first:?}");
 }
+
+/// A single probe that is rejected or late says little about a VM.
+#[parameterized(
+    rejected = { ProbeFailure::TurnedAway, 100 },
+    late = { ProbeFailure::Unanswered, 100 },
+)]
+fn one_failed_probe_keeps_member(failure: ProbeFailure, millis: u64) {
+    let mut simulation = serving_simulation();
+    let head = simulation.open_heads("big").remove(0);
+    let member = simulation.members(&head)[2].clone();
+    let (group, epoch) = membership(&mut simulation, &head);
+    simulation.isolate(&member, failure);
+    suspect(&mut simulation, &head);
+    simulation.run(Duration::from_millis(millis));
+    simulation.isolated.clear();
+    simulation.run(SECOND);
+    assert_eq!(planned(&simulation, group).0, epoch);
+}
+
+/// The VM goes on, but its response to the one probe after the timeout is late.
+#[test]
+fn late_response_after_silence_keeps_member() {
+    let mut simulation = serving_simulation();
+    let head = simulation.open_heads("big").remove(0);
+    let member = simulation.members(&head)[2].clone();
+    let (group, epoch) = membership(&mut simulation, &head);
+    simulation.silence(&member);
+    suspect(&mut simulation, &head);
+    simulation.run(GroupsSettings::default().silence_timeout + Duration::from_millis(60));
+    simulation.resume(&member);
+    simulation.run(SECOND);
+    assert_eq!(planned(&simulation, group).0, epoch);
+}
+
+#[test]
+fn suspicion_of_unreachable_member_raises_alarm_again() {
+    let mut simulation = serving_simulation();
+    let head = simulation.open_heads("big").remove(0);
+    let member = simulation.members(&head)[2].clone();
+    let membership = membership(&mut simulation, &head);
+    simulation.silence(&member);
+    suspect(&mut simulation, &head);
+    simulation.run(Duration::from_millis(400));
+    simulation.degraded.clear();
+    suspect(&mut simulation, &head);
+    simulation.run(Duration::from_millis(100));
+    assert!(simulation.degraded.contains(&membership));
+}
