--- a/crates/tanagerhub/src/gateway/streaming.rs
+++ b/crates/tanagerhub/src/gateway/streaming.rs
@@ -25,8 +25,6 @@
     alarmed: bool,
     /// The attempt that resumes the stream at another group while this one is silent.
     takeover: Option<RunningAttempt>,
-    /// Why the rest of the last chunk can't be relayed, until its first events are delivered.
-    relay_error: Option<RelayError>,
     done: bool,
 }
 
@@ -72,7 +70,6 @@
             expiry: Box::pin(async move { clock.sleep(left).await }),
             alarmed: false,
             takeover: None,
-            relay_error: None,
             done: false,
         };
         let events = stream::unfold(streaming, Self::next);
@@ -89,14 +86,11 @@
         }
         loop {
             let broken = match self.step().await {
-                Step::Chunk(chunk) => {
-                    let (events, relayed) = self.relay_chunk(&chunk);
-                    self.relay_error = relayed.err();
-                    if events.is_empty() {
-                        continue;
-                    }
-                    return Some((Ok(events), self));
-                }
+                Step::Chunk(chunk) => match self.relay_chunk(&chunk) {
+                    Ok(events) if events.is_empty() => continue,
+                    Ok(events) => return Some((Ok(events), self)),
+                    Err(error) => BreakCause::Relay(error),
+                },
                 Step::End => match self.relay.end() {
                     Ok(()) => {
                         self.finish();
@@ -127,9 +121,6 @@
     }
 
     async fn step(&mut self) -> Step {
-        if let Some(error) = self.relay_error.take() {
-            return Step::Broken(BreakCause::Relay(error));
-        }
         let first = std::mem::take(&mut self.started.first);
         if !first.is_empty() {
             return Step::Chunk(first);
@@ -169,9 +160,8 @@
         future::or(chunk, future::or(taken_over, future::or(silent, expired))).await
     }
 
-    /// Adds a chunk and returns the events that it completes, and whether it can be relayed to its
-    /// end.
-    fn relay_chunk(&mut self, chunk: &[u8]) -> (Bytes, Result<(), RelayError>) {
+    /// Adds a chunk and returns the events that it completes.
+    fn relay_chunk(&mut self, chunk: &[u8]) -> Result<Bytes, RelayError> {
         if std::mem::take(&mut self.alarmed) {
             // The group still sends data, so the alarm was false.
             self.started.watch.rearm();
@@ -183,8 +173,8 @@
             .watch
             .record_activity(self.exchange.frontend.clock.now());
         let mut events = Vec::with_capacity(chunk.len());
-        let relayed = self.relay.push(chunk, &mut events);
-        (events.into(), relayed)
+        self.relay.push(chunk, &mut events)?;
+        Ok(events.into())
     }
 
     /// Continues the stream at the group that takes over, if its response can be used.
--- a/crates/tanagerhub/tests/gateway/framing.rs
+++ b/crates/tanagerhub/tests/framing.rs
@@ -1,5 +1,7 @@
 //! Framing of callers' requests and of backend servers' responses.
 
+#[path = "support/deployment.rs"]
+mod deployment;
 #[path = "framing/endless.rs"]
 mod endless;
 #[path = "framing/endless_streams.rs"]
--- a/crates/tanagerhub/tests/gateway/framing/endless.rs
+++ b/crates/tanagerhub/tests/framing/endless.rs
@@ -6,7 +6,8 @@
 use async_std::task;
 use yare::parameterized;
 
-use crate::deployment::{BackendServer, EndlessResult, Script, TestSetup, status};
+use crate::deployment::backend_server::EndlessResult;
+use crate::deployment::{BackendServer, Script, TestSetup, status};
 
 /// Within this time after the first byte the gateway closes a connection that floods it.
 const CLOSE_TIME: Duration = Duration::from_secs(2);
