Keep transactions of groups within the store's limits

Cause: when the models of 40 fabric domains are loaded at once, all groups are formed in one transaction. The store takes 100 entries and refuses more; the planner reads the rows back, plans the same transaction again, and no group is ever formed or repaired from then on. Changes of groups are independent of each other, so the planner now sends as many as fit and plans the others after them; the limit is a property of Transaction. The test's store refuses such transactions; without the change no group of 180 is formed. KNOWN limits of the crash rows (2 x 40) were already below it.

--- a/crates/tanagerhub_groups/src/groups/planner.rs
+++ b/crates/tanagerhub_groups/src/groups/planner.rs
@@ -135,10 +135,16 @@
     }
 
     /// Sends changes in one transaction, each with the group's new row (`None` to delete it).
-    pub(super) fn submit_changes(&mut self, changes: Vec<(Change, Option<GroupRow>)>) {
+    ///
+    /// Each change is complete in itself. Those that exceed the size of a transaction are dropped;
+    /// they are planned again after the others.
+    pub(super) fn submit_changes(&mut self, mut changes: Vec<(Change, Option<GroupRow>)>) {
         let State::Held(version) = self.planner.state else {
             return;
         };
+        let boot = self.settings.boot;
+        let sent = self.send_transaction(version, boot, &changes);
+        changes.truncate(sent);
         for (change, _) in &changes {
             if let Some(group) = self.by_id.get_mut(&change.group()) {
                 group.change_pending = true;
@@ -146,7 +152,6 @@
             self.record(Decision::Changing(change.clone()));
         }
         self.planner.state = State::Changing(version);
-        self.send_transaction(version, self.settings.boot, &changes);
         self.planner.changes = changes;
     }
 
@@ -173,12 +178,14 @@
         }
     }
 
+    /// Sends a transaction that writes the planner's row and as many of the changes as fit, in their
+    /// order. Returns the number of these changes.
     fn send_transaction(
         &mut self,
         version: RowVersion,
         boot: u64,
         changes: &[(Change, Option<GroupRow>)],
-    ) {
+    ) -> usize {
         let nonce = self.rng.next_u64();
         let row = PlannerRow { boot, nonce };
         let mut transaction =
@@ -188,14 +195,21 @@
         } else {
             transaction.require_version(planner_key(), version)
         };
+        let mut sent = 0;
         for (change, row) in changes {
             let key = group_key(change.group());
-            transaction = match row {
-                Some(row) => transaction.put(key, encode(row)),
+            let value = row.as_ref().map(encode);
+            if !transaction.has_room(&key, value.as_ref().map_or(0, Vec::len)) {
+                break;
+            }
+            transaction = match value {
+                Some(value) => transaction.put(key, value),
                 None => transaction.delete(key),
             };
+            sent += 1;
         }
         self.actions.push(GroupsAction::Commit(transaction));
+        sent
     }
 
     /// Handles the result of a transaction.
--- a/crates/tanagerhub_groups/tests/formation.rs
+++ b/crates/tanagerhub_groups/tests/formation.rs
@@ -24,6 +24,22 @@
     );
 }
 
+/// A fleet whose groups all become ready to form at once needs more changes than one transaction
+/// holds.
+#[test]
+fn form_groups_beyond_one_transaction() {
+    let mut simulation = Simulation::new(60, 10);
+    simulation.plan(0, KnownBoots::default());
+    simulation.run(9 * SECOND);
+    assert!(simulation.open_heads("big").len() >= 60);
+    assert!(simulation.open_heads("small").len() >= 120);
+    assert!(
+        simulation.violations.is_empty(),
+        "{:?}",
+        simulation.violations
+    );
+}
+
 /// Groups of eight get their share even if the VMs of each domain are listed one by one.
 #[test]
 fn form_groups_while_vms_arrive() {
--- a/crates/tanagerhub_groups/tests/support/simulation.rs
+++ b/crates/tanagerhub_groups/tests/support/simulation.rs
@@ -25,6 +25,8 @@
 
 /// The interval between two ticks of the nodes.
 pub const TICK: Duration = Duration::from_millis(100);
+/// The number of conditions and writes in a transaction beyond which the store refuses it.
+const MAX_TRANSACTION_ENTRIES: usize = 100;
 /// The time from the order to open until the head serves.
 const OPEN_TIME: Duration = Duration::from_millis(300);
 
@@ -474,6 +476,9 @@
         if self.store_down {
             return CommitResult::NotApplied;
         }
+        if transaction.conditions.len() + transaction.writes.len() > MAX_TRANSACTION_ENTRIES {
+            return CommitResult::Unknown;
+        }
         match self.commit_faults.pop_front() {
             None => self.apply(&transaction),
             Some(CommitFault::ResponseLost) => {
--- a/crates/tanagerhub_table/src/transaction.rs
+++ b/crates/tanagerhub_table/src/transaction.rs
@@ -121,6 +121,11 @@
 }
 
 impl Transaction {
+    /// Maximum number of conditions and writes, together, that the store accepts.
+    pub const MAX_ENTRIES: usize = 100;
+    /// Maximum size, in bytes, that the store accepts.
+    pub const MAX_BYTES: usize = 1_000_000;
+
     /// Creates a transaction without conditions and writes.
     #[must_use]
     pub const fn new(id: TransactionId) -> Self {
@@ -158,4 +163,46 @@
         self.writes.push(Write::Delete { key });
         self
     }
+
+    /// Returns whether the store accepts the transaction with one more write: a row with this key
+    /// and a value of `value_bytes` bytes.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use tanagerhub_table::{RowKey, Transaction, TransactionId};
+    ///
+    /// let key = RowKey::new("claim/7");
+    /// let mut transaction = Transaction::new(TransactionId(7)).require_absent(key.clone());
+    /// let mut writes = 0;
+    /// while transaction.has_room(&key, 5) {
+    ///     transaction = transaction.put(key.clone(), b"taken".to_vec());
+    ///     writes += 1;
+    /// }
+    /// assert_eq!(writes, Transaction::MAX_ENTRIES - 1);
+    /// ```
+    #[must_use]
+    pub fn has_room(&self, key: &RowKey, value_bytes: usize) -> bool {
+        let entries = self.conditions.len() + self.writes.len();
+        entries < Self::MAX_ENTRIES
+            && self.bytes() + entry_bytes(key, value_bytes) <= Self::MAX_BYTES
+    }
+
+    /// Returns an upper bound of the encoded size, in bytes.
+    fn bytes(&self) -> usize {
+        let conditions = self.conditions.iter().map(|it| entry_bytes(it.key(), 0));
+        let writes = self.writes.iter().map(|write| match write {
+            Write::Put { key, value } => entry_bytes(key, value.len()),
+            Write::Delete { key } => entry_bytes(key, 0),
+        });
+        conditions.chain(writes).sum()
+    }
+}
+
+/// Encoded size, in bytes, of an entry without its key and value.
+const ENTRY_OVERHEAD: usize = 100;
+
+/// Returns an upper bound of the encoded size of an entry, whose value is in base64.
+fn entry_bytes(key: &RowKey, value_bytes: usize) -> usize {
+    ENTRY_OVERHEAD + key.as_str().len() + value_bytes.div_ceil(3) * 4
 }
