Plan loads and groups from counts that are taken once in a round

Callers of a large fleet were refused, since groups were formed late or by no node. Cause: each choice of the next load counted the staged VMs anew for each domain and model, and each round counted the groups of each domain over all groups and hashed the name of each VM's domain: with 760 VMs in 40 domains the first round of loads took seconds of a core. A planner with an eighth of a core stood still meanwhile, its presence row became old, and another node took over and did the same.

--- a/crates/tanagerhub_groups/src/groups/compose.rs
+++ b/crates/tanagerhub_groups/src/groups/compose.rs
@@ -1,6 +1,6 @@
 //! Target numbers of groups and spares for each model in a fabric domain.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use tanagerhub_catalogue::{DomainId, VmId};
 use tanagerhub_clock::Moment;
@@ -37,10 +37,7 @@
         for (vm, entry) in &self.vms.list {
             let serves = entry.report.vm.service.as_deref() == Some(&engine.service);
             if serves && !self.is_unusable(*vm) {
-                domains
-                    .entry(entry.report.vm.domain_id())
-                    .or_default()
-                    .push(*vm);
+                domains.entry(entry.domain).or_default().push(*vm);
             }
         }
         domains
@@ -57,11 +54,12 @@
     /// reserve.
     pub(super) fn formation_candidates(&self, now: Moment) -> Vec<FormationCandidate> {
         let mut candidates = Vec::new();
+        let counts = self.group_counts();
         for engine in &self.engines {
             let waiting = self.waiting_domains(now, engine);
             for (domain, wanted) in self.compositions(engine) {
                 for (index, model) in engine.models.iter().enumerate() {
-                    let existing = self.groups_in(domain, model);
+                    let existing = counts.get(&(domain, &*model.name)).copied().unwrap_or(0);
                     let missing = wanted.group_counts[index].saturating_sub(existing);
                     let candidate = FormationCandidate {
                         domain,
@@ -88,17 +86,27 @@
         candidates
     }
 
-    /// Counts the groups of a model that have a member in a domain and are not being dissolved.
-    pub(super) fn groups_in(&self, domain: DomainId, model: &ModelSpec) -> usize {
-        let in_domain = |vm: &VmId| {
-            let entry = self.vms.get(*vm);
-            entry.is_some_and(|entry| entry.report.vm.domain_id() == domain)
-        };
-        self.by_id
+    /// Counts the groups of each model that have a member in a domain and are not being dissolved.
+    fn group_counts(&self) -> BTreeMap<(DomainId, &str), usize> {
+        let mut counts = BTreeMap::new();
+        for group in self
+            .by_id
             .values()
-            .filter(|group| group.row.model == model.name && group.dissolving.is_none())
-            .filter(|group| group.members.iter().any(in_domain))
-            .count()
+            .filter(|group| group.dissolving.is_none())
+        {
+            let members = group.members.iter().filter_map(|vm| self.vms.get(*vm));
+            let domains: BTreeSet<DomainId> = members.map(|entry| entry.domain).collect();
+            for domain in domains {
+                *counts.entry((domain, &*group.row.model)).or_default() += 1;
+            }
+        }
+        counts
+    }
+
+    /// Counts the groups of one model that have a member in a domain and are not being dissolved.
+    pub(super) fn group_count(&self, domain: DomainId, model: &ModelSpec) -> usize {
+        let counts = self.group_counts();
+        counts.get(&(domain, &*model.name)).copied().unwrap_or(0)
     }
 }
 
--- a/crates/tanagerhub_groups/src/groups/reassign.rs
+++ b/crates/tanagerhub_groups/src/groups/reassign.rs
@@ -63,7 +63,7 @@
         let free = self.unassigned_vms();
         let entries = free.iter().filter_map(|vm| self.vms.get(*vm));
         entries
-            .filter(|entry| entry.report.vm.domain_id() == domain)
+            .filter(|entry| entry.domain == domain)
             .filter(|entry| match &entry.staging {
                 Some((staged, _)) => staged == model,
                 None => entry.report.staged.is_empty() || entry.report.has_staged(model),
@@ -96,7 +96,7 @@
         engine: &EngineSpec,
     ) -> Option<VmId> {
         let is_free = |entry: &VmEntry| {
-            entry.report.vm.domain_id() == domain
+            entry.domain == domain
                 && entry.report.vm.service.as_deref() == Some(&engine.service)
                 && entry.staging.is_none()
                 && entry.report.busy != Some(true)
@@ -161,7 +161,7 @@
                 .position(|it| it.name == group.row.model);
             index.is_some_and(|index| {
                 let model = &engine.models[index];
-                self.groups_in(waiting.domain, model) > wanted.group_counts[index]
+                self.group_count(waiting.domain, model) > wanted.group_counts[index]
             })
         };
         self.by_id
--- a/crates/tanagerhub_groups/src/groups/repair.rs
+++ b/crates/tanagerhub_groups/src/groups/repair.rs
@@ -1,6 +1,6 @@
 //! Decides which groups to renew, dissolve and form.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use rand::Rng as _;
@@ -18,11 +18,20 @@
 
 /// The VMs in no group, excluding those used by changes of the current round.
 struct FreeVms {
-    list: BTreeSet<VmId>,
+    by_domain: BTreeMap<DomainId, BTreeSet<VmId>>,
     /// Groups and epochs whose heads may be serving, according to the VMs' reports.
     serving: BTreeSet<(GroupId, Epoch)>,
 }
 
+impl FreeVms {
+    /// Removes VMs of a domain, because a change uses them.
+    fn take(&mut self, domain: DomainId, vms: &[VmId]) {
+        if let Some(free) = self.by_domain.get_mut(&domain) {
+            free.retain(|vm| !vms.contains(vm));
+        }
+    }
+}
+
 /// What a free VM must match to become a member.
 #[derive(Debug, Clone, Copy)]
 struct SpareRequirements<'a> {
@@ -83,8 +92,14 @@
     }
 
     fn free_vms(&self, now: Moment) -> FreeVms {
+        let mut by_domain: BTreeMap<DomainId, BTreeSet<VmId>> = BTreeMap::new();
+        for vm in self.available_vms() {
+            if let Some(entry) = self.vms.get(vm) {
+                by_domain.entry(entry.domain).or_default().insert(vm);
+            }
+        }
         FreeVms {
-            list: self.available_vms(),
+            by_domain,
             serving: self.serving_groups(now),
         }
     }
@@ -237,9 +252,7 @@
                 group: Some(id),
             };
             let spares = self.spares(free, requirements, missing)?;
-            for vm in &spares {
-                free.list.remove(vm);
-            }
+            free.take(requirements.domain, &spares);
             members.extend(spares);
         }
         Some(members)
@@ -259,9 +272,12 @@
             return;
         };
         let joined = |vm: &VmId| epoch(vm) == Some(newest);
-        let newcomers: Vec<VmId> = free.list.iter().copied().filter(joined).collect();
+        let all = free.by_domain.values().flatten().copied();
+        let newcomers: Vec<VmId> = all.filter(joined).collect();
         let (mut first, rest): (Vec<VmId>, Vec<VmId>) = members.iter().copied().partition(joined);
-        free.list.retain(|vm| !newcomers.contains(vm));
+        for vms in free.by_domain.values_mut() {
+            vms.retain(|vm| !newcomers.contains(vm));
+        }
         first.extend(newcomers);
         first.extend(rest);
         first.truncate(group.members.len());
@@ -271,7 +287,7 @@
     /// Returns the fabric domain of the first known VM.
     pub(super) fn domain_of(&self, members: &[VmId]) -> Option<DomainId> {
         let known = members.iter().find_map(|vm| self.vms.get(*vm));
-        known.map(|entry| entry.report.vm.domain_id())
+        known.map(|entry| entry.domain)
     }
 
     /// Returns `count` matching free VMs, or `None` if there are fewer.
@@ -313,15 +329,15 @@
         };
         let fits = move |vm: &&VmId| {
             self.vms.get(**vm).is_some_and(|entry| {
-                entry.report.vm.domain_id() == requirements.domain
-                    && entry.report.vm.service.as_deref() == Some(requirements.service)
+                entry.report.vm.service.as_deref() == Some(requirements.service)
                     && entry.report.has_staged(requirements.model)
                     && entry.staging.is_none()
                     && !self.joined_elsewhere(entry, requirements.group)
                     && !serves(entry)
             })
         };
-        free.list.iter().filter(fits).copied()
+        let in_domain = free.by_domain.get(&requirements.domain);
+        in_domain.into_iter().flatten().filter(fits).copied()
     }
 
     fn renew(&mut self, id: GroupId, members: &[VmId]) -> (Change, Option<GroupRow>) {
@@ -414,9 +430,7 @@
                 continue;
             };
             members.truncate(candidate.group_size);
-            for vm in &members {
-                free.list.remove(vm);
-            }
+            free.take(candidate.domain, &members);
             let names = self.names(&members);
             let group = GroupId(self.rng.next_u64());
             let change = Change::Form {
--- a/crates/tanagerhub_groups/src/groups/stage.rs
+++ b/crates/tanagerhub_groups/src/groups/stage.rs
@@ -21,12 +21,14 @@
         for engine in &engines {
             self.expire_late_loads(now, engine);
             let mut running = self.running_loads(engine);
+            let mut plan = None;
             while self
                 .load_meter
                 .allows(now, engine.load_limit, running, self.in_use)
             {
-                let next = self
-                    .next_load(engine)
+                let plan = plan.get_or_insert_with(|| self.staging_plan(engine));
+                let next = plan
+                    .take_next()
                     .or_else(|| self.next_reassignment(now, engine));
                 let Some((vm, model)) = next else {
                     break;
@@ -59,79 +61,39 @@
             .count()
     }
 
-    /// Returns the next VM without a model to load one, and the model.
-    fn next_load(&self, engine: &EngineSpec) -> Option<(VmId, ModelSpec)> {
-        let idle = self.idle_vms(engine);
+    /// Returns the VMs that could load a model, and what their domains have and lack.
+    fn staging_plan<'a>(&self, engine: &'a EngineSpec) -> StagingPlan<'a> {
         let compositions = self.compositions(engine);
-        let mut supply = vec![0_usize; engine.models.len()];
-        let mut candidates = Vec::new();
-        let wanted_groups = |index: usize| -> usize {
-            let groups = compositions
-                .values()
-                .map(|wanted| wanted.group_counts[index]);
-            groups.sum()
+        let mut plan = StagingPlan {
+            models: &engine.models,
+            wanted_groups: vec![0; engine.models.len()],
+            supply: vec![0; engine.models.len()],
+            domains: BTreeMap::new(),
         };
-        for (domain, wanted) in &compositions {
-            for (index, model) in engine.models.iter().enumerate() {
-                let have = self.staged_in(*domain, model);
-                supply[index] += have;
-                let vm = idle.get(domain).copied();
-                candidates.extend(vm.and_then(|vm| load_candidate(vm, index, have, model, wanted)));
+        for (domain, wanted) in compositions {
+            for (sum, count) in plan.wanted_groups.iter_mut().zip(&wanted.group_counts) {
+                *sum += count;
             }
+            let stock = DomainStock {
+                wanted,
+                staged: vec![0; engine.models.len()],
+                idle: Vec::new(),
+            };
+            plan.domains.insert(domain, stock);
         }
-        let rank = |candidate: &LoadCandidate| {
-            let share = engine.models[candidate.index].share.max(f64::MIN_POSITIVE);
-            let supplied = f64::from(u32::try_from(supply[candidate.index]).unwrap_or(u32::MAX));
-            let size = engine.models[candidate.index].group_size;
-            let has_enough_groups = supply[candidate.index] * GROUPS_BEFORE_SPARES.1
-                >= wanted_groups(candidate.index) * size * GROUPS_BEFORE_SPARES.0;
-            (
-                candidate.purpose.urgency(has_enough_groups),
-                supplied / share,
-            )
-        };
-        let next = candidates.iter().min_by(|one, other| {
-            let ((urgency, supplied), (other_urgency, other_supplied)) = (rank(one), rank(other));
-            urgency
-                .cmp(&other_urgency)
-                .then(supplied.total_cmp(&other_supplied))
-        })?;
-        Some((next.vm, engine.models[next.index].clone()))
-    }
-
-    /// Returns a free VM of each domain that has no model and is not loading one.
-    fn idle_vms(&self, engine: &EngineSpec) -> BTreeMap<DomainId, VmId> {
-        let is_idle = |entry: &VmEntry| {
-            entry.report.vm.service.as_deref() == Some(&engine.service)
-                && entry.staging.is_none()
-                && entry.report.busy == Some(false)
-                && !engine
-                    .models
-                    .iter()
-                    .any(|model| entry.report.has_staged(&model.name))
-        };
-        self.available_vms()
-            .iter()
-            .filter_map(|vm| Some((vm, self.vms.get(*vm)?)))
-            .filter(|(_, entry)| is_idle(entry))
-            .map(|(vm, entry)| (entry.report.vm.domain_id(), *vm))
-            .collect()
-    }
-
-    /// Counts the usable VMs of a domain that have a model or are loading it.
-    fn staged_in(&self, domain: DomainId, model: &ModelSpec) -> usize {
-        let has = |vm: &VmId| {
-            self.vms.get(*vm).is_some_and(|entry| {
-                entry.report.vm.domain_id() == domain
-                    && (entry.report.has_staged(&model.name)
-                        || entry
-                            .staging
-                            .as_ref()
-                            .is_some_and(|(staged, _)| *staged == model.name))
-            })
-        };
-        let vms = self.vms.list.keys();
-        vms.filter(|vm| !self.is_unusable(**vm) && has(vm)).count()
+        for (vm, entry) in &self.vms.list {
+            if !self.is_unusable(*vm) {
+                plan.count_staged(entry);
+            }
+        }
+        for vm in self.available_vms() {
+            if let Some(entry) = self.vms.get(vm).filter(|entry| is_idle(entry, engine))
+                && let Some(stock) = plan.domains.get_mut(&entry.domain)
+            {
+                stock.idle.push(vm);
+            }
+        }
+        plan
     }
 
     fn stage(&mut self, now: Moment, vm: VmId, model: &ModelSpec) {
@@ -157,10 +119,125 @@
     }
 }
 
-/// A VM that could load a model that its domain lacks, and the purpose of the load.
+/// Returns whether a VM has no model and is not loading one.
+fn is_idle(entry: &VmEntry, engine: &EngineSpec) -> bool {
+    let has_staged = |model: &ModelSpec| entry.report.has_staged(&model.name);
+    entry.report.vm.service.as_deref() == Some(&engine.service)
+        && entry.staging.is_none()
+        && entry.report.busy == Some(false)
+        && !engine.models.iter().any(has_staged)
+}
+
+/// The VMs of an engine that could load a model, and what their domains have and lack.
+///
+/// Vectors with a value for each model are in the order of the engine's models.
+#[derive(Debug)]
+struct StagingPlan<'a> {
+    models: &'a [ModelSpec],
+    /// Target number of groups of each model in all domains.
+    wanted_groups: Vec<usize>,
+    /// Number of VMs in all domains that have each model or are loading it.
+    supply: Vec<usize>,
+    domains: BTreeMap<DomainId, DomainStock>,
+}
+
+/// The VMs of one domain by their models.
+#[derive(Debug)]
+struct DomainStock {
+    wanted: Composition,
+    /// Number of VMs that have each model or are loading it.
+    staged: Vec<usize>,
+    /// Available VMs without a model.
+    idle: Vec<VmId>,
+}
+
+impl StagingPlan<'_> {
+    /// Counts a VM for the models that it has or is loading.
+    fn count_staged(&mut self, entry: &VmEntry) {
+        let Some(stock) = self.domains.get_mut(&entry.domain) else {
+            return;
+        };
+        for (index, model) in self.models.iter().enumerate() {
+            let is_loading = entry.staging.as_ref().is_some_and(|it| it.0 == model.name);
+            if is_loading || entry.report.has_staged(&model.name) {
+                stock.staged[index] += 1;
+                self.supply[index] += 1;
+            }
+        }
+    }
+
+    /// Returns the next VM to load a model, and the model, which counts as loading from then on.
+    fn take_next(&mut self) -> Option<(VmId, ModelSpec)> {
+        let best = self.candidates().min_by(|one, other| {
+            let ((urgency, supplied), (other_urgency, other_supplied)) =
+                (self.rank(one), self.rank(other));
+            urgency
+                .cmp(&other_urgency)
+                .then(supplied.total_cmp(&other_supplied))
+        })?;
+        let stock = self.domains.get_mut(&best.domain)?;
+        let vm = stock.idle.pop()?;
+        stock.staged[best.index] += 1;
+        self.supply[best.index] += 1;
+        Some((vm, self.models[best.index].clone()))
+    }
+
+    /// Returns the possible loads, at most one for each domain and model.
+    fn candidates(&self) -> impl Iterator<Item = LoadCandidate> {
+        let with_idle = self
+            .domains
+            .iter()
+            .filter(|(_, stock)| !stock.idle.is_empty());
+        with_idle.flat_map(|(domain, stock)| {
+            let models = self.models.iter().enumerate();
+            models.filter_map(|(index, model)| {
+                let purpose = stock.purpose(index, model)?;
+                let domain = *domain;
+                Some(LoadCandidate {
+                    domain,
+                    index,
+                    purpose,
+                })
+            })
+        })
+    }
+
+    /// Returns the order of a load among others: its urgency, then the supply of its model.
+    fn rank(&self, candidate: &LoadCandidate) -> (u8, f64) {
+        let model = &self.models[candidate.index];
+        let supply = self.supply[candidate.index];
+        let wanted = self.wanted_groups[candidate.index] * model.group_size;
+        let has_enough_groups = supply * GROUPS_BEFORE_SPARES.1 >= wanted * GROUPS_BEFORE_SPARES.0;
+        let supplied = f64::from(u32::try_from(supply).unwrap_or(u32::MAX));
+        let share = model.share.max(f64::MIN_POSITIVE);
+        (
+            candidate.purpose.urgency(has_enough_groups),
+            supplied / share,
+        )
+    }
+}
+
+impl DomainStock {
+    /// Returns the purpose of loading a model onto one more VM; `None` if there are enough.
+    fn purpose(&self, index: usize, model: &ModelSpec) -> Option<LoadPurpose> {
+        let have = self.staged[index];
+        let members = self.wanted.group_counts[index] * model.group_size;
+        if have >= members + self.wanted.spare_counts[index] {
+            None
+        } else if have >= members {
+            Some(LoadPurpose::Spare)
+        } else if have.is_multiple_of(model.group_size) {
+            Some(LoadPurpose::StartsGroup)
+        } else {
+            Some(LoadPurpose::CompletesGroup)
+        }
+    }
+}
+
+/// A possible load of a model in a domain that lacks it.
 #[derive(Debug)]
 struct LoadCandidate {
-    vm: VmId,
+    domain: DomainId,
     /// The model's index in the engine's list.
     index: usize,
     purpose: LoadPurpose,
@@ -192,23 +269,3 @@
         }
     }
 }
-
-fn load_candidate(
-    vm: VmId,
-    index: usize,
-    have: usize,
-    model: &ModelSpec,
-    wanted: &Composition,
-) -> Option<LoadCandidate> {
-    let members = wanted.group_counts[index] * model.group_size;
-    let purpose = if have >= members + wanted.spare_counts[index] {
-        return None;
-    } else if have >= members {
-        LoadPurpose::Spare
-    } else if have.is_multiple_of(model.group_size) {
-        LoadPurpose::StartsGroup
-    } else {
-        LoadPurpose::CompletesGroup
-    };
-    Some(LoadCandidate { vm, index, purpose })
-}
--- a/crates/tanagerhub_groups/src/groups/view.rs
+++ b/crates/tanagerhub_groups/src/groups/view.rs
@@ -161,8 +161,7 @@
     }
 
     fn is_routable(&self, entry: &VmEntry) -> bool {
-        let centre = entry.report.vm.data_centre_id();
-        entry.is_listed() && !entry.is_leaving() && !self.evacuated.contains(&centre)
+        entry.is_listed() && !entry.is_leaving() && !self.evacuated.contains(&entry.data_centre)
     }
 
     /// Counts the members that report each group and epoch, are routable and reachable, and have
@@ -200,7 +199,7 @@
             entry: model.entry,
             name: vm.name.clone(),
             address: vm.address,
-            data_centre: vm.data_centre_id(),
+            data_centre: entry.data_centre,
             slots: engine.slots,
             cold_remaining: entry.report.cold_remaining,
         })
@@ -216,7 +215,7 @@
         entry: EntryId::of(service),
         name: vm.name.clone(),
         address: vm.address,
-        data_centre: vm.data_centre_id(),
+        data_centre: entry.data_centre,
         slots: entry.report.slots,
         cold_remaining: entry.report.cold_remaining,
     }
--- a/crates/tanagerhub_groups/src/groups/vms.rs
+++ b/crates/tanagerhub_groups/src/groups/vms.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use tanagerhub_catalogue::{Epoch, GroupId, VmId, VmState};
+use tanagerhub_catalogue::{DataCentreId, DomainId, Epoch, GroupId, VmId, VmState};
 use tanagerhub_clock::Moment;
 
 use crate::{Decision, GroupState, GroupsSettings, ProbeFailure, VmReport};
@@ -65,6 +65,10 @@
 #[derive(Debug)]
 pub(super) struct VmEntry {
     pub(super) report: VmReport,
+    /// The VM's fabric domain, as in the report.
+    pub(super) domain: DomainId,
+    /// The VM's data centre, as in the report.
+    pub(super) data_centre: DataCentreId,
     /// The removal from the store; `None` while the store lists the VM.
     removed: Option<Removal>,
     /// The number of consecutive failed probes; one of a suspected VM counts as several.
@@ -108,6 +112,8 @@
 impl VmEntry {
     fn new(report: VmReport) -> Self {
         Self {
+            domain: report.vm.domain_id(),
+            data_centre: report.vm.data_centre_id(),
             report,
             removed: None,
             failures: 0,
@@ -213,6 +219,8 @@
             self.staging = None;
         }
         let busy = report.busy.or(self.report.busy.filter(|_| !restarted));
+        self.domain = report.vm.domain_id();
+        self.data_centre = report.vm.data_centre_id();
         self.report = report;
         self.report.busy = busy;
     }
