Compute routes and reach of a node only after a VM has changed

Each node of a fleet counted the VMs in reach, all heads, and compared its peers with each other ten times a second, and counted the VMs in reach once more for each row and probe. A revision counts the events after which the VMs' state may differ; heads and reach are computed when it has changed. Lost groups are only checked if there are any.

--- a/crates/tanagerhub/src/gateway/control/feeds.rs
+++ b/crates/tanagerhub/src/gateway/control/feeds.rs
@@ -109,6 +109,7 @@
         self.view.configuration = Some(configuration);
         self.handle_groups_event(now, GroupsEvent::Engines(engines));
         self.view.heads.clear();
+        self.view.routes_revision = None;
         self.publish_routes(now);
     }
 
--- a/crates/tanagerhub/src/gateway/control/routes.rs
+++ b/crates/tanagerhub/src/gateway/control/routes.rs
@@ -26,18 +26,22 @@
         let Some(configuration) = self.view.configuration.clone() else {
             return;
         };
+        let live = self.presence.live_nodes(now);
+        let senders = self.presence.sending_nodes(now);
+        let same_nodes = live == self.view.live_nodes && senders == self.view.senders;
+        let revision = Some(self.groups.revision());
+        if same_nodes && revision == self.view.routes_revision {
+            return;
+        }
         let mut heads = self.groups.heads();
         for head in &mut heads {
             // The remaining cold time must not count as a change of the routes. It is not needed,
             // since the start limit of cold backend servers always applies.
             head.cold_remaining = Duration::ZERO;
         }
-        let live = self.presence.live_nodes(now);
-        let senders = self.presence.sending_nodes(now);
-        let unchanged = heads == self.view.heads
-            && live == self.view.live_nodes
-            && senders == self.view.senders;
-        if unchanged && self.view.generation > 0 {
+        let is_first = self.view.routes_revision.is_none();
+        self.view.routes_revision = revision;
+        if same_nodes && heads == self.view.heads && !is_first {
             return;
         }
         self.log_route_changes(&heads);
--- a/crates/tanagerhub/src/gateway/limit_notices.rs
+++ b/crates/tanagerhub/src/gateway/limit_notices.rs
@@ -3,7 +3,7 @@
 //! Nodes without a share of a limit rarely send anything to its backend server, so they would learn
 //! late that it was lifted.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -67,8 +67,8 @@
 impl LimitNotices {
     /// Applies the live peers; a new process is told of all `limited` backend servers.
     pub(crate) fn set_peers(&mut self, peers: &[Peer], limited: &BTreeSet<VmId>) {
-        let is_live = |address: &SocketAddr| peers.iter().any(|it| it.endpoint.address == *address);
-        self.peers.retain(|address, _| is_live(address));
+        let live: HashSet<SocketAddr> = peers.iter().map(|it| it.endpoint.address).collect();
+        self.peers.retain(|address, _| live.contains(address));
         for peer in peers {
             let known = self.peers.get(&peer.endpoint.address);
             if known.is_none_or(|known| known.boot != peer.boot) {
--- a/crates/tanagerhub_groups/src/event.rs
+++ b/crates/tanagerhub_groups/src/event.rs
@@ -66,6 +66,31 @@
     },
 }
 
+impl GroupsEvent {
+    /// Returns whether the event may change what is known of VMs, or which of them are in use.
+    pub(crate) const fn concerns_vms(&self) -> bool {
+        match self {
+            Self::Engines(_)
+            | Self::Evacuated(_)
+            | Self::AllVms(_)
+            | Self::VmChanged(_)
+            | Self::VmRemoved(_)
+            | Self::Ordered { .. }
+            | Self::Probed { .. } => true,
+            Self::Tick
+            | Self::InUse
+            | Self::StoreUnreachable
+            | Self::StoreReachable
+            | Self::BecomePlanner(_)
+            | Self::ResignPlanner
+            | Self::RowsRead(_)
+            | Self::Committed(_)
+            | Self::NodeCount(_)
+            | Self::Suspected { .. } => false,
+        }
+    }
+}
+
 /// The boot ids that a node has read from the presence rows of the nodes.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct KnownBoots {
--- a/crates/tanagerhub_groups/src/groups.rs
+++ b/crates/tanagerhub_groups/src/groups.rs
@@ -67,6 +67,8 @@
     /// Groups with a member that became unreachable, until the caller takes them.
     degraded: Vec<(GroupId, Epoch)>,
     links: LinkDoubt,
+    /// Counts the events after which the VMs' states may differ.
+    revision: u64,
     decisions: Vec<Decision>,
     actions: Vec<GroupsAction>,
 }
@@ -90,6 +92,7 @@
             outage_probes: OutageProbeBudget::default(),
             degraded: Vec::new(),
             links: LinkDoubt::default(),
+            revision: 0,
             decisions: Vec::new(),
             actions: Vec::new(),
             settings,
@@ -98,6 +101,7 @@
 
     /// Handles an event, and returns the actions for the caller to carry out.
     pub fn on_event(&mut self, now: Moment, event: GroupsEvent) -> Vec<GroupsAction> {
+        self.revision += u64::from(event.concerns_vms());
         match event {
             GroupsEvent::Tick => self.tick(now),
             GroupsEvent::Engines(engines) => self.engines = engines,
@@ -129,6 +133,13 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Returns a number that changes whenever [`heads`](Self::heads) or [`reach`](Self::reach) may
+    /// have changed.
+    #[must_use]
+    pub const fn revision(&self) -> u64 {
+        self.revision
+    }
+
     /// Returns whether this node is the planner.
     #[must_use]
     pub const fn is_planning(&self) -> bool {
@@ -154,7 +165,7 @@
     /// While this node's own links may have failed, losses wait; a VM that responds to a later probe
     /// was not lost.
     pub fn take_lost_groups(&mut self) -> Vec<(GroupId, Epoch)> {
-        if self.are_links_in_doubt() {
+        if !self.vms.has_lost_groups() || self.are_links_in_doubt() {
             return Vec::new();
         }
         self.vms
@@ -167,7 +178,8 @@
     }
 
     fn tick(&mut self, now: Moment) {
-        self.vms.drop_removed(now);
+        let has_changed = self.vms.drop_removed(now);
+        self.revision += u64::from(has_changed);
         self.probe_members(now);
         self.settle_link_doubt(now);
         self.resign_if_cut_off(now);
--- a/crates/tanagerhub_groups/src/groups/vms.rs
+++ b/crates/tanagerhub_groups/src/groups/vms.rs
@@ -310,6 +310,11 @@
         })
     }
 
+    /// Returns whether [`take_lost_groups`](Self::take_lost_groups) has groups to check.
+    pub(super) const fn has_lost_groups(&self) -> bool {
+        !self.lost_groups.is_empty()
+    }
+
     /// Returns the groups that lost a member since the last call: it ended or was silent for too
     /// long, restarted, or was removed without notice.
     ///
@@ -433,8 +438,12 @@
         self.relist_until = now + settings.relist_grace;
     }
 
-    /// Confirms the removals that are final, and drops VMs whose retention has passed.
-    pub(super) fn drop_removed(&mut self, now: Moment) {
+    /// Confirms the removals that are final, and drops VMs whose retention has passed. Returns
+    /// whether there may have been any.
+    pub(super) fn drop_removed(&mut self, now: Moment) -> bool {
+        if self.list.values().all(|entry| entry.removed.is_none()) {
+            return false;
+        }
         let entries = self.list.values_mut();
         let lost = entries.filter_map(|entry| entry.confirm_removal(now));
         self.lost_groups.extend(lost.map(LostGroup::certain));
@@ -443,6 +452,7 @@
                 .removed
                 .is_none_or(|removal| now.since(removal.since) < REMOVED_RETENTION)
         });
+        true
     }
 
     /// Applies the result of a probe. Returns the change if the VM became reachable or unreachable.
