Probe a VM that the store no longer lists on the planner only

Each node probed each VM that the store had removed, and the ones that did not answer again: nodes x VMs, one new connection each. What the probe told decided nothing on a node that does not plan: it sends such a VM nothing new since the removal, and its own requests at the VM's group raise a suspicion when they fall silent (150 to 600 ms), which probes the members as before. The planner still probes at once, since the answer decides when the group is renewed.

--- a/crates/tanagerhub_groups/src/groups/probe.rs
+++ b/crates/tanagerhub_groups/src/groups/probe.rs
@@ -239,8 +239,12 @@
     pub(super) fn vm_removed(&mut self, now: Moment, vm: VmId) {
         let removed = self.vms.remove(now, vm);
         self.decisions.extend(removed);
-        // The VM may have failed, or may have left without notice and still serve for a while.
-        self.suspect(now, vm);
+        // The VM may have failed, or may have left without notice and still serve for a while. That
+        // decides when its group is renewed. Other nodes send it nothing new anyway, and suspect it
+        // themselves once their requests there fall silent.
+        if self.planner.is_held() {
+            self.suspect(now, vm);
+        }
     }
 }
 
--- a/crates/tanagerhub_groups/tests/repair.rs
+++ b/crates/tanagerhub_groups/tests/repair.rs
@@ -149,6 +149,22 @@
     assert!(!simulation.assigned(0).contains(&displaced));
 }
 
+/// Nothing on the other nodes depends on whether such a VM still runs.
+#[test]
+fn probe_unlisted_vm_on_planner_only() {
+    let mut simulation = Simulation::new(1, 10);
+    simulation.add_node(2);
+    simulation.plan(0, KnownBoots::default());
+    simulation.run(9 * SECOND);
+    let head = simulation.open_heads("big")[0].clone();
+    let member = simulation.members(&head)[1].clone();
+    let vm = VmId::of(&member);
+    simulation.unlist(&member);
+    simulation.run(SECOND / 2);
+    assert!(simulation.nodes[0].probes.contains(&vm));
+    assert!(!simulation.nodes[1].probes.contains(&vm));
+}
+
 /// A VM may be removed from the list without notice, and continue to serve for a while.
 #[test]
 fn keep_streams_of_unlisted_member() {
