Let few nodes delete the row of a crash under a sound part

Each node that ran a request with a part of a prompt deleted the rows of crashes under that part, a call each: nodes x crashes. The node that wrote the row still deletes it at once, and a part that is blamed is cleared at once by any node. The test plays 100 nodes that all see the part sound: 100 deletions before.

--- a/crates/tanagerhub_traffic/src/crash_parts.rs
+++ b/crates/tanagerhub_traffic/src/crash_parts.rs
@@ -90,6 +90,7 @@
                 continue;
             };
             let may_be_blamed = record.may_be_blamed();
+            let is_blamed = self.blame.contains(*part);
             let cleared = record.clear_before(started);
             if cleared.is_empty() {
                 continue;
@@ -98,7 +99,11 @@
                 self.records.remove(&subject);
             }
             self.blame.is_outdated |= may_be_blamed;
-            self.delete_rows(subject, &cleared);
+            if is_blamed {
+                self.delete_rows(subject, &cleared);
+            } else {
+                self.delete_rows_in_turn(now, subject, &cleared);
+            }
         }
         self.decide_blame(now);
     }
--- a/crates/tanagerhub_traffic/src/crash_sharing.rs
+++ b/crates/tanagerhub_traffic/src/crash_sharing.rs
@@ -66,8 +66,7 @@
                 });
             }
         }
-        let count = MAX_ROWS_PER_CHANGE.min(self.obsolete_rows.len());
-        let deletes = self.obsolete_rows.drain(..count).collect();
+        let deletes = self.obsolete_rows.take_due(now, MAX_ROWS_PER_CHANGE);
         CrashRowChanges { puts, deletes }
     }
 
@@ -126,6 +125,7 @@
 
     /// Applies the deletion of a row: another node cleared the request, or the row is too old.
     pub fn remove_row(&mut self, key: CrashKey) {
+        self.obsolete_rows.remove(&key);
         let Some(record) = self.records.get_mut(&key.subject) else {
             return;
         };
@@ -184,6 +184,22 @@
         self.obsolete_rows.extend(rows_of(subject, events));
     }
 
+    /// Marks the rows of these events as obsolete: own ones at once, and those of other nodes unless
+    /// another node deletes them soon.
+    pub(crate) fn delete_rows_in_turn(
+        &mut self,
+        now: Moment,
+        subject: CrashSubject,
+        events: &[CrashEvent],
+    ) {
+        let (own, others): (Vec<CrashEvent>, Vec<CrashEvent>) =
+            events.iter().partition(|event| event.is_own);
+        self.delete_rows(subject, &own);
+        for row in rows_of(subject, &others) {
+            self.obsolete_rows.defer(now, row);
+        }
+    }
+
     /// Returns whether the log reports the sharing of a subject's crashes: any request, but only
     /// parts with several.
     fn is_reported(&self, subject: CrashSubject) -> bool {
--- a/crates/tanagerhub_traffic/src/crash_table.rs
+++ b/crates/tanagerhub_traffic/src/crash_table.rs
@@ -10,7 +10,8 @@
 
 use crate::crash_parts::Blame;
 use crate::crash_record::{CONFIRMATION_TIMEOUT, CrashRecord, Evidence};
-use crate::{CrashDecision, CrashKey, CrashSubject};
+use crate::obsolete_rows::ObsoleteRows;
+use crate::{CrashDecision, CrashSubject};
 
 /// Number of strikes after which a request is refused. Suspicions of this node count too.
 pub(crate) const STRIKE_LIMIT: u32 = 2;
@@ -76,7 +77,7 @@
     /// When groups were found to have lost a member.
     lost_at: HashMap<(GroupId, Epoch), Moment>,
     /// Rows of the store that are no longer needed.
-    pub(crate) obsolete_rows: Vec<CrashKey>,
+    pub(crate) obsolete_rows: ObsoleteRows,
     decisions: Vec<CrashDecision>,
 }
 
@@ -122,11 +123,23 @@
             broken_attempts: VecDeque::new(),
             down_since: HashMap::new(),
             lost_at: HashMap::new(),
-            obsolete_rows: Vec::new(),
+            obsolete_rows: ObsoleteRows::new(0),
             decisions: Vec::new(),
         }
     }
 
+    /// Sets the seed by which this node's deletions of rows differ in time from those of others.
+    #[must_use]
+    pub fn seed(mut self, seed: u64) -> Self {
+        self.obsolete_rows = ObsoleteRows::new(seed);
+        self
+    }
+
+    /// Sets the number of live nodes, which may all delete the same rows.
+    pub const fn set_nodes(&mut self, nodes: u32) {
+        self.obsolete_rows.set_nodes(nodes);
+    }
+
     /// Records that an attempt ended without a complete response while the group ran the request.
     pub fn suspect(&mut self, now: Moment, attempt: FailedAttempt) {
         self.suspect_parts(now, attempt, &[]);
--- a/crates/tanagerhub_traffic/src/lib.rs
+++ b/crates/tanagerhub_traffic/src/lib.rs
@@ -24,6 +24,7 @@
 mod group;
 mod groups;
 mod in_flight;
+mod obsolete_rows;
 mod organisation_meter;
 mod prefix_index;
 mod rate_limit;
--- a/crates/tanagerhub_traffic/src/traffic.rs
+++ b/crates/tanagerhub_traffic/src/traffic.rs
@@ -154,7 +154,7 @@
             timers: BinaryHeap::new(),
             ready: Vec::new(),
             observations: Vec::new(),
-            crashes: CrashTable::new(settings.quarantine),
+            crashes: CrashTable::new(settings.quarantine).seed(seed),
             takes_work: false,
             share: ShareTracker::new(settings.nodes),
             drain: Drain::default(),
@@ -209,6 +209,7 @@
     /// Applies whether the node's view is fresh, and how many nodes share the limits.
     pub fn apply_freshness(&mut self, now: Moment, view: Freshness) {
         self.takes_work = view.takes_work;
+        self.crashes.set_nodes(view.live_nodes);
         if self.share.update(now, &view) {
             self.configure_meters(now);
             self.divide_retry_budget();
--- a/crates/tanagerhub_traffic/tests/crash_sharing.rs
+++ b/crates/tanagerhub_traffic/tests/crash_sharing.rs
@@ -25,6 +25,13 @@
     }
 }
 
+fn key_of_part(part: u64) -> CrashKey {
+    CrashKey {
+        subject: CrashSubject::Part(part),
+        ..key(1)
+    }
+}
+
 /// Returns the row of an attempt that ended this long before the row was written.
 fn row(age_ms: u64, confirmed: bool) -> CrashRow {
     CrashRow {
@@ -198,3 +205,55 @@
     assert!(table.is_empty());
     assert_eq!(table.take_row_changes(at(10 + lifetime)).deletes, expected);
 }
+
+/// All nodes of a large fleet see that a part is sound; the rows need not be deleted by each.
+#[test]
+fn part_row_deleted_by_few_nodes() {
+    const NODES: u32 = 100;
+    let part = key_of_part(7);
+    let mut nodes: Vec<CrashTable> = (0..u64::from(NODES))
+        .map(|seed| CrashTable::new(QUARANTINE).seed(seed))
+        .collect();
+    for table in &mut nodes {
+        table.set_nodes(NODES);
+        table.apply_row(at(10), part, row(0, true));
+        table.record_part_success(at(12), &[7], at(11));
+    }
+    let mut deletions = Vec::new();
+    for tenth in 0..100 {
+        let now = at(12) + Duration::from_millis(100) * tenth;
+        for table in &mut nodes {
+            // A node hears of a deletion after a second.
+            if deletions
+                .first()
+                .is_some_and(|first| now.since(*first) >= Duration::from_secs(1))
+            {
+                table.remove_row(part);
+            }
+            let deletes = table.take_row_changes(now).deletes;
+            deletions.extend(deletes.iter().map(|_| now));
+        }
+    }
+    assert!(
+        (1..=NODES as usize / 3).contains(&deletions.len()),
+        "{deletions:?}"
+    );
+}
+
+#[test]
+fn own_part_row_deleted_at_once() {
+    let mut table = CrashTable::new(QUARANTINE).seed(1);
+    table.set_nodes(100);
+    let attempt = FailedAttempt {
+        fingerprint: CRASHING,
+        group: GroupId(1),
+        epoch: Epoch(1),
+        started: at(9),
+        evidence: Evidence::Broken,
+    };
+    table.suspect_parts(at(10), attempt, &[7]);
+    table.record_loss(at(10), GroupId(1), Epoch(1));
+    assert_eq!(table.take_row_changes(at(11)).puts.len(), 1);
+    table.record_part_success(at(12), &[7], at(11));
+    assert_eq!(table.take_row_changes(at(12)).deletes, [key_of_part(7)]);
+}
