Take a fabric domain for calm again 5 s after a VM has failed there

A group is renewed within about 4 s of a loss (1.5 s of silence, 1.6 s to join, 0.3 s to open) or not soon.

--- a/crates/tanagerhub_groups/src/groups/probe.rs
+++ b/crates/tanagerhub_groups/src/groups/probe.rs
@@ -16,6 +16,8 @@
 /// The interval at which a node that does not plan probes VMs that no request goes to, in domains
 /// without a sign of a change.
 const CALM_PROBE_INTERVAL: Duration = Duration::from_secs(2);
+/// How long after a VM has failed its group is likely to be renewed.
+const RENEWAL_PERIOD: Duration = Duration::from_secs(5);
 /// The share of the probes that goes to heads when a round takes longer.
 const HEADS_SHARE: f64 = 0.75;
 /// The longest interval at which the planner probes a VM that may go on, so that two short silences
@@ -105,7 +107,7 @@
     /// first.
     fn probe_during_outage(&mut self, now: Moment) {
         let (rate, intervals) = (self.outage_probe_rate(), self.outage_probe_intervals());
-        let changing = self.changing_domains();
+        let changing = self.changing_domains(now);
         let lateness = |entry: &VmEntry| {
             let waited = now.since(entry.probed_at).as_secs_f64();
             waited / intervals.of(entry, &changing).as_secs_f64()
@@ -167,14 +169,15 @@
         }
     }
 
-    /// Returns the domains with signs that a group has been or will be renewed: a VM that failed, or
-    /// a serving head whose members have not all reported its epoch.
-    fn changing_domains(&self) -> BTreeSet<DomainId> {
+    /// Returns the domains with signs that a group has been or will be renewed: a VM that failed
+    /// recently, or a serving head whose members have not all reported its epoch.
+    fn changing_domains(&self, now: Moment) -> BTreeSet<DomainId> {
         let reported = self.reported_members();
         let entries = self.vms.list.values();
         let changing = entries.filter(|entry| {
             let is_head = entry.is_serving_head();
-            entry.failures > 0 || is_head && self.head(entry, &reported).is_none()
+            entry.fails_since(now, RENEWAL_PERIOD, &self.settings)
+                || is_head && self.head(entry, &reported).is_none()
         });
         changing.map(|entry| entry.domain).collect()
     }
--- a/crates/tanagerhub_groups/src/groups/vms.rs
+++ b/crates/tanagerhub_groups/src/groups/vms.rs
@@ -162,6 +162,21 @@
         self.failures >= settings.probe_failure_limit
     }
 
+    /// Returns whether the VM began to fail probes within the last `period`, and still does.
+    pub(super) fn fails_since(
+        &self,
+        now: Moment,
+        period: Duration,
+        settings: &GroupsSettings,
+    ) -> bool {
+        let since = if self.is_unreachable(settings) {
+            self.unreachable_since
+        } else {
+            self.failed_at
+        };
+        self.failures > 0 && now.since(since) < period
+    }
+
     /// Returns the group and epoch that the VM may be serving as the head.
     ///
     /// It reported this last, and it has not been unreachable for longer than a head serves on its
