--- a/crates/tanagerhub_groups/src/groups.rs
+++ b/crates/tanagerhub_groups/src/groups.rs
@@ -11,6 +11,7 @@
 mod silence;
 mod stage;
 mod view;
+mod vm_entry;
 mod vms;
 
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/tanagerhub_groups/src/groups/lifecycle.rs
+++ b/crates/tanagerhub_groups/src/groups/lifecycle.rs
@@ -10,7 +10,7 @@
 
 use super::Groups;
 use super::group::{Dissolving, Group, SentOrder};
-use super::vms::VmEntry;
+use super::vm_entry::VmEntry;
 
 impl Groups {
     /// Sends the orders that bring groups into service, or that make the heads of groups being
--- a/crates/tanagerhub_groups/src/groups/probe.rs
+++ b/crates/tanagerhub_groups/src/groups/probe.rs
@@ -9,7 +9,8 @@
 use crate::{Decision, GroupsAction, GroupsSettings, ProbeFailure, VmReport};
 
 use super::Groups;
-use super::vms::{ReachabilityChange, VmEntry};
+use super::vm_entry::VmEntry;
+use super::vms::ReachabilityChange;
 
 /// The longest round of probes in which heads and other VMs are probed at the same interval.
 const SHORT_ROUND_LIMIT: Duration = Duration::from_secs(1);
--- a/crates/tanagerhub_groups/src/groups/reassign.rs
+++ b/crates/tanagerhub_groups/src/groups/reassign.rs
@@ -14,7 +14,7 @@
 
 use super::Groups;
 use super::group::{Dissolving, Group};
-use super::vms::VmEntry;
+use super::vm_entry::VmEntry;
 
 /// How long a group waits for a spare VM before a VM with another model is reassigned to it.
 const SPARE_TIMEOUT: Duration = Duration::from_secs(2);
--- a/crates/tanagerhub_groups/src/groups/repair.rs
+++ b/crates/tanagerhub_groups/src/groups/repair.rs
@@ -11,7 +11,7 @@
 
 use super::Groups;
 use super::group::{Dissolving, Group};
-use super::vms::VmEntry;
+use super::vm_entry::VmEntry;
 
 /// How long a broken group without a spare VM waits before it may be dissolved.
 const DISSOLVE_DELAY: Duration = Duration::from_millis(300);
--- a/crates/tanagerhub_groups/src/groups/stage.rs
+++ b/crates/tanagerhub_groups/src/groups/stage.rs
@@ -9,7 +9,7 @@
 
 use super::Groups;
 use super::compose::Composition;
-use super::vms::VmEntry;
+use super::vm_entry::VmEntry;
 
 /// A load may take this multiple of its expected time before it is ordered again.
 const LOAD_TIMEOUT_FACTOR: u32 = 3;
--- a/crates/tanagerhub_groups/src/groups/view.rs
+++ b/crates/tanagerhub_groups/src/groups/view.rs
@@ -12,7 +12,7 @@
 use crate::{GroupReport, GroupState};
 
 use super::Groups;
-use super::vms::VmEntry;
+use super::vm_entry::VmEntry;
 
 /// A VM that requests may be sent to.
 #[derive(Debug, Clone, PartialEq)]
--- /dev/null
+++ b/crates/tanagerhub_groups/src/groups/vm_entry.rs
@@ -0,0 +1,273 @@
+//! The state of one VM, according to its reports and the results of probes.
+
+use std::time::Duration;
+
+use tanagerhub_catalogue::{DataCentreId, DomainId, Epoch, GroupId, VmState};
+use tanagerhub_clock::Moment;
+
+use crate::{GroupState, GroupsSettings, ProbeFailure, VmReport};
+
+use super::silence::Silence;
+
+/// The greatest age of the state that a probe returns.
+const MAX_REPORT_LAG: Duration = Duration::from_millis(400);
+/// The longest time between two rejected probes that count as one busy period. It is at least the
+/// interval at which the planner probes a member.
+const MAX_BUSY_GAP: Duration = Duration::from_millis(2_500);
+/// How long a VM must reject probes until it is considered ended; a shorter time may be a fault of
+/// the link.
+const MIN_REJECTION_TIME: Duration = Duration::from_millis(500);
+/// How long a suspicion affects the failure count of a VM.
+const SUSPICION_LIFETIME: Duration = Duration::from_millis(500);
+
+/// The state of one VM.
+#[derive(Debug)]
+pub(super) struct VmEntry {
+    pub(super) report: VmReport,
+    /// The VM's fabric domain, as in the report.
+    pub(super) domain: DomainId,
+    /// The VM's data centre, as in the report.
+    pub(super) data_centre: DataCentreId,
+    /// The removal from the store; `None` while the store lists the VM.
+    pub(super) removed: Option<Removal>,
+    /// The number of consecutive failed probes; one of a suspected VM counts as several.
+    pub(super) failures: u32,
+    /// When the last failed probe was sent.
+    pub(super) failed_at: Moment,
+    /// When the VM became unreachable; meaningful only while it is.
+    unreachable_since: Moment,
+    /// The period in which it rejects probes; `None` after a successful probe.
+    busy_period: Option<BusyPeriod>,
+    /// The period in which it leaves probes unanswered; `None` after a response.
+    silence: Option<Silence>,
+    /// Whether failed probes showed that the VM will not go on; meaningful only while it is
+    /// unreachable.
+    ended: bool,
+    /// When the store last reported a change.
+    pub(super) changed_at: Moment,
+    pub(super) probed_at: Moment,
+    pub(super) probe_pending: bool,
+    /// When the VM was last suspected: requests at its group failed, or the store removed the VM.
+    pub(super) suspected_at: Moment,
+    /// The model that it was ordered to load, and when.
+    pub(super) staging: Option<(String, Moment)>,
+}
+
+/// A period in which a VM rejects probes.
+#[derive(Debug, Clone, Copy)]
+struct BusyPeriod {
+    first: Moment,
+    last: Moment,
+}
+
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Removal {
+    pub(super) since: Moment,
+    pub(super) relist_deadline: Moment,
+    /// Whether the time in which it could be listed again has passed.
+    pub(super) confirmed: bool,
+}
+
+impl VmEntry {
+    pub(super) fn new(report: VmReport) -> Self {
+        Self {
+            domain: report.vm.domain_id(),
+            data_centre: report.vm.data_centre_id(),
+            report,
+            removed: None,
+            failures: 0,
+            failed_at: Moment::ZERO,
+            unreachable_since: Moment::ZERO,
+            busy_period: None,
+            silence: None,
+            ended: false,
+            changed_at: Moment::ZERO,
+            probed_at: Moment::ZERO,
+            probe_pending: false,
+            suspected_at: Moment::ZERO,
+            staging: None,
+        }
+    }
+
+    /// Returns whether the VM is unreachable, or removed from the store for good.
+    pub(super) fn is_unavailable(&self, settings: &GroupsSettings) -> bool {
+        !self.is_listed() || self.is_unreachable(settings)
+    }
+
+    /// Returns whether the VM will not go on: it has ended, or was removed from the store for good.
+    pub(super) fn is_lost(&self, settings: &GroupsSettings) -> bool {
+        !self.is_listed() || self.has_ended(settings)
+    }
+
+    /// Returns whether the VM is unreachable, and not merely silent for a short time.
+    pub(super) fn has_ended(&self, settings: &GroupsSettings) -> bool {
+        self.is_unreachable(settings) && (self.ended || !self.is_listed())
+    }
+
+    /// Returns whether the VM leaves probes unanswered and may still go on.
+    pub(super) const fn is_silent(&self) -> bool {
+        !self.ended && self.silence.is_some()
+    }
+
+    /// Returns whether an unanswered probe that is sent now shows that the VM has been silent for
+    /// too long.
+    pub(super) fn is_silence_due(&self, now: Moment, settings: &GroupsSettings) -> bool {
+        let is_long = |silence: Silence| silence.length(now) >= settings.silence_timeout;
+        !self.ended && self.silence.is_some_and(is_long)
+    }
+
+    /// Returns whether the VM has failed enough probes to count as unreachable.
+    pub(super) const fn is_unreachable(&self, settings: &GroupsSettings) -> bool {
+        self.failures >= settings.probe_failure_limit
+    }
+
+    /// Returns whether the VM began to fail probes within the last `period`, and still does.
+    pub(super) fn fails_since(
+        &self,
+        now: Moment,
+        period: Duration,
+        settings: &GroupsSettings,
+    ) -> bool {
+        let since = if self.is_unreachable(settings) {
+            self.unreachable_since
+        } else {
+            self.failed_at
+        };
+        self.failures > 0 && now.since(since) < period
+    }
+
+    /// Returns the group and epoch that the VM may be serving as the head.
+    ///
+    /// It reported this last, and it has not been unreachable for longer than a head serves on its
+    /// own.
+    pub(super) fn may_serve(
+        &self,
+        now: Moment,
+        settings: &GroupsSettings,
+    ) -> Option<(GroupId, Epoch)> {
+        let membership = self.report.group.filter(|_| self.is_serving_head())?;
+        let stalled = self.is_unreachable(settings)
+            && now.since(self.unreachable_since) >= settings.stall_timeout;
+        (!stalled).then_some((membership.group, membership.epoch))
+    }
+
+    pub(super) fn is_leaving(&self) -> bool {
+        self.report.vm.state == VmState::Leaving
+    }
+
+    /// Returns whether the store lists the VM, or may list it again shortly.
+    pub(super) fn is_listed(&self) -> bool {
+        self.removed.is_none_or(|removal| !removal.confirmed)
+    }
+
+    /// Confirms the removal if it is final. Returns the group that has lost a member with it, unless
+    /// the VM left with notice.
+    pub(super) fn confirm_removal(&mut self, now: Moment) -> Option<(GroupId, Epoch)> {
+        let leaves = self.is_leaving();
+        let removal = self.removed.as_mut().filter(|it| !it.confirmed)?;
+        removal.confirmed = removal.relist_deadline <= now;
+        (removal.confirmed && !leaves).then(|| self.report.served_group())
+    }
+
+    /// Applies a probed report, whose state may be older than the probe by up to
+    /// [`MAX_REPORT_LAG`]. If the store may have reported a newer state, only `busy` is applied,
+    /// which the store's rows don't contain.
+    pub(super) fn apply_probe(&mut self, sent: Moment, report: VmReport) {
+        if sent >= self.changed_at + MAX_REPORT_LAG {
+            self.apply_report(report);
+        } else {
+            self.report.busy = report.busy;
+        }
+    }
+
+    pub(super) fn apply_report(&mut self, report: VmReport) {
+        let restarted = report.started_ms != self.report.started_ms;
+        if restarted {
+            self.clear_failures();
+        }
+        if self
+            .staging
+            .as_ref()
+            .is_some_and(|(model, _)| report.has_staged(model))
+        {
+            self.staging = None;
+        }
+        let busy = report.busy.or(self.report.busy.filter(|_| !restarted));
+        self.domain = report.vm.domain_id();
+        self.data_centre = report.vm.data_centre_id();
+        self.report = report;
+        self.report.busy = busy;
+    }
+
+    /// Records a rejected probe. Returns whether the rejection may be due to load alone.
+    ///
+    /// Only a head accepts requests; any other member has no load that would make it reject probes.
+    pub(super) fn record_turned_away(&mut self, now: Moment, settings: &GroupsSettings) -> bool {
+        let recent = self
+            .busy_period
+            .filter(|before| now.since(before.last) < MAX_BUSY_GAP);
+        let first = recent.map_or(now, |before| before.first);
+        self.busy_period = Some(BusyPeriod { first, last: now });
+        self.silence = None;
+        self.is_serving_head() && now.since(first) < settings.busy_timeout
+    }
+
+    /// Returns whether the VM is the head of a group that is open or closing.
+    pub(super) const fn is_serving_head(&self) -> bool {
+        match &self.report.group {
+            Some(membership) => matches!(membership.state, GroupState::Open | GroupState::Closing),
+            None => false,
+        }
+    }
+
+    pub(super) fn clear_failures(&mut self) {
+        self.failures = 0;
+        self.busy_period = None;
+        self.silence = None;
+        self.ended = false;
+    }
+
+    /// Counts a failed probe, which was sent at `sent`.
+    pub(super) fn record_failure(
+        &mut self,
+        now: Moment,
+        sent: Moment,
+        cause: ProbeFailure,
+        settings: &GroupsSettings,
+    ) {
+        self.failed_at = sent;
+        self.ended |= match cause {
+            ProbeFailure::TurnedAway => self
+                .busy_period
+                .is_some_and(|busy| now.since(busy.first) >= MIN_REJECTION_TIME),
+            ProbeFailure::Unanswered => {
+                let silence = Silence::extended(self.silence, now, sent, settings.silence_timeout);
+                self.silence = Some(silence);
+                silence.is_final()
+            }
+            ProbeFailure::Refused | ProbeFailure::Misdirected | ProbeFailure::Malformed => true,
+        };
+        // A suspicion and a failed probe are independent evidence, and together count as enough
+        // failed probes.
+        let suspected = now.since(self.suspected_at) < SUSPICION_LIFETIME && now > Moment::ZERO;
+        let weight = if suspected {
+            settings.probe_failure_limit
+        } else {
+            1
+        };
+        self.set_failures(now, self.failures.saturating_add(weight), settings);
+    }
+
+    /// Marks the VM as unreachable, because another VM or start responds at its address.
+    pub(super) fn record_misdirected(&mut self, now: Moment, settings: &GroupsSettings) {
+        self.ended = true;
+        self.set_failures(now, settings.probe_failure_limit, settings);
+    }
+
+    fn set_failures(&mut self, now: Moment, failures: u32, settings: &GroupsSettings) {
+        if !self.is_unreachable(settings) {
+            self.unreachable_since = now;
+        }
+        self.failures = failures;
+    }
+}
