--- a/crates/tanagerhub/src/gateway/control.rs
+++ b/crates/tanagerhub/src/gateway/control.rs
@@ -121,8 +121,10 @@
     /// The revision of the group decisions that the heads are from; `None` if they are to be
     /// published anew.
     routes_revision: Option<u64>,
-    /// The backend servers in reach, and the revision of the group decisions that they are from.
-    reach: (Reach, Option<u64>),
+    /// The backend servers in reach.
+    reach: Reach,
+    /// The revision of the group decisions that `reach` is from; `None` before the first one.
+    reach_revision: Option<u64>,
     live_nodes: usize,
     /// The other nodes that share the limits of backend servers; `None` while they are unknown.
     senders: Option<Vec<NodeId>>,
@@ -205,10 +207,11 @@
     /// Checks whether this node is cut off from most backend servers.
     fn update_reach(&mut self, now: Moment) {
         let revision = Some(self.groups.revision());
-        if self.view.reach.1 != revision {
-            self.view.reach = (self.groups.reach(), revision);
+        if self.view.reach_revision != revision {
+            self.view.reach = self.groups.reach();
+            self.view.reach_revision = revision;
         }
-        let reach = self.view.reach.0;
+        let reach = self.view.reach;
         self.forwarder
             .set_reach(reach.is_cut_off(), reach.unreachable > 0);
         let peers = self.presence.peers(now).into_iter();
--- a/crates/tanagerhub_groups/src/groups/probe.rs
+++ b/crates/tanagerhub_groups/src/groups/probe.rs
@@ -177,7 +177,7 @@
         let entries = self.vms.list.values();
         let changing = entries.filter(|entry| {
             let is_head = entry.is_serving_head();
-            entry.fails_since(now, RENEWAL_PERIOD, &self.settings)
+            entry.failed_within(now, RENEWAL_PERIOD, &self.settings)
                 || is_head && self.head(entry, &reported).is_none()
         });
         changing.map(|entry| entry.domain).collect()
--- a/crates/tanagerhub_groups/src/groups/vm_entry.rs
+++ b/crates/tanagerhub_groups/src/groups/vm_entry.rs
@@ -121,8 +121,8 @@
         self.failures >= settings.probe_failure_limit
     }
 
-    /// Returns whether the VM began to fail probes within the last `period`, and still does.
-    pub(super) fn fails_since(
+    /// Returns whether the VM fails probes, and began to do so within the last `period`.
+    pub(super) fn failed_within(
         &self,
         now: Moment,
         period: Duration,
