Probe the VMs of a large fleet in turn

Cause: a new planner probed all VMs without a model in one tick. An eighth of a core can't open 760 connections within the 150 ms of a probe, so sound VMs counted as silent, most VMs seemed out of reach, and the planner resigned as if it were cut off; the next one did the same. At most 32 routine probes are in flight now; failed VMs come first, then those that waited longest. Probes because of a suspicion are not bounded, so a lost VM is noticed as before. A VM that has not told whether it loads a model counts as loading: otherwise a new planner exceeds the limit of concurrent loads while it has not asked all (load_models_within_limit_after_takeover).

--- a/crates/tanagerhub_groups/src/groups/probe.rs
+++ b/crates/tanagerhub_groups/src/groups/probe.rs
@@ -79,6 +79,9 @@
 
 impl Groups {
     /// Probes VMs that failed their last probe. The planner also probes the members of all groups.
+    ///
+    /// Only so many probes are in flight that this node can process the responses before they time
+    /// out. VMs that failed come first, then those that were not probed for longest.
     pub(super) fn probe_members(&mut self, now: Moment) {
         let mut due: Vec<VmId> = self.vms.failing(&self.settings).collect();
         if self.planner.is_held() {
@@ -86,8 +89,18 @@
             due.extend(members);
             due.extend(self.vms.possibly_loading());
         }
+        let rank = |vm: &VmId| {
+            let entry = self.vms.get(*vm);
+            entry.map(|entry| (entry.failures == 0, entry.probed_at))
+        };
+        due.sort_by_cached_key(rank);
+        let pending = self.vms.list.values().filter(|entry| entry.probe_pending);
+        let mut room = self.settings.pending_probes.saturating_sub(pending.count());
         for vm in due {
-            let Some(entry) = self.vms.get(vm) else {
+            if room == 0 {
+                break;
+            }
+            let Some(entry) = self.vms.get(vm).filter(|entry| !entry.probe_pending) else {
                 continue;
             };
             let mut interval = next_probe_interval(entry, &self.settings);
@@ -97,6 +110,7 @@
             let has_waited = now.since(entry.probed_at) >= interval;
             if has_waited || entry.is_silence_due(now, &self.settings) {
                 self.probe(now, vm);
+                room -= 1;
             }
         }
         if self.store_unreachable {
--- a/crates/tanagerhub_groups/src/groups/stage.rs
+++ b/crates/tanagerhub_groups/src/groups/stage.rs
@@ -51,12 +51,18 @@
         }
     }
 
+    /// Counts the VMs without a model that are loading one, or may be, because they have not told yet
+    /// whether they are busy.
     fn running_loads(&self, engine: &EngineSpec) -> usize {
+        let may_load = |entry: &&VmEntry| match entry.report.busy {
+            Some(busy) => busy,
+            None => !entry.is_unreachable(&self.settings),
+        };
         self.vms
             .list
             .values()
             .filter(|entry| entry.report.vm.service.as_deref() == Some(&engine.service))
-            .filter(|entry| entry.staging.is_some() || entry.report.busy == Some(true))
+            .filter(|entry| entry.staging.is_some() || may_load(entry))
             .filter(|entry| !entry.is_lost(&self.settings) && entry.report.staged.is_empty())
             .count()
     }
--- a/crates/tanagerhub_groups/src/settings.rs
+++ b/crates/tanagerhub_groups/src/settings.rs
@@ -14,6 +14,9 @@
     pub unknown_planner_timeout: Duration,
     /// Interval between two probes of a healthy member.
     pub probe_interval: Duration,
+    /// The number of probes in flight up to which VMs are probed in turn. Probes because of a
+    /// suspicion are sent beyond it.
+    pub pending_probes: usize,
     /// The shortest interval between two probes of any VM while the store is unreachable.
     pub outage_probe_interval: Duration,
     /// The maximum number of probes that a node sends in a second while the store is unreachable.
@@ -105,6 +108,7 @@
             first_start: false,
             unknown_planner_timeout: Duration::from_millis(1_500),
             probe_interval: Duration::from_secs(2),
+            pending_probes: 32,
             outage_probe_interval: Duration::from_millis(500),
             outage_probe_rate: 120.0,
             outage_probe_rate_total: 960.0,
--- a/crates/tanagerhub_groups/tests/formation.rs
+++ b/crates/tanagerhub_groups/tests/formation.rs
@@ -3,9 +3,11 @@
 #[path = "support/simulation.rs"]
 mod simulation;
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use simulation::Simulation;
+use tanagerhub_catalogue::VmId;
 use tanagerhub_groups::{GroupsEvent, KnownBoots};
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -63,6 +65,22 @@
     );
 }
 
+/// A planner that probed all VMs of a large fleet at once could not process the responses in time,
+/// and would take the VMs for silent.
+#[test]
+fn probe_large_fleet_in_turn() {
+    let mut simulation = Simulation::new(40, 10);
+    simulation.plan(0, KnownBoots::default());
+    let mut probed = 0;
+    for _ in 0..30 {
+        simulation.run(SECOND / 10);
+        let before = std::mem::replace(&mut probed, simulation.nodes[0].probes.len());
+        assert!(probed - before <= 32, "{} probes at once", probed - before);
+    }
+    let distinct: BTreeSet<VmId> = simulation.nodes[0].probes.iter().copied().collect();
+    assert_eq!(distinct.len(), 400);
+}
+
 #[test]
 fn form_groups_within_one_domain() {
     let mut simulation = Simulation::new(3, 5);
