--- a/crates/tanagerhub/src/gateway/self_reports.rs
+++ b/crates/tanagerhub/src/gateway/self_reports.rs
@@ -91,6 +91,11 @@
         let pause_ms = pause.as_millis();
         log::info!(request, vm, pause_ms; "a backend server has asked for a pause");
     }
+    if let Some(after) = change.again_after {
+        metrics.self_report("paused_again");
+        let after_ms = after.as_millis();
+        log::info!(request, vm, after_ms; "a paused backend server was reached again");
+    }
     if let Some(error) = invalid.filter(|_| change.is_first_invalid) {
         metrics.self_report("invalid");
         log::warn!(request, vm, error; "invalid self-report of a backend server ignored");
--- a/crates/tanagerhub_traffic/src/self_reports.rs
+++ b/crates/tanagerhub_traffic/src/self_reports.rs
@@ -37,6 +37,9 @@
     pub leaves: bool,
     /// The pause that began, unless one was in force.
     pub pause: Option<Duration>,
+    /// The time since the beginning of the pause in force, if the response asks for one again: a
+    /// request, a probe or an order has reached the paused server.
+    pub again_after: Option<Duration>,
     /// Whether this is the first invalid report of the server.
     pub is_first_invalid: bool,
 }
@@ -126,10 +129,12 @@
         let is_first_invalid = is_invalid && !state.invalid;
         state.invalid |= is_invalid;
         let pause = report.pause.map(|pause| pause.min(MAX_PAUSE));
+        let in_force = state.pause.filter(|it| pause.is_some() && !it.is_over(now));
         let begun = pause.filter(|pause| state.extend_pause(now, *pause));
         SelfReportChange {
             leaves,
             pause: begun,
+            again_after: in_force.map(|it| now.since(it.from)),
             is_first_invalid,
         }
     }
--- a/crates/tanagerhub_traffic/tests/self_reports.rs
+++ b/crates/tanagerhub_traffic/tests/self_reports.rs
@@ -355,6 +355,22 @@
     assert!(node.traffic.begin_control_call(at(15_000), server(1, 1)));
 }
 
+#[test]
+fn report_in_pause_tells_time_since_its_beginning() {
+    let mut node = Node::new(1);
+    let mut again_after = |millis| {
+        let report = pause(1_000);
+        let change = node
+            .traffic
+            .record_report_of(at(millis), server(1, 1), report, false);
+        change.again_after.map(|it| it.as_millis())
+    };
+    assert_eq!(again_after(0), None);
+    assert_eq!(again_after(700), Some(700));
+    assert_eq!(again_after(1_600), Some(1_600));
+    assert_eq!(again_after(2_600), None);
+}
+
 #[test]
 fn invalid_report_is_told_once_per_server() {
     let mut node = Node::new(2);
