Keep a pause when a later start of its server is learned

Cause: a pause was kept with the start of the server that was listed as the response arrived. Rows follow a start by a heartbeat or more, so a server that starts again and refuses at once reports for a start that the routes don't contain yet, or whose start isn't known; the later start then dropped the state.

A pause is kept by the VM now, so that no change of the routes ends it, and probes and orders ask by the VM too. A start that comes within the pause waits for the rest of it.

--- a/crates/tanagerhub/src/gateway/control_store.rs
+++ b/crates/tanagerhub/src/gateway/control_store.rs
@@ -109,7 +109,7 @@
         let engines = Arc::clone(&self.adapters.engines);
         let (clock, metrics) = (self.clock.clone(), self.metrics.clone());
         self.spawn(async move {
-            let result = if traffic.update(|traffic, now| traffic.begin_control_call(now, server)) {
+            let result = if traffic.update(|traffic, now| traffic.begin_control_call(now, vm)) {
                 let response = clock.timeout(ORDER_TIMEOUT, engines.order(&name, address, &order));
                 let answer = response.await;
                 let answer = answer.unwrap_or_else(|| OrderResult::Unknown.into());
@@ -135,8 +135,7 @@
                 server: vm,
                 started_ms,
             };
-            let is_allowed = traffic
-                .update(|traffic, now| traffic.begin_control_call(now, server(known.started_ms)));
+            let is_allowed = traffic.update(|traffic, now| traffic.begin_control_call(now, vm));
             let result = if is_allowed {
                 let response = clock.timeout(PROBE_TIMEOUT, engines.report(&known));
                 let timed_out = || Err(ProbeFailure::Unanswered).into();
--- a/crates/tanagerhub_traffic/src/groups.rs
+++ b/crates/tanagerhub_traffic/src/groups.rs
@@ -167,8 +167,7 @@
             if self.self_reports.has_leaving(&group.route) {
                 continue;
             }
-            let lifetime = group.route.lifetime();
-            let end = self.self_reports.paused_until(now, lifetime)?;
+            let end = self.self_reports.paused_until(now, group.route.server)?;
             soonest = Some(soonest.map_or(end, |soonest| soonest.min(end)));
         }
         soonest
--- a/crates/tanagerhub_traffic/src/self_reports.rs
+++ b/crates/tanagerhub_traffic/src/self_reports.rs
@@ -1,12 +1,14 @@
 //! Backend servers that are about to leave or have asked for a pause.
 //!
-//! What a server reports holds for one lifetime of its process. The decisions are this node's own:
-//! a pause is asked of the node that receives the response.
+//! That a server leaves holds for one lifetime of its process. A pause holds for the server, since the
+//! response may come from a start that this node learns of only later. The decisions are this node's
+//! own: a pause is asked of the node that receives the response.
 
 use std::collections::HashMap;
 use std::time::Duration;
 
 use serde::Serialize;
+use tanagerhub_catalogue::VmId;
 use tanagerhub_clock::Moment;
 
 use crate::{MAX_PAUSE, Route, RouteTable, SelfReport, ServerLifetime};
@@ -27,6 +29,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct SelfReports {
     servers: HashMap<ServerLifetime, ServerState>,
+    pacing: HashMap<VmId, Pacing>,
     ended: Vec<EndedReport>,
 }
 
@@ -58,16 +61,23 @@
 #[derive(Debug, Clone, Copy)]
 struct ServerState {
     leaving: bool,
-    pause: Option<Pause>,
-    ramp: Option<Ramp>,
     invalid: bool,
     /// When a route last contained the server, or it last reported something.
     known_at: Moment,
 }
 
+/// Whether requests are withheld from a server, or return to it one by one.
+#[derive(Debug, Clone, Copy)]
+enum Pacing {
+    Paused(Pause),
+    Returning(Ramp),
+}
+
 /// A pause, or several that follow each other without a gap.
 #[derive(Debug, Clone, Copy)]
 struct Pause {
+    /// The start of the server that was listed as it began, for the log.
+    server: ServerLifetime,
     from: Moment,
     until: Moment,
     control_calls: u32,
@@ -118,8 +128,6 @@
         }
         let state = self.servers.entry(server).or_insert(ServerState {
             leaving: false,
-            pause: None,
-            ramp: None,
             invalid: false,
             known_at: now,
         });
@@ -128,17 +136,42 @@
         state.leaving |= report.leaving;
         let is_first_invalid = is_invalid && !state.invalid;
         state.invalid |= is_invalid;
-        let pause = report.pause.map(|pause| pause.min(MAX_PAUSE));
-        let in_force = state.pause.filter(|it| pause.is_some() && !it.is_over(now));
-        let begun = pause.filter(|pause| state.extend_pause(now, *pause));
-        SelfReportChange {
+        let change = SelfReportChange {
             leaves,
-            pause: begun,
-            again_after: in_force.map(|it| now.since(it.from)),
             is_first_invalid,
+            ..SelfReportChange::default()
+        };
+        let Some(pause) = report.pause.map(|pause| pause.min(MAX_PAUSE)) else {
+            return change;
+        };
+        let again_after = self.pause(now, server, pause);
+        SelfReportChange {
+            pause: again_after.is_none().then_some(pause),
+            again_after,
+            ..change
         }
     }
 
+    /// Begins a pause, or extends the one in force; a shorter one changes nothing. Returns the time
+    /// since the beginning of one that was in force.
+    fn pause(&mut self, now: Moment, server: ServerLifetime, pause: Duration) -> Option<Duration> {
+        let until = now + pause;
+        if let Some(Pacing::Paused(current)) = self.pacing.get_mut(&server.server)
+            && !current.is_over(now)
+        {
+            current.until = current.until.max(until);
+            return Some(now.since(current.from));
+        }
+        let pause = Pause {
+            server,
+            from: now,
+            until,
+            control_calls: 0,
+        };
+        self.pacing.insert(server.server, Pacing::Paused(pause));
+        None
+    }
+
     /// Applies the servers that routes contain. A later start of a VM ends the reports of earlier
     /// ones.
     pub(crate) fn apply_routes(&mut self, now: Moment, table: &RouteTable) {
@@ -169,32 +202,34 @@
     /// Ends the pauses that have passed. Returns whether any has.
     pub(crate) fn end_pauses(&mut self, now: Moment) -> bool {
         let before = self.ended.len();
-        for (server, state) in &mut self.servers {
-            if state.pause.is_some_and(|pause| pause.is_over(now)) {
-                state.pause = None;
-                state.ramp = Some(Ramp {
+        let ended = &mut self.ended;
+        self.pacing.retain(|_, pacing| match pacing {
+            Pacing::Paused(pause) if pause.is_over(now) => {
+                ended.push(EndedReport::Pause(pause.server));
+                *pacing = Pacing::Returning(Ramp {
                     from: now,
                     first_bytes: 0,
                 });
-                self.ended.push(EndedReport::Pause(*server));
+                true
             }
-            if state.ramp.is_some_and(|ramp| ramp.window(now) > MAX_RAMP) {
-                state.ramp = None;
-            }
-        }
+            Pacing::Paused(_) => true,
+            Pacing::Returning(ramp) => ramp.window(now) <= MAX_RAMP,
+        });
         self.ended.len() > before
     }
 
     /// Returns the end of the pause that ends first.
     pub(crate) fn next_end(&self) -> Option<Moment> {
-        let pauses = self.servers.values().filter_map(|state| state.pause);
-        pauses.map(|pause| pause.until).min()
+        let ends = self.pacing.values().filter_map(|pacing| match pacing {
+            Pacing::Paused(pause) => Some(pause.until),
+            Pacing::Returning(_) => None,
+        });
+        ends.min()
     }
 
     /// Whether a group must get no request: its head or a member is leaving, or its head is paused.
     pub(crate) fn blocks(&self, now: Moment, route: &Route) -> bool {
-        !self.servers.is_empty()
-            && (self.has_leaving(route) || self.paused_until(now, route.lifetime()).is_some())
+        self.has_leaving(route) || self.paused_until(now, route.server).is_some()
     }
 
     /// Whether the head or a member of a group is leaving.
@@ -204,12 +239,11 @@
 
     /// Whether a group may get one more request beside those that wait there for a first byte.
     pub(crate) fn may_start(&self, now: Moment, route: &Route, awaiting: u32) -> bool {
-        if self.servers.is_empty() {
-            return true;
-        }
-        let state = self.servers.get(&route.lifetime());
-        let ramp = state.and_then(|state| state.ramp);
-        !self.blocks(now, route) && ramp.is_none_or(|ramp| awaiting < ramp.window(now))
+        let may_return = match self.pacing.get(&route.server) {
+            Some(Pacing::Returning(ramp)) => awaiting < ramp.window(now),
+            Some(Pacing::Paused(_)) | None => true,
+        };
+        may_return && !self.blocks(now, route)
     }
 
     pub(crate) fn is_leaving(&self, server: ServerLifetime) -> bool {
@@ -217,28 +251,28 @@
     }
 
     /// Returns the end of the pause of a server; `None` if it is not paused.
-    pub(crate) fn paused_until(&self, now: Moment, server: ServerLifetime) -> Option<Moment> {
-        let pause = self.servers.get(&server)?.pause?;
-        (!pause.is_over(now)).then_some(pause.until)
+    pub(crate) fn paused_until(&self, now: Moment, server: VmId) -> Option<Moment> {
+        match self.pacing.get(&server)? {
+            Pacing::Paused(pause) => (!pause.is_over(now)).then_some(pause.until),
+            Pacing::Returning(_) => None,
+        }
     }
 
     /// Records a first byte of a server, after which one more request may be sent there.
-    pub(crate) fn record_first_byte(&mut self, server: ServerLifetime) {
-        let state = self.servers.get_mut(&server);
-        if let Some(ramp) = state.and_then(|state| state.ramp.as_mut()) {
+    pub(crate) fn record_first_byte(&mut self, server: VmId) {
+        if let Some(Pacing::Returning(ramp)) = self.pacing.get_mut(&server) {
             ramp.first_bytes = ramp.first_bytes.saturating_add(1);
         }
     }
 
     /// Whether a probe or an order may be sent to a server now. In a pause, counts it.
-    pub(crate) fn begin_control_call(&mut self, now: Moment, server: ServerLifetime) -> bool {
-        let pause = self
-            .servers
-            .get_mut(&server)
-            .and_then(|it| it.pause.as_mut());
-        let Some(pause) = pause.filter(|pause| !pause.is_over(now)) else {
+    pub(crate) fn begin_control_call(&mut self, now: Moment, server: VmId) -> bool {
+        let Some(Pacing::Paused(pause)) = self.pacing.get_mut(&server) else {
             return true;
         };
+        if pause.is_over(now) {
+            return true;
+        }
         let is_allowed = pause.control_calls < pause.allowed_calls(now);
         pause.control_calls += u32::from(is_allowed);
         is_allowed
@@ -249,22 +283,3 @@
         std::mem::take(&mut self.ended)
     }
 }
-
-impl ServerState {
-    /// Begins a pause or extends the one in force; a shorter one changes nothing. Returns whether
-    /// it begins.
-    fn extend_pause(&mut self, now: Moment, pause: Duration) -> bool {
-        let until = now + pause;
-        self.ramp = None;
-        if let Some(current) = self.pause.as_mut().filter(|it| !it.is_over(now)) {
-            current.until = current.until.max(until);
-            return false;
-        }
-        self.pause = Some(Pause {
-            from: now,
-            until,
-            control_calls: 0,
-        });
-        true
-    }
-}
--- a/crates/tanagerhub_traffic/src/traffic/reports.rs
+++ b/crates/tanagerhub_traffic/src/traffic/reports.rs
@@ -183,7 +183,9 @@
         if let Some(group) = self.groups.arena.get_mut(attempt.group) {
             group.first_byte(now, wait);
             group.record_survival(now, attempt.epoch);
-            self.groups.self_reports.record_first_byte(attempt.server);
+            self.groups
+                .self_reports
+                .record_first_byte(attempt.server.server);
             self.crashes
                 .record_response(group.route.group, attempt.epoch);
         }
--- a/crates/tanagerhub_traffic/src/traffic/self_reports.rs
+++ b/crates/tanagerhub_traffic/src/traffic/self_reports.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use tanagerhub_catalogue::EntryId;
+use tanagerhub_catalogue::{EntryId, VmId};
 use tanagerhub_clock::Moment;
 
 use super::Traffic;
@@ -51,7 +51,7 @@
 
     /// Whether a probe or an order may be sent to a backend server now; counts it if the server is
     /// paused.
-    pub fn begin_control_call(&mut self, now: Moment, server: ServerLifetime) -> bool {
+    pub fn begin_control_call(&mut self, now: Moment, server: VmId) -> bool {
         let reports = &mut self.groups.self_reports;
         reports.begin_control_call(now, server)
     }
@@ -68,14 +68,14 @@
         let blocked = group.is_some_and(|group| reports.blocks(now, &group.route));
         !blocked
             && !reports.is_leaving(attempt.server)
-            && reports.paused_until(now, attempt.server).is_none()
+            && reports.paused_until(now, attempt.server.server).is_none()
     }
 
     /// Whether the backend server of an attempt is paused.
     pub(super) fn is_paused(&self, now: Moment, attempt: AttemptKey) -> bool {
         let server = self.attempt_server(attempt);
         let reports = &self.groups.self_reports;
-        server.is_some_and(|server| reports.paused_until(now, server).is_some())
+        server.is_some_and(|server| reports.paused_until(now, server.server).is_some())
     }
 
     /// Returns the reports that have ended since the last call.
--- a/crates/tanagerhub_traffic/tests/self_reports.rs
+++ b/crates/tanagerhub_traffic/tests/self_reports.rs
@@ -251,6 +251,39 @@
     assert_eq!(node.traffic.take_ended_reports(), ended);
 }
 
+/// The response may come from a start that this node learns of only later.
+#[parameterized(
+    earlier_start_listed = { 1 },
+    start_unknown = { 0 },
+)]
+fn pause_outlasts_start_learned_later(listed: u64) {
+    let mut node = Node::new(2);
+    node.route(0, &[(1, listed), (2, 1)]);
+    let asked = server(1, listed);
+    node.traffic
+        .record_report_of(at(1), asked, pause(3_000), false);
+    node.route(200, &[(1, 2), (2, 1)]);
+    let mut calls = 0;
+    for millis in (200..3_001).step_by(100) {
+        assert_eq!(node.sent_to(millis, 1), 0, "at {millis}");
+        let call = node.traffic.begin_control_call(at(millis), VmId(1));
+        calls += usize::from(call);
+    }
+    assert!(calls <= 2, "{calls}");
+    node.traffic.poll(at(3_001));
+    assert!(node.sent_to(3_001, 1) > 0);
+}
+
+/// The pause of a start that has ended since must not be shorter for a probe of the later one.
+#[test]
+fn pause_is_kept_while_server_is_not_listed() {
+    let mut node = Node::new(2);
+    node.report(1, 1, pause(3_000));
+    node.route(200, &[(2, 1)]);
+    node.route(400, &[(1, 2), (2, 1)]);
+    assert_eq!(node.sent_to(400, 1), 0);
+}
+
 /// A shorter pause in a late response does not shorten the one in force.
 #[test]
 fn shorter_pause_changes_nothing() {
@@ -344,15 +377,15 @@
     node.report(0, 1, pause(9_000));
     let mut calls = Vec::new();
     for millis in (0..9_000).step_by(100) {
-        if node.traffic.begin_control_call(at(millis), server(1, 1)) {
+        if node.traffic.begin_control_call(at(millis), VmId(1)) {
             calls.push(millis);
         }
     }
     assert_eq!(calls, [3_000, 6_000]);
     // One that answers with another pause gets no further calls.
     node.report(6_000, 1, pause(9_000));
-    assert!(!node.traffic.begin_control_call(at(14_900), server(1, 1)));
-    assert!(node.traffic.begin_control_call(at(15_000), server(1, 1)));
+    assert!(!node.traffic.begin_control_call(at(14_900), VmId(1)));
+    assert!(node.traffic.begin_control_call(at(15_000), VmId(1)));
 }
 
 #[test]
