Ask again for probes and orders right before their first byte, and keep what the head of their response told

Cause: requests asked right before the first byte, but calls of the control thread before their connection was opened; and their timeout dropped the whole call with the head that had arrived.

Both are conditions of the call now (CallConditions): the client of the engines asks on the open connection, and ends the call itself.

--- a/crates/tanagerhub/src/gateway.rs
+++ b/crates/tanagerhub/src/gateway.rs
@@ -38,8 +38,8 @@
 mod unreadable_values;
 
 pub use adapters::{
-    Adapters, BoxFuture, DecodedReport, Dialect, EngineAnswer, Engines, HeadError, OperatorRow,
-    ResponseKind, Store,
+    Adapters, BoxFuture, CallConditions, DecodedReport, Dialect, EngineAnswer, Engines, HeadError,
+    OperatorRow, ResponseKind, Store,
 };
 pub use call::{CallHead, Upstream};
 pub use configuration::{Configuration, KeyHolder};
--- a/crates/tanagerhub/src/gateway/adapters.rs
+++ b/crates/tanagerhub/src/gateway/adapters.rs
@@ -1,6 +1,6 @@
 //! Traits that a deployment implements: its store, its engines and the format of its messages.
 
-use std::fmt::Debug;
+use std::fmt::{self, Debug};
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -46,15 +46,36 @@
         name: &'a str,
         address: SocketAddr,
         order: &'a Order,
+        conditions: CallConditions<'a>,
     ) -> BoxFuture<'a, EngineAnswer<OrderResult>>;
 
     /// Requests the current report of a VM; `known` is the previous report.
     fn report<'a>(
         &'a self,
         known: &'a VmReport,
+        conditions: CallConditions<'a>,
     ) -> BoxFuture<'a, EngineAnswer<Result<VmReport, ProbeFailure>>>;
 }
 
+/// The conditions of a call to an engine.
+#[derive(Clone, Copy)]
+pub struct CallConditions<'a> {
+    /// The time after which the call ends without a result. What the head of a response has told by
+    /// then counts.
+    pub timeout: Duration,
+    /// Whether the call may be sent. It is evaluated once the connection is open, immediately before
+    /// the first byte; a call that is not sent fails as paused.
+    pub may_send: &'a (dyn Fn() -> bool + Send + Sync),
+}
+
+impl Debug for CallConditions<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("CallConditions")
+            .field("timeout", &self.timeout)
+            .finish_non_exhaustive()
+    }
+}
+
 /// The format of the messages of operators, VMs, callers and backend servers.
 pub trait Dialect: Debug + Send + Sync {
     /// Returns the name of the store's table that operators write.
--- a/crates/tanagerhub/src/gateway/control_store.rs
+++ b/crates/tanagerhub/src/gateway/control_store.rs
@@ -7,6 +7,7 @@
 use async_channel::Sender;
 use async_std::task;
 use rand::Rng as _;
+use tanagerhub_catalogue::VmId;
 use tanagerhub_clock::Clock;
 use tanagerhub_groups::{GROUPS_TABLE, GroupsEvent, Order, OrderResult, ProbeFailure, VmReport};
 use tanagerhub_proxy::Client;
@@ -16,7 +17,7 @@
 use crate::gateway::control::GatewayEvent;
 use crate::gateway::limit_notices::{self, DueNotice};
 use crate::gateway::self_reports::record_engine_report;
-use crate::gateway::{Adapters, GatewayMetrics};
+use crate::gateway::{Adapters, CallConditions, GatewayMetrics};
 use crate::traffic_handle::TrafficHandle;
 
 /// The store's table of the nodes' presence rows.
@@ -107,12 +108,15 @@
         let vm = server.server;
         let (traffic, sender) = (Arc::clone(traffic), self.events.clone());
         let engines = Arc::clone(&self.adapters.engines);
-        let (clock, metrics) = (self.clock.clone(), self.metrics.clone());
+        let metrics = self.metrics.clone();
         self.spawn(async move {
-            let result = if traffic.update(|traffic, now| traffic.begin_control_call(now, vm)) {
-                let response = clock.timeout(ORDER_TIMEOUT, engines.order(&name, address, &order));
-                let answer = response.await;
-                let answer = answer.unwrap_or_else(|| OrderResult::Unknown.into());
+            let result = if may_begin_call(&traffic, vm) {
+                let may_send = || begin_call(&traffic, vm);
+                let conditions = CallConditions {
+                    timeout: ORDER_TIMEOUT,
+                    may_send: &may_send,
+                };
+                let answer = engines.order(&name, address, &order, conditions).await;
                 record_engine_report(&traffic, &metrics, &sender, server, &name, &answer.report);
                 answer.result
             } else {
@@ -127,24 +131,23 @@
     pub(crate) fn probe(&self, traffic: &Arc<TrafficHandle>, known: VmReport) {
         let (traffic, sender) = (Arc::clone(traffic), self.events.clone());
         let engines = Arc::clone(&self.adapters.engines);
-        let (clock, metrics) = (self.clock.clone(), self.metrics.clone());
+        let metrics = self.metrics.clone();
         let sent = self.clock.now();
         self.spawn(async move {
             let vm = known.vm.id();
-            let server = |started_ms| ServerLifetime {
-                server: vm,
-                started_ms,
-            };
-            let is_allowed = traffic.update(|traffic, now| traffic.begin_control_call(now, vm));
-            let result = if is_allowed {
-                let response = clock.timeout(PROBE_TIMEOUT, engines.report(&known));
-                let timed_out = || Err(ProbeFailure::Unanswered).into();
-                let answer = response.await.unwrap_or_else(timed_out);
-                let started_ms = match &answer.result {
-                    Ok(report) => report.started_ms,
-                    Err(_) => known.started_ms,
+            let result = if may_begin_call(&traffic, vm) {
+                let may_send = || begin_call(&traffic, vm);
+                let conditions = CallConditions {
+                    timeout: PROBE_TIMEOUT,
+                    may_send: &may_send,
+                };
+                let answer = engines.report(&known, conditions).await;
+                let report = answer.result.as_ref();
+                let server = ServerLifetime {
+                    server: vm,
+                    started_ms: report.map_or(known.started_ms, |report| report.started_ms),
                 };
-                let (server, name) = (server(started_ms), known.vm.name.as_str());
+                let name = known.vm.name.as_str();
                 record_engine_report(&traffic, &metrics, &sender, server, name, &answer.report);
                 answer.result
             } else {
@@ -179,6 +182,16 @@
     }
 }
 
+/// Whether a connection for a probe or an order may be opened.
+fn may_begin_call(traffic: &TrafficHandle, vm: VmId) -> bool {
+    traffic.update(|traffic, now| traffic.may_begin_control_call(now, vm))
+}
+
+/// Whether a probe or an order may be sent on its connection now.
+fn begin_call(traffic: &TrafficHandle, vm: VmId) -> bool {
+    traffic.update(|traffic, now| traffic.begin_control_call(now, vm))
+}
+
 const fn commit_outcome(commit: CommitResult) -> &'static str {
     match commit {
         CommitResult::Applied(_) => "applied",
--- a/crates/tanagerhub/tests/support/deployment.rs
+++ b/crates/tanagerhub/tests/support/deployment.rs
@@ -16,9 +16,9 @@
 use http::request::Parts;
 use http::{HeaderMap, StatusCode};
 use tanagerhub::gateway::{
-    Adapters, BoxFuture, CallHead, Configuration, DecodedReport, Dialect, EngineAnswer, Engines,
-    Gateway, GatewayMetrics, GatewaySettings, HeadError, KeyHolder, OperatorRow, ResponseKind,
-    SelfReport, Store, Upstream,
+    Adapters, BoxFuture, CallConditions, CallHead, Configuration, DecodedReport, Dialect,
+    EngineAnswer, Engines, Gateway, GatewayMetrics, GatewaySettings, HeadError, KeyHolder,
+    OperatorRow, ResponseKind, SelfReport, Store, Upstream,
 };
 use tanagerhub_catalogue::{
     Catalogue, CatalogueVersion, Class, Entry, EntryId, EntryKind, Epoch, GroupId, Ingress,
@@ -180,14 +180,25 @@
         _name: &'a str,
         _address: SocketAddr,
         _order: &'a Order,
+        conditions: CallConditions<'a>,
     ) -> BoxFuture<'a, EngineAnswer<OrderResult>> {
-        Box::pin(async { OrderResult::NotSent.into() })
+        let is_sent = (conditions.may_send)();
+        let result = if is_sent {
+            OrderResult::NotSent
+        } else {
+            OrderResult::Paused
+        };
+        Box::pin(async move { result.into() })
     }
 
     fn report<'a>(
         &'a self,
         known: &'a VmReport,
+        conditions: CallConditions<'a>,
     ) -> BoxFuture<'a, EngineAnswer<Result<VmReport, ProbeFailure>>> {
+        if !(conditions.may_send)() {
+            return Box::pin(async { Err(ProbeFailure::Paused).into() });
+        }
         let names = &self.leaving;
         let leaving = names.lock().unwrap().contains(&known.vm.name);
         *self
--- a/crates/tanagerhub_traffic/src/self_reports.rs
+++ b/crates/tanagerhub_traffic/src/self_reports.rs
@@ -105,12 +105,13 @@
         now >= self.until
     }
 
-    /// Returns how many probes and orders may have been sent by now: they are spread over the
-    /// pause, so that the last one is not used up at its beginning.
-    fn allowed_calls(&self, now: Moment) -> u32 {
+    /// Whether one more probe or order may be sent: they are spread over the pause, so that the
+    /// last one is not used up at its beginning.
+    fn allows_control_call(&self, now: Moment) -> bool {
         let part = self.until.since(self.from) / (CONTROL_CALLS + 1);
         let parts = now.since(self.from).as_nanos() / part.as_nanos().max(1);
-        u32::try_from(parts).unwrap_or(u32::MAX).min(CONTROL_CALLS)
+        let allowed = u32::try_from(parts).unwrap_or(u32::MAX).min(CONTROL_CALLS);
+        self.control_calls < allowed
     }
 }
 
@@ -265,16 +266,20 @@
         }
     }
 
-    /// Whether a probe or an order may be sent to a server now. In a pause, counts it.
+    /// Whether a probe or an order may be begun now.
+    pub(crate) fn may_begin_control_call(&self, now: Moment, server: VmId) -> bool {
+        match self.pacing.get(&server) {
+            Some(Pacing::Paused(pause)) => pause.is_over(now) || pause.allows_control_call(now),
+            Some(Pacing::Returning(_)) | None => true,
+        }
+    }
+
+    /// The same for sending it. In a pause, counts it.
     pub(crate) fn begin_control_call(&mut self, now: Moment, server: VmId) -> bool {
-        let Some(Pacing::Paused(pause)) = self.pacing.get_mut(&server) else {
-            return true;
-        };
-        if pause.is_over(now) {
-            return true;
+        let is_allowed = self.may_begin_control_call(now, server);
+        if let Some(Pacing::Paused(pause)) = self.pacing.get_mut(&server) {
+            pause.control_calls += u32::from(is_allowed && !pause.is_over(now));
         }
-        let is_allowed = pause.control_calls < pause.allowed_calls(now);
-        pause.control_calls += u32::from(is_allowed);
         is_allowed
     }
 
--- a/crates/tanagerhub_traffic/src/traffic/self_reports.rs
+++ b/crates/tanagerhub_traffic/src/traffic/self_reports.rs
@@ -49,6 +49,14 @@
         reports.record(now, server, report, is_invalid)
     }
 
+    /// Whether a connection for a probe or an order to a backend server may be opened. Ask
+    /// [`Self::begin_control_call`] again once it is open.
+    #[must_use]
+    pub fn may_begin_control_call(&self, now: Moment, server: VmId) -> bool {
+        let reports = &self.groups.self_reports;
+        reports.may_begin_control_call(now, server)
+    }
+
     /// Whether a probe or an order may be sent to a backend server now; counts it if the server is
     /// paused.
     pub fn begin_control_call(&mut self, now: Moment, server: VmId) -> bool {
