Bound the lengths that are decoded from values of other processes

Cause: bincode without a limit allocates the stated length of a text before it reads it; 2^60 bytes end the process.

With the limit the value counts as undecodable, for which each table has its rule. Datagrams of capacity and rows of the own interface's groups have no texts; beacons had a limit.

--- a/crates/tanagerhub_table/src/encoding.rs
+++ b/crates/tanagerhub_table/src/encoding.rs
@@ -16,6 +16,10 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+/// The largest value that is decoded, in bytes. Without a limit a length that the value doesn't have
+/// is allocated before its content is read.
+const MAX_VALUE_BYTES: usize = 16 << 20;
+
 /// A value that is not encoded as this module says.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum DecodeError {
@@ -49,7 +53,7 @@
     #[must_use]
     pub fn get<T: DeserializeOwned>(&self, tag: u8) -> Option<T> {
         let (_, bytes) = self.0.iter().find(|(known, _)| *known == tag)?;
-        let (content, used) = decode_from_slice(bytes, standard()).ok()?;
+        let (content, used) = decode_bounded(bytes).ok()?;
         (used == bytes.len()).then_some(content)
     }
 }
@@ -90,14 +94,21 @@
 pub fn decode_value<T: DeserializeOwned>(value: &[u8]) -> Result<(T, Sections), DecodeError> {
     let content_error =
         |error: bincode::error::DecodeError| DecodeError::Content(error.to_string());
-    let (content, used) = decode_from_slice(value, standard()).map_err(content_error)?;
+    let (content, used) = decode_bounded(value).map_err(content_error)?;
     let mut sections = Sections::default();
     let mut rest = &value[used..];
     while !rest.is_empty() {
-        let (section, used) = decode_from_slice(rest, standard())
-            .map_err(|error| DecodeError::Sections(error.to_string()))?;
+        let (section, used) =
+            decode_bounded(rest).map_err(|error| DecodeError::Sections(error.to_string()))?;
         sections.0.push(section);
         rest = &rest[used..];
     }
     Ok((content, sections))
 }
+
+/// Decodes content at the start of `bytes`. Returns it with its length.
+fn decode_bounded<T: DeserializeOwned>(
+    bytes: &[u8],
+) -> Result<(T, usize), bincode::error::DecodeError> {
+    decode_from_slice(bytes, standard().with_limit::<MAX_VALUE_BYTES>())
+}
--- a/crates/tanagerhub_table/tests/encoding.rs
+++ b/crates/tanagerhub_table/tests/encoding.rs
@@ -57,3 +57,13 @@
     let error = decode_value::<Content>(&CONTENT[..2]).unwrap_err();
     assert!(matches!(error, DecodeError::Content(_)), "{error}");
 }
+
+/// Nothing may be allocated for a length that the value doesn't have.
+#[parameterized(
+    string = { b"\xfd\xff\xff\xff\xff\xff\xff\xff\x0f" },
+    longest = { b"\xfd\xff\xff\xff\xff\xff\xff\xff\xff" },
+    section = { b"\x01n\xfb\x2c\x01\x01\xfd\xff\xff\xff\xff\xff\xff\xff\x0f" },
+)]
+fn absurd_length_rejected(value: &[u8]) {
+    decode_value::<Content>(value).unwrap_err();
+}
