--- a/crates/tanagerhub_wire/src/platform/http_platform.rs
+++ b/crates/tanagerhub_wire/src/platform/http_platform.rs
@@ -9,6 +9,7 @@
 use http_types::headers::{CONNECTION, TRANSFER_ENCODING};
 use http_types::{Method, Request, Response, StatusCode, Url};
 use serde::de::DeserializeOwned;
+use serde_json::value::RawValue;
 use tanagerhub_catalogue::Vm;
 use tanagerhub_clock::Clock;
 use tanagerhub_table::{CommitOutcome, Row, Transaction};
@@ -225,7 +226,8 @@
 
     async fn list_vms(&self) -> Result<Vec<Vm>, PlatformError> {
         let response = self.get(Method::Get, "/vms", Vec::new()).await?;
-        response.json("GET /vms")
+        let entries: Vec<Box<RawValue>> = response.json("GET /vms")?;
+        Ok(entries.iter().filter_map(|entry| vm(entry)).collect())
     }
 }
 
@@ -275,6 +277,13 @@
     }
 }
 
+/// Decodes an entry of the list; an invalid one names no VM, and must not hide the others.
+fn vm(entry: &RawValue) -> Option<Vm> {
+    let vm = serde_json::from_str(entry.get());
+    vm.inspect_err(|error| log::warn!(error:%; "invalid entry of the list of VMs ignored"))
+        .ok()
+}
+
 fn malformed(call: &'static str, error: &serde_json::Error) -> PlatformError {
     PlatformError::Malformed {
         call,
