Take a response on a kept connection that names no request for none of this request

Cause: the echoed id tells a response to another request, but a response without one was taken as it came. The connection is looked at before the request is written; bytes that arrive just after it can't be told from its response.

Evidence: old_refusal_is_no_refusal (unnamed, misdirected) failed on the code before, since the copy counted as a refusal, and passes now. of_other_request and old_refusal_of_same_request_is_no_refusal passed before: the connection of a refused request isn't kept.

The cases of response_kind check both kinds of connection now.

--- a/crates/tanagerhub/src/gateway/attempt.rs
+++ b/crates/tanagerhub/src/gateway/attempt.rs
@@ -189,7 +189,8 @@
     let dialect = &frontend.dialect;
     let decoded = dialect.self_report(response.status, &response.headers);
     frontend.record_self_report(call, dispatch, &name, &decoded);
-    match dialect.response_kind(&call.id, response.status, &response.headers) {
+    let (status, reused) = (response.status, response.reused);
+    match dialect.response_kind(&call.id, status, &response.headers, reused) {
         ResponseKind::NotRun => {
             record_server_limit(frontend, call, dispatch, &name, &response.headers);
             return Err(AttemptError::NotRun);
--- a/crates/tanagerhub/tests/gateway.rs
+++ b/crates/tanagerhub/tests/gateway.rs
@@ -6,6 +6,8 @@
 mod cut_off;
 #[path = "support/deployment.rs"]
 mod deployment;
+#[path = "gateway/kept_connections.rs"]
+mod kept_connections;
 #[path = "gateway/self_reports.rs"]
 mod self_reports;
 #[path = "gateway/server_limits.rs"]
--- a/crates/tanagerhub/tests/support/deployment.rs
+++ b/crates/tanagerhub/tests/support/deployment.rs
@@ -339,8 +339,15 @@
         headers.insert("deadline", timeout.as_millis().to_string().parse().unwrap());
     }
 
-    fn response_kind(&self, id: &str, status: StatusCode, headers: &HeaderMap) -> ResponseKind {
-        if headers.get("id").is_some_and(|echoed| echoed != id) {
+    fn response_kind(
+        &self,
+        id: &str,
+        status: StatusCode,
+        headers: &HeaderMap,
+        reused: bool,
+    ) -> ResponseKind {
+        let is_own = headers.get("id").map_or(!reused, |echoed| echoed == id);
+        if !is_own {
             return ResponseKind::Foreign;
         }
         if status == StatusCode::MISDIRECTED_REQUEST {
