Keep no connection on which a backend server refused a request on the own interface

Evidence: old_refusal_reaches_no_request got the old 503 for the next request before, and gets its own response now. The connection is closed after a refusal, so that none can come again there.

--- a/crates/tanagerhub_wire/src/backend/backend_client.rs
+++ b/crates/tanagerhub_wire/src/backend/backend_client.rs
@@ -11,6 +11,7 @@
 use crate::backend::backend_connection::{BackendConnection, DecodedResponse};
 use crate::backend::pool::Pool;
 use crate::backend::{BackendBody, BackendError, BackendRequest, PoolLimits, Timeouts};
+use crate::engine::NOT_RUN;
 
 /// The response of a backend server.
 #[derive(Debug)]
@@ -168,8 +169,10 @@
             head,
             surplus,
         } = decoded;
-        let reusable =
-            (connection.fully_sent && !head.close && !surplus).then_some(connection.stream);
+        // Responses name no request, so a refusal that is sent again would count for the next one.
+        let is_refusal = head.headers.contains_key(NOT_RUN);
+        let may_reuse = connection.fully_sent && !head.close && !surplus && !is_refusal;
+        let reusable = may_reuse.then_some(connection.stream);
         let body = BackendBody {
             address: connection.address,
             body,
--- a/crates/tanagerhub_wire/tests/backend.rs
+++ b/crates/tanagerhub_wire/tests/backend.rs
@@ -317,3 +317,28 @@
         assert_eq!(response.body.read(100).await.unwrap(), "abcde");
     });
 }
+
+/// A faulty server writes an earlier refusal once more before it runs the next request.
+#[test]
+fn old_refusal_reaches_no_request() {
+    const REFUSED: &[u8] =
+        b"HTTP/1.1 503 X\r\nx-tanagerhub-not-run: true\r\nContent-Length: 0\r\n\r\n";
+    const SERVED: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na";
+    task::block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        task::spawn(async move {
+            for responses in [vec![REFUSED, REFUSED], vec![SERVED]] {
+                let (stream, _) = listener.accept().await.unwrap();
+                task::spawn(respond(stream, responses));
+            }
+        });
+        let client = client();
+        for expected in [503, 200] {
+            let request = get().connection(ConnectionRule::Proven);
+            let response = client.send(address, request).await.unwrap();
+            assert_eq!(response.status, expected);
+            response.body.read(100).await.unwrap();
+        }
+    });
+}
