Forward nothing of a resumed stream before the event that continues the response

A stream had broken off, and the next backend server answered 200 with something that is no continuation; on the own interface with any status.

Cause: blocks without data count as comments, which were forwarded at once, and on the users' platform the end of any body was the end of the stream. The own interface didn't look at the status of a response that resumes.

Evidence: of the 12 cases of error_of_next_server_stays_out_of_stream 7 failed before (text, comment, unnamed_event, retry_field, whole_head, chunks, earlier_event), with the text in the response and its last chunk; all pass now, and the response breaks off. error_text_is_no_continuation covers both interfaces.

A resumed stream proves itself by an event: the next one, or the last one that the caller has, after repeating those before it. Until then nothing of it is forwarded, and its end is not the end of the response. The status check of the own interface has no test of its own.

--- a/crates/tanagerhub/src/callers/model.rs
+++ b/crates/tanagerhub/src/callers/model.rs
@@ -96,7 +96,8 @@
     request
 }
 
-fn is_event_stream(started: &StartedResponse) -> bool {
+/// Whether a response is a stream of events, as opposed to a whole one or an error.
+pub(super) fn is_event_stream(started: &StartedResponse) -> bool {
     let content = started.response.headers.get(CONTENT_TYPE);
     let events = content.is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"));
     started.response.status.is_success() && events
--- a/crates/tanagerhub/src/callers/stream.rs
+++ b/crates/tanagerhub/src/callers/stream.rs
@@ -8,6 +8,7 @@
 use tanagerhub_wire::http::ResponseSender;
 
 use super::generated_text::GeneratedText;
+use super::model::is_event_stream;
 use crate::refusal::error_response;
 use crate::request_run::{RequestRun, StartedResponse};
 
@@ -106,6 +107,13 @@
     ) -> AttemptEnd {
         let attempt = started.dispatch.attempt;
         let address = started.dispatch.address;
+        if !is_event_stream(&started) {
+            let reason = format!("{} is no continuation", started.response.status);
+            return AttemptEnd::Resume(ResumeCause::Broken(BodyError::Malformed {
+                address,
+                reason,
+            }));
+        }
         let mut body = started.response.body;
         let mut out = Vec::new();
         loop {
--- a/crates/tanagerhub/tests/framing/streams.rs
+++ b/crates/tanagerhub/tests/framing/streams.rs
@@ -39,6 +39,50 @@
     });
 }
 
+/// The caller has the head of a stream, so nothing but its continuation may follow.
+#[parameterized(
+    failed = { &["HTTP/1.1 500 X\r\nContent-Length: 8\r\n\r\nerror!\n\n"] },
+    unavailable = { &["HTTP/1.1 503 X\r\nnot-run: 1\r\nContent-Length: 8\r\n\r\nerror!\n\n"] },
+    not_found = { &["HTTP/1.1 404 X\r\nConnection: close\r\n\r\nerror!\n\n"] },
+    text = { &[UNFRAMED, "error!\n\n"] },
+    unfinished_text = { &[UNFRAMED, "error!"] },
+    comment = { &[UNFRAMED, ": error!\n\n"] },
+    unnamed_event = { &[UNFRAMED, "data: error!\n\n"] },
+    retry_field = { &[UNFRAMED, "retry: 9 error!\n\n"] },
+    whole_head = { &[UNFRAMED, "HTTP/1.1 500 X\r\nname: error!\r\n\r\n"] },
+    chunks = { &[CHUNKED_HEAD, "8\r\nerror!\n\n\r\n0\r\n\r\n"] },
+    nothing = { &[UNFRAMED] },
+    earlier_event = { &[UNFRAMED, "id: 1\ndata: 1\n\n"] },
+)]
+fn error_of_next_server_stays_out_of_stream(response: &[&str]) {
+    task::block_on(async {
+        let broken = Script::parts(&[CHUNKED_HEAD, &chunk(&events(1..=2))]);
+        let scripts = vec![broken, Script::parts(response)];
+        let llm = BackendServer::start(scripts).await;
+        let setup = TestSetup::with_backends(&[("llm", &llm), ("llm", &llm)]).await;
+        let response = setup.send("POST", "/stream/x").await;
+        assert_eq!(llm.request_heads().len(), 2);
+        assert_eq!(event_ids(&response), [1, 2], "{response}");
+        assert!(!response.contains("error!"), "{response}");
+        assert!(response.trim_end().ends_with("data: 2"), "{response}");
+    });
+}
+
+/// A continuation may repeat what the caller has, and have comments between its events.
+#[test]
+fn continuation_from_start_completes_stream() {
+    task::block_on(async {
+        let broken = Script::parts(&[CHUNKED_HEAD, &chunk(&events(1..=2))]);
+        let body = format!("{}: comment\n\n{}", events(1..=3), events(4..=4));
+        let whole = Script::parts(&[UNFRAMED, &body]);
+        let llm = BackendServer::start(vec![broken, whole]).await;
+        let setup = TestSetup::with_backends(&[("llm", &llm), ("llm", &llm)]).await;
+        let response = setup.send("POST", "/stream/x").await;
+        assert_eq!(event_ids(&response), [1, 2, 3, 4], "{response}");
+        assert!(response.ends_with("0\r\n\r\n"), "{response}");
+    });
+}
+
 const UNFRAMED: &str = "HTTP/1.1 200 X\r\n\r\n";
 const UNFRAMED_EVENTS: &str = "HTTP/1.1 200 X\r\nContent-Type: text/event-stream\r\n\r\n";
 const OLD_VERSION: &str = "HTTP/1.0 200 X\r\n\r\n";
--- a/crates/tanagerhub_traffic/src/event_relay.rs
+++ b/crates/tanagerhub_traffic/src/event_relay.rs
@@ -13,7 +13,8 @@
 ///
 /// The `id:` field of an event is the number of tokens so far. Events that the caller already has
 /// are skipped; a gap is an error. No part of an incomplete event is forwarded, so a stream that
-/// breaks can be resumed after the last token.
+/// breaks can be resumed after the last token. What another stream sends is forwarded from the event on
+/// by which it continues, since it may be the text of an error.
 ///
 /// # Examples
 ///
@@ -43,6 +44,8 @@
     /// The id of the last event of this stream that the caller already had.
     repeated: u32,
     resumed: bool,
+    /// Whether a resumed stream has not yet sent or repeated the event that continues the response.
+    unproven: bool,
     /// Whether the end of the body marks the end of the stream.
     framed_by_body: bool,
 }
@@ -115,10 +118,11 @@
     ///
     /// # Errors
     ///
-    /// Fails when an event is incomplete, or when the stream has to end with a final event and that
-    /// has not been received.
+    /// Fails when an event is incomplete, when a resumed stream has continued nothing, or when the
+    /// stream has to end with a final event and that has not been received.
     pub const fn end(&self) -> Result<(), RelayError> {
-        if (self.progress.done || self.framed_by_body) && self.partial.is_empty() {
+        let is_framed = self.framed_by_body && !self.unproven;
+        if (self.progress.done || is_framed) && self.partial.is_empty() {
             return Ok(());
         }
         Err(RelayError::Truncated {
@@ -133,6 +137,7 @@
         self.repeated = 0;
         // Events before the first token have to be forwarded if the first stream didn't.
         self.resumed = self.progress.begun;
+        self.unproven = true;
     }
 
     /// Returns the memory of the incomplete event, in bytes.
@@ -184,7 +189,9 @@
     fn forward(&mut self, bytes: &[u8], out: &mut Vec<u8>) -> Result<(), RelayError> {
         let event = Event::parse(bytes)?;
         if !event.has_data {
-            out.extend_from_slice(bytes);
+            if !self.unproven {
+                out.extend_from_slice(bytes);
+            }
             return self.count_idle(bytes.len());
         }
         if self.progress.done {
@@ -196,6 +203,7 @@
             Some(id) if id <= tokens && id > self.repeated => {
                 self.repeated = id;
                 self.idle_bytes = 0;
+                self.unproven = self.unproven && id < tokens;
                 return Ok(());
             }
             Some(id) if id <= tokens => return self.count_idle(bytes.len()),
@@ -214,6 +222,7 @@
         self.progress.begun = true;
         self.progress.done = event.is_final;
         self.resumed = self.resumed && event.id.is_none();
+        self.unproven = false;
         out.extend_from_slice(bytes);
         Ok(())
     }
--- a/crates/tanagerhub_traffic/tests/event_relay.rs
+++ b/crates/tanagerhub_traffic/tests/event_relay.rs
@@ -57,6 +57,26 @@
     assert!(!relay.is_done());
 }
 
+/// The text of an error between two streams must not reach the caller, however far the first one came.
+#[parameterized(
+    before_first_event = { "", "error!\n\n" },
+    after_comment = { ": begun\n\n", "error!\n\n" },
+    after_event = { "id: 1\ndata: a\n\n", "error!\n\n" },
+    whole_head = { "id: 1\ndata: a\n\n", "HTTP/1.1 500 X\r\nname: error!\r\n\r\n" },
+    comment = { "id: 1\ndata: a\n\n", ": error!\n\n" },
+    unnamed = { "id: 1\ndata: a\n\n", "data: error!\n\n" },
+)]
+fn error_text_is_no_continuation(first: &str, error: &str) {
+    for mut relay in [EventRelay::default(), EventRelay::framed_by_body(0)] {
+        let mut out = Vec::new();
+        relay.push(first.as_bytes(), &mut out).unwrap();
+        relay.resume();
+        relay.push(error.as_bytes(), &mut out).unwrap();
+        assert_eq!(out, first.as_bytes());
+        assert!(relay.end().is_err());
+    }
+}
+
 /// Nothing of the first stream was forwarded, so the resumed one begins with its first event.
 #[test]
 fn push_resumed_from_start() {
