Reset the connection of a caller of HTTP/1.0 whose stream breaks off

Cause: the connection was closed as after a complete response; callers of HTTP/1.1 miss the last chunk, others saw nothing unusual.

Evidence: broken_stream_is_reset_for_old_caller read both events and a normal end before, and a reset now.

--- a/crates/tanagerhub/tests/framing/streams.rs
+++ b/crates/tanagerhub/tests/framing/streams.rs
@@ -1,5 +1,7 @@
 //! Streams whose bytes come in unusual pieces, or whose end isn't marked.
 
+use async_std::io::prelude::*;
+use async_std::net::TcpStream;
 use async_std::task;
 use yare::parameterized;
 
@@ -189,3 +191,21 @@
         assert_eq!(llm.request_heads().len(), 3);
     });
 }
+
+/// The body of a caller of HTTP/1.0 ends with its connection, so only a reset tells it apart.
+#[test]
+fn broken_stream_is_reset_for_old_caller() {
+    task::block_on(async {
+        let broken = Script::parts(&[CHUNKED_HEAD, &chunk(&events(1..=2))]);
+        let llm = BackendServer::start(vec![broken]).await;
+        let setup = TestSetup::with_backends(&[("llm", &llm)]).await;
+        let mut stream = TcpStream::connect(setup.settings.caller_address)
+            .await
+            .unwrap();
+        let request = "POST /once/x HTTP/1.0\r\nHost: shop\r\nid: 1\r\nkey: k1\r\n\r\n";
+        stream.write_all(request.as_bytes()).await.unwrap();
+        let mut response = Vec::new();
+        let read = stream.read_to_end(&mut response).await;
+        assert!(read.is_err(), "{}", String::from_utf8_lossy(&response));
+    });
+}
--- a/crates/tanagerhub_proxy/src/server.rs
+++ b/crates/tanagerhub_proxy/src/server.rs
@@ -13,10 +13,11 @@
 use async_std::task::{self, JoinHandle};
 use futures_lite::future;
 use http::header::{CONNECTION, HeaderValue};
-use http::{Request, Response};
+use http::{Request, Response, Version};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
+use rustix::net::sockopt::set_socket_linger;
 use tanagerhub_clock::{Clock, Moment};
 
 use crate::connection_io::ConnectionIo;
@@ -95,6 +96,8 @@
     idle_since_ms: AtomicU64,
     /// Whether the caller may still be sending the request of the last response.
     unread: AtomicBool,
+    /// Whether the body of the last response ends with the connection, as callers of HTTP/1.0 need it.
+    ends_body: AtomicBool,
     close_tx: Sender<()>,
 }
 
@@ -330,6 +333,7 @@
         in_flight: AtomicUsize::new(0),
         idle_since_ms: AtomicU64::new(shared.now_ms()),
         unread: AtomicBool::new(false),
+        ends_body: AtomicBool::new(false),
         close_tx,
     });
     shared.connections().insert(id, Arc::clone(&state));
@@ -362,7 +366,9 @@
         let stall = WriteStall::new(stall.clone(), shared.clock.clone());
         metered = metered.max_read(SMALL_READ_BYTES).stall(stall);
     }
-    let service = service_fn(|request| {
+    let service = service_fn(|request: Request<Incoming>| {
+        let ends_body = request.version() < Version::HTTP_11;
+        state.ends_body.store(ends_body, Ordering::Relaxed);
         let in_flight = InFlightGuard::new(state, shared);
         let response = handler(request);
         async {
@@ -387,6 +393,9 @@
         connection.as_mut().graceful_shutdown();
         connection.await
     };
+    if result.is_err() && state.ends_body.load(Ordering::Relaxed) {
+        reset_on_close(&stream);
+    }
     let refused_head = result.as_ref().is_err_and(hyper::Error::is_parse);
     if let Err(error) = result {
         log::debug!(error:%; "a caller's connection failed");
@@ -396,6 +405,14 @@
     }
 }
 
+/// Makes the close of a connection a reset, so that an incomplete body that ends with it does not look
+/// complete.
+fn reset_on_close(stream: &TcpStream) {
+    if let Err(error) = set_socket_linger(stream, Some(Duration::ZERO)) {
+        log::debug!(error:%; "a connection can't be reset");
+    }
+}
+
 /// Keeps the request in flight until the response body is sent. When draining, or if the request
 /// has not been read to its end, closes the connection after the response.
 fn finish_response(
