--- a/crates/tanagerhub/tests/support/deployment.rs
+++ b/crates/tanagerhub/tests/support/deployment.rs
@@ -3,11 +3,12 @@
 #![expect(dead_code, reason = "each test binary uses a part")]
 
 pub mod backend_server;
+pub mod memory_store;
+pub mod test_engines;
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use async_std::io::prelude::*;
@@ -16,28 +17,22 @@
 use http::request::Parts;
 use http::{HeaderMap, StatusCode};
 use tanagerhub::gateway::{
-    Adapters, BoxFuture, CallConditions, CallHead, Configuration, DecodedReport, Dialect,
-    EngineAnswer, Engines, Gateway, GatewayMetrics, GatewaySettings, HeadError, KeyHolder,
-    OperatorRow, ResponseKind, SelfReport, Store, Upstream,
+    Adapters, CallHead, Configuration, DecodedReport, Dialect, Engines, Gateway, GatewayMetrics,
+    GatewaySettings, HeadError, KeyHolder, OperatorRow, ResponseKind, SelfReport, Store, Upstream,
 };
 use tanagerhub_catalogue::{
     Catalogue, CatalogueVersion, Class, Entry, EntryId, EntryKind, Epoch, GroupId, Ingress,
     IngressRoute, KeyHash, Limits, RouteKind, RouteTarget, ServiceEntry, Vm, VmState,
 };
 use tanagerhub_clock::{Clock, ManualClock};
-use tanagerhub_groups::{
-    EngineSpec, GroupReport, GroupState, LoadLimit, ModelSpec, Order, OrderResult, ProbeFailure,
-    VmReport,
-};
+use tanagerhub_groups::{EngineSpec, GroupReport, GroupState, LoadLimit, ModelSpec, VmReport};
 use tanagerhub_proxy::ServerLimits;
 use tanagerhub_standins::unused_address;
-use tanagerhub_table::{
-    CommitResult, FeedError, FeedPage, RowKey, RowVersion, StoreTime, Transaction, VersionedRow,
-    Write,
-};
 use xxhash_rust::xxh3::xxh3_64;
 
 pub use self::backend_server::{BackendServer, Script};
+pub use self::memory_store::MemoryStore;
+pub use self::test_engines::TestEngines;
 
 /// The data centre of all backend servers.
 const DATA_CENTRE: &str = "here";
@@ -50,173 +45,6 @@
 /// The interval at which the manual clock follows real time.
 const CLOCK_STEP: Duration = Duration::from_millis(1);
 
-/// An in-memory store.
-#[derive(Debug, Default)]
-pub struct MemoryStore {
-    rows: Mutex<Rows>,
-    /// Whether all reads fail.
-    pub down: AtomicBool,
-    /// The waits of all calls for changes, in order; the store doesn't wait for them.
-    pub waits: Mutex<Vec<Duration>>,
-}
-
-#[derive(Debug, Default)]
-struct Rows {
-    /// All changes, in order.
-    changes: Vec<VersionedRow>,
-    version: u64,
-}
-
-impl MemoryStore {
-    pub fn put(&self, table: &str, name: &str, value: &str) {
-        let mut rows = self.rows();
-        rows.put(
-            RowKey::in_table(table, name),
-            Some(value.as_bytes().to_vec()),
-        );
-    }
-
-    pub fn remove(&self, table: &str, name: &str) {
-        self.rows().put(RowKey::in_table(table, name), None);
-    }
-
-    /// Writes a row and removes it, so that one page of the feed contains both changes.
-    pub fn put_and_remove(&self, table: &str, name: &str, value: &str) {
-        let mut rows = self.rows();
-        let key = RowKey::in_table(table, name);
-        rows.put(key.clone(), Some(value.as_bytes().to_vec()));
-        rows.put(key, None);
-    }
-
-    fn rows(&self) -> MutexGuard<'_, Rows> {
-        self.rows.lock().unwrap()
-    }
-
-    fn page(&self, table: &str, after: Option<RowVersion>) -> Result<FeedPage, FeedError> {
-        if self.down.load(Ordering::SeqCst) {
-            let reason = "down".to_owned();
-            return Err(FeedError::Unavailable { reason });
-        }
-        let rows = self.rows();
-        let mut list = match after {
-            Some(after) => rows.since(after),
-            None => rows.newest(),
-        };
-        list.retain(|row| row.key.table() == table);
-        Ok(FeedPage {
-            rows: list,
-            version: RowVersion(rows.version),
-            at: StoreTime(0),
-        })
-    }
-}
-
-impl Rows {
-    fn put(&mut self, key: RowKey, value: Option<Vec<u8>>) {
-        self.version += 1;
-        let version = RowVersion(self.version);
-        self.changes.push(VersionedRow {
-            key,
-            version,
-            value,
-        });
-    }
-
-    fn since(&self, after: RowVersion) -> Vec<VersionedRow> {
-        let changes = self.changes.iter();
-        changes.filter(|row| row.version > after).cloned().collect()
-    }
-
-    fn newest(&self) -> Vec<VersionedRow> {
-        let changes = self.changes.iter();
-        let newest: BTreeMap<&RowKey, &VersionedRow> = changes.map(|row| (&row.key, row)).collect();
-        let present = newest.into_values().filter(|row| row.value.is_some());
-        present.cloned().collect()
-    }
-}
-
-impl Store for MemoryStore {
-    fn commit(&self, transaction: Transaction) -> BoxFuture<'_, CommitResult> {
-        let mut rows = self.rows();
-        for write in transaction.writes {
-            match write {
-                Write::Put { key, value } => rows.put(key, Some(value)),
-                Write::Delete { key } => rows.put(key, None),
-            }
-        }
-        let version = RowVersion(rows.version);
-        Box::pin(async move { CommitResult::Applied(version) })
-    }
-
-    fn read(&self, table: &'static str) -> BoxFuture<'_, Result<FeedPage, FeedError>> {
-        Box::pin(async move { self.page(table, None) })
-    }
-
-    fn follow(
-        &self,
-        table: &'static str,
-        after: RowVersion,
-        wait: Duration,
-    ) -> BoxFuture<'_, Result<FeedPage, FeedError>> {
-        self.waits.lock().unwrap().push(wait);
-        Box::pin(async move { self.page(table, Some(after)) })
-    }
-}
-
-/// Engines that accept no orders and report the previous state.
-#[derive(Debug, Default)]
-pub struct TestEngines {
-    /// Names of VMs that don't respond to probes.
-    pub unreachable: Mutex<BTreeSet<String>>,
-    /// Names of VMs that report in each response to a probe that they leave.
-    pub leaving: Mutex<BTreeSet<String>>,
-    /// The number of probes of each VM.
-    pub probes: Mutex<HashMap<String, usize>>,
-}
-
-impl Engines for TestEngines {
-    fn order<'a>(
-        &'a self,
-        _name: &'a str,
-        _address: SocketAddr,
-        _order: &'a Order,
-        conditions: CallConditions<'a>,
-    ) -> BoxFuture<'a, EngineAnswer<OrderResult>> {
-        let is_sent = (conditions.may_send)();
-        let result = if is_sent {
-            OrderResult::NotSent
-        } else {
-            OrderResult::Paused
-        };
-        Box::pin(async move { result.into() })
-    }
-
-    fn report<'a>(
-        &'a self,
-        known: &'a VmReport,
-        conditions: CallConditions<'a>,
-    ) -> BoxFuture<'a, EngineAnswer<Result<VmReport, ProbeFailure>>> {
-        if !(conditions.may_send)() {
-            return Box::pin(async { Err(ProbeFailure::Paused).into() });
-        }
-        let names = &self.leaving;
-        let leaving = names.lock().unwrap().contains(&known.vm.name);
-        *self
-            .probes
-            .lock()
-            .unwrap()
-            .entry(known.vm.name.clone())
-            .or_default() += 1;
-        let responds = !self.unreachable.lock().unwrap().contains(&known.vm.name);
-        let result = responds
-            .then(|| known.clone())
-            .ok_or(ProbeFailure::Unanswered);
-        let mut answer = EngineAnswer::from(result);
-        answer.report.report.leaving = leaving;
-        Box::pin(async { answer })
-    }
-}
-
 /// A format in which a configuration row contains the version of a configuration that the test has
 /// prepared.
 #[derive(Debug, Default)]
