--- a/review/standin/client.rs
+++ b/review/standin/client.rs
@@ -15,9 +15,12 @@
 #[derive(Debug, Clone)]
 pub struct Sent {
     pub at_ms: u64,
+    pub done_ms: u64,
     pub id: String,
     pub key: String,
     pub status: Option<u16>,
+    /// The stamp of the replica that answered.
+    pub server: Option<String>,
 }
 
 static NEXT: AtomicU64 = AtomicU64::new(1);
@@ -56,9 +59,11 @@
     record.line(&format!("answer {id} {status:?} stamp {server:?}"));
     Sent {
         at_ms,
+        done_ms: record.ms(),
         id,
         key: key.to_owned(),
         status,
+        server,
     }
 }
 
@@ -120,9 +125,11 @@
     record.line(&format!("answer {id} {status:?}"));
     Sent {
         at_ms,
+        done_ms: record.ms(),
         id,
         key: key.to_owned(),
         status,
+        server: None,
     }
 }
 
--- a/review/standin/desk.rs
+++ b/review/standin/desk.rs
@@ -79,6 +79,15 @@
         desk
     }
 
+    /// Begins to leave without a report to the store: all answers say so from now on.
+    pub fn leave(&self) {
+        *self.registers.lock().unwrap() = false;
+        self.extra
+            .lock()
+            .unwrap()
+            .push(("Server-Leaving".into(), "1".into()));
+    }
+
     /// Keeps the entry in the store; an entry that is the same but for `seq` isn't written.
     fn register(&self, store: &Store) {
         let mut seq = 0;
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -5,12 +5,14 @@
 mod case_era_key;
 mod case_era_two;
 mod case_last_key;
+mod case_leaving;
 mod client;
 mod desk;
 mod engine;
 mod http;
 mod json;
 mod node;
+mod proxy;
 mod record;
 mod store;
 
@@ -50,6 +52,7 @@
         "last-key" => case_last_key::run(&setup),
         "era-key" => case_era_key::run(&setup),
         "era-two" => case_era_two::run(&setup),
+        "leaving" => case_leaving::run(&setup),
         _ => Err(format!("no case {case}")),
     };
     let status = match result {
