--- a/review/standin/desk.rs
+++ b/review/standin/desk.rs
@@ -21,6 +21,8 @@
     pub id: String,
     pub server: String,
     pub tenant: Option<String>,
+    /// The key that was passed on with the request.
+    pub key: Option<String>,
 }
 
 pub struct Desk {
@@ -140,12 +142,17 @@
             return echoed(Response::empty(421).with("X-Tanagerhub-Not-Run", "1"));
         }
         let tenant = request.header("X-Tanagerhub-Tenant").map(str::to_owned);
-        record.line(&format!("run    {id} at {} tenant {tenant:?}", self.id));
+        let key = request.header("Authorization").map(str::to_owned);
+        record.line(&format!(
+            "run    {id} at {} tenant {tenant:?} key {key:?}",
+            self.id
+        ));
         let run = Run {
             at_ms: record.ms(),
             id: id.clone(),
             server: self.id.clone(),
             tenant,
+            key,
         };
         runs.lock().unwrap().push(run);
         thread::sleep(WORK);
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -6,6 +6,7 @@
 mod case_era_two;
 mod case_last_key;
 mod case_leaving;
+mod case_public;
 mod client;
 mod desk;
 mod engine;
@@ -52,6 +53,7 @@
         "last-key" => case_last_key::run(&setup),
         "era-key" => case_era_key::run(&setup),
         "era-two" => case_era_two::run(&setup),
+        "public" => case_public::run(&setup),
         "leaving" => case_leaving::run(&setup),
         _ => Err(format!("no case {case}")),
     };
