--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2021 -O -o target/review/standin review/standin/main.rs
+rustc --edition 2024 -O -o target/review/standin review/standin/main.rs
--- a/review/standin/desk.rs
+++ b/review/standin/desk.rs
@@ -17,10 +17,8 @@
 /// A run of a request.
 #[derive(Debug, Clone)]
 pub struct Run {
-    pub at_ms: u64,
     pub id: String,
     pub server: String,
-    pub tenant: Option<String>,
     /// The key that was passed on with the request.
     pub key: Option<String>,
 }
@@ -148,10 +146,8 @@
             self.id
         ));
         let run = Run {
-            at_ms: record.ms(),
             id: id.clone(),
             server: self.id.clone(),
-            tenant,
             key,
         };
         runs.lock().unwrap().push(run);
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -216,6 +216,7 @@
         for (name, value) in &response.headers {
             head.push_str(&format!("{name}: {value}\r\n"));
         }
+        let _guard = response.guard;
         if response.pieces.is_empty() {
             head.push_str(&format!("Content-Length: {}\r\n\r\n", response.body.len()));
             let mut bytes = head.into_bytes();
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -17,6 +17,7 @@
 mod record;
 mod store;
 
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::path::PathBuf;
 use std::process::exit;
 
@@ -49,14 +50,15 @@
     setup
         .record
         .say(&format!("case {case}, disruption: {}", setup.trouble));
-    let result = match case.as_str() {
+    let result = catch_unwind(AssertUnwindSafe(|| match case.as_str() {
         "last-key" => case_last_key::run(&setup),
         "era-key" => case_era_key::run(&setup),
         "era-two" => case_era_two::run(&setup),
         "public" => case_public::run(&setup),
         "leaving" => case_leaving::run(&setup),
         _ => Err(format!("no case {case}")),
-    };
+    }))
+    .unwrap_or_else(|_| Err("the stand-in panicked".into()));
     let status = match result {
         Ok(broken) if broken.is_empty() => {
             setup.record.say("the rule held");
--- a/review/standin/node.rs
+++ b/review/standin/node.rs
@@ -1,7 +1,9 @@
 //! The project's program as a process, with the command of the deploy file.
 
 use std::fs;
+use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::thread;
@@ -40,7 +42,6 @@
 
 pub struct Node {
     pub name: String,
-    pub zone: String,
     pub ip: Ipv4Addr,
     settings: PathBuf,
     program: PathBuf,
@@ -108,7 +109,6 @@
         Self {
             log: folder.join(format!("{name}.log")),
             program: program.to_owned(),
-            zone: zone.to_owned(),
             name,
             ip,
             settings,
@@ -116,12 +116,17 @@
         }
     }
 
-    pub fn start(&mut self) -> std::io::Result<()> {
+    pub fn start(&mut self) -> io::Result<()> {
         let log = fs::OpenOptions::new()
             .create(true)
             .append(true)
             .open(&self.log)?;
-        let child = Command::new(&self.program)
+        let mut command = Command::new(&self.program);
+        // SAFETY: the call between fork and exec is async-signal-safe.
+        unsafe {
+            command.pre_exec(end_with_parent);
+        }
+        let child = command
             .args(["--metrics", "9464"])
             .env("TANAGERHUB_SETTINGS", &self.settings)
             .stdin(Stdio::null())
@@ -136,10 +141,6 @@
         SocketAddr::from((self.ip, 8227))
     }
 
-    pub fn pid(&self) -> u32 {
-        self.child.as_ref().map_or(0, Child::id)
-    }
-
     pub fn is_ready(&self) -> bool {
         let request = Request {
             method: "GET".into(),
@@ -160,23 +161,21 @@
         }
         false
     }
+}
 
-    /// Sends a signal by the name that `kill` knows.
-    pub fn signal(&self, name: &str) {
-        let pid = self.pid().to_string();
-        drop(
-            Command::new("kill")
-                .args([&format!("-{name}"), &pid])
-                .status(),
-        );
-    }
+unsafe extern "C" {
+    fn prctl(option: i32, ...) -> i32;
+}
 
-    /// Returns whether the process has ended by itself.
-    pub fn has_ended(&mut self) -> bool {
-        self.child
-            .as_mut()
-            .is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))))
+/// Has the system kill this process when the one that started it ends.
+fn end_with_parent() -> io::Result<()> {
+    const PR_SET_PDEATHSIG: i32 = 1;
+    const SIGKILL: usize = 9;
+    // SAFETY: this option takes one number and no pointer.
+    if unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL) } == 0 {
+        return Ok(());
     }
+    Err(io::Error::last_os_error())
 }
 
 impl Drop for Node {
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -76,10 +76,6 @@
         self.state.lock().unwrap_or_else(|error| error.into_inner())
     }
 
-    pub fn is_up(&self) -> bool {
-        !self.lock().away
-    }
-
     pub fn version(&self) -> u64 {
         self.lock().now.ver
     }
@@ -117,13 +113,6 @@
             .map(|(_, value)| value.clone())
     }
 
-    pub fn rows(&self, table: &str) -> Vec<(String, u64, Vec<u8>)> {
-        let state = self.lock();
-        let rows = state.now.rows.iter().filter(|(key, _)| key.0 == table);
-        rows.map(|(key, (ver, value))| (key.2.clone(), *ver, value.clone()))
-            .collect()
-    }
-
     pub fn copy(&self) -> Copy {
         self.lock().now.clone()
     }
