--- a/review/standin/case_era_two.rs
+++ b/review/standin/case_era_two.rs
@@ -95,7 +95,7 @@
     }
     let added = record.ms();
     record.line("ten replicas are added");
-    // The store's copy is made while the new replicas load their model. The drill comes after three groups of
+    // The store's copy is made while the new replicas load their model. The drill comes after four groups of
     // them are open, about three seconds later.
     let mut copy = (record.ms(), store.copy());
     while engines
@@ -103,17 +103,17 @@
         .into_iter()
         .filter(|head| head.starts_with("i-3"))
         .count()
-        < 3
+        < 4
     {
         if record.ms() > added + 40_000 {
-            return Err("no three groups were formed of the new replicas".into());
+            return Err("no four groups were formed of the new replicas".into());
         }
         if !engines.has_staged("i-3") {
             copy = (record.ms(), store.copy());
         }
         thread::sleep(Duration::from_millis(50));
     }
-    record.line("three groups of the new replicas are open");
+    record.line("four groups of the new replicas are open");
     thread::sleep(Duration::from_millis(200));
     if setup.trouble {
         let (at, copy) = copy;
