--- a/review/standin/engine.rs
+++ b/review/standin/engine.rs
@@ -18,6 +18,8 @@
 const FORM: Duration = Duration::from_millis(300);
 /// The time of a join whose model was that of the member's last group.
 const REJOIN: Duration = Duration::from_millis(200);
+/// The time after which a group without a member is broken: `stall_ms`.
+const STALL: Duration = Duration::from_secs(5);
 /// The events of a stream, and the pause before each.
 const EVENTS: usize = 35;
 const GAP: Duration = Duration::from_millis(50);
@@ -39,6 +41,7 @@
     Opening,
     Open,
     Closing,
+    Broken,
 }
 
 #[derive(Debug, Clone)]
@@ -65,6 +68,8 @@
     last_model: Option<String>,
     top_epoch: u64,
     group: Option<Group>,
+    /// Since when a member of the group that it serves has been in another one or in none.
+    incomplete_since: Option<Instant>,
     /// Streams that run here.
     running: Arc<AtomicUsize>,
     /// The entry that was written last.
@@ -120,6 +125,7 @@
             last_model: None,
             top_epoch: 0,
             group: None,
+            incomplete_since: None,
             running: Arc::default(),
             written: String::new(),
             next_beat: Instant::now() + HEARTBEAT.mul_f64(phase),
@@ -167,6 +173,7 @@
             for vm in self.lock().iter_mut() {
                 vm.carry_on(now, &self.record);
             }
+            break_incomplete(&mut self.lock(), now, &self.record);
             self.write_changed();
             self.beat(now);
         }
@@ -255,6 +262,10 @@
             .unwrap_or_default();
         let vms = self.lock();
         let vm = vms.iter().find(|vm| vm.id == id);
+        let stage = vm.and_then(|vm| vm.group.as_ref()).map(|group| group.stage);
+        if stage == Some(Stage::Broken) {
+            return Response::empty(503).with("X-Tanagerhub-Not-Run", "1");
+        }
         let open = vm.filter(|vm| vm.group.as_ref().is_some_and(|it| it.stage == Stage::Open));
         let Some(vm) = open else {
             return Response::empty(421).with("X-Tanagerhub-Not-Run", "1");
@@ -319,6 +330,33 @@
     }
 }
 
+/// Breaks the groups at whose heads a member has been missing for the time of `stall_ms`.
+fn break_incomplete(vms: &mut [Vm], now: Instant, record: &Record) {
+    let own = |vm: &Vm| vm.group.as_ref().map(|it| (it.name.clone(), it.epoch));
+    let all: Vec<_> = vms.iter().map(|vm| (vm.id.clone(), own(vm))).collect();
+    for vm in vms.iter_mut() {
+        let key = own(vm);
+        let Some(group) = &mut vm.group else {
+            vm.incomplete_since = None;
+            continue;
+        };
+        let takes_part = |id: &String| {
+            all.iter()
+                .any(|(other, group)| other == id && *group == key)
+        };
+        let serves = matches!(group.stage, Stage::Open | Stage::Closing);
+        if !serves || group.members.iter().all(takes_part) {
+            vm.incomplete_since = None;
+            continue;
+        }
+        let since = *vm.incomplete_since.get_or_insert(now);
+        if now.duration_since(since) >= STALL {
+            group.stage = Stage::Broken;
+            record.line(&format!("{} is Broken in group {}", vm.id, group.name));
+        }
+    }
+}
+
 /// Returns how a join breaks the rule TWO: the head of the member's group is open or closing.
 fn breaks_two(vms: &[Vm], at: usize, order: &Json) -> Option<String> {
     let (vm, name) = (&vms[at], order.text("group"));
@@ -328,9 +366,10 @@
     }
     let head = vms.iter().find(|it| Some(&it.id) == own.members.first())?;
     let theirs = head.group.as_ref()?;
+    // While an `open` is carried out the head is ready, not open.
     let serves = theirs.name == own.name
         && theirs.epoch == own.epoch
-        && matches!(theirs.stage, Stage::Opening | Stage::Open | Stage::Closing);
+        && matches!(theirs.stage, Stage::Open | Stage::Closing);
     serves.then(|| {
         format!(
             "{} takes a join of group {name} (epoch {}) while {}, the head of its group {} (epoch {}), is {:?}",
@@ -505,6 +544,7 @@
             Stage::Ready | Stage::Opening => "ready",
             Stage::Open => "open",
             Stage::Closing => "closing",
+            Stage::Broken => "broken",
         };
         fields.push_str(&format!(
             "{{\"name\":{},\"version\":1,\"adapters\":[]}}],\"group\":{{\"name\":{},\"epoch\":{},\"rank\":{rank},\
