Refuse every key once a configuration holds none

Cause: the keys of all tenants were merged into one map, and an empty map meant that callers need no key. A configuration without the field tenants, with an empty list and with tenants without keys were one value. Fix: the keys are None only if the field is missing; an empty map accepts no key. This works since the field alone decides, whatever is in it.

--- a/crates/tanagerhub/src/gateway/configuration.rs
+++ b/crates/tanagerhub/src/gateway/configuration.rs
@@ -28,8 +28,8 @@
     pub memory_tokens: HashMap<EntryId, u64>,
     /// The time in which a group of each model reads a prompt token, where the platform tells.
     pub token_read_times: HashMap<EntryId, Duration>,
-    /// The holder of each key; if the map is empty, callers need no key.
-    pub keys: HashMap<KeyHash, KeyHolder>,
+    /// The holder of each key; `None` if callers need no key. An empty map accepts no key.
+    pub keys: Option<HashMap<KeyHash, KeyHolder>>,
     /// The limits of callers' connections.
     pub limits: ServerLimits,
     /// The maximum size of a request body in bytes.
--- a/crates/tanagerhub/src/gateway/front.rs
+++ b/crates/tanagerhub/src/gateway/front.rs
@@ -254,15 +254,15 @@
         route: &IngressRoute,
         head: &CallHead,
     ) -> Result<Option<&'a KeyHolder>, Failure> {
-        if route.public || configuration.keys.is_empty() {
+        let Some(keys) = configuration.keys.as_ref().filter(|_| !route.public) else {
             return Ok(None);
-        }
+        };
         if !self.shared.are_keys_valid() {
             let reason = "the store has not confirmed the keys for too long";
             return Err(Failure::unavailable(reason, NOT_READY_RETRY_AFTER));
         }
         let key = head.key.as_deref().map(KeyHash::of);
-        let holder = key.and_then(|key| configuration.keys.get(&key));
+        let holder = key.and_then(|key| keys.get(&key));
         let unknown = || Failure::new(StatusCode::UNAUTHORIZED, "the key is unknown");
         holder.map(Some).ok_or_else(unknown)
     }
--- a/crates/tanagerhub/tests/gateway.rs
+++ b/crates/tanagerhub/tests/gateway.rs
@@ -30,6 +30,8 @@
 
 /// Far longer than any response takes; it only keeps a fault from blocking the test run.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(5);
+/// The time within which a configuration is in force.
+const CONFIGURATION_DELAY: Duration = Duration::from_secs(2);
 
 #[test]
 fn refuse_without_configuration() {
@@ -62,6 +64,41 @@
     });
 }
 
+/// Guards against a gateway that accepts every request, with any key, once its configuration holds
+/// no key any more.
+#[parameterized(
+    revoked = { "key: k1\r\n" },
+    unknown = { "key: k9\r\n" },
+    none = { "" },
+)]
+fn last_key_revoked(headers: &str) {
+    task::block_on(async {
+        let desk = BackendServer::start(vec![Script::response(200, "id: 1\r\n", "hello")]).await;
+        let mut setup = TestSetup::with_backends(&[("desk", &desk)]).await;
+        setup.configure(&[]);
+        task::sleep(CONFIGURATION_DELAY).await;
+        for path in ["/safe/", "/unsafe/"] {
+            let response = setup.send_with_headers("GET", path, headers).await;
+            assert_eq!(status(&response), 401, "{response}");
+        }
+        assert_eq!(desk.request_heads().len(), 0);
+        let response = setup.send_with_headers("GET", "/public/", "").await;
+        assert_eq!(status(&response), 200, "{response}");
+    });
+}
+
+#[test]
+fn configuration_without_keys_accepts_all() {
+    task::block_on(async {
+        let desk = BackendServer::start(vec![Script::response(200, "id: 1\r\n", "hello")]).await;
+        let mut setup = TestSetup::with_backends(&[("desk", &desk)]).await;
+        setup.configure_without_keys();
+        task::sleep(CONFIGURATION_DELAY).await;
+        let response = setup.send_with_headers("GET", "/safe/", "").await;
+        assert_eq!(status(&response), 200, "{response}");
+    });
+}
+
 #[test]
 fn refuse_long_body() {
     task::block_on(async {
--- a/crates/tanagerhub/tests/support/deployment.rs
+++ b/crates/tanagerhub/tests/support/deployment.rs
@@ -370,6 +370,15 @@
 
     /// The same with another service in place of `desk`.
     pub fn configure_with(&mut self, keys: &[&str], desk: &str) {
+        self.publish(Some(keys), desk);
+    }
+
+    /// The same for callers that need no key.
+    pub fn configure_without_keys(&mut self) {
+        self.publish(None, "desk");
+    }
+
+    fn publish(&mut self, keys: Option<&[&str]>, desk: &str) {
         self.version += 1;
         let route = |prefix: &str, kind, service: &str, public| {
             let mut route = IngressRoute::new("shop", prefix);
@@ -433,14 +442,14 @@
             start_limits: self.start_limits.clone(),
             memory_tokens: HashMap::new(),
             token_read_times: HashMap::new(),
-            keys: keys
-                .iter()
-                .map(|key| {
+            keys: keys.map(|keys| {
+                let holders = keys.iter().map(|key| {
                     let priority = (*key == "batch").then_some(2);
                     let holder = holder.clone();
                     (KeyHash::of(key), KeyHolder { priority, ..holder })
-                })
-                .collect(),
+                });
+                holders.collect()
+            }),
             limits: ServerLimits::default(),
             max_body_bytes: self.max_body_bytes,
         });
