Answer 404 on a route that leads to no service

Callers saw: nothing on the users' platform, whose configurations are valid. Cause: no target and the empty name were one value (unwrap_or_default). Fix: a route without a target answers 404 before anything is sent. Test: route_without_service failed before (200, and the backend server got the request) and passes now.

--- a/crates/tanagerhub/src/gateway/front.rs
+++ b/crates/tanagerhub/src/gateway/front.rs
@@ -311,7 +311,8 @@
     route: &IngressRoute,
 ) -> Result<EntryId, Failure> {
     let id = xxh3_64(head.id.as_bytes());
-    let service = route.target(id).unwrap_or_default();
+    let no_service = || Failure::new(StatusCode::NOT_FOUND, "the route leads to no service");
+    let service = route.target(id).ok_or_else(no_service)?;
     let entry = configuration.entry(service, head.model.as_deref());
     entry.ok_or_else(|| Failure::new(StatusCode::NOT_FOUND, "the service has no such model"))
 }
--- a/crates/tanagerhub/tests/gateway.rs
+++ b/crates/tanagerhub/tests/gateway.rs
@@ -99,6 +99,20 @@
     });
 }
 
+/// Guards against a route without a service whose requests go to the service with the empty name.
+#[test]
+fn route_without_service() {
+    task::block_on(async {
+        let other = BackendServer::start(vec![Script::response(200, "id: 1\r\n", "hello")]).await;
+        let mut setup = TestSetup::with_backends(&[("", &other)]).await;
+        setup.configure_with(&["k1"], "");
+        task::sleep(CONFIGURATION_DELAY).await;
+        let response = setup.send("GET", "/bare/").await;
+        assert_eq!(status(&response), 404, "{response}");
+        assert_eq!(other.request_heads().len(), 0);
+    });
+}
+
 #[test]
 fn refuse_long_body() {
     task::block_on(async {
--- a/crates/tanagerhub/tests/support/deployment.rs
+++ b/crates/tanagerhub/tests/support/deployment.rs
@@ -414,6 +414,10 @@
                 false,
             )
         });
+        let bare = IngressRoute {
+            targets: Vec::new(),
+            ..route("/bare/", RouteKind::Idempotent, desk, false)
+        };
         let holder = KeyHolder {
             organisation: Arc::from("fit"),
             priority: None,
@@ -435,6 +439,7 @@
                     route("/grouped/", RouteKind::ResumableStream, ENGINE, false),
                 ]
                 .into_iter()
+                .chain([bare])
                 .chain(more)
                 .collect(),
             ),
