Keep live nodes known when the store returns from a copy

Seen by reading, then by a test: after the return all presence rows have lower versions than known ones, and were passed over until the counter had caught up. A copy could also tell of the past: a planner that had resigned, or a node that had stopped. Fix: they are ordered by era and version. A restored row tells nothing new of a known node unless its process wrote it later; a node whose row the store lost stays while it may be live; each node writes its row again at once.

--- a/crates/tanagerhub/src/gateway/control.rs
+++ b/crates/tanagerhub/src/gateway/control.rs
@@ -143,6 +143,8 @@
     capacity: CapacityView,
     /// The generation of the last published snapshot; 0 before the first one.
     generation: u64,
+    /// How often the store had returned from a copy when this node last wrote its rows again.
+    store_returns: u64,
 }
 
 impl GatewayControl {
@@ -207,6 +209,7 @@
             self.handle_groups_event(now, GroupsEvent::InUse);
         }
         self.handle_groups_event(now, GroupsEvent::Tick);
+        self.check_store_return();
         self.update_presence(now);
         self.publish_routes(now);
         self.update_capacity(now);
@@ -220,6 +223,14 @@
             .record_routes(self.view.heads.len(), self.shared.age());
     }
 
+    /// Has this node's row written again once the store has returned from a copy.
+    fn check_store_return(&mut self) {
+        let returns = self.eras.returns();
+        if std::mem::replace(&mut self.view.store_returns, returns) != returns {
+            self.presence.write_again();
+        }
+    }
+
     /// Checks whether this node is cut off from most backend servers.
     fn update_reach(&mut self, now: Moment) {
         let revision = Some(self.groups.revision());
--- a/crates/tanagerhub/src/gateway/control/feeds.rs
+++ b/crates/tanagerhub/src/gateway/control/feeds.rs
@@ -185,10 +185,7 @@
             }
         };
         log_feed_recovery("nodes", &mut self.view.node_feed_failed);
-        if let Err(error) =
-            self.presence
-                .apply_rows(now, &page.rows, update.kind != PageKind::Changes)
-        {
+        if let Err(error) = self.presence.apply_page(now, &page, update.kind) {
             self.metrics.unreadable_value("node", &error);
         }
         self.view.node_rows_current = true;
--- a/crates/tanagerhub_groups/src/presence.rs
+++ b/crates/tanagerhub_groups/src/presence.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use tanagerhub_catalogue::{DataCentreId, NodeId};
 use tanagerhub_clock::Moment;
-use tanagerhub_table::{RowVersion, VersionedRow};
+use tanagerhub_table::{FeedPage, PageKind, StoreVersion};
 
 use crate::KnownBoots;
 use crate::relay_order::relay_order;
@@ -102,7 +102,7 @@
     /// Whether the newest row can't be decoded, as one of another build. The node counts as live,
     /// but it may be another process than the one of `last_row`.
     unreadable: bool,
-    version: RowVersion,
+    version: StoreVersion,
     updated_at: Moment,
     /// When an outage ended in which the node could not write its row.
     outage_end: Moment,
@@ -111,7 +111,7 @@
 }
 
 impl NodeEntry {
-    fn new(version: RowVersion, updated_at: Moment) -> Self {
+    fn new(version: StoreVersion, updated_at: Moment) -> Self {
         Self {
             last_row: None,
             unreadable: true,
@@ -151,9 +151,15 @@
         })
     }
 
+    /// Returns whether the process that wrote the newest row wrote this one later.
+    fn is_continued_by(&self, row: &PresenceRow) -> bool {
+        let last = self.last_row.as_ref();
+        last.is_none_or(|last| last.boot == row.boot && last.write_count < row.write_count)
+    }
+
     /// Applies a newer row, unless the previous boot wrote it. `None` is a row that can't be
     /// decoded.
-    fn update(&mut self, row: Option<PresenceRow>, version: RowVersion, updated_at: Moment) {
+    fn update(&mut self, row: Option<PresenceRow>, version: StoreVersion, updated_at: Moment) {
         self.version = version;
         if let Some(row) = row {
             if self.previous_boot == Some(row.boot) {
@@ -203,45 +209,52 @@
         self
     }
 
-    /// Applies changed rows. If `all` is set, nodes without a row are removed.
+    /// Applies a page of rows. Nodes without a row are removed by one with all rows, unless the
+    /// store lost their rows and they may still be live.
+    ///
+    /// A restored page tells nothing new of a known node, as it may be older than what is known.
     ///
     /// # Errors
     ///
     /// Returns the error of the first row that can't be decoded; the other rows are still applied.
     /// The node of such a row counts as live, with nothing else known of it: its share of limits is
     /// its own, whatever its build.
-    pub fn apply_rows(
+    pub fn apply_page(
         &mut self,
         now: Moment,
-        rows: &[VersionedRow],
-        all: bool,
+        page: &FeedPage,
+        kind: PageKind,
     ) -> Result<(), RowError> {
         if std::mem::take(&mut self.read_failed) {
             self.end_outage(now);
         }
         self.read_at = Some(now);
-        if all {
-            let listed = |name: &String| rows.iter().any(|row| row.key.name() == name);
-            self.nodes.retain(|name, _| listed(name));
+        if kind == PageKind::All {
+            self.remove_unlisted(now, page);
         }
         let mut result = Ok(());
-        for row in rows {
+        for row in &page.rows {
             let name = row.key.name();
             let Some(value) = &row.value else {
                 self.nodes.remove(name);
                 continue;
             };
-            if self
-                .nodes
-                .get(name)
-                .is_some_and(|entry| entry.version >= row.version)
+            let version = StoreVersion::new(page.era, row.version);
+            let known = self.nodes.get_mut(name);
+            if known.as_ref().is_some_and(|it| it.version >= version) {
+                continue;
+            }
+            let content = decode(&row.key, value);
+            if let Some(known) = known.filter(|_| kind == PageKind::Restored)
+                && !content.as_ref().is_ok_and(|row| known.is_continued_by(row))
             {
+                known.version = version;
                 continue;
             }
-            match decode(&row.key, value) {
-                Ok(content) => self.update_node(now, name, Some(content), row.version),
+            match content {
+                Ok(content) => self.update_node(now, name, Some(content), version),
                 Err(error) => {
-                    self.update_node(now, name, None, row.version);
+                    self.update_node(now, name, None, version);
                     result = result.and(Err(error));
                 }
             }
@@ -249,6 +262,22 @@
         result
     }
 
+    /// Removes the nodes without a row. Those whose row was lost with an earlier era stay while
+    /// they may be live; they write it again once they notice.
+    fn remove_unlisted(&mut self, now: Moment, page: &FeedPage) {
+        let timeout = self.write_interval() * MISSED_WRITES_LIMIT;
+        let listed: BTreeSet<&str> = page.rows.iter().map(|row| row.key.name()).collect();
+        self.nodes.retain(|name, entry| {
+            let is_lost = entry.version.era < page.era && now.since(entry.updated_at) < timeout;
+            is_lost || listed.contains(name.as_str())
+        });
+    }
+
+    /// Has this node's row written at the next tick, since the store may have lost it.
+    pub const fn write_again(&mut self) {
+        self.written_at = None;
+    }
+
     /// Records that reading the rows failed. Until the next success no node ages, since none may be
     /// able to write its row.
     pub const fn record_read_failure(&mut self) {
@@ -318,7 +347,7 @@
         now: Moment,
         name: &str,
         row: Option<PresenceRow>,
-        version: RowVersion,
+        version: StoreVersion,
     ) {
         let entry = self
             .nodes
--- a/crates/tanagerhub_groups/tests/presence.rs
+++ b/crates/tanagerhub_groups/tests/presence.rs
@@ -7,11 +7,27 @@
 use tanagerhub_catalogue::{DataCentreId, NodeId};
 use tanagerhub_clock::Moment;
 use tanagerhub_groups::{KnownBoots, Presence, PresenceAction, RelayEndpoint, SUCCESSOR_COUNT};
-use tanagerhub_table::{RowKey, RowVersion, VersionedRow};
+use tanagerhub_table::{FeedPage, PageKind, RowKey, RowVersion, StoreEra, StoreTime, VersionedRow};
 use yare::parameterized;
 
 const SECOND: Duration = Duration::from_secs(1);
 
+fn page(rows: &[VersionedRow]) -> FeedPage {
+    FeedPage {
+        rows: rows.to_vec(),
+        version: RowVersion(0),
+        at: StoreTime(0),
+        era: None,
+    }
+}
+
+fn page_of_era(era: u64, rows: &[VersionedRow]) -> FeedPage {
+    FeedPage {
+        era: Some(StoreEra(era)),
+        ..page(rows)
+    }
+}
+
 /// Nodes that read each other's rows at once while they are live.
 struct NodeFleet {
     now: Moment,
@@ -70,7 +86,11 @@
         };
         for (_, presence, _) in &mut self.nodes {
             presence
-                .apply_rows(self.now, std::slice::from_ref(&row), false)
+                .apply_page(
+                    self.now,
+                    &page(std::slice::from_ref(&row)),
+                    PageKind::Changes,
+                )
                 .unwrap();
         }
     }
@@ -179,10 +199,14 @@
     let now = Moment::from_millis(1_000);
     let mut presence = Presence::new("node-b", 2, 0);
     presence
-        .apply_rows(now, &[row_of("node-a", 1, true, 1)], true)
+        .apply_page(now, &page(&[row_of("node-a", 1, true, 1)]), PageKind::All)
         .unwrap();
     presence
-        .apply_rows(now, &[row_of("node-a", 9, false, 2)], false)
+        .apply_page(
+            now,
+            &page(&[row_of("node-a", 9, false, 2)]),
+            PageKind::Changes,
+        )
         .unwrap();
     let known_boots = planning_boots(&mut presence, now).unwrap();
     assert_eq!(known_boots.ended, [1]);
@@ -198,7 +222,9 @@
         row_of("node-a", 9, false, 2),
         row_of("node-a", 1, true, 3),
     ] {
-        presence.apply_rows(now, &[row], false).unwrap();
+        presence
+            .apply_page(now, &page(&[row]), PageKind::Changes)
+            .unwrap();
     }
     assert!(!presence.has_other_planner(now));
     assert!(
@@ -224,7 +250,9 @@
             value: Some(value.clone()),
         };
         let now = Moment::from_millis(1_000);
-        presence.apply_rows(now, &[row], false).unwrap();
+        presence
+            .apply_page(now, &page(&[row]), PageKind::Changes)
+            .unwrap();
     }
     presence
 }
@@ -361,7 +389,9 @@
         version: RowVersion(99),
         value: Some(value.clone()),
     };
-    presence.apply_rows(now, &[row], false).unwrap();
+    presence
+        .apply_page(now, &page(&[row]), PageKind::Changes)
+        .unwrap();
     let sending = presence.sending_peers(now);
     let listed = sending.iter().map(|peer| (peer.node, peer.stopping));
     let expected = [(NodeId::of("a-2"), false), (NodeId::of("b-1"), true)];
@@ -402,13 +432,23 @@
     let mut presence = Presence::new("node-1", 1, 0);
     if decoded_before {
         let rows = [row("node-0", 1, &first_value("node-0"))];
-        presence.apply_rows(now, &rows, true).unwrap();
+        presence
+            .apply_page(now, &page(&rows), PageKind::All)
+            .unwrap();
     }
     for version in 2..12 {
         now = now + 5 * SECOND;
         let rows = [row("node-0", version, &[0xff, 1, 2])];
         presence
-            .apply_rows(now, &rows, version % 2 == 0)
+            .apply_page(
+                now,
+                &page(&rows),
+                if version % 2 == 0 {
+                    PageKind::All
+                } else {
+                    PageKind::Changes
+                },
+            )
             .unwrap_err();
         assert_eq!(presence.live_nodes(now), 2);
         assert_eq!(presence.rank(now), 1);
@@ -430,13 +470,79 @@
     let mut now = Moment::from_millis(1_000);
     let mut presence = Presence::new("node-1", 1, 0);
     let rows = [row("node-0", 1, &first_value("node-0"))];
-    presence.apply_rows(now, &rows, true).unwrap();
+    presence
+        .apply_page(now, &page(&rows), PageKind::All)
+        .unwrap();
     now = now + SECOND;
     let rows = [row("node-0", 2, &[0xff, 1, 2])];
-    presence.apply_rows(now, &rows, false).unwrap_err();
+    presence
+        .apply_page(now, &page(&rows), PageKind::Changes)
+        .unwrap_err();
     let actions = presence.tick(now, true);
     let Some(PresenceAction::BecomePlanner(boots)) = actions.last() else {
         panic!("{actions:?}");
     };
     assert_eq!(*boots, KnownBoots::default());
 }
+
+/// Guards against nodes that count as ended after the store's return from a copy, since the new
+/// versions of their rows are lower than known ones.
+#[test]
+fn row_of_new_era_counts_with_lower_version() {
+    let mut now = Moment::from_millis(1_000);
+    let mut presence = Presence::new("node-1", 1, 0);
+    let before = page_of_era(1, &[row_of("node-0", 7, true, 90)]);
+    presence.apply_page(now, &before, PageKind::All).unwrap();
+    for version in 70..80 {
+        now = now + SECOND;
+        let rows = [row_of("node-0", 7, true, version)];
+        let page = page_of_era(2, &rows);
+        presence.apply_page(now, &page, PageKind::Changes).unwrap();
+    }
+    assert!(presence.has_other_planner(now));
+    assert_eq!(presence.live_nodes(now), 2);
+}
+
+/// Guards against a copy that tells of the past: a node that stops, or a process before the known
+/// one. The row that is written again counts, also with a version of the era before.
+#[test]
+fn restored_row_is_no_news() {
+    let now = Moment::from_millis(1_000);
+    let mut presence = Presence::new("node-1", 1, 0);
+    let known = page_of_era(1, &[row_of("node-0", 9, false, 90)]);
+    presence.apply_page(now, &known, PageKind::All).unwrap();
+    let copy = page_of_era(2, &[row_of("node-0", 5, true, 60)]);
+    presence.apply_page(now, &copy, PageKind::Restored).unwrap();
+    assert!(!presence.has_other_planner(now));
+    let again = page_of_era(2, &[row_of("node-0", 9, true, 61)]);
+    presence.apply_page(now, &again, PageKind::Changes).unwrap();
+    assert!(presence.has_other_planner(now));
+}
+
+/// Guards against shares of limits that grow since the store lost the rows of live nodes.
+#[test]
+fn node_lost_with_its_era_stays_while_live() {
+    let mut now = Moment::from_millis(1_000);
+    let mut presence = Presence::new("node-1", 1, 0);
+    let known = page_of_era(1, &[row_of("node-0", 9, false, 90)]);
+    presence.apply_page(now, &known, PageKind::All).unwrap();
+    let empty = page_of_era(2, &[]);
+    presence
+        .apply_page(now, &empty, PageKind::Restored)
+        .unwrap();
+    presence.apply_page(now, &empty, PageKind::All).unwrap();
+    assert_eq!(presence.live_nodes(now), 2);
+    now = now + 60 * SECOND;
+    presence.apply_page(now, &empty, PageKind::All).unwrap();
+    assert_eq!(presence.live_nodes(now), 1);
+}
+
+#[test]
+fn write_again_after_return() {
+    let now = Moment::from_millis(1_000);
+    let mut presence = Presence::new("node-1", 1, 0);
+    assert_eq!(presence.tick(now, false).len(), 1);
+    assert_eq!(presence.tick(now, false).len(), 0);
+    presence.write_again();
+    assert_eq!(presence.tick(now, false).len(), 1);
+}
