Count crashes whose rows the store has lost, and write them again

Cause: a list of rows from a copy was taken for the newest truth. Fix: a crash whose row is not among restored ones still counts, and the node that saw it writes the row again. One seen by a node that has ended counts at the nodes that know it until it expires or the list is read as complete. Test: crashes_count_after_store_return failed with restored lists taken as complete ones, and passes now.

--- a/crates/tanagerhub_traffic/src/crash_sharing.rs
+++ b/crates/tanagerhub_traffic/src/crash_sharing.rs
@@ -117,6 +117,9 @@
     /// Applies rows of the store: all of them, or those that have changed. Returns an error for each
     /// row whose value can't be decoded.
     ///
+    /// A crash whose row is not among restored ones still counts: the store lost the row, and the
+    /// node that saw the crash writes it again.
+    ///
     /// Such a row is no deleted one: a crash that is known under its key still counts, and the row
     /// stays in the store.
     pub fn apply_page(
@@ -125,19 +128,20 @@
         rows: &[VersionedRow],
         kind: PageKind,
     ) -> Vec<String> {
-        let all = kind != PageKind::Changes;
         let mut errors = Vec::new();
-        if all {
-            let listed = rows.iter().filter(|row| row.value.is_some());
-            let listed = listed.filter_map(|row| CrashKey::parse(row.key.name()));
-            self.retain_rows(&listed.collect());
+        let present = rows.iter().filter(|row| row.value.is_some());
+        let listed = present.filter_map(|row| CrashKey::parse(row.key.name()));
+        match kind {
+            PageKind::Changes => {}
+            PageKind::All => self.retain_rows(&listed.collect()),
+            PageKind::Restored => self.record_lost_rows(&listed.collect()),
         }
         for row in rows {
             let Some(key) = CrashKey::parse(row.key.name()) else {
                 continue;
             };
             match row.value.as_deref().map(CrashRow::decode) {
-                Some(Some(row)) => self.apply(now, key, row, all),
+                Some(Some(row)) => self.apply(now, key, row, kind != PageKind::Changes),
                 Some(None) => errors.push(format!("row \"{}\"", row.key)),
                 None => self.remove_row(key),
             }
@@ -224,6 +228,16 @@
         self.blame.is_outdated = true;
     }
 
+    /// Records that the store has lost the rows that are not listed.
+    fn record_lost_rows(&mut self, listed: &BTreeSet<CrashKey>) {
+        for (subject, record) in &mut self.records {
+            let events = record.events.iter_mut();
+            for event in events.filter(|event| !listed.contains(&event.key(*subject))) {
+                event.row = RowState::Absent;
+            }
+        }
+    }
+
     /// Drops crashes and suspicions that are too old to count. If `deletes_rows` is set, their rows
     /// are deleted from the store too.
     pub fn expire_events(&mut self, now: Moment, deletes_rows: bool) {
--- a/crates/tanagerhub_traffic/tests/crash_sharing.rs
+++ b/crates/tanagerhub_traffic/tests/crash_sharing.rs
@@ -261,6 +261,26 @@
     assert!(table.take_row_changes(at(10)).is_empty());
 }
 
+/// Guards against crashing requests that run again since the store returned from a copy without
+/// their rows: they still count, and the node that saw them writes them again.
+#[test]
+fn crashes_count_after_store_return() {
+    let mut table = CrashTable::new(QUARANTINE);
+    crash(&mut table, at(10), 1);
+    crash(&mut table, at(11), 2);
+    assert_eq!(table.take_row_changes(at(11)).puts.len(), 2);
+    table.apply_row(at(11), key(3), row(0, true));
+    assert!(table.take_row_changes(at(11)).is_empty());
+    assert!(table.apply_page(at(12), &[], PageKind::Restored).is_empty());
+    assert!(table.refused_for(at(12), CRASHING).is_some());
+    let changes = table.take_row_changes(at(12));
+    let groups: Vec<_> = changes.puts.iter().map(|(key, _)| *key).collect();
+    assert!(
+        groups.contains(&key(1)) && groups.contains(&key(2)),
+        "{groups:?}"
+    );
+}
+
 #[test]
 fn complete_list_keeps_unwritten_crashes() {
     let mut table = CrashTable::new(QUARANTINE);
