Keep groups, epochs and conditions over the store's return from a copy

Cause: the planner took the copy's rows for the truth. It dropped groups that the copy lacked, derived epochs from a version that had fallen, and its conditions were on versions alone, so that a change of the era before could apply late to another row with the same number. Fix: a planner notices the new era, keeps its groups, rests until rows and VMs are complete, and takes its row over again; a new one takes up what VMs report to serve. Marks of the planned eras make each condition hold in its own era only. Epochs never fall. The simulation's store has an era and a copy for it.

--- a/crates/tanagerhub/src/gateway/control.rs
+++ b/crates/tanagerhub/src/gateway/control.rs
@@ -168,6 +168,7 @@
 
     fn handle_event(&mut self, event: GatewayEvent) {
         let now = self.clock.now();
+        self.check_store_return(now);
         match event {
             GatewayEvent::OperatorRows(update) => self.apply_operator_rows(now, update),
             GatewayEvent::VmRows(update) => self.apply_vm_rows(now, update),
@@ -208,8 +209,8 @@
             self.view.in_use = true;
             self.handle_groups_event(now, GroupsEvent::InUse);
         }
+        self.check_store_return(now);
         self.handle_groups_event(now, GroupsEvent::Tick);
-        self.check_store_return();
         self.update_presence(now);
         self.publish_routes(now);
         self.update_capacity(now);
@@ -223,12 +224,16 @@
             .record_routes(self.view.heads.len(), self.shared.age());
     }
 
-    /// Has this node's row written again once the store has returned from a copy.
-    fn check_store_return(&mut self) {
+    /// Has this node's row written again, and planning wait for complete rows, once the store has
+    /// returned from a copy.
+    fn check_store_return(&mut self, now: Moment) {
         let returns = self.eras.returns();
-        if std::mem::replace(&mut self.view.store_returns, returns) != returns {
-            self.presence.write_again();
+        if std::mem::replace(&mut self.view.store_returns, returns) == returns {
+            return;
         }
+        self.presence.write_again();
+        let restored_at = self.eras.restored_at().unwrap_or(now);
+        self.handle_groups_event(now, GroupsEvent::StoreReturned(restored_at));
     }
 
     /// Checks whether this node is cut off from most backend servers.
--- a/crates/tanagerhub/src/gateway/control_store.rs
+++ b/crates/tanagerhub/src/gateway/control_store.rs
@@ -70,9 +70,7 @@
 
     pub(crate) fn commit(&self, transaction: Transaction) {
         let commit = self.timed_commit(transaction);
-        self.spawn(
-            async move { GatewayEvent::Groups(GroupsEvent::Committed(commit.await.result)) },
-        );
+        self.spawn(async move { GatewayEvent::Groups(GroupsEvent::Committed(commit.await)) });
     }
 
     pub(crate) fn read_groups(&self) {
--- a/crates/tanagerhub/src/gateway/feed/tests.rs
+++ b/crates/tanagerhub/src/gateway/feed/tests.rs
@@ -261,8 +261,8 @@
         let mut setup = Setup::at_version_10(2).await;
         setup.script(answer(page(era, 15, 2_000)));
         let update = setup.step().await.unwrap();
-        assert!(update.page.is_err());
         assert_eq!(update.confirmed_at, None);
+        update.page.unwrap_err();
         setup.manual.advance(Duration::from_secs(2));
         setup.script(answer(page(2, 11, 4_000)));
         let update = setup.step().await.unwrap();
--- a/crates/tanagerhub_groups/src/decision.rs
+++ b/crates/tanagerhub_groups/src/decision.rs
@@ -16,6 +16,9 @@
     },
     /// This node is no longer the planner.
     PlannerYielded,
+    /// The store returned from an older copy. The planner takes its row over again once the rows
+    /// are complete.
+    StoreReturned,
     /// A change of a group was sent to the store.
     Changing(Change),
     /// The store did not confirm a transaction as applied.
--- a/crates/tanagerhub_groups/src/event.rs
+++ b/crates/tanagerhub_groups/src/event.rs
@@ -3,7 +3,7 @@
 use serde::Serialize;
 use tanagerhub_catalogue::{DataCentreId, Epoch, GroupId, VmId};
 use tanagerhub_clock::Moment;
-use tanagerhub_table::{CommitResult, FeedPage};
+use tanagerhub_table::{CommitResult, FeedPage, StoreAnswer};
 
 use crate::{Demand, EngineSpec, Order, OrderResult, VmReport};
 
@@ -30,6 +30,9 @@
     StoreUnreachable,
     /// The store responds again after it was unreachable.
     StoreReachable,
+    /// The store returned from an older copy. Its rows, and the list of VMs, are complete from this
+    /// time on.
+    StoreReturned(Moment),
     /// No other node is the planner, so this node tries to become it.
     BecomePlanner(KnownBoots),
     /// Another node is the planner, or this node is stopping.
@@ -38,7 +41,7 @@
     /// read failed.
     RowsRead(Option<FeedPage>),
     /// The result of [`GroupsAction::Commit`](crate::GroupsAction::Commit).
-    Committed(CommitResult),
+    Committed(StoreAnswer<CommitResult>),
     /// The result of [`GroupsAction::Order`](crate::GroupsAction::Order).
     Ordered {
         /// The VM that the order was sent to.
@@ -92,6 +95,7 @@
             | Self::InUse
             | Self::StoreUnreachable
             | Self::StoreReachable
+            | Self::StoreReturned(_)
             | Self::BecomePlanner(_)
             | Self::ResignPlanner
             | Self::RowsRead(_)
--- a/crates/tanagerhub_groups/src/groups.rs
+++ b/crates/tanagerhub_groups/src/groups.rs
@@ -11,6 +11,7 @@
 mod reassign;
 mod rebalance;
 mod repair;
+mod restore;
 mod silence;
 mod stage;
 mod view;
@@ -137,7 +138,8 @@
                 self.vms.start_relist_grace(now, &self.settings);
             }
             GroupsEvent::NodeCount(count) => self.node_count = count,
-            GroupsEvent::BecomePlanner(boots) => self.become_planner(boots),
+            GroupsEvent::StoreReturned(restored_at) => self.store_returned(restored_at),
+            GroupsEvent::BecomePlanner(boots) => self.become_planner(now, boots),
             GroupsEvent::ResignPlanner => self.resign_planner(),
             GroupsEvent::RowsRead(page) => self.apply_read(now, page),
             GroupsEvent::Committed(commit) => self.apply_commit(now, commit),
@@ -205,6 +207,7 @@
         if !self.planner.is_held() {
             return;
         }
+        self.retake_planner(now);
         self.advance_groups(now);
         // The target composition of a domain depends on its number of VMs, so staging waits until
         // VMs that start together are listed.
--- a/crates/tanagerhub_groups/src/groups/planner.rs
+++ b/crates/tanagerhub_groups/src/groups/planner.rs
@@ -9,13 +9,17 @@
 use rand::Rng as _;
 use tanagerhub_catalogue::{Epoch, GroupId};
 use tanagerhub_clock::Moment;
-use tanagerhub_table::{CommitResult, FeedPage, RowVersion, Transaction, TransactionId};
+use tanagerhub_table::{
+    CommitResult, FeedPage, RowVersion, StoreAnswer, StoreEra, StoreVersion, Transaction,
+    TransactionId,
+};
 
 use crate::rows::{RowKind, decode, encode, group_key, planner_key, row_kind};
 use crate::{Change, Decision, GroupRow, GroupsAction, KnownBoots, PlannerRow};
 
 use super::Groups;
 use super::group::Group;
+use super::restore::{bind_to_era, is_planned_era};
 
 /// The number of epochs reserved for each version of the planner's row.
 const EPOCHS_PER_VERSION: u64 = 1 << 16;
@@ -23,73 +27,89 @@
 /// This node's view of the planner's row, and its transaction in progress.
 #[derive(Debug, Default)]
 pub(super) struct Planner {
-    state: State,
+    pub(super) state: State,
+    /// The era of the rows that this node knows.
+    era: Option<StoreEra>,
     /// The last version at which this node held the row; epochs are derived from it.
     epoch_base: RowVersion,
-    /// The number of epochs issued at `epoch_base`.
-    epochs_issued: u64,
+    /// The last epoch that this node issued, or knows to have been issued.
+    pub(super) last_epoch: Epoch,
     /// The known boot ids, which decide whether the planner's row may be taken over.
     known_boots: KnownBoots,
     /// The version of a planner's row whose boot id is unknown, and when it was first read.
-    unknown_holder: Option<(RowVersion, Moment)>,
+    unknown_holder: Option<(StoreVersion, Moment)>,
     /// No change is sent before this time, because the store refused the last one.
-    paused_until: Moment,
+    pub(super) paused_until: Moment,
+    /// The planner's row is not taken over before this time, because the store has returned from a
+    /// copy.
+    pub(super) rests_until: Moment,
+    /// Whether the store has returned from a copy since the last takeover.
+    pub(super) has_seen_return: bool,
     /// The changes in the transaction in progress.
     changes: Vec<(Change, Option<GroupRow>)>,
 }
 
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
-enum State {
+pub(super) enum State {
     /// This node is not the planner.
     #[default]
     Idle,
-    /// The rows are being read before the planner's row is taken over.
-    Reading,
+    /// The rows are being read before the planner's row is taken over, or taken over again.
+    Reading { retakes: bool },
     /// The transaction that takes over the planner's row is in progress.
-    Taking,
+    Taking { retakes: bool },
     /// This node is the planner, and the row has this version.
     Held(RowVersion),
     /// A change is in progress that requires the row to have this version.
     Changing(RowVersion),
     /// The result of a change is unknown, and the rows are being read to determine it.
     ReadingBack,
+    /// This node was the planner when the store returned from a copy.
+    Returning,
 }
 
 impl Planner {
     pub(super) const fn is_held(&self) -> bool {
-        matches!(
-            self.state,
-            State::Held(_) | State::Changing(_) | State::ReadingBack
-        )
+        match self.state {
+            State::Held(_) | State::Changing(_) | State::ReadingBack | State::Returning => true,
+            State::Reading { retakes } | State::Taking { retakes } => retakes,
+            State::Idle => false,
+        }
     }
 
-    /// Records that this node holds the row. The epoch counter restarts only if the version
-    /// changed.
-    fn set_held(&mut self, version: RowVersion) {
+    /// Records that this node holds the row.
+    const fn set_held(&mut self, version: RowVersion) {
         self.state = State::Held(version);
-        if self.epoch_base != version {
-            self.epoch_base = version;
-            self.epochs_issued = 0;
-        }
+        self.epoch_base = version;
     }
 
     /// Returns an epoch above all epochs issued before by any node.
-    pub(super) const fn next_epoch(&mut self) -> Epoch {
-        self.epochs_issued += 1;
-        Epoch(self.epoch_base.0 * EPOCHS_PER_VERSION + self.epochs_issued)
+    pub(super) fn next_epoch(&mut self) -> Epoch {
+        let base = Epoch(self.epoch_base.0 * EPOCHS_PER_VERSION);
+        self.last_epoch = Epoch(self.last_epoch.max(base).0 + 1);
+        self.last_epoch
     }
 
     /// Returns whether a change may be sent now.
     pub(super) fn can_commit(&self, now: Moment) -> bool {
         matches!(self.state, State::Held(_)) && now >= self.paused_until
     }
+
+    /// Returns whether the planner's row may be taken over again now.
+    pub(super) fn may_retake(&self, now: Moment) -> bool {
+        now >= self.rests_until && now >= self.paused_until
+    }
+
+    pub(super) fn take_changes(&mut self) -> Vec<(Change, Option<GroupRow>)> {
+        std::mem::take(&mut self.changes)
+    }
 }
 
 impl Groups {
-    pub(super) fn become_planner(&mut self, boots: KnownBoots) {
+    pub(super) fn become_planner(&mut self, now: Moment, boots: KnownBoots) {
         self.planner.known_boots = boots;
-        if self.planner.state == State::Idle {
-            self.planner.state = State::Reading;
+        if self.planner.state == State::Idle && now >= self.planner.rests_until {
+            self.planner.state = State::Reading { retakes: false };
             self.actions.push(GroupsAction::ReadRows);
         }
     }
@@ -101,7 +121,7 @@
         if let State::Held(version) = self.planner.state {
             // Clears the planner's row so that other nodes can take over at once. Correctness does
             // not depend on the result.
-            self.send_transaction(version, 0, &[]);
+            self.send_transaction(version, 0, &[], false);
         }
         self.planner.state = State::Idle;
         self.planner.changes.clear();
@@ -110,19 +130,13 @@
     /// Handles the rows that were read, or a failed read.
     pub(super) fn apply_read(&mut self, now: Moment, page: Option<FeedPage>) {
         match (self.planner.state, page) {
-            (State::Reading, Some(page)) => {
-                let (version, row) = self.apply_rows(now, &page);
-                if self.can_take_over(now, version, row.as_ref()) {
-                    self.planner.state = State::Taking;
-                    self.send_transaction(version, self.settings.boot, &[]);
-                } else {
-                    self.planner.state = State::Idle;
-                }
-            }
-            (State::Reading, None) => self.planner.state = State::Idle,
+            (State::Reading { retakes }, Some(page)) => self.take_over(now, &page, retakes),
+            (State::Reading { retakes: false }, None) => self.planner.state = State::Idle,
+            (State::Reading { retakes: true }, None) => self.wait_to_retake(now),
             (State::ReadingBack, Some(page)) => {
                 let (version, row) = self.apply_rows(now, &page);
                 self.planner.changes.clear();
+                self.planner.era = page.era;
                 if row.is_some_and(|row| row.boot == self.settings.boot) {
                     self.planner.set_held(version);
                 } else {
@@ -130,7 +144,43 @@
                 }
             }
             (State::ReadingBack, None) => self.actions.push(GroupsAction::ReadRows),
-            (State::Idle | State::Taking | State::Held(_) | State::Changing(_), _) => {}
+            (
+                State::Idle
+                | State::Taking { .. }
+                | State::Held(_)
+                | State::Changing(_)
+                | State::Returning,
+                _,
+            ) => {}
+        }
+    }
+
+    /// Takes the planner's row over if its holder allows it. Nobody holds the row of a copy, as long
+    /// as this node was the planner before.
+    fn take_over(&mut self, now: Moment, page: &FeedPage, retakes: bool) {
+        let is_planned = is_planned_era(page) && !(retakes && page.era.is_none());
+        let (version, row) = if is_planned {
+            self.apply_rows(now, page)
+        } else {
+            self.apply_copy(now, page, retakes)
+        };
+        self.planner.era = page.era;
+        let is_own = |row: &PlannerRow| row.boot == self.settings.boot;
+        let may_take = if retakes {
+            !is_planned || row.as_ref().is_some_and(is_own)
+        } else {
+            self.can_take_over(now, version, row.as_ref())
+        };
+        if may_take {
+            self.planner.state = State::Taking { retakes };
+            if retakes || !is_planned {
+                self.raise_epochs();
+            }
+            self.send_transaction(version, self.settings.boot, &[], true);
+        } else if retakes {
+            self.resign_silently();
+        } else {
+            self.planner.state = State::Idle;
         }
     }
 
@@ -143,7 +193,7 @@
             return;
         };
         let boot = self.settings.boot;
-        let sent = self.send_transaction(version, boot, &changes);
+        let sent = self.send_transaction(version, boot, &changes, false);
         changes.truncate(sent);
         for (change, _) in &changes {
             if let Some(group) = self.by_id.get_mut(&change.group()) {
@@ -173,6 +223,7 @@
                 return false;
             }
         }
+        let version = StoreVersion::new(planner.era, version);
         match planner.unknown_holder {
             Some((known, since)) if known == version => {
                 now.since(since) >= self.settings.unknown_planner_timeout
@@ -191,6 +242,7 @@
         version: RowVersion,
         boot: u64,
         changes: &[(Change, Option<GroupRow>)],
+        takes_over: bool,
     ) -> usize {
         let nonce = self.rng.next_u64();
         let row = PlannerRow { boot, nonce };
@@ -201,6 +253,7 @@
         } else {
             transaction.require_version(planner_key(), version)
         };
+        transaction = bind_to_era(transaction, self.planner.era, takes_over);
         let mut sent = 0;
         for (change, row) in changes {
             let key = group_key(change.group());
@@ -218,21 +271,31 @@
         sent
     }
 
-    /// Handles the result of a transaction.
-    pub(super) fn apply_commit(&mut self, now: Moment, commit: CommitResult) {
-        let changes = std::mem::take(&mut self.planner.changes);
+    /// Handles the result of a transaction. One in another era than the known rows is of a store
+    /// that began to name eras, or has returned; its meaning is unknown.
+    pub(super) fn apply_commit(&mut self, now: Moment, commit: StoreAnswer<CommitResult>) {
+        let commit = match commit.result {
+            CommitResult::Applied(_) if commit.era != self.planner.era => CommitResult::Unknown,
+            result => result,
+        };
+        let changes = self.planner.take_changes();
         for (change, _) in &changes {
             if let Some(group) = self.by_id.get_mut(&change.group()) {
                 group.change_pending = false;
             }
         }
         match (self.planner.state, commit) {
-            (State::Taking, CommitResult::Applied(version)) => {
+            (State::Taking { .. }, CommitResult::Applied(version)) => {
                 self.planner.set_held(version);
+                self.planner.has_seen_return = false;
                 self.record(Decision::PlannerTaken { version: version.0 });
             }
-            (State::Taking, _) => {
-                self.planner.state = State::Idle;
+            (State::Taking { retakes }, _) => {
+                if retakes {
+                    self.wait_to_retake(now);
+                } else {
+                    self.planner.state = State::Idle;
+                }
                 self.record_change_failure(commit);
             }
             (State::Changing(_), CommitResult::Applied(version)) => {
@@ -249,7 +312,14 @@
                 self.record_change_failure(commit);
                 self.actions.push(GroupsAction::ReadRows);
             }
-            (State::Idle | State::Reading | State::Held(_) | State::ReadingBack, _) => {}
+            (
+                State::Idle
+                | State::Reading { .. }
+                | State::Held(_)
+                | State::ReadingBack
+                | State::Returning,
+                _,
+            ) => {}
         }
     }
 
@@ -301,6 +371,38 @@
     /// Applies all rows. Returns the planner's row, which is `None` if it can't be decoded, and its
     /// version, which is zero if there is no row.
     fn apply_rows(&mut self, now: Moment, page: &FeedPage) -> (RowVersion, Option<PlannerRow>) {
+        let (planner_row, groups) = self.decode_rows(page);
+        self.by_id.retain(|id, _| groups.contains_key(id));
+        self.apply_group_rows(now, groups);
+        planner_row
+    }
+
+    /// Applies the rows of a store that has returned from a copy, in which no planner has written
+    /// since. `plans` says that this node was the planner.
+    fn apply_copy(
+        &mut self,
+        now: Moment,
+        page: &FeedPage,
+        plans: bool,
+    ) -> (RowVersion, Option<PlannerRow>) {
+        let (planner_row, groups) = self.decode_rows(page);
+        if plans {
+            self.merge_own_groups(now, groups);
+        } else {
+            self.by_id.retain(|id, _| groups.contains_key(id));
+            self.apply_group_rows(now, groups);
+            self.adopt_reported_groups(now);
+        }
+        planner_row
+    }
+
+    fn decode_rows(
+        &mut self,
+        page: &FeedPage,
+    ) -> (
+        (RowVersion, Option<PlannerRow>),
+        BTreeMap<GroupId, GroupRow>,
+    ) {
         let mut planner_row = (RowVersion(0), Some(PlannerRow::default()));
         let mut groups = BTreeMap::new();
         self.unreadable.clear();
@@ -325,12 +427,10 @@
                         self.record_ignored_row(&error);
                     }
                 },
-                RowKind::Unknown => {}
+                RowKind::Era(_) | RowKind::Unknown => {}
             }
         }
-        self.by_id.retain(|id, _| groups.contains_key(id));
-        self.apply_group_rows(now, groups);
-        planner_row
+        (planner_row, groups)
     }
 
     /// Applies the groups' rows. A provisional renewal is kept if its epoch is newer and its
--- a/crates/tanagerhub_groups/src/groups/repair.rs
+++ b/crates/tanagerhub_groups/src/groups/repair.rs
@@ -131,7 +131,7 @@
             .collect()
     }
 
-    fn serving_groups(&self, now: Moment) -> BTreeSet<(GroupId, Epoch)> {
+    pub(super) fn serving_groups(&self, now: Moment) -> BTreeSet<(GroupId, Epoch)> {
         let entries = self.vms.list.values();
         entries
             .filter_map(|entry| entry.may_serve(now, &self.settings))
--- a/crates/tanagerhub_groups/src/rows.rs
+++ b/crates/tanagerhub_groups/src/rows.rs
@@ -3,12 +3,14 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use tanagerhub_catalogue::{Epoch, GroupId};
-use tanagerhub_table::{DecodeError, RowKey, Sections, decode_value, encode_value};
+use tanagerhub_table::{DecodeError, RowKey, Sections, StoreEra, decode_value, encode_value};
 
 /// The name of the table that contains the planner's row and all groups.
 pub const GROUPS_TABLE: &str = "groups";
 const PLANNER_ROW: &str = "planner";
 const GROUP_PREFIX: &str = "g/";
+/// The prefix of the marks of eras, which older builds ignore.
+const ERA_PREFIX: &str = "era/";
 
 /// The planner's row. It is written with each change of a group, which serialises the changes.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
@@ -48,6 +50,8 @@
 pub(crate) enum RowKind {
     Planner,
     Group(GroupId),
+    /// The mark of an era in which groups were planned.
+    Era(StoreEra),
     Unknown,
 }
 
@@ -59,11 +63,20 @@
     RowKey::in_table(GROUPS_TABLE, &format!("{GROUP_PREFIX}{group}"))
 }
 
+pub(crate) fn era_key(era: StoreEra) -> RowKey {
+    RowKey::in_table(GROUPS_TABLE, &format!("{ERA_PREFIX}{}", era.0))
+}
+
 pub(crate) fn row_kind(key: &RowKey) -> RowKind {
     let name = key.name();
     if name == PLANNER_ROW {
         return RowKind::Planner;
     }
+    if let Some(era) = name.strip_prefix(ERA_PREFIX) {
+        return era
+            .parse()
+            .map_or(RowKind::Unknown, |era| RowKind::Era(StoreEra(era)));
+    }
     name.strip_prefix(GROUP_PREFIX)
         .and_then(|digits| u64::from_str_radix(digits, 16).ok())
         .map_or(RowKind::Unknown, |id| RowKind::Group(GroupId(id)))
--- a/crates/tanagerhub_groups/tests/support/checks.rs
+++ b/crates/tanagerhub_groups/tests/support/checks.rs
@@ -64,6 +64,7 @@
         }
         let name = &self.servers[&vm].report.vm.name;
         let groups = self
+            .store
             .rows
             .iter()
             .filter(|(key, _)| key.name().starts_with("g/"));
--- a/crates/tanagerhub_groups/tests/support/simulation.rs
+++ b/crates/tanagerhub_groups/tests/support/simulation.rs
@@ -17,7 +17,8 @@
     KnownBoots, LoadLimit, ModelSpec, Order, OrderResult, ProbeFailure, VmReport,
 };
 use tanagerhub_table::{
-    CommitResult, FeedPage, RowKey, RowVersion, StoreTime, Transaction, VersionedRow, Write,
+    CommitResult, FeedPage, RowKey, RowVersion, StoreAnswer, StoreEra, StoreTime, Transaction,
+    VersionedRow, Write,
 };
 
 use self::backend_server::{BackendServer, PendingStep};
@@ -27,6 +28,8 @@
 pub const TICK: Duration = Duration::from_millis(100);
 /// The number of conditions and writes in a transaction beyond which the store refuses it.
 const MAX_TRANSACTION_ENTRIES: usize = 100;
+/// The time after the store's return from which on its rows are complete.
+const RESTORE_TIME: Duration = Duration::from_millis(2_500);
 /// The time from the order to open until the head serves.
 const OPEN_TIME: Duration = Duration::from_millis(300);
 
@@ -51,6 +54,14 @@
     }
 }
 
+/// The rows of the store, from a copy of which it can return.
+#[derive(Debug, Default, Clone)]
+pub struct StoreState {
+    pub rows: BTreeMap<RowKey, VersionedRow>,
+    pub version: u64,
+    pub era: Option<StoreEra>,
+}
+
 /// A simulated store and VMs, with one or more nodes.
 #[derive(Debug)]
 pub struct Simulation {
@@ -59,8 +70,7 @@
     pub engine: EngineSpec,
     pub servers: BTreeMap<VmId, BackendServer>,
     pub nodes: Vec<Node>,
-    rows: BTreeMap<RowKey, VersionedRow>,
-    version: u64,
+    pub store: StoreState,
     /// Faults of the next transactions.
     pub commit_faults: VecDeque<CommitFault>,
     /// Transactions that the store received and has not applied yet.
@@ -112,8 +122,10 @@
             engine: engine(),
             servers: BTreeMap::new(),
             nodes: Vec::new(),
-            rows: BTreeMap::new(),
-            version: 10,
+            store: StoreState {
+                version: 10,
+                ..StoreState::default()
+            },
             commit_faults: VecDeque::new(),
             delayed: Vec::new(),
             order_holders: BTreeSet::new(),
@@ -233,14 +245,14 @@
 
     /// Writes a row of the groups' table that no planner wrote.
     pub fn put_row(&mut self, name: &str, value: &[u8]) {
-        self.version += 1;
+        self.store.version += 1;
         let key = RowKey::in_table(GROUPS_TABLE, name);
         let row = VersionedRow {
             key: key.clone(),
-            version: RowVersion(self.version),
+            version: RowVersion(self.store.version),
             value: Some(value.to_vec()),
         };
-        self.rows.insert(key, row);
+        self.store.rows.insert(key, row);
     }
 
     /// Makes the store unreachable for all nodes, or reachable with the changes since.
@@ -429,13 +441,16 @@
 
     fn run_action(&mut self, node: usize, action: GroupsAction) -> GroupsEvent {
         match action {
-            GroupsAction::Commit(transaction) => GroupsEvent::Committed(self.commit(transaction)),
+            GroupsAction::Commit(transaction) => {
+                let result = self.commit(transaction);
+                GroupsEvent::Committed(StoreAnswer::new(result, self.store.era))
+            }
             GroupsAction::ReadRows if self.store_down => GroupsEvent::RowsRead(None),
             GroupsAction::ReadRows => GroupsEvent::RowsRead(Some(FeedPage {
-                rows: self.rows.values().cloned().collect(),
-                version: RowVersion(self.version),
+                rows: self.store.rows.values().cloned().collect(),
+                version: RowVersion(self.store.version),
                 at: StoreTime(self.now.as_millis()),
-                era: None,
+                era: self.store.era,
             })),
             GroupsAction::Order { vm, order, .. } => {
                 self.orders.push((vm, order.clone()));
@@ -478,6 +493,16 @@
         }
     }
 
+    /// Returns the store from a copy with a new era, and tells the nodes.
+    pub fn return_store(&mut self, copy: StoreState) {
+        let era = self.store.era.map(|era| StoreEra(era.0 + 1));
+        self.store = StoreState { era, ..copy };
+        let restored_at = self.now + RESTORE_TIME;
+        for node in &mut self.nodes {
+            node.events.push(GroupsEvent::StoreReturned(restored_at));
+        }
+    }
+
     fn commit(&mut self, transaction: Transaction) -> CommitResult {
         self.commits += 1;
         if self.store_down {
@@ -500,15 +525,15 @@
         }
     }
 
-    fn apply(&mut self, transaction: &Transaction) -> CommitResult {
+    pub fn apply(&mut self, transaction: &Transaction) -> CommitResult {
         let holds = transaction.conditions.iter().all(|condition| {
-            condition.holds(self.rows.get(condition.key()).map(|row| row.version))
+            condition.holds(self.store.rows.get(condition.key()).map(|row| row.version))
         });
         if !holds {
             return CommitResult::Conflict;
         }
-        self.version += 1;
-        let version = RowVersion(self.version);
+        self.store.version += 1;
+        let version = RowVersion(self.store.version);
         for write in &transaction.writes {
             match write {
                 Write::Put { key, value } => {
@@ -518,10 +543,10 @@
                         version,
                         value: Some(value.clone()),
                     };
-                    self.rows.insert(key.clone(), row);
+                    self.store.rows.insert(key.clone(), row);
                 }
                 Write::Delete { key } => {
-                    self.rows.remove(key);
+                    self.store.rows.remove(key);
                 }
             }
         }
