Answer the requests of a stopping node before it ends

Cause: a stopping node took each request that an open connection brought (a head or a body that is completed late), with its whole deadline, and ended by dropping what was in flight. Only new connections were refused in time. Fix: from the end of the accept time on, a request that may last longer than the node is refused at once, as not run; 0.3 s before the end each request without a response is answered: 503 if nothing was sent, 502 if a back end may have run it. This covers requests whose body is still received, that wait for a group, that run, and that were passed on to another node. A response that has begun can't be answered otherwise and is cut as before.

--- a/crates/tanagerhub/src/gateway/exchange.rs
+++ b/crates/tanagerhub/src/gateway/exchange.rs
@@ -4,6 +4,7 @@
 
 use std::sync::Arc;
 
+use futures_lite::future;
 use http::{Response, StatusCode};
 use tanagerhub_catalogue::{Epoch, GroupId};
 use tanagerhub_clock::Moment;
@@ -15,7 +16,7 @@
 use crate::gateway::attempt_error::AttemptError;
 use crate::gateway::call::Call;
 use crate::gateway::failure::{Failure, Lack};
-use crate::gateway::front::Frontend;
+use crate::gateway::front::{Frontend, stopping};
 use crate::gateway::memory::{CallMemory, no_memory_for_retry};
 use crate::gateway::streaming::Streaming;
 use crate::ticket::Ticket;
@@ -45,6 +46,8 @@
     reached_server: bool,
     /// Whether any attempt may have run the request.
     may_have_run: bool,
+    /// Whether an attempt has begun that has not ended.
+    is_running: bool,
     /// Whether the log has reported the end of the request.
     ended: bool,
 }
@@ -65,7 +68,7 @@
     pub(crate) async fn run(mut self, info: RequestInfo) -> Response<ResponseBody> {
         let (ticket, decision) = self.frontend.traffic.submit(info);
         self.ticket = Some(ticket);
-        match self.start(decision, self.call.last_event).await {
+        match self.start_until_stop(decision).await {
             Ok(AttemptResponse::Buffered(_, response)) => self.finish_buffered(*response),
             Ok(AttemptResponse::Stream(started)) => Streaming::respond(self, *started),
             Err(failure) => match self.forward(&failure).await {
@@ -75,6 +78,26 @@
         }
     }
 
+    /// Follows the traffic decisions until a response has started, or until the node must answer
+    /// since it is about to end.
+    async fn start_until_stop(&mut self, decision: Decision) -> Result<AttemptResponse, Failure> {
+        let shared = Arc::clone(&self.frontend.shared);
+        let last_event = self.call.last_event;
+        let stopped = async {
+            shared.wait_for_stop().await;
+            None
+        };
+        let started = async { Some(self.start(decision, last_event).await) };
+        let result = future::or(started, stopped).await;
+        result.unwrap_or_else(|| {
+            if self.trace.is_running || self.trace.may_have_run {
+                let reason = "the node stops, and a back end may have run the request";
+                return Err(Failure::new(StatusCode::BAD_GATEWAY, reason));
+            }
+            Err(stopping())
+        })
+    }
+
     /// Forwards a request that has reached no backend server, if this node can't reach some of
     /// them.
     async fn forward(&mut self, failure: &Failure) -> Option<Response<ResponseBody>> {
@@ -85,7 +108,7 @@
         if !may_forward {
             return None;
         }
-        let response = forwarder.forward(&self.call).await?;
+        let response = self.frontend.forward_until_stop(&self.call).await?;
         self.log_end(response.status(), "forwarded", true);
         Some(response)
     }
@@ -107,7 +130,9 @@
                 Decision::Dispatch(dispatch) => dispatch,
             };
             let attempt = self.begin(dispatch, last_event);
-            match self.follow(attempt, last_event).await? {
+            let followed = self.follow(attempt, last_event).await;
+            self.trace.is_running = false;
+            match followed? {
                 Ok(attempt_response) => return Ok(attempt_response),
                 Err(next) => decision = self.decision_with_memory(&next)?,
             }
@@ -222,6 +247,7 @@
             ticket.record_attempt(dispatch.attempt);
         }
         self.trace.attempts += 1;
+        self.trace.is_running = true;
         self.trace.last_group = Some((dispatch.group, dispatch.epoch));
         RunningAttempt::start(&self.frontend, &self.call, dispatch, last_event)
     }
--- a/crates/tanagerhub/src/gateway/front.rs
+++ b/crates/tanagerhub/src/gateway/front.rs
@@ -5,6 +5,7 @@
 
 use async_channel::Sender;
 use bytes::Bytes;
+use futures_lite::future;
 use http::header::{AUTHORIZATION, CONTENT_LENGTH, HOST};
 use http::request::Parts;
 use http::uri::PathAndQuery;
@@ -29,6 +30,8 @@
 
 /// The retry delay for callers of a node without a configuration or with unconfirmed keys.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// The retry delay for callers of a node that is about to end.
+const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// The share of its objective for which a request may wait for a group.
 const QUEUE_TIMEOUT_SHARE: f64 = 0.5;
 /// The share of the time that callers wait for an event for which a broken stream may wait for a
@@ -96,11 +99,16 @@
         self.shared.mark_in_use();
         let (mut parts, mut body) = RequestBody::split(request);
         Forwarder::take_mark(&mut parts.headers);
-        match self.accept(arrived, parts, &mut body, origin).await {
+        let accepted = self.accept(arrived, parts, &mut body, origin);
+        let stopped = async {
+            self.shared.wait_for_stop().await;
+            Err(RefusedRequest::new("", 0, stopping()))
+        };
+        match future::or(accepted, stopped).await {
             Ok((call, info)) => {
                 if self.forwarder.is_cut_off()
                     && origin == Origin::Caller
-                    && let Some(response) = self.forwarder.forward(&call).await
+                    && let Some(response) = self.forward_until_stop(&call).await
                 {
                     self.record_forwarded(&call, response.status());
                     return response;
@@ -116,6 +124,16 @@
         }
     }
 
+    /// Forwards a request to another node. Returns `None` if no node accepts it.
+    pub(crate) async fn forward_until_stop(&self, call: &Call) -> Option<Response<ResponseBody>> {
+        let stopped = async {
+            self.shared.wait_for_stop().await;
+            let reason = "the node stops, and another one may have run the request";
+            Some(Failure::new(StatusCode::BAD_GATEWAY, reason).into_response())
+        };
+        future::or(self.forwarder.forward(call), stopped).await
+    }
+
     fn record_refused(&self, arrived: Moment, refused: &RefusedRequest) {
         let took = self.clock.now().since(arrived);
         self.metrics.request(refused.failure.status.as_u16(), took);
@@ -156,6 +174,9 @@
             .route_and_holder(&configuration, &head, &parts)
             .map_err(refused)?;
         let timeout = request_timeout(&head, route);
+        if self.shared.is_too_late(arrived + timeout) {
+            return Err(refused(stopping()));
+        }
         let entry = find_entry(&configuration, &head, route).map_err(refused)?;
         let priority = holder
             .and_then(|holder| holder.priority)
@@ -317,6 +338,11 @@
     entry.ok_or_else(|| Failure::new(StatusCode::NOT_FOUND, "the service has no such model"))
 }
 
+/// Returns the failure of a request that has not run at a node that is about to end.
+pub(crate) fn stopping() -> Failure {
+    Failure::unavailable("the node stops", STOPPING_RETRY_AFTER)
+}
+
 fn body_failure(error: &RequestBodyError) -> Failure {
     let status = match error {
         RequestBodyError::TooLong { .. } => StatusCode::PAYLOAD_TOO_LARGE,
--- a/crates/tanagerhub/src/gateway/shared.rs
+++ b/crates/tanagerhub/src/gateway/shared.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
+use event_listener::Event;
 use tanagerhub_catalogue::GroupId;
 use tanagerhub_clock::{Clock, Moment};
 use tanagerhub_proxy::MemoryBudget;
@@ -25,13 +26,24 @@
     /// The moment at which the operators' rows were last confirmed to be current, in nanoseconds of
     /// the clock; 0 before the first confirmation.
     confirmed_at: AtomicU64,
-    draining: AtomicBool,
+    /// When this node stops, once it has been told to.
+    stop: ArcSwapOption<StopTimes>,
+    stop_set: Event,
     /// Whether a request has been received.
     in_use: AtomicBool,
     /// The memory for requests and responses; `None` without a limit.
     memory: Option<MemoryBudget>,
 }
 
+/// When a node that was told to stop treats requests in another way.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct StopTimes {
+    /// From this moment on, requests that may last too long are refused.
+    pub(crate) late_from: Moment,
+    /// At this moment the requests without a response are answered.
+    pub(crate) answer_by: Moment,
+}
+
 impl SharedState {
     pub(crate) fn new(clock: Clock, key_life: Duration) -> Self {
         Self {
@@ -40,7 +52,8 @@
             configuration: ArcSwapOption::empty(),
             names: ArcSwap::default(),
             confirmed_at: AtomicU64::new(0),
-            draining: AtomicBool::new(false),
+            stop: ArcSwapOption::empty(),
+            stop_set: Event::new(),
             in_use: AtomicBool::new(false),
             memory: None,
         }
@@ -104,14 +117,37 @@
         self.in_use.load(Ordering::Relaxed)
     }
 
-    pub(crate) fn drain(&self) {
-        self.draining.store(true, Ordering::Relaxed);
+    /// Records that this node stops.
+    pub(crate) fn drain(&self, times: StopTimes) {
+        self.stop.store(Some(Arc::new(times)));
+        self.stop_set.notify(usize::MAX);
+    }
+
+    /// Returns whether a request that arrives now, and may last until `deadline`, is refused since
+    /// the node may stop before.
+    pub(crate) fn is_too_late(&self, deadline: Moment) -> bool {
+        let stop = self.stop.load();
+        stop.as_ref()
+            .is_some_and(|stop| self.clock.now() >= stop.late_from && deadline > stop.answer_by)
+    }
+
+    /// Completes when all requests without a response must be answered, since the node is about to
+    /// end.
+    pub(crate) async fn wait_for_stop(&self) {
+        loop {
+            let stop_set = self.stop_set.listen();
+            if let Some(stop) = self.stop.load_full() {
+                let left = stop.answer_by.since(self.clock.now());
+                return self.clock.sleep(left).await;
+            }
+            stop_set.await;
+        }
     }
 
     /// Returns whether the load balancer may send callers to this node.
     pub(crate) fn is_ready(&self) -> bool {
         let configured = self.configuration.load().is_some();
-        configured && !self.draining.load(Ordering::Relaxed) && self.are_keys_valid()
+        configured && self.stop.load().is_none() && self.are_keys_valid()
     }
 }
 
--- a/crates/tanagerhub/src/gateway/start.rs
+++ b/crates/tanagerhub/src/gateway/start.rs
@@ -32,7 +32,7 @@
 use crate::gateway::memory::MemoryLimits;
 use crate::gateway::relay::{Peers, RelayClient};
 use crate::gateway::servers::{serve_callers, serve_metrics, serve_peers, serve_ready};
-use crate::gateway::shared::SharedState;
+use crate::gateway::shared::{SharedState, StopTimes};
 use crate::gateway::store_eras::StoreEras;
 use crate::gateway::store_health::StoreHealth;
 use crate::gateway::{Adapters, GatewayMetrics, GatewaySettings};
@@ -44,6 +44,8 @@
 const DRAIN_POLL_PERIOD: Duration = Duration::from_millis(20);
 /// The part of the grace period that a stopping node reserves for its own shutdown.
 const STOP_RESERVE: Duration = Duration::from_millis(600);
+/// The part of the grace period before that reserve in which the last responses are sent.
+const ANSWER_RESERVE: Duration = Duration::from_millis(300);
 /// How long a stopping node accepts connections, for callers whose load balancer still lists it.
 const ACCEPT_TIMEOUT: Duration = Duration::from_secs(3);
 /// A stopping node also stops accepting connections after the grace period divided by this number;
@@ -222,18 +224,22 @@
     /// Stops gracefully: no request in flight is cut off before the grace period ends.
     ///
     /// The node first fails the load balancer's readiness check and continues to serve during
-    /// [`GatewaySettings::drain`]. Then it closes idle connections, later refuses new ones, and
-    /// ends once all responses in flight are sent.
+    /// [`GatewaySettings::drain`]. Then it closes idle connections, later refuses new ones and
+    /// requests that may not end in time, and ends once all responses in flight are sent. Requests
+    /// without a response are answered just before the end of the grace period.
     pub async fn stop(mut self) {
         let started = self.clock.now();
         log::info!(open = self.caller_server.open_connections(); "stopping");
-        self.shared.drain();
+        let drain_timeout = self.settings.grace.saturating_sub(STOP_RESERVE);
+        let accept_timeout = ACCEPT_TIMEOUT.min(self.settings.grace / ACCEPT_DIVISOR);
+        self.shared.drain(StopTimes {
+            late_from: started + accept_timeout,
+            answer_by: started + drain_timeout.saturating_sub(ANSWER_RESERVE),
+        });
         self.caller_server.drain();
         self.send(GatewayEvent::Drain).await;
         self.clock.sleep(self.settings.drain).await;
         self.caller_server.close_idle();
-        let drain_timeout = self.settings.grace.saturating_sub(STOP_RESERVE);
-        let accept_timeout = ACCEPT_TIMEOUT.min(self.settings.grace / ACCEPT_DIVISOR);
         let mut accepts = true;
         while (accepts || self.is_busy()) && self.clock.now().since(started) < drain_timeout {
             if !self.is_busy() || self.clock.now().since(started) >= accept_timeout {
--- a/crates/tanagerhub/tests/gateway/stop.rs
+++ b/crates/tanagerhub/tests/gateway/stop.rs
@@ -8,9 +8,10 @@
 use async_std::io::{self, prelude::*};
 use async_std::net::TcpStream;
 use async_std::task;
+use yare::parameterized;
 
 use crate::RESPONSE_TIMEOUT;
-use crate::deployment::{BackendServer, Script, TestSetup};
+use crate::deployment::{BackendServer, Script, TestSetup, status};
 
 /// The time between requests, in which a node may see no open connection.
 const PAUSE: Duration = Duration::from_millis(15);
@@ -134,3 +135,117 @@
     }
     response.ends_with(b"hello")
 }
+
+/// The grace period of the nodes that stop in the tests below. They accept requests for half of it.
+const GRACE: Duration = Duration::from_secs(4);
+/// Later than a node accepts requests that may last as long as their route allows.
+const LATE: Duration = Duration::from_millis(2_300);
+
+async fn stopping_setup(desk: &BackendServer) -> TestSetup {
+    let mut setup = TestSetup::with_backends(&[("desk", desk)]).await;
+    let mut gateway = setup.gateway.take().unwrap();
+    gateway.reload(setup.settings.clone().grace(GRACE));
+    setup.gateway = Some(gateway);
+    setup
+}
+
+fn head(method: &str, path: &str, headers: &str) -> String {
+    format!("{method} {path} HTTP/1.1\r\nHost: shop\r\nid: 1\r\nkey: k1\r\n{headers}\r\n")
+}
+
+/// Sends the parts of a request, the second one after a pause, and returns all that arrives.
+async fn send_parts(address: SocketAddr, first: String, pause: Duration, second: &str) -> String {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.write_all(first.as_bytes()).await.unwrap();
+    task::sleep(pause).await;
+    // The node may have answered and closed already.
+    drop(stream.write_all(second.as_bytes()).await);
+    let mut response = Vec::new();
+    let read = stream.read_to_end(&mut response);
+    drop(io::timeout(2 * RESPONSE_TIMEOUT, read).await);
+    String::from_utf8(response).unwrap()
+}
+
+/// Guards against requests that are cut with no answer at the end of the grace period, among them
+/// ones that may not be repeated. The node says whether a backend server may have run them.
+#[parameterized(
+    idempotent = { "GET", "/safe/x" },
+    unrepeatable = { "POST", "/unsafe/x" },
+    stream = { "POST", "/stream/x" },
+    unrepeatable_stream = { "POST", "/once/x" },
+)]
+fn stop_answers_running_requests(method: &str, path: &str) {
+    task::block_on(async {
+        let silent = BackendServer::start(vec![Script::silence()]).await;
+        let mut setup = stopping_setup(&silent).await;
+        setup.register("vm-2", "llm", &silent);
+        task::sleep(Duration::from_millis(1_300)).await;
+        let address = setup.settings.caller_address;
+        let gateway = setup.gateway.take().unwrap();
+        let stop = task::spawn(gateway.stop());
+        // The stream's first byte would be waited for only until 1.9 s have passed.
+        task::sleep(Duration::from_millis(1_900)).await;
+        let first = head(method, path, "");
+        let response = send_parts(address, first, Duration::ZERO, "").await;
+        stop.await;
+        assert_eq!(status(&response), 502, "{response}");
+        assert!(response.ends_with('}'), "{response}");
+    });
+}
+
+/// Guards against requests on open connections that are passed on late in the grace period. They
+/// have not run, and their callers hear so at once.
+#[parameterized(
+    late_head = { "POST /unsafe/x HTTP/1.1\r\nHost: shop\r\nid: 1\r\nke", "y: k1\r\n\r\n" },
+    late_body = { "POST /unsafe/x HTTP/1.1\r\nHost: shop\r\nid: 1\r\nkey: k1\r\nContent-Length: 2\r\n\r\na", "b" },
+    late_chunk = { "POST /safe/x HTTP/1.1\r\nHost: shop\r\nid: 1\r\nkey: k1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n", "0\r\n\r\n" },
+)]
+fn stop_refuses_late_request(first: &str, second: &str) {
+    task::block_on(async {
+        let slow = Script::response(200, "", "late").after(Duration::from_secs(3));
+        let desk = BackendServer::start(vec![slow]).await;
+        let mut setup = stopping_setup(&desk).await;
+        let address = setup.settings.caller_address;
+        let gateway = setup.gateway.take().unwrap();
+        let stop = task::spawn(gateway.stop());
+        let response = send_parts(address, first.to_owned(), LATE, second).await;
+        stop.await;
+        assert_eq!(status(&response), 503, "{response}");
+        assert!(response.ends_with('}'), "{response}");
+        assert_eq!(desk.request_heads().len(), 0);
+    });
+}
+
+/// A request whose body never ends is answered too.
+#[test]
+fn stop_answers_unfinished_request() {
+    task::block_on(async {
+        let desk = BackendServer::start(vec![Script::silence()]).await;
+        let mut setup = stopping_setup(&desk).await;
+        let address = setup.settings.caller_address;
+        let gateway = setup.gateway.take().unwrap();
+        let stop = task::spawn(gateway.stop());
+        task::sleep(Duration::from_millis(1_500)).await;
+        let first = head("POST", "/unsafe/x", "Content-Length: 2\r\n") + "a";
+        let response = send_parts(address, first, Duration::ZERO, "").await;
+        stop.await;
+        assert_eq!(status(&response), 503, "{response}");
+        assert_eq!(desk.request_heads().len(), 0);
+    });
+}
+
+/// A request that ends in time is served as long as the node is up.
+#[test]
+fn stop_serves_short_late_request() {
+    task::block_on(async {
+        let desk = BackendServer::start(vec![Script::response(200, "", "hello")]).await;
+        let mut setup = stopping_setup(&desk).await;
+        let address = setup.settings.caller_address;
+        let gateway = setup.gateway.take().unwrap();
+        let stop = task::spawn(gateway.stop());
+        let first = "GET /safe/x HTTP/1.1\r\nHost: shop\r\nid: 1\r\ndeadline: 300\r\nke".to_owned();
+        let response = send_parts(address, first, LATE, "y: k1\r\n\r\n").await;
+        stop.await;
+        assert!(response.ends_with("hello"), "{response}");
+    });
+}
