--- a/crates/tanagerhub/src/gateway/relay/tests.rs
+++ b/crates/tanagerhub/src/gateway/relay/tests.rs
@@ -171,3 +171,43 @@
     let (content, _): (RelayResponse, usize) = decode_from_slice(&bytes, standard()).unwrap();
     assert_eq!(content, RelayResponse::Page(page(200)));
 }
+
+/// Guards against a peer, or another process at its address, that sends bytes without end: what a
+/// node reads of them is bounded, and it closes the connection.
+#[parameterized(
+    garbage = { "", "garbage" },
+    header_lines = { "HTTP/1.1 200 X\r\n", "name: value\r\n" },
+    interim_responses = { "", "HTTP/1.1 100 X\r\n\r\n" },
+    body = { "HTTP/1.1 200 X\r\n\r\n", "body" },
+    chunk_extension = { "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n7;", "extension" },
+    trailers = { "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "name: value\r\n" },
+)]
+fn endless_peer_closed(start: &'static str, piece: &'static str) {
+    use std::io::{Read as _, Write as _};
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let server = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        stream
+            .set_write_timeout(Some(Duration::from_secs(5)))
+            .unwrap();
+        let received = stream.read(&mut [0; 4_096]).unwrap();
+        assert!(received > 0, "no query");
+        let bytes = piece.repeat(1_000);
+        let mut sent = 0;
+        let mut is_open = stream.write_all(start.as_bytes()).is_ok();
+        while is_open && sent < 64 << 20 {
+            is_open = stream.write_all(bytes.as_bytes()).is_ok();
+            sent += bytes.len();
+        }
+        (is_open, sent)
+    });
+    let client = RelayClient::new(Clock::real());
+    let timeout = Duration::from_millis(500);
+    let query = query("vms", 100);
+    let result = async_std::task::block_on(client.query(address, &query, timeout));
+    result.unwrap_err();
+    drop(client);
+    let (is_open, sent) = server.join().unwrap();
+    assert!(!is_open, "still open after {sent} bytes");
+}
