Test that a head that is cut short is never taken for a response

Another operator reports that clients got a 200 with an empty or short body, framed as whole, where a replica stopped in the middle of its head. It can't happen here: cut_head_is_an_error cuts heads of seven framings at each byte, on a new and on a kept connection, and the client, which forwarding to other nodes uses too, returns an error each time. cut_head_is_no_response and cut_head_of_stream show what callers get: the response of another server, 502 for unrepeatable requests, and a stream that is resumed or doesn't look complete.

--- a/crates/tanagerhub/tests/framing.rs
+++ b/crates/tanagerhub/tests/framing.rs
@@ -1,5 +1,7 @@
 //! Framing of callers' requests and of backend servers' responses.
 
+#[path = "framing/cut_heads.rs"]
+mod cut_heads;
 #[path = "support/deployment.rs"]
 mod deployment;
 #[path = "framing/endless.rs"]
