Take no kept connection that a server has closed for a crash

Cause: a connection that breaks before the response counted as a crash under the request, also one that was kept, which a server may close at any time; and the retry was sent on another kept connection. Fix: a kept connection that breaks before any byte of the response is weak evidence, as silence is: only the loss of a member makes it a crash. The retry takes a new connection. Test: dropped_connections_are_no_crashes failed before (502), and passes now. All tests of crashes pass as they are.

--- a/crates/tanagerhub/src/gateway/attempt.rs
+++ b/crates/tanagerhub/src/gateway/attempt.rs
@@ -221,7 +221,7 @@
     dispatch: Dispatch,
     request: Request<Full<Bytes>>,
 ) -> Result<BackendResponse, AttemptError> {
-    let reuse = if call.is_repeatable() {
+    let reuse = if call.is_repeatable() && !dispatch.fresh_connection {
         Reuse::Idle
     } else {
         Reuse::Never
--- a/crates/tanagerhub/src/gateway/attempt_error.rs
+++ b/crates/tanagerhub/src/gateway/attempt_error.rs
@@ -51,6 +51,9 @@
             Self::Body(error @ BodyError::NoMemory { .. }) => {
                 Err(Failure::new(StatusCode::BAD_GATEWAY, error.to_string()))
             }
+            Self::Send(SendError::Broken { reused: true, .. }) => {
+                Ok(AttemptEvent::KeptConnectionBroke)
+            }
             Self::Send(_) | Self::Body(_) | Self::Foreign | Self::Empty => Ok(AttemptEvent::Broke),
             Self::Expired => Err(deadline_passed()),
             Self::KeyLapsed => {
--- a/crates/tanagerhub/tests/gateway/kept_connections.rs
+++ b/crates/tanagerhub/tests/gateway/kept_connections.rs
@@ -117,3 +117,41 @@
         assert_eq!(server.runs.load(Ordering::SeqCst), 1);
     });
 }
+
+/// Starts a server that answers the first request of each connection, and closes a connection on
+/// which another one arrives, as one does that has just dropped it as idle.
+async fn start_dropping_server() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    task::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            task::spawn(async move {
+                let mut buffer = [0; 4_096];
+                if let Ok(1..) = stream.read(&mut buffer).await {
+                    drop(stream.write_all(SERVED.as_bytes()).await);
+                }
+                drop(stream.read(&mut buffer).await);
+            });
+        }
+    });
+    address
+}
+
+/// Guards against sound requests that are refused as crashing, since two sound servers have closed
+/// the kept connections on which one of them was sent.
+#[test]
+fn dropped_connections_are_no_crashes() {
+    task::block_on(async {
+        let mut setup = TestSetup::start().await;
+        setup.configure(&["k1"]);
+        for name in ["vm-1", "vm-2"] {
+            let address = start_dropping_server().await;
+            setup.store.put("vms", name, &format!("desk {address}"));
+        }
+        setup.wait_until_ready().await;
+        for _ in 0..12 {
+            let response = setup.send("GET", "/safe/x").await;
+            assert_eq!(status(&response), 200, "{response}");
+        }
+    });
+}
--- a/crates/tanagerhub_proxy/src/client.rs
+++ b/crates/tanagerhub_proxy/src/client.rs
@@ -131,7 +131,7 @@
                         let reason = failure.error().to_string();
                         return Err(SendError::ConnectionClosed { address, reason });
                     }
-                    None => return Err(response_error(address, failure.error())),
+                    None => return Err(response_error(address, failure.error(), !is_new)),
                 },
             }
         }
@@ -259,7 +259,7 @@
 }
 
 /// Classifies a failure after bytes of the request may have been sent.
-fn response_error(address: SocketAddr, error: &hyper::Error) -> SendError {
+fn response_error(address: SocketAddr, error: &hyper::Error, reused: bool) -> SendError {
     let cause = error
         .source()
         .and_then(|cause| cause.downcast_ref::<io::Error>());
@@ -268,7 +268,11 @@
     if error.is_parse() || is_invalid {
         return SendError::Malformed { address, reason };
     }
-    SendError::Broken { address, reason }
+    SendError::Broken {
+        address,
+        reason,
+        reused,
+    }
 }
 
 fn requests_close(headers: &HeaderMap) -> bool {
--- a/crates/tanagerhub_proxy/src/send_error.rs
+++ b/crates/tanagerhub_proxy/src/send_error.rs
@@ -28,6 +28,9 @@
         address: SocketAddr,
         /// The connection's error.
         reason: String,
+        /// Whether an earlier request was sent on the connection, which a sound backend server may
+        /// have closed since then.
+        reused: bool,
     },
     /// The response violates the HTTP protocol.
     #[error("{address} sent a malformed response: {reason}")]
--- a/crates/tanagerhub_traffic/src/decision.rs
+++ b/crates/tanagerhub_traffic/src/decision.rs
@@ -167,6 +167,9 @@
     /// The connection was closed early, or the response was truncated, malformed or had a wrong
     /// length.
     Broke,
+    /// A kept connection was closed before any byte of the response. A sound backend server may
+    /// close an idle connection at any time, so only the loss of a member shows that it crashed.
+    KeptConnectionBroke,
     /// The first byte or the next token did not arrive in time.
     TimedOut,
     /// The response is complete.
--- a/crates/tanagerhub_traffic/src/traffic/reports.rs
+++ b/crates/tanagerhub_traffic/src/traffic/reports.rs
@@ -52,7 +52,8 @@
             AttemptEvent::Token(count) => self.token(now, attempt, count),
             AttemptEvent::Silent => self.group_silent(now, attempt),
             AttemptEvent::Failed => self.fail_attempt(now, attempt, Failure::Broke),
-            AttemptEvent::Broke => self.connection_broke(now, attempt),
+            AttemptEvent::Broke => self.connection_broke(now, attempt, Evidence::Broken),
+            AttemptEvent::KeptConnectionBroke => self.kept_connection_broke(now, attempt),
             AttemptEvent::TimedOut => self.timed_out(now, attempt),
             AttemptEvent::Finished { tokens } => self.finished(now, attempt, Some(tokens)),
             AttemptEvent::Responded => self.finished(now, attempt, None),
@@ -140,7 +141,7 @@
 
     fn connect_failed(&mut self, now: Moment, key: AttemptKey) -> Next {
         if self.attempts[key].has_first_byte() {
-            return self.connection_broke(now, key);
+            return self.connection_broke(now, key, Evidence::Broken);
         }
         self.fail_group(now, key);
         self.fail_attempt(now, key, Failure::NotRun)
@@ -149,7 +150,7 @@
     /// Handles a refusal. A refusal after a token contradicts it and counts as a broken connection.
     fn refused_not_run(&mut self, now: Moment, key: AttemptKey) -> Next {
         if self.attempts[key].progress == Progress::Tokens {
-            return self.connection_broke(now, key);
+            return self.connection_broke(now, key, Evidence::Broken);
         }
         if let Some(group) = self.groups.arena.get_mut(self.attempts[key].group) {
             group.refused();
@@ -274,9 +275,17 @@
         }
     }
 
-    fn connection_broke(&mut self, now: Moment, key: AttemptKey) -> Next {
+    fn kept_connection_broke(&mut self, now: Moment, key: AttemptKey) -> Next {
+        let request = self.attempts[key].request;
+        if let Some(request) = self.requests.get_mut(request) {
+            request.needs_fresh_connection = true;
+        }
+        self.connection_broke(now, key, Evidence::Unanswered)
+    }
+
+    fn connection_broke(&mut self, now: Moment, key: AttemptKey, evidence: Evidence) -> Next {
         self.fail_group(now, key);
-        self.suspect_crash(now, key, Evidence::Broken);
+        self.suspect_crash(now, key, evidence);
         self.fail_attempt(now, key, Failure::Broke)
     }
 
