Pass no key on to backend servers on public routes

Cause: the header was taken off only on routes that need a key. Fix: it is taken off on all routes of a configuration with keys. Test: key_stays_here::public failed before; public_without_key keeps what other callers send.

--- a/crates/tanagerhub/src/gateway/front.rs
+++ b/crates/tanagerhub/src/gateway/front.rs
@@ -183,7 +183,9 @@
             .unwrap_or(route.priority);
         strip_hop_headers(&mut parts.headers);
         parts.headers.remove(CONTENT_LENGTH);
-        let authorization = if route.public {
+        // A caller may send its key on a public route too, which had none before.
+        let has_key = configuration.keys.is_some() && head.key.is_some();
+        let authorization = if route.public && !has_key {
             None
         } else {
             parts.headers.remove(AUTHORIZATION)
--- a/crates/tanagerhub/tests/gateway.rs
+++ b/crates/tanagerhub/tests/gateway.rs
@@ -66,6 +66,25 @@
     });
 }
 
+/// Guards against a caller's key that backend servers get on public routes. Other credentials are
+/// passed on where callers need no key.
+#[parameterized(
+    private = { "/safe/", "key: k1\r\n", false },
+    public = { "/public/", "key: k1\r\n", false },
+    public_without_key = { "/public/", "", true },
+)]
+fn key_stays_here(path: &str, headers: &str, is_passed_on: bool) {
+    task::block_on(async {
+        let desk = BackendServer::start(vec![Script::response(200, "id: 1\r\n", "hello")]).await;
+        let setup = TestSetup::with_backends(&[("desk", &desk)]).await;
+        let headers = format!("{headers}Authorization: Bearer k1\r\n");
+        let response = setup.send_with_headers("GET", path, &headers).await;
+        assert_eq!(status(&response), 200, "{response}");
+        let heads = desk.request_heads().concat().to_lowercase();
+        assert_eq!(heads.contains("bearer k1"), is_passed_on, "{heads}");
+    });
+}
+
 /// Guards against a gateway that accepts every request, with any key, once its configuration holds
 /// no key any more.
 #[parameterized(
