--- a/crates/tanagerhub/src/gateway/exchange.rs
+++ b/crates/tanagerhub/src/gateway/exchange.rs
@@ -31,6 +31,8 @@
     last_failure: Option<BufferedResponse>,
     /// Whether a stream has begun, so that its caller has the head of a response.
     pub(crate) streaming: bool,
+    /// Whether an attempt has begun that has neither ended nor a response.
+    is_running: bool,
     trace: Trace,
 }
 
@@ -46,8 +48,6 @@
     reached_server: bool,
     /// Whether any attempt may have run the request.
     may_have_run: bool,
-    /// Whether an attempt has begun that has not ended.
-    is_running: bool,
     /// Whether the log has reported the end of the request.
     ended: bool,
 }
@@ -60,6 +60,7 @@
             ticket: None,
             last_failure: None,
             streaming: false,
+            is_running: false,
             trace: Trace::default(),
         }
     }
@@ -90,7 +91,7 @@
         let started = async { Some(self.start(decision, last_event).await) };
         let result = future::or(started, stopped).await;
         result.unwrap_or_else(|| {
-            if self.trace.is_running || self.trace.may_have_run {
+            if self.is_running || self.trace.may_have_run {
                 let reason = "the node stops, and a back end may have run the request";
                 return Err(Failure::new(StatusCode::BAD_GATEWAY, reason));
             }
@@ -131,7 +132,7 @@
             };
             let attempt = self.begin(dispatch, last_event);
             let followed = self.follow(attempt, last_event).await;
-            self.trace.is_running = false;
+            self.is_running = false;
             match followed? {
                 Ok(attempt_response) => return Ok(attempt_response),
                 Err(next) => decision = self.decision_with_memory(&next)?,
@@ -247,7 +248,7 @@
             ticket.record_attempt(dispatch.attempt);
         }
         self.trace.attempts += 1;
-        self.trace.is_running = true;
+        self.is_running = true;
         self.trace.last_group = Some((dispatch.group, dispatch.epoch));
         RunningAttempt::start(&self.frontend, &self.call, dispatch, last_event)
     }
