Raise the epochs of each planner above those in use

Seen by reading the diff: after a return the planner leaves out a range of epochs; the next planner derived its own from a version that had fallen, below those that VMs had seen, so that its joins were refused for long. Fix: where the store names eras, each takeover raises the epochs above those of rows and reports, and a join that is refused as stale leaves out a range. A transaction that was not applied for want of a response no longer counts as one of another era. Test: epochs_rise_for_next_planner. Without both parts of the fix it fails (seen); with either of them it passes.

--- a/crates/tanagerhub/src/gateway/control_store.rs
+++ b/crates/tanagerhub/src/gateway/control_store.rs
@@ -175,8 +175,11 @@
         async move {
             let commit = clock.timeout(COMMIT_TIMEOUT, store.commit(transaction));
             let mut commit = commit.await.unwrap_or_else(|| CommitResult::Unknown.into());
-            let has_response = commit.result != CommitResult::Unknown;
-            if has_response && !eras.observe(commit.era) {
+            let acknowledges = matches!(
+                commit.result,
+                CommitResult::Applied(_) | CommitResult::Conflict
+            );
+            if acknowledges && !eras.observe(commit.era) {
                 // What an earlier era has acknowledged may be lost.
                 commit = CommitResult::Unknown.into();
             }
--- a/crates/tanagerhub_groups/src/groups/lifecycle.rs
+++ b/crates/tanagerhub_groups/src/groups/lifecycle.rs
@@ -226,8 +226,12 @@
         if let Some(group) = self.by_id.get_mut(&id)
             && group.epoch == epoch
         {
+            let is_first = group.broken_since.is_none();
             group.was_ready = true;
             group.broken_since.get_or_insert(now);
+            if is_first {
+                self.epoch_refused();
+            }
         }
     }
 }
--- a/crates/tanagerhub_groups/src/groups/planner.rs
+++ b/crates/tanagerhub_groups/src/groups/planner.rs
@@ -90,6 +90,11 @@
         self.last_epoch
     }
 
+    /// Returns whether the store names its eras.
+    pub(super) const fn names_eras(&self) -> bool {
+        self.era.is_some()
+    }
+
     /// Returns whether a change may be sent now.
     pub(super) fn can_commit(&self, now: Moment) -> bool {
         matches!(self.state, State::Held(_)) && now >= self.paused_until
@@ -173,8 +178,8 @@
         };
         if may_take {
             self.planner.state = State::Taking { retakes };
-            if retakes || !is_planned {
-                self.raise_epochs();
+            if retakes || page.era.is_some() {
+                self.raise_epochs(!is_planned);
             }
             self.send_transaction(version, self.settings.boot, &[], true);
         } else if retakes {
--- a/crates/tanagerhub_groups/src/groups/restore.rs
+++ b/crates/tanagerhub_groups/src/groups/restore.rs
@@ -27,7 +27,7 @@
 /// from versions that are lost.
 const LOST_EPOCHS: u64 = 1 << 36;
 /// Reports of epochs from here on are invalid.
-const MAX_EPOCH: Epoch = Epoch(1 << 62);
+const MAX_EPOCH: Epoch = Epoch(1 << 53);
 /// The time that the list of VMs may take after the rows are complete.
 const LIST_MARGIN: Duration = Duration::from_millis(500);
 
@@ -49,6 +49,13 @@
         }
     }
 
+    /// Handles a VM that has seen a higher epoch than one of this planner, as after a return.
+    pub(super) fn epoch_refused(&mut self) {
+        if self.planner.names_eras() {
+            self.skip_lost_epochs();
+        }
+    }
+
     /// Takes the planner's row over again once the rows are complete.
     pub(super) fn retake_planner(&mut self, now: Moment) {
         if self.planner.state == State::Returning && self.planner.may_retake(now) {
@@ -140,8 +147,11 @@
         })
     }
 
-    /// Raises the epochs of this planner above all that are known to have been issued.
-    pub(super) fn raise_epochs(&mut self) {
+    /// Raises the epochs of this planner above all that are known to have been issued, and above
+    /// those that may have been lost if the rows are those of a copy.
+    ///
+    /// The versions that epochs come from may have fallen at an earlier return too.
+    pub(super) fn raise_epochs(&mut self, is_copy: bool) {
         let reported = self.vms.list.values();
         let reported = reported.filter_map(|entry| entry.report.group);
         let reported = reported.map(|report: GroupReport| report.epoch);
@@ -149,10 +159,16 @@
         let planned = self.by_id.values().map(|group| group.epoch);
         let highest = reported.chain(planned).max().unwrap_or(Epoch(0));
         self.planner.last_epoch = self.planner.last_epoch.max(highest);
-        if self.planner.has_seen_return {
-            self.planner.last_epoch.0 += LOST_EPOCHS;
+        if is_copy && self.planner.has_seen_return {
+            self.skip_lost_epochs();
         }
     }
+
+    /// Leaves out epochs that a VM may have seen, or has been found to have.
+    pub(super) fn skip_lost_epochs(&mut self) {
+        self.planner.last_epoch = self.planner.next_epoch();
+        self.planner.last_epoch.0 += LOST_EPOCHS;
+    }
 }
 
 /// Returns whether groups have been planned in the era of a page, so that its rows are not merely
--- a/crates/tanagerhub_groups/tests/store_return.rs
+++ b/crates/tanagerhub_groups/tests/store_return.rs
@@ -178,3 +178,34 @@
         simulation.violations
     );
 }
+
+/// Guards against a next planner whose epochs are lower than those that were issued after the
+/// return, since they come from versions that fell.
+#[test]
+fn epochs_rise_for_next_planner() {
+    let mut simulation = planner_before_groups();
+    let copy = simulation.store.clone();
+    simulation.run(40 * SECOND);
+    simulation.return_store(copy);
+    simulation.run(4 * SECOND);
+    let stop_member = |simulation: &mut Simulation| {
+        let (_, members) = groups_in_service(simulation).pop_first().unwrap();
+        simulation.stop_server(&members[1]);
+        simulation.run(20 * SECOND);
+    };
+    stop_member(&mut simulation);
+    let before = highest_epoch(&simulation);
+    let groups = groups_in_service(&simulation).len();
+    simulation.nodes[0].alive = false;
+    simulation.plan(1, known_boots(&[], &[1]));
+    simulation.run(SECOND);
+    assert!(simulation.nodes[1].groups.is_planning());
+    stop_member(&mut simulation);
+    assert!(highest_epoch(&simulation) > before);
+    assert_eq!(groups_in_service(&simulation).len(), groups);
+    assert!(
+        simulation.violations.is_empty(),
+        "{:?}",
+        simulation.violations
+    );
+}
