--- a/crates/tanagerhub/tests/support/deployment.rs
+++ b/crates/tanagerhub/tests/support/deployment.rs
@@ -3,6 +3,7 @@
 #![expect(dead_code, reason = "each test binary uses a part")]
 
 pub mod backend_server;
+mod http_exchange;
 pub mod memory_store;
 pub mod test_engines;
 
@@ -11,8 +12,6 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use async_std::io::prelude::*;
-use async_std::net::TcpStream;
 use async_std::task;
 use http::request::Parts;
 use http::{HeaderMap, StatusCode};
@@ -31,6 +30,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 pub use self::backend_server::{BackendServer, Script};
+use self::http_exchange::exchange;
+pub use self::http_exchange::status;
 pub use self::memory_store::MemoryStore;
 pub use self::test_engines::TestEngines;
 
@@ -575,27 +576,3 @@
         },
     }
 }
-
-async fn exchange(address: SocketAddr, request: &str) -> String {
-    let mut stream = TcpStream::connect(address).await.unwrap();
-    stream.write_all(request.as_bytes()).await.unwrap();
-    let mut response = Vec::new();
-    let mut buffer = [0; 1_024];
-    loop {
-        match stream.read(&mut buffer).await {
-            Ok(0) | Err(_) => break,
-            Ok(count) => response.extend_from_slice(&buffer[..count]),
-        }
-        // Connections of the readiness check stay open and receive one response without a body.
-        if response.ends_with(b"\r\n\r\n") && !request.contains("close") {
-            break;
-        }
-    }
-    String::from_utf8(response).unwrap()
-}
-
-/// Returns the status of a response, or zero if there is none.
-pub fn status(response: &str) -> u16 {
-    let code = response.split(' ').nth(1);
-    code.and_then(|code| code.parse().ok()).unwrap_or_default()
-}
--- a/crates/tanagerhub_groups/tests/support/simulation.rs
+++ b/crates/tanagerhub_groups/tests/support/simulation.rs
@@ -5,6 +5,7 @@
 mod checks;
 mod commit_fault;
 mod serving;
+mod store;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
@@ -17,19 +18,15 @@
     KnownBoots, LoadLimit, ModelSpec, Order, OrderResult, ProbeFailure, VmReport,
 };
 use tanagerhub_table::{
-    CommitResult, FeedPage, RowKey, RowVersion, StoreAnswer, StoreEra, StoreTime, Transaction,
-    VersionedRow, Write,
+    FeedPage, RowKey, RowVersion, StoreAnswer, StoreTime, Transaction, VersionedRow,
 };
 
 use self::backend_server::{BackendServer, PendingStep};
 pub use self::commit_fault::CommitFault;
+pub use self::store::StoreState;
 
 /// The interval between two ticks of the nodes.
 pub const TICK: Duration = Duration::from_millis(100);
-/// The number of conditions and writes in a transaction beyond which the store refuses it.
-const MAX_TRANSACTION_ENTRIES: usize = 100;
-/// The time after the store's return from which on its rows are complete.
-const RESTORE_TIME: Duration = Duration::from_millis(2_500);
 /// The time from the order to open until the head serves.
 const OPEN_TIME: Duration = Duration::from_millis(300);
 
@@ -54,14 +51,6 @@
     }
 }
 
-/// The rows of the store, from a copy of which it can return.
-#[derive(Debug, Default, Clone)]
-pub struct StoreState {
-    pub rows: BTreeMap<RowKey, VersionedRow>,
-    pub version: u64,
-    pub era: Option<StoreEra>,
-}
-
 /// A simulated store and VMs, with one or more nodes.
 #[derive(Debug)]
 pub struct Simulation {
@@ -493,66 +482,6 @@
         }
     }
 
-    /// Returns the store from a copy with a new era, and tells the nodes.
-    pub fn return_store(&mut self, copy: StoreState) {
-        let era = self.store.era.map(|era| StoreEra(era.0 + 1));
-        self.store = StoreState { era, ..copy };
-        let restored_at = self.now + RESTORE_TIME;
-        for node in &mut self.nodes {
-            node.events.push(GroupsEvent::StoreReturned(restored_at));
-        }
-    }
-
-    fn commit(&mut self, transaction: Transaction) -> CommitResult {
-        self.commits += 1;
-        if self.store_down {
-            return CommitResult::NotApplied;
-        }
-        if transaction.conditions.len() + transaction.writes.len() > MAX_TRANSACTION_ENTRIES {
-            return CommitResult::Unknown;
-        }
-        match self.commit_faults.pop_front() {
-            None => self.apply(&transaction),
-            Some(CommitFault::ResponseLost) => {
-                self.apply(&transaction);
-                CommitResult::Unknown
-            }
-            Some(CommitFault::Delayed) => {
-                self.delayed.push(transaction);
-                CommitResult::Unknown
-            }
-            Some(CommitFault::Refused) => CommitResult::NotApplied,
-        }
-    }
-
-    pub fn apply(&mut self, transaction: &Transaction) -> CommitResult {
-        let holds = transaction.conditions.iter().all(|condition| {
-            condition.holds(self.store.rows.get(condition.key()).map(|row| row.version))
-        });
-        if !holds {
-            return CommitResult::Conflict;
-        }
-        self.store.version += 1;
-        let version = RowVersion(self.store.version);
-        for write in &transaction.writes {
-            match write {
-                Write::Put { key, value } => {
-                    self.check_row(key, value);
-                    let row = VersionedRow {
-                        key: key.clone(),
-                        version,
-                        value: Some(value.clone()),
-                    };
-                    self.store.rows.insert(key.clone(), row);
-                }
-                Write::Delete { key } => {
-                    self.store.rows.remove(key);
-                }
-            }
-        }
-        CommitResult::Applied(version)
-    }
-
     /// Executes an order as a model engine does.
     pub fn execute_order(&mut self, vm: VmId, order: &Order) -> OrderResult {
         let (now, quick_loads) = (self.now, self.quick_loads);
