Show a planner that trusts rows from before an outage

All nodes are killed while the store is down. The new planner joins a replica, free by its old row, to a second group while its own is open (TWO).

--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -254,6 +254,7 @@
         self.reset_life()
         self.staged = []
         self.last_beat = 0.0
+        self.next_beat = time.monotonic() + random.uniform(0.1, HEARTBEAT_S)
         self.listed = None
 
     def reset_life(self):
@@ -572,17 +573,23 @@
                 f"{head.group['state']}")
 
     async def keep(self):
-        beats = 0.0
         while True:
             await asyncio.sleep(0.05)
-            beats += 0.05
             for replica in self.by_id.values():
-                if beats >= HEARTBEAT_S:
+                if time.monotonic() >= replica.next_beat:
+                    replica.next_beat = time.monotonic() + HEARTBEAT_S
                     replica.beat()
                 replica.check_lapse()
                 replica.check_stall()
-            if beats >= HEARTBEAT_S:
-                beats = 0.0
+
+    def renew_leases(self, late, delay):
+        """Starts all leases anew, since they did not run while the store was down; `late` next
+        writes its row after `delay`, the others at times spread over a heartbeat."""
+        now = time.monotonic()
+        for replica in self.by_id.values():
+            replica.last_beat = now
+            replica.next_beat = now + random.uniform(0.1, HEARTBEAT_S)
+        late.next_beat = now + delay
 
 
 class Node:
