Show a group that is dissolved while its head serves

The planner's machine loses its path to the head of a group for 10 s. The planner dissolves the group and joins its member to another one while the head is open (TWO).

--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -91,11 +91,34 @@
     return ("\r\n".join(head) + "\r\n\r\n").encode() + body
 
 
+def owner_of(peer, address, pids):
+    """Returns which of the processes opened a connection from `peer` to `address`."""
+
+    def text(pair):
+        return "{:08X}:{:04X}".format(int.from_bytes(socket.inet_aton(pair[0]), "little"), pair[1])
+
+    ends = (text(peer), text(address))
+    with open("/proc/net/tcp", encoding="ascii") as table:
+        inodes = [line.split()[9] for line in table if tuple(line.split()[1:3]) == ends]
+    for pid in pids if inodes else []:
+        try:
+            for entry in os.scandir(f"/proc/{pid}/fd"):
+                try:
+                    if os.readlink(entry.path) == f"socket:[{inodes[0]}]":
+                        return pid
+                except OSError:
+                    continue
+        except OSError:
+            continue
+    return None
+
+
 class Listener:
     """An HTTP server whose connections can be reset together."""
 
-    def __init__(self, handler):
+    def __init__(self, handler, wait_while_cut=None):
         self.handler = handler
+        self.wait_while_cut = wait_while_cut
         self.writers = set()
         self.server = None
         self.address = None
@@ -109,8 +132,12 @@
         self.writers.add(writer)
         try:
             while True:
+                if self.wait_while_cut:
+                    await self.wait_while_cut(writer)
                 line, headers = await read_head(reader)
                 body = await read_body(reader, headers)
+                if self.wait_while_cut:
+                    await self.wait_while_cut(writer)
                 # A caller that closes ends the handling of its request.
                 if not await self.handler(line[0], line[1], headers, body, writer, reader):
                     break
@@ -245,7 +272,8 @@
         self.record = fleet.record
         self.id = f"i-{random.getrandbits(40):010x}"
         self.service, self.zone, self.domain, self.slots = service, zone, domain, slots
-        self.listener = Listener(self.handle)
+        self.listener = Listener(self.handle, self.wait_while_cut)
+        self.cut_from = set()
         self.up = False
         self.reaches_store = True
         self.state = "ready"
@@ -271,6 +299,14 @@
         self.beat()
         return self
 
+    async def wait_while_cut(self, writer):
+        """Holds what comes on a connection of a process that this replica is cut off from."""
+        while self.cut_from:
+            peer = writer.get_extra_info("peername")
+            if peer is None or owner_of(peer, self.listener.address, self.cut_from) is None:
+                return
+            await asyncio.sleep(0.1)
+
     @property
     def address(self):
         return "{}:{}".format(*self.listener.address)
@@ -389,6 +425,7 @@
             if not self.up or self.born != born or not self.group or self.group["state"] == "broken":
                 abort(writer)
                 return False
+            await self.wait_while_cut(writer)
             event = f"id: {number}\ndata: {number}\n\n".encode()
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
@@ -767,7 +804,7 @@
     deployment = Deployment(folder, zones, nodes_by_zone)
     code = 2
     try:
-        asyncio.run(run(deployment))
+        asyncio.new_event_loop().run_until_complete(run(deployment))
         code = 1 if deployment.record.broken else 0
     except (Unusable, asyncio.TimeoutError) as error:
         deployment.record(f"the case could not run: {error!r}")
