Show a planner that starts during a drill and plans by the copy

The planner's process restarts while the store comes back from a copy 4 s old. It joins a replica to a second group while its own is open (TWO).

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -25,10 +25,10 @@
 # How long the store is down.
 DOWN_S = 4.5
 # When the nodes are killed, after the store has gone down, and how long they take to start again.
-KILL_S = 3.1
+KILL_S = 3.7
 RESTART_S = 0.4
 # When the spare next tries to write its row after the store's return; less than a heartbeat.
-NEXT_BEAT_S = 1.1
+NEXT_BEAT_S = 1.15
 
 
 async def traffic(play, node, number):
