--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -629,8 +629,8 @@
         group = replica.group
         if group is None or group["name"] == order["group"]:
             return
-        head = self.by_id[group["members"][0]]
-        same = head.up and head.group and (head.group["name"], head.group["epoch"]) == (
+        head = self.by_id.get(group["members"][0])
+        same = head and head.up and head.group and (head.group["name"], head.group["epoch"]) == (
             group["name"], group["epoch"])
         if same and head.group["state"] in ("open", "closing"):
             self.record.violation(
