--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -324,12 +324,22 @@
         return self
 
     async def wait_while_cut(self, writer):
-        """Holds what comes on a connection of a process that this replica is cut off from."""
-        while self.cut_from:
-            peer = writer.get_extra_info("peername")
-            if peer is None or owner_of(peer, self.listener.address, self.cut_from) is None:
-                return
+        """Holds what comes on a connection of a process that this replica is cut off from.
+
+        What was sent on a connection that its sender has closed before the cut ends is lost.
+        """
+        if not self.cut_from:
+            return
+        peer = writer.get_extra_info("peername")
+        pids = [node.process.pid for node in self.fleet.nodes if node.process]
+        owner = peer and owner_of(peer, self.listener.address, pids)
+        while owner in self.cut_from:
             await asyncio.sleep(0.1)
+            if owner not in self.cut_from and not owner_of(peer, self.listener.address, [owner]):
+                owner = None
+        if owner is None:
+            # The sender closed it, so nothing of it may be handled.
+            raise ConnectionError("closed by its sender")
 
     @property
     def address(self):
@@ -377,7 +387,8 @@
     def check_lapse(self):
         silent = time.monotonic() - self.last_beat
         store = self.fleet.store
-        if self.listed is not None and silent > LAPSE_S and not (store.down or store.away):
+        is_listed = ("servers", self.id) in store.rows
+        if is_listed and silent > LAPSE_S and not (store.down or store.away):
             self.listed = None
             self.record(f"store drops the entry of {self.id}")
             self.fleet.store.put("servers", self.id, None)
@@ -605,6 +616,7 @@
         self.in_use = False
         self.work_s, self.event_s, self.events = 0.015, 0.02, 20
         self.runs = []
+        self.nodes = []
         self.tasks = set()
 
     def spawn(self, work):
@@ -767,8 +779,8 @@
         port = random.randint(20_000, 29_000)
         try:
             with socket.socket() as probe, socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
-                probe.bind(("0.0.0.0", port))
-                udp.bind(("0.0.0.0", port))
+                probe.bind((f"{prefix}.10", port))
+                udp.bind((f"{prefix}.10", port))
             ports.append(port)
         except OSError:
             continue
@@ -788,6 +800,7 @@
     async def prepare(self):
         self.store = Store(self.record)
         self.fleet = Fleet(self.record, self.store)
+        self.fleet.nodes = self.nodes
         self.fleet.spawn(self.fleet.keep())
         prefix, ports = free_network()
         index = 0
@@ -831,6 +844,11 @@
         await deployment.prepare()
         await asyncio.wait_for(play(deployment), limit)
 
+    def stop(*_):
+        raise SystemExit(2)
+
+    signal.signal(signal.SIGTERM, stop)
+    signal.signal(signal.SIGINT, stop)
     deployment = Deployment(folder, zones, nodes_by_zone)
     code = 2
     try:
