--- a/crates/tanagerhub/src/gateway.rs
+++ b/crates/tanagerhub/src/gateway.rs
@@ -26,6 +26,7 @@
 mod limit_notices;
 mod memory;
 mod memory_metrics;
+mod planner_calls;
 mod relay;
 mod relay_log;
 mod self_reports;
--- a/crates/tanagerhub/src/gateway/control.rs
+++ b/crates/tanagerhub/src/gateway/control.rs
@@ -30,6 +30,7 @@
 use crate::gateway::group_activity::GroupActivities;
 use crate::gateway::limit_notices::{DueNotice, LimitNotices};
 use crate::gateway::memory_metrics::MemoryDump;
+use crate::gateway::planner_calls::{PlannerCall, PlannerReply};
 use crate::gateway::relay::Peers;
 use crate::gateway::shared::SharedState;
 use crate::gateway::state_dump::{EraDump, StateDump};
@@ -62,6 +63,8 @@
     LimitsSent(DueNotice, bool),
     /// Requests to a group failed or received no data.
     Suspected(GroupId, Epoch),
+    /// A call of a planner on another node, with the channel for the reply.
+    PlannerCall(PlannerCall, Sender<PlannerReply>),
     /// New bounds for the propagation of changes.
     BoundsChanged(FeedBounds),
     /// A request for the state dump, with the channel for the response.
@@ -189,6 +192,7 @@
             GatewayEvent::Suspected(group, epoch) => {
                 self.handle_groups_event(now, GroupsEvent::Suspected { group, epoch });
             }
+            GatewayEvent::PlannerCall(call, sender) => self.answer_planner(now, call, &sender),
             GatewayEvent::BoundsChanged(bounds) => self.bounds = bounds,
             GatewayEvent::Dump(sender) => {
                 drop(sender.try_send(self.dump(now)));
@@ -330,14 +334,38 @@
         let can_plan = self.view.node_rows_current && configured && is_sound;
         for action in self.presence.tick(now, can_plan) {
             match action {
+                PresenceAction::Write(value) if self.groups.writes_presence() => {
+                    let row = self.executor.term_row(value);
+                    self.handle_groups_event(now, GroupsEvent::RenewTerm(row));
+                }
                 PresenceAction::Write(value) => self.executor.write_presence(value),
-                PresenceAction::BecomePlanner(boots) => {
-                    self.handle_groups_event(now, GroupsEvent::BecomePlanner(boots));
+                PresenceAction::BecomePlanner { boots, value } => {
+                    let row = self.executor.term_row(value);
+                    self.handle_groups_event(now, GroupsEvent::BecomePlanner { boots, row });
                 }
             }
         }
     }
 
+    /// Replies to the planner on another node.
+    fn answer_planner(&mut self, now: Moment, call: PlannerCall, sender: &Sender<PlannerReply>) {
+        match call {
+            PlannerCall::Promise => {
+                let promised = self.groups.may_promise() && self.presence.promise(now);
+                // The caller may have given up.
+                let _: Result<(), _> = sender.try_send(PlannerReply::Promise(promised));
+            }
+        }
+    }
+
+    /// Asks the other nodes to promise not to become the planner.
+    fn ask_promises(&self, now: Moment) {
+        match self.presence.successors(now) {
+            Some(nodes) => self.executor.ask_promises(nodes),
+            None => log::debug!("a node without an address can't promise to leave planning"),
+        }
+    }
+
     /// Passes an event to the group decisions and runs the resulting actions.
     fn handle_groups_event(&mut self, now: Moment, event: GroupsEvent) {
         let actions = self.groups.on_event(now, event);
@@ -350,6 +378,7 @@
                     name,
                     address,
                     order,
+                    expires_at,
                 } => {
                     let report = self.groups.report(vm);
                     let server = ServerLifetime {
@@ -357,8 +386,9 @@
                         started_ms: report.map_or(0, |report| report.started_ms),
                     };
                     self.executor
-                        .order(&self.traffic, server, name, address, order);
+                        .order(&self.traffic, server, (name, address), order, expires_at);
                 }
+                GroupsAction::AskPromises => self.ask_promises(now),
                 GroupsAction::Probe { vm } => {
                     if let Some(report) = self.groups.report(vm) {
                         self.executor.probe(&self.traffic, report.clone());
--- a/crates/tanagerhub/src/gateway/control_store.rs
+++ b/crates/tanagerhub/src/gateway/control_store.rs
@@ -8,14 +8,17 @@
 use async_std::task;
 use rand::Rng as _;
 use tanagerhub_catalogue::VmId;
-use tanagerhub_clock::Clock;
-use tanagerhub_groups::{GROUPS_TABLE, GroupsEvent, Order, OrderResult, ProbeFailure, VmReport};
+use tanagerhub_clock::{Clock, Moment};
+use tanagerhub_groups::{
+    GROUPS_TABLE, GroupsEvent, Order, OrderResult, ProbeFailure, TermRow, VmReport,
+};
 use tanagerhub_proxy::Client;
 use tanagerhub_table::{CommitResult, RowKey, StoreAnswer, Transaction, TransactionId};
 use tanagerhub_traffic::{CrashRowChanges, ServerLifetime};
 
 use crate::gateway::control::GatewayEvent;
 use crate::gateway::limit_notices::{self, DueNotice};
+use crate::gateway::planner_calls;
 use crate::gateway::self_reports::record_engine_report;
 use crate::gateway::store_eras::StoreEras;
 use crate::gateway::{Adapters, CallConditions, GatewayMetrics};
@@ -43,6 +46,24 @@
 }
 
 impl ActionExecutor {
+    /// Returns this node's row with a value.
+    pub(crate) fn term_row(&self, value: Vec<u8>) -> TermRow {
+        let key = RowKey::in_table(NODES_TABLE, &self.node);
+        TermRow { key, value }
+    }
+
+    /// Asks nodes to promise not to become the planner.
+    pub(crate) fn ask_promises(&self, nodes: Vec<SocketAddr>) {
+        let (client, clock) = (self.peer_client.clone(), self.clock.clone());
+        let (asked_at, events) = (self.clock.now(), self.events.clone());
+        task::spawn(async move {
+            if planner_calls::ask_promises(&client, &clock, &nodes).await {
+                let event = GatewayEvent::Groups(GroupsEvent::Promised { asked_at });
+                drop(events.send(event).await);
+            }
+        });
+    }
+
     /// Writes this node's row without a condition on its previous content.
     pub(crate) fn write_presence(&self, value: Vec<u8>) {
         let key = RowKey::in_table(NODES_TABLE, &self.node);
@@ -103,22 +124,22 @@
         });
     }
 
-    /// Sends an order to a backend server, unless it is paused.
+    /// Sends an order to a backend server before `expires_at`, unless it is paused.
     pub(crate) fn order(
         &self,
         traffic: &Arc<TrafficHandle>,
         server: ServerLifetime,
-        name: String,
-        address: SocketAddr,
+        (name, address): (String, SocketAddr),
         order: Order,
+        expires_at: Moment,
     ) {
         let vm = server.server;
         let (traffic, sender) = (Arc::clone(traffic), self.events.clone());
         let engines = Arc::clone(&self.adapters.engines);
-        let metrics = self.metrics.clone();
+        let (metrics, clock) = (self.metrics.clone(), self.clock.clone());
         self.spawn(async move {
             let result = if may_begin_call(&traffic, vm) {
-                let may_send = || begin_call(&traffic, vm);
+                let may_send = || clock.now() < expires_at && begin_call(&traffic, vm);
                 let conditions = CallConditions {
                     timeout: ORDER_TIMEOUT,
                     may_send: &may_send,
--- /dev/null
+++ b/crates/tanagerhub/src/gateway/planner_calls.rs
@@ -0,0 +1,118 @@
+//! Calls by which the planner asks other nodes what it can't know alone.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_channel::Sender;
+use bytes::Bytes;
+use futures_lite::StreamExt as _;
+use futures_lite::stream;
+use http::header::HOST;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt as _, Full, Limited};
+use hyper::body::Incoming;
+use serde::{Deserialize, Serialize};
+use tanagerhub_clock::Clock;
+use tanagerhub_proxy::{Client, ResponseBody, Reuse, empty_body, full_body};
+use tanagerhub_table::{Sections, decode_value, encode_value};
+
+use crate::gateway::GatewayMetrics;
+use crate::gateway::control::GatewayEvent;
+
+/// The path of the calls.
+pub(crate) const PLANNER_PATH: &str = "/planner";
+/// The maximum size of a call and of a reply.
+const MAX_BYTES: usize = 4 << 10;
+/// The timeout of a call.
+const CALL_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// A call of the planner to another node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum PlannerCall {
+    /// Promise not to become the planner for a while.
+    Promise,
+}
+
+/// The reply to a call of the planner.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum PlannerReply {
+    /// Whether the node promises.
+    Promise(bool),
+}
+
+/// Asks all these nodes to promise. Returns whether all of them did.
+pub(crate) async fn ask_promises(client: &Client, clock: &Clock, nodes: &[SocketAddr]) -> bool {
+    let calls = nodes.iter().map(|node| {
+        let (client, clock, node) = (client.clone(), clock.clone(), *node);
+        async_std::task::spawn(async move {
+            let reply = call(&client, &clock, node, PlannerCall::Promise).await;
+            let promised = reply == Some(PlannerReply::Promise(true));
+            if !promised {
+                log::info!(node:% = node, reply:?; "a node did not promise to leave planning to this one");
+            }
+            promised
+        })
+    });
+    let calls: Vec<_> = calls.collect();
+    let mut replies = stream::iter(calls).then(|call| call);
+    let mut all = true;
+    while let Some(promised) = replies.next().await {
+        all &= promised;
+    }
+    all
+}
+
+/// Sends a call to a node. Returns `None` if there is no valid reply in time.
+async fn call(
+    client: &Client,
+    clock: &Clock,
+    node: SocketAddr,
+    call: PlannerCall,
+) -> Option<PlannerReply> {
+    let body = encode_value(&call, &Sections::default());
+    let request = Request::post(PLANNER_PATH)
+        .header(HOST, node.to_string())
+        .body(Full::new(Bytes::from(body)))
+        .ok()?;
+    let exchange = async {
+        let response = client.send(node, request, Reuse::Idle, || true).await;
+        let response = response.ok().filter(|it| it.status == StatusCode::OK)?;
+        response.body.read(MAX_BYTES).await.ok()
+    };
+    let reply = clock.timeout(CALL_TIMEOUT, exchange).await.flatten();
+    if reply.is_none() {
+        client.close_idle(node);
+    }
+    decode_value(&reply?).ok().map(|(reply, _)| reply)
+}
+
+/// Handles the call of a planner with the control thread.
+pub(crate) async fn receive(
+    events: Sender<GatewayEvent>,
+    metrics: &GatewayMetrics,
+    request: Request<Incoming>,
+) -> Response<ResponseBody> {
+    let body = Limited::new(request.into_body(), MAX_BYTES).collect().await;
+    let call = body
+        .ok()
+        .and_then(|body| decode_value::<PlannerCall>(&body.to_bytes()).ok());
+    let Some((call, _)) = call else {
+        metrics.unreadable_value("planner call", &"invalid call of a planner");
+        return status(StatusCode::BAD_REQUEST);
+    };
+    let (sender, replies) = async_channel::bounded(1);
+    let sent = events.send(GatewayEvent::PlannerCall(call, sender)).await;
+    match sent {
+        Ok(()) => match replies.recv().await {
+            Ok(reply) => Response::new(full_body(encode_value(&reply, &Sections::default()))),
+            Err(_) => status(StatusCode::SERVICE_UNAVAILABLE),
+        },
+        Err(_) => status(StatusCode::SERVICE_UNAVAILABLE),
+    }
+}
+
+fn status(status: StatusCode) -> Response<ResponseBody> {
+    let mut response = Response::new(empty_body());
+    *response.status_mut() = status;
+    response
+}
--- a/crates/tanagerhub/src/gateway/servers.rs
+++ b/crates/tanagerhub/src/gateway/servers.rs
@@ -18,6 +18,7 @@
 use crate::gateway::forwarder::Forwarder;
 use crate::gateway::front::Frontend;
 use crate::gateway::limit_notices::{self, NOTICES_PATH};
+use crate::gateway::planner_calls::{self, PLANNER_PATH};
 use crate::gateway::relay::Relay;
 use crate::gateway::shared::SharedState;
 use crate::gateway::{GatewayError, GatewayMetrics};
@@ -52,6 +53,7 @@
     specs: &[&FeedSpec],
     traffic: &Arc<TrafficHandle>,
     frontend: &Arc<Frontend>,
+    events: &Sender<GatewayEvent>,
 ) -> Result<Server, GatewayError> {
     let tables = specs
         .iter()
@@ -60,14 +62,17 @@
     let relay = Arc::new(Relay::new(clock.clone(), frontend.metrics.clone(), tables));
     let stall = frontend.memory.stall.as_ref();
     let (traffic, frontend) = (Arc::clone(traffic), Arc::clone(frontend));
+    let events = events.clone();
     let handler = move |request: Request<Incoming>| {
         let (relay, traffic) = (Arc::clone(&relay), Arc::clone(&traffic));
         let frontend = Arc::clone(&frontend);
+        let events = events.clone();
         async move {
             if Forwarder::is_marked(request.headers()) {
                 return frontend.handle_forwarded(request).await;
             }
             match request.uri().path() {
+                PLANNER_PATH => planner_calls::receive(events, &frontend.metrics, request).await,
                 NOTICES_PATH => limit_notices::receive(traffic, &frontend.metrics, request).await,
                 _ => relay.handle(request).await,
             }
--- a/crates/tanagerhub/src/gateway/start.rs
+++ b/crates/tanagerhub/src/gateway/start.rs
@@ -137,8 +137,9 @@
         let peers = Arc::new(Peers::default());
         let specs = feed_specs(&adapters, &timings);
         if let Some(address) = settings.peer_address {
-            auxiliary_servers
-                .push(serve_peers(address, &clock, &specs.all(), &traffic, &frontend).await?);
+            auxiliary_servers.push(
+                serve_peers(address, &clock, &specs.all(), &traffic, &frontend, &events).await?,
+            );
         }
         let control = GatewayControl {
             clock: clock.clone(),
--- a/crates/tanagerhub_groups/src/action.rs
+++ b/crates/tanagerhub_groups/src/action.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use tanagerhub_catalogue::VmId;
+use tanagerhub_clock::Moment;
 use tanagerhub_table::Transaction;
 
 use crate::Order;
@@ -25,7 +26,12 @@
         address: SocketAddr,
         /// The order to send.
         order: Order,
+        /// When the planner's term ends; the order must not be sent from then on.
+        expires_at: Moment,
     },
+    /// Ask all other live nodes to promise not to begin a term for a while. If all do, send
+    /// [`Promised`](crate::GroupsEvent::Promised).
+    AskPromises,
     /// Request a VM's report, and return it as [`Probed`](crate::GroupsEvent::Probed).
     Probe {
         /// The VM to probe.
--- a/crates/tanagerhub_groups/src/decision.rs
+++ b/crates/tanagerhub_groups/src/decision.rs
@@ -16,6 +16,10 @@
     },
     /// This node is no longer the planner.
     PlannerYielded,
+    /// The planner's term has ended and was not renewed, so that it gives no orders.
+    PlannerSuspended,
+    /// The planner's term was renewed after it had ended.
+    PlannerResumed,
     /// The store returned from an older copy. The planner takes its row over again once the rows
     /// are complete.
     StoreReturned,
--- a/crates/tanagerhub_groups/src/event.rs
+++ b/crates/tanagerhub_groups/src/event.rs
@@ -3,9 +3,9 @@
 use serde::Serialize;
 use tanagerhub_catalogue::{DataCentreId, Epoch, GroupId, VmId};
 use tanagerhub_clock::Moment;
-use tanagerhub_table::{CommitResult, FeedPage, StoreAnswer};
+use tanagerhub_table::{CommitResult, FeedPage, RowKey, StoreAnswer, StoreVersion};
 
-use crate::{Demand, EngineSpec, Order, OrderResult, VmReport};
+use crate::{Demand, EngineSpec, Order, OrderResult, TermRow, VmReport};
 
 /// An event that [`Groups`](crate::Groups) handles.
 #[derive(Debug, Clone)]
@@ -34,7 +34,20 @@
     /// time on.
     StoreReturned(Moment),
     /// No other node is the planner, so this node tries to become it.
-    BecomePlanner(KnownBoots),
+    BecomePlanner {
+        /// The processes that may be the planner, and those that are not.
+        boots: KnownBoots,
+        /// The row that begins the term.
+        row: TermRow,
+    },
+    /// The planner's presence row is due, which renews its term.
+    RenewTerm(TermRow),
+    /// All other live nodes have promised not to begin a term for a while, as
+    /// [`GroupsAction::AskPromises`](crate::GroupsAction::AskPromises) asked them.
+    Promised {
+        /// When they were asked.
+        asked_at: Moment,
+    },
     /// Another node is the planner, or this node is stopping.
     ResignPlanner,
     /// The response to [`GroupsAction::ReadRows`](crate::GroupsAction::ReadRows); `None` if the
@@ -96,7 +109,9 @@
             | Self::StoreUnreachable
             | Self::StoreReachable
             | Self::StoreReturned(_)
-            | Self::BecomePlanner(_)
+            | Self::BecomePlanner { .. }
+            | Self::RenewTerm(_)
+            | Self::Promised { .. }
             | Self::ResignPlanner
             | Self::RowsRead(_)
             | Self::Committed(_)
@@ -113,6 +128,19 @@
     pub live: Vec<u64>,
     /// Boot ids of processes that have ended or are stopping, and those in this node's own row.
     pub ended: Vec<u64>,
+    /// Processes that have not written their row for long enough to be replaced as the planner.
+    pub lapsed: Vec<LapsedBoot>,
+}
+
+/// A process that has not written its row for a while, and may still run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LapsedBoot {
+    /// The boot id of the process.
+    pub boot: u64,
+    /// Its presence row.
+    pub row: RowKey,
+    /// The version that the row has had for that time.
+    pub version: StoreVersion,
 }
 
 /// Why a probe returned no report.
--- a/crates/tanagerhub_groups/src/groups.rs
+++ b/crates/tanagerhub_groups/src/groups.rs
@@ -14,6 +14,7 @@
 mod restore;
 mod silence;
 mod stage;
+mod term;
 mod view;
 mod vm_entry;
 mod vms;
@@ -34,9 +35,11 @@
 use planner::Planner;
 use probe::OutageProbeBudget;
 use rebalance::Rebalance;
+use term::ActiveTerm;
 use vms::Vms;
 
 pub use model_status::ModelStatus;
+pub use term::{TERM_LENGTH, TermRow};
 pub use view::{GroupStatus, Head, Reach, VmStatus};
 
 /// The state machine with which one node decides on all replica groups.
@@ -48,10 +51,16 @@
 ///
 /// ```
 /// use tanagerhub_clock::Moment;
-/// use tanagerhub_groups::{Groups, GroupsAction, GroupsEvent, GroupsSettings, KnownBoots};
+/// use tanagerhub_groups::{
+///     Groups, GroupsAction, GroupsEvent, GroupsSettings, KnownBoots, TermRow,
+/// };
+/// use tanagerhub_table::RowKey;
 ///
 /// let mut groups = Groups::new(GroupsSettings::default().boot(7), 1);
-/// let actions = groups.on_event(Moment::ZERO, GroupsEvent::BecomePlanner(KnownBoots::default()));
+/// let boots = KnownBoots::default();
+/// let row = TermRow { key: RowKey::in_table("nodes", "node-a"), value: Vec::new() };
+/// let event = GroupsEvent::BecomePlanner { boots, row };
+/// let actions = groups.on_event(Moment::ZERO, event);
 /// assert_eq!(actions, [GroupsAction::ReadRows]);
 /// ```
 #[derive(Debug)]
@@ -139,8 +148,10 @@
             }
             GroupsEvent::NodeCount(count) => self.node_count = count,
             GroupsEvent::StoreReturned(restored_at) => self.store_returned(restored_at),
-            GroupsEvent::BecomePlanner(boots) => self.become_planner(now, boots),
-            GroupsEvent::ResignPlanner => self.resign_planner(),
+            GroupsEvent::BecomePlanner { boots, row } => self.become_planner(now, boots, row),
+            GroupsEvent::RenewTerm(row) => self.set_term_row(now, row),
+            GroupsEvent::Promised { asked_at } => self.apply_promises(now, asked_at),
+            GroupsEvent::ResignPlanner => self.resign_planner(now),
             GroupsEvent::RowsRead(page) => self.apply_read(now, page),
             GroupsEvent::Committed(commit) => self.apply_commit(now, commit),
             GroupsEvent::Ordered { vm, order, result } => self.order_done(now, vm, &order, result),
@@ -164,6 +175,19 @@
         self.planner.is_held()
     }
 
+    /// Returns whether the presence row is written with the planner's row, by
+    /// [`GroupsEvent::RenewTerm`].
+    #[must_use]
+    pub const fn writes_presence(&self) -> bool {
+        self.planner.writes_presence()
+    }
+
+    /// Returns whether this node may promise to another one that it doesn't begin to plan.
+    #[must_use]
+    pub const fn may_promise(&self) -> bool {
+        !self.planner.is_held() && !self.planner.is_taking_over()
+    }
+
     /// Returns the last report of a VM, from the store or from a probe; `None` if the VM is
     /// unknown.
     #[must_use]
@@ -208,13 +232,23 @@
             return;
         }
         self.retake_planner(now);
-        self.advance_groups(now);
+        self.renew_term(now);
+        self.ask_promises(now);
+        self.record_term_change(now);
+        if let Some(term) = self.active_term(now) {
+            self.plan(now, term);
+        }
+    }
+
+    /// Gives the orders and sends the changes that are due.
+    fn plan(&mut self, now: Moment, term: ActiveTerm) {
+        self.advance_groups(now, term);
         // The target composition of a domain depends on its number of VMs, so staging waits until
         // VMs that start together are listed.
         if self.in_use || !self.vms.are_arriving(now) {
-            self.stage_models(now);
+            self.stage_models(now, term);
         }
-        self.plan_changes(now);
+        self.plan_changes(now, term);
     }
 
     fn apply_demand(&mut self, now: Moment, demand: Demand) {
--- a/crates/tanagerhub_groups/src/groups/lifecycle.rs
+++ b/crates/tanagerhub_groups/src/groups/lifecycle.rs
@@ -10,12 +10,13 @@
 
 use super::Groups;
 use super::group::{Dissolving, Group, SentOrder};
+use super::term::ActiveTerm;
 use super::vm_entry::VmEntry;
 
 impl Groups {
     /// Sends the orders that bring groups into service, or that make the heads of groups being
     /// dissolved leave.
-    pub(super) fn advance_groups(&mut self, now: Moment) {
+    pub(super) fn advance_groups(&mut self, now: Moment, term: ActiveTerm) {
         let ids: Vec<GroupId> = self.by_id.keys().copied().collect();
         for id in ids {
             let Some(group) = self.by_id.get(&id) else {
@@ -25,9 +26,9 @@
                 continue;
             }
             if group.dissolving.is_some() {
-                self.release_heads(now, id);
+                self.release_heads(now, term, id);
             } else if group.members.iter().all(|vm| self.is_available(*vm)) {
-                self.bring_up(now, id);
+                self.bring_up(now, term, id);
             }
         }
     }
@@ -51,7 +52,7 @@
     }
 
     /// Orders the members to join, and opens the group once every member is ready.
-    fn bring_up(&mut self, now: Moment, id: GroupId) {
+    fn bring_up(&mut self, now: Moment, term: ActiveTerm, id: GroupId) {
         let Some(group) = self.by_id.get(&id) else {
             return;
         };
@@ -74,7 +75,7 @@
                 None if was_ready => ready = false,
                 None => {
                     ready = false;
-                    self.send_order(now, id, *vm, join.clone());
+                    self.send_order(now, term, id, *vm, join.clone());
                 }
                 Some(GroupState::Joining | GroupState::Broken | GroupState::Closing) => {
                     ready = false;
@@ -83,11 +84,17 @@
             }
         }
         if ready {
-            self.open(now, id, &states);
+            self.open(now, term, id, &states);
         }
     }
 
-    fn open(&mut self, now: Moment, id: GroupId, states: &[(VmId, Option<GroupState>)]) {
+    fn open(
+        &mut self,
+        now: Moment,
+        term: ActiveTerm,
+        id: GroupId,
+        states: &[(VmId, Option<GroupState>)],
+    ) {
         let Some(group) = self.by_id.get_mut(&id) else {
             return;
         };
@@ -99,13 +106,13 @@
         if group.closing_since.is_some() {
             return;
         }
-        if self.send_order(now, id, head, Order::Open { group: id, epoch }) {
+        if self.send_order(now, term, id, head, Order::Open { group: id, epoch }) {
             self.record(Decision::Opening { group: id, epoch });
         }
     }
 
     /// Orders the VMs that may still serve a group being dissolved to leave it.
-    fn release_heads(&mut self, now: Moment, id: GroupId) {
+    fn release_heads(&mut self, now: Moment, term: ActiveTerm, id: GroupId) {
         let Some(group) = self.by_id.get(&id) else {
             return;
         };
@@ -117,7 +124,7 @@
             let entry = self.vms.get(*vm);
             if entry.is_some_and(|entry| !entry.is_unavailable(&self.settings)) {
                 let (group, epoch) = (id, *epoch);
-                self.send_order(now, id, *vm, Order::Leave { group, epoch });
+                self.send_order(now, term, id, *vm, Order::Leave { group, epoch });
             }
         }
         if pending.is_empty()
@@ -158,7 +165,14 @@
     /// Sends an order to a member, unless the same order was sent within the retry interval.
     ///
     /// Returns whether the order was sent.
-    pub(super) fn send_order(&mut self, now: Moment, id: GroupId, vm: VmId, order: Order) -> bool {
+    pub(super) fn send_order(
+        &mut self,
+        now: Moment,
+        term: ActiveTerm,
+        id: GroupId,
+        vm: VmId,
+        order: Order,
+    ) -> bool {
         let interval = self.settings.order_retry_interval;
         let Some((group, entry)) = self.by_id.get_mut(&id).zip(self.vms.get(vm)) else {
             return false;
@@ -177,6 +191,7 @@
             name: entry.report.vm.name.clone(),
             address: entry.report.vm.address,
             order,
+            expires_at: term.ends_at(),
         });
         true
     }
--- a/crates/tanagerhub_groups/src/groups/link_doubt.rs
+++ b/crates/tanagerhub_groups/src/groups/link_doubt.rs
@@ -76,7 +76,7 @@
         self.links.cut_off_until = now;
         let since = *self.links.cut_off_since.get_or_insert(now);
         if self.planner.is_held() && !self.store_unreachable && now.since(since) >= RESIGN_DELAY {
-            self.resign_planner();
+            self.resign_planner(now);
         }
     }
 }
--- a/crates/tanagerhub_groups/src/groups/planner.rs
+++ b/crates/tanagerhub_groups/src/groups/planner.rs
@@ -15,11 +15,12 @@
 };
 
 use crate::rows::{RowKind, decode, encode, group_key, planner_key, row_kind};
-use crate::{Change, Decision, GroupRow, GroupsAction, KnownBoots, PlannerRow};
+use crate::{Change, Decision, GroupRow, GroupsAction, KnownBoots, LapsedBoot, PlannerRow};
 
 use super::Groups;
 use super::group::Group;
-use super::restore::{bind_to_era, is_planned_era};
+use super::restore::{bind_to_era, is_planned_era, mark_eras};
+use super::term::{ActiveTerm, Term, TermRow};
 
 /// The number of epochs reserved for each version of the planner's row.
 const EPOCHS_PER_VERSION: u64 = 1 << 16;
@@ -28,6 +29,12 @@
 #[derive(Debug, Default)]
 pub(super) struct Planner {
     pub(super) state: State,
+    /// The time in which this node may act as the planner.
+    pub(super) term: Term,
+    /// Whether the log has told that the term has ended and was not renewed.
+    pub(super) is_suspended: bool,
+    /// The transaction that was sent last.
+    last_sent: Option<SentTransaction>,
     /// The era of the rows that this node knows.
     era: Option<StoreEra>,
     /// The last version at which this node held the row; epochs are derived from it.
@@ -38,7 +45,7 @@
     known_boots: KnownBoots,
     /// The version of a planner's row whose boot id is unknown, and when it was first read.
     unknown_holder: Option<(StoreVersion, Moment)>,
-    /// No change is sent before this time, because the store refused the last one.
+    /// No change is sent before this time, and no result of one is read, because the last call failed.
     pub(super) paused_until: Moment,
     /// The planner's row is not taken over before this time, because the store has returned from a
     /// copy.
@@ -49,6 +56,23 @@
     changes: Vec<(Change, Option<GroupRow>)>,
 }
 
+/// A transaction that was sent to the store.
+#[derive(Debug, Clone, Copy)]
+struct SentTransaction {
+    sent_at: Moment,
+    /// The number in the planner's row that it writes.
+    nonce: u64,
+}
+
+/// Why this node may take the planner's row over.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Vacancy {
+    /// The row names no planner, this process, or one that has ended.
+    Free,
+    /// The planner has not renewed its term for long enough, which the transaction confirms.
+    Lapsed(LapsedBoot),
+}
+
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
 pub(super) enum State {
     /// This node is not the planner.
@@ -100,35 +124,78 @@
         matches!(self.state, State::Held(_)) && now >= self.paused_until
     }
 
+    /// Returns whether the presence row is written with the planner's row.
+    pub(super) const fn writes_presence(&self) -> bool {
+        matches!(self.state, State::Held(_) | State::Changing(_))
+    }
+
+    /// Returns whether this node may be about to become the planner.
+    pub(super) const fn is_taking_over(&self) -> bool {
+        matches!(
+            self.state,
+            State::Reading { retakes: false } | State::Taking { retakes: false }
+        )
+    }
+
     /// Returns whether the planner's row may be taken over again now.
     pub(super) fn may_retake(&self, now: Moment) -> bool {
         now >= self.rests_until && now >= self.paused_until
     }
 
+    /// Begins a term with the transaction that was sent last.
+    fn begin_term(&mut self) {
+        if let Some(sent) = self.last_sent {
+            self.term.begin(sent.sent_at);
+        }
+    }
+
+    /// Renews the term by the transaction that was sent last.
+    fn renew_term(&mut self) {
+        if let Some(sent) = self.last_sent {
+            self.term.renew(sent.sent_at);
+        }
+    }
+
+    /// Renews the term if the planner's row is that of the last transaction, whose response was
+    /// lost.
+    fn confirm_sent(&mut self, row: &PlannerRow) {
+        if self.last_sent.is_some_and(|sent| sent.nonce == row.nonce) {
+            self.renew_term();
+        }
+    }
+
     pub(super) fn take_changes(&mut self) -> Vec<(Change, Option<GroupRow>)> {
         std::mem::take(&mut self.changes)
     }
 }
 
 impl Groups {
-    pub(super) fn become_planner(&mut self, now: Moment, boots: KnownBoots) {
+    pub(super) fn become_planner(&mut self, now: Moment, boots: KnownBoots, row: TermRow) {
         self.planner.known_boots = boots;
+        self.planner.term.set_row(row);
         if self.planner.state == State::Idle && now >= self.planner.rests_until {
             self.planner.state = State::Reading { retakes: false };
             self.actions.push(GroupsAction::ReadRows);
         }
     }
 
-    pub(super) fn resign_planner(&mut self) {
+    pub(super) fn resign_planner(&mut self, now: Moment) {
         if self.planner.is_held() {
             self.record(Decision::PlannerYielded);
         }
         if let State::Held(version) = self.planner.state {
             // Clears the planner's row so that other nodes can take over at once. Correctness does
             // not depend on the result.
-            self.send_transaction(version, 0, &[], false);
+            let row = self.new_planner_row(0);
+            let transaction = self.planner_transaction(version, &row);
+            self.commit(now, &row, transaction);
         }
+        self.stop_planning();
+    }
+
+    fn stop_planning(&mut self) {
         self.planner.state = State::Idle;
+        self.planner.term.end();
         self.planner.changes.clear();
     }
 
@@ -142,10 +209,12 @@
                 let (version, row) = self.apply_rows(now, &page);
                 self.planner.changes.clear();
                 self.planner.era = page.era;
-                if row.is_some_and(|row| row.boot == self.settings.boot) {
+                let row = row.filter(|row| row.boot == self.settings.boot);
+                if let Some(row) = row {
                     self.planner.set_held(version);
+                    self.planner.confirm_sent(&row);
                 } else {
-                    self.resign_planner();
+                    self.resign_planner(now);
                 }
             }
             (State::ReadingBack, None) => self.actions.push(GroupsAction::ReadRows),
@@ -171,17 +240,18 @@
         };
         self.planner.era = page.era;
         let is_own = |row: &PlannerRow| row.boot == self.settings.boot;
-        let may_take = if retakes {
-            !is_planned || row.as_ref().is_some_and(is_own)
+        let vacancy = if retakes {
+            let stays = !is_planned || row.as_ref().is_some_and(is_own);
+            stays.then_some(Vacancy::Free)
         } else {
-            self.can_take_over(now, version, row.as_ref())
+            self.find_vacancy(now, version, row.as_ref())
         };
-        if may_take {
+        if let Some(vacancy) = vacancy {
             self.planner.state = State::Taking { retakes };
             if retakes || page.era.is_some() {
                 self.raise_epochs(!is_planned);
             }
-            self.send_transaction(version, self.settings.boot, &[], true);
+            self.send_takeover(now, version, &vacancy);
         } else if retakes {
             self.resign_silently();
         } else {
@@ -189,16 +259,48 @@
         }
     }
 
-    /// Sends changes in one transaction, each with the group's new row (`None` to delete it).
+    /// Sends a transaction that takes the planner's row over.
+    fn send_takeover(&mut self, now: Moment, version: RowVersion, vacancy: &Vacancy) {
+        let row = self.new_planner_row(self.settings.boot);
+        let mut transaction = self.planner_transaction(version, &row);
+        transaction = mark_eras(transaction, self.planner.era);
+        if let Vacancy::Lapsed(LapsedBoot { row, version, .. }) = vacancy {
+            transaction = if version.era == self.planner.era {
+                transaction.require_version(row.clone(), version.version)
+            } else {
+                // The store lost the row with an earlier era, and the planner has not written it again.
+                transaction.require_absent(row.clone())
+            };
+        }
+        self.commit(now, &row, transaction);
+    }
+
+    /// Sends changes in one transaction, each with the group's new row (`None` to delete it). The
+    /// transaction renews the term, so it may be without changes.
     ///
     /// Each change is complete in itself. Those that exceed the size of a transaction are dropped;
     /// they are planned again after the others.
-    pub(super) fn submit_changes(&mut self, mut changes: Vec<(Change, Option<GroupRow>)>) {
+    pub(super) fn submit_changes(
+        &mut self,
+        now: Moment,
+        _term: ActiveTerm,
+        changes: Vec<(Change, Option<GroupRow>)>,
+    ) {
+        self.send_changes(now, changes);
+    }
+
+    pub(super) fn send_changes(
+        &mut self,
+        now: Moment,
+        mut changes: Vec<(Change, Option<GroupRow>)>,
+    ) {
         let State::Held(version) = self.planner.state else {
             return;
         };
-        let boot = self.settings.boot;
-        let sent = self.send_transaction(version, boot, &changes, false);
+        let row = self.new_planner_row(self.settings.boot);
+        let transaction = self.planner_transaction(version, &row);
+        let (transaction, sent) = add_changes(transaction, &changes);
+        self.commit(now, &row, transaction);
         changes.truncate(sent);
         for (change, _) in &changes {
             if let Some(group) = self.by_id.get_mut(&change.group()) {
@@ -210,70 +312,69 @@
         self.planner.changes = changes;
     }
 
-    /// Returns whether the planner's row is free, or held by a node that is no longer the planner.
-    /// `None` is a row that can't be decoded, whose holder is unknown.
-    fn can_take_over(
+    /// Returns why the planner's row may be taken over; `None` if its holder may be the planner. The
+    /// row is `None` if it can't be decoded, so that its holder is unknown.
+    fn find_vacancy(
         &mut self,
         now: Moment,
         version: RowVersion,
         row: Option<&PlannerRow>,
-    ) -> bool {
+    ) -> Option<Vacancy> {
         let planner = &mut self.planner;
+        let boots = &planner.known_boots;
         if let Some(PlannerRow { boot, .. }) = row {
-            if *boot == 0 || *boot == self.settings.boot || planner.known_boots.ended.contains(boot)
-            {
-                return true;
+            if *boot == 0 || *boot == self.settings.boot || boots.ended.contains(boot) {
+                return Some(Vacancy::Free);
+            }
+            if boots.live.contains(boot) {
+                return None;
             }
-            if planner.known_boots.live.contains(boot) {
-                return false;
+            if let Some(lapsed) = boots.lapsed.iter().find(|lapsed| lapsed.boot == *boot) {
+                return Some(Vacancy::Lapsed(lapsed.clone()));
             }
         }
         let version = StoreVersion::new(planner.era, version);
         match planner.unknown_holder {
             Some((known, since)) if known == version => {
-                now.since(since) >= self.settings.unknown_planner_timeout
+                let has_waited = now.since(since) >= self.settings.unknown_planner_timeout;
+                has_waited.then_some(Vacancy::Free)
             }
             _ => {
                 planner.unknown_holder = Some((version, now));
-                false
+                None
             }
         }
     }
 
-    /// Sends a transaction that writes the planner's row and as many of the changes as fit, in
-    /// their order. Returns the number of these changes.
-    fn send_transaction(
-        &mut self,
-        version: RowVersion,
-        boot: u64,
-        changes: &[(Change, Option<GroupRow>)],
-        takes_over: bool,
-    ) -> usize {
+    fn new_planner_row(&mut self, boot: u64) -> PlannerRow {
         let nonce = self.rng.next_u64();
-        let row = PlannerRow { boot, nonce };
-        let mut transaction =
-            Transaction::new(TransactionId(u128::from(nonce))).put(planner_key(), encode(&row));
+        PlannerRow { boot, nonce }
+    }
+
+    /// Returns a transaction that writes the planner's row, and the presence row of a planner, on
+    /// condition that the planner's row has a version.
+    fn planner_transaction(&mut self, version: RowVersion, row: &PlannerRow) -> Transaction {
+        let id = TransactionId(u128::from(row.nonce));
+        let mut transaction = Transaction::new(id).put(planner_key(), encode(row));
         transaction = if version == RowVersion(0) {
             transaction.require_absent(planner_key())
         } else {
             transaction.require_version(planner_key(), version)
         };
-        transaction = bind_to_era(transaction, self.planner.era, takes_over);
-        let mut sent = 0;
-        for (change, row) in changes {
-            let key = group_key(change.group());
-            let value = row.as_ref().map(encode);
-            if !transaction.has_room(&key, value.as_ref().map_or(0, Vec::len)) {
-                break;
-            }
-            transaction = match value {
-                Some(value) => transaction.put(key, value),
-                None => transaction.delete(key),
-            };
-            sent += 1;
+        if row.boot != 0
+            && let Some(TermRow { key, value }) = self.planner.term.row_to_write()
+        {
+            transaction = transaction.put(key.clone(), value.clone());
         }
+        bind_to_era(transaction, self.planner.era)
+    }
+
+    fn commit(&mut self, now: Moment, row: &PlannerRow, transaction: Transaction) {
+        self.planner.last_sent = Some(SentTransaction {
+            sent_at: now,
+            nonce: row.nonce,
+        });
         self.actions.push(GroupsAction::Commit(transaction));
-        sent
     }
 
     /// Handles the result of a transaction. One in another era than the known rows is of a store
@@ -292,6 +393,7 @@
         match (self.planner.state, commit) {
             (State::Taking { .. }, CommitResult::Applied(version)) => {
                 self.planner.set_held(version);
+                self.planner.begin_term();
                 self.planner.has_seen_return = false;
                 self.record(Decision::PlannerTaken { version: version.0 });
             }
@@ -305,6 +407,7 @@
             }
             (State::Changing(_), CommitResult::Applied(version)) => {
                 self.planner.set_held(version);
+                self.planner.renew_term();
                 self.apply_changes(now, changes);
             }
             (State::Changing(version), CommitResult::NotApplied) => {
@@ -357,7 +460,13 @@
     /// Renews a group while the store is unreachable.
     ///
     /// The new epoch is above all epochs in the store, and below all epochs of a later planner.
-    pub(super) fn renew_provisionally(&mut self, now: Moment, change: Change, row: GroupRow) {
+    pub(super) fn renew_provisionally(
+        &mut self,
+        now: Moment,
+        _term: ActiveTerm,
+        change: Change,
+        row: GroupRow,
+    ) {
         let id = change.group();
         let epoch = Some(row.epoch);
         let mut group = Group::new(now, id, row);
@@ -369,8 +478,7 @@
     /// Stops planning without a write to the store, because another planner is active.
     pub(super) fn resign_silently(&mut self) {
         self.record(Decision::PlannerYielded);
-        self.planner.state = State::Idle;
-        self.planner.changes.clear();
+        self.stop_planning();
     }
 
     /// Applies all rows. Returns the planner's row, which is `None` if it can't be decoded, and its
@@ -460,6 +568,27 @@
     }
 }
 
+/// Adds as many of the changes to a transaction as fit, in their order. Returns their number.
+fn add_changes(
+    mut transaction: Transaction,
+    changes: &[(Change, Option<GroupRow>)],
+) -> (Transaction, usize) {
+    let mut sent = 0;
+    for (change, row) in changes {
+        let key = group_key(change.group());
+        let value = row.as_ref().map(encode);
+        if !transaction.has_room(&key, value.as_ref().map_or(0, Vec::len)) {
+            break;
+        }
+        transaction = match value {
+            Some(value) => transaction.put(key, value),
+            None => transaction.delete(key),
+        };
+        sent += 1;
+    }
+    (transaction, sent)
+}
+
 /// Returns the group of each VM according to the rows.
 fn holders(rows: &BTreeMap<GroupId, GroupRow>) -> BTreeMap<String, GroupId> {
     let members = rows
--- a/crates/tanagerhub_groups/src/groups/reassign.rs
+++ b/crates/tanagerhub_groups/src/groups/reassign.rs
@@ -14,6 +14,7 @@
 
 use super::Groups;
 use super::group::{Dissolving, Group};
+use super::term::ActiveTerm;
 use super::vm_entry::VmEntry;
 
 /// How long a group waits for a spare VM before a VM with another model is reassigned to it.
@@ -177,7 +178,7 @@
     /// Dissolves a group in favour of a larger one once its head has finished its requests.
     ///
     /// Returns whether the group is still to be dissolved.
-    pub(super) fn yield_to_larger(&mut self, now: Moment, id: GroupId) -> bool {
+    pub(super) fn yield_to_larger(&mut self, now: Moment, term: ActiveTerm, id: GroupId) -> bool {
         let Some(group) = self.by_id.get(&id) else {
             return false;
         };
@@ -188,7 +189,7 @@
             }
             return false;
         }
-        if self.finish_requests(now, id)
+        if self.finish_requests(now, term, id)
             && let Some(group) = self.by_id.get_mut(&id)
         {
             group.dissolving = Some(Dissolving::HeadLeaves);
--- a/crates/tanagerhub_groups/src/groups/rebalance.rs
+++ b/crates/tanagerhub_groups/src/groups/rebalance.rs
@@ -21,6 +21,7 @@
 use super::compose::{Composition, as_float, compose_from};
 use super::demand::SHORTAGE;
 use super::group::{Dissolving, Group};
+use super::term::ActiveTerm;
 
 /// The minimum time between two changes.
 const CHANGE_INTERVAL: Duration = Duration::from_secs(10);
@@ -384,7 +385,12 @@
     /// Dissolves a group in favour of another model once its head has finished its requests.
     ///
     /// Returns whether the group is to be dissolved.
-    pub(super) fn dissolve_for_other_model(&mut self, now: Moment, id: GroupId) -> bool {
+    pub(super) fn dissolve_for_other_model(
+        &mut self,
+        now: Moment,
+        term: ActiveTerm,
+        id: GroupId,
+    ) -> bool {
         let shift = self.rebalance.shift.as_ref();
         if self.store_unreachable || !shift.is_some_and(|shift| shift.leaving.contains(&id)) {
             return false;
@@ -393,7 +399,7 @@
             .by_id
             .get(&id)
             .is_some_and(|group| self.has_unusable_member(group));
-        let is_finished = self.finish_requests(now, id);
+        let is_finished = self.finish_requests(now, term, id);
         if let Some(group) = self.by_id.get_mut(&id) {
             if is_unusable {
                 group.broken_since.get_or_insert(now);
--- a/crates/tanagerhub_groups/src/groups/repair.rs
+++ b/crates/tanagerhub_groups/src/groups/repair.rs
@@ -11,6 +11,7 @@
 
 use super::Groups;
 use super::group::{Dissolving, Group};
+use super::term::ActiveTerm;
 use super::vm_entry::VmEntry;
 
 /// How long a broken group without a spare VM waits before it may be dissolved.
@@ -46,12 +47,12 @@
 
 impl Groups {
     /// Collects the due changes, and sends them in one transaction.
-    pub(super) fn plan_changes(&mut self, now: Moment) {
+    pub(super) fn plan_changes(&mut self, now: Moment, term: ActiveTerm) {
         if self.are_links_in_doubt() {
             return;
         }
         if self.store_unreachable {
-            self.renew_groups_in_outage(now);
+            self.renew_groups_in_outage(now, term);
             return;
         }
         if !self.planner.can_commit(now) {
@@ -63,11 +64,11 @@
         let mut changes = PlannedChanges::new();
         let ids: Vec<GroupId> = self.by_id.keys().copied().collect();
         for id in ids {
-            self.plan_group(now, id, &mut free, &mut changes);
+            self.plan_group(now, term, id, &mut free, &mut changes);
         }
         self.plan_formations(now, &mut free, &mut changes);
         if !changes.is_empty() {
-            self.submit_changes(changes);
+            self.submit_changes(now, term, changes);
         }
     }
 
@@ -75,19 +76,19 @@
     ///
     /// A renewal keeps the group's id and adds free VMs only. The store doesn't contain it yet, so
     /// a planner that takes over detects it by the group that the VMs report.
-    fn renew_groups_in_outage(&mut self, now: Moment) {
+    fn renew_groups_in_outage(&mut self, now: Moment, term: ActiveTerm) {
         let mut free = self.free_vms(now);
         let mut changes = PlannedChanges::new();
         let ids: Vec<GroupId> = self.by_id.keys().copied().collect();
         for id in ids {
             let is_pending = self.by_id.get(&id).is_none_or(|group| group.change_pending);
             if !is_pending {
-                self.plan_group(now, id, &mut free, &mut changes);
+                self.plan_group(now, term, id, &mut free, &mut changes);
             }
         }
         for (change, row) in changes {
             if let (Change::Renew { .. }, Some(row)) = (&change, row) {
-                self.renew_provisionally(now, change, row);
+                self.renew_provisionally(now, term, change, row);
             }
         }
     }
@@ -141,6 +142,7 @@
     fn plan_group(
         &mut self,
         now: Moment,
+        term: ActiveTerm,
         id: GroupId,
         free: &mut FreeVms,
         changes: &mut PlannedChanges,
@@ -156,14 +158,14 @@
             Some(Dissolving::HeadLeaves) => return,
             None => {}
         }
-        if self.dissolve_for_other_model(now, id) {
+        if self.dissolve_for_other_model(now, term, id) {
             return;
         }
         let Some(group) = self.by_id.get(&id) else {
             return;
         };
         if !self.is_broken(group) {
-            if !self.yield_to_larger(now, id) {
+            if !self.yield_to_larger(now, term, id) {
                 self.mark_healthy(id, changes);
             }
             return;
@@ -172,7 +174,7 @@
             .by_id
             .get_mut(&id)
             .map_or(now, |group| *group.broken_since.get_or_insert(now));
-        if !self.finish_requests(now, id) {
+        if !self.finish_requests(now, term, id) {
             return;
         }
         match self.renewed_members(id, free) {
@@ -220,7 +222,7 @@
     /// Orders the head to finish its requests unless a member is lost, and waits for it.
     ///
     /// Returns whether the group may be changed now.
-    pub(super) fn finish_requests(&mut self, now: Moment, id: GroupId) -> bool {
+    pub(super) fn finish_requests(&mut self, now: Moment, term: ActiveTerm, id: GroupId) -> bool {
         let Some(group) = self.by_id.get(&id) else {
             return false;
         };
@@ -242,7 +244,7 @@
             .get_mut(&id)
             .map_or(now, |group| *group.closing_since.get_or_insert(now));
         if state == Some(GroupState::Open) {
-            self.send_order(now, id, head, Order::Close { group: id, epoch });
+            self.send_order(now, term, id, head, Order::Close { group: id, epoch });
         }
         now.since(started) >= timeout
     }
--- a/crates/tanagerhub_groups/src/groups/restore.rs
+++ b/crates/tanagerhub_groups/src/groups/restore.rs
@@ -186,21 +186,21 @@
     page.era.is_none_or(|era| marked.contains(&era))
 }
 
-/// Adds the condition that no later era has been planned in, and the marks of the eras up to this
-/// one if a planner takes over.
-pub(super) fn bind_to_era(
-    transaction: Transaction,
-    era: Option<StoreEra>,
-    takes_over: bool,
-) -> Transaction {
-    let Some(StoreEra(era)) = era else {
+/// Adds the condition that no later era has been planned in.
+pub(super) fn bind_to_era(transaction: Transaction, era: Option<StoreEra>) -> Transaction {
+    match era {
+        Some(StoreEra(era)) => transaction.require_absent(era_key(StoreEra(era + 1))),
+        None => transaction,
+    }
+}
+
+/// Marks the eras up to this one, as a planner does that takes over.
+pub(super) fn mark_eras(mut transaction: Transaction, era: Option<StoreEra>) -> Transaction {
+    let Some(StoreEra(newest)) = era else {
         return transaction;
     };
-    let mut transaction = transaction.require_absent(era_key(StoreEra(era + 1)));
-    if takes_over {
-        for era in era.saturating_sub(MARKED_ERAS - 1)..=era {
-            transaction = transaction.put(era_key(StoreEra(era)), vec![1]);
-        }
+    for era in newest.saturating_sub(MARKED_ERAS - 1)..=newest {
+        transaction = transaction.put(era_key(StoreEra(era)), vec![1]);
     }
     transaction
 }
--- a/crates/tanagerhub_groups/src/groups/stage.rs
+++ b/crates/tanagerhub_groups/src/groups/stage.rs
@@ -11,6 +11,7 @@
 
 use super::Groups;
 use super::compose::Composition;
+use super::term::ActiveTerm;
 use super::vm_entry::VmEntry;
 
 /// A load may take this multiple of its expected time before it is ordered again.
@@ -18,7 +19,7 @@
 
 impl Groups {
     /// Orders model loads within the limit of the store of weights.
-    pub(super) fn stage_models(&mut self, now: Moment) {
+    pub(super) fn stage_models(&mut self, now: Moment, term: ActiveTerm) {
         let engines = self.engines.clone();
         for engine in &engines {
             self.expire_late_loads(now, engine);
@@ -37,7 +38,7 @@
                 let Some((vm, model)) = next else {
                     break;
                 };
-                self.stage(now, vm, &model);
+                self.stage(now, term, vm, &model);
                 running += 1;
             }
         }
@@ -109,7 +110,7 @@
         plan
     }
 
-    fn stage(&mut self, now: Moment, vm: VmId, model: &ModelSpec) {
+    fn stage(&mut self, now: Moment, term: ActiveTerm, vm: VmId, model: &ModelSpec) {
         let Some(entry) = self.vms.list.get_mut(&vm) else {
             return;
         };
@@ -128,6 +129,7 @@
             order: Order::Stage {
                 model: model.name.clone(),
             },
+            expires_at: term.ends_at(),
         });
     }
 }
--- /dev/null
+++ b/crates/tanagerhub_groups/src/groups/term.rs
@@ -0,0 +1,149 @@
+//! The term of a planner, within which it may give orders and change groups.
+//!
+//! A term ends by its holder's own clock before another node may begin one. The store renews it, or
+//! the promises of all other nodes while none of them reaches the store.
+
+use std::time::Duration;
+
+use tanagerhub_clock::Moment;
+use tanagerhub_table::RowKey;
+
+use crate::{Decision, GroupsAction};
+
+use super::Groups;
+use super::planner::State;
+
+/// How long a term lasts after the call that renewed it was sent.
+pub const TERM_LENGTH: Duration = Duration::from_secs(2);
+/// The interval at which other nodes are asked for promises while the store is unreachable.
+const PROMISE_INTERVAL: Duration = Duration::from_millis(500);
+/// How long before its end a term that the store doesn't renew is extended by promises.
+const PROMISE_LEAD: Duration = Duration::from_millis(1_500);
+
+/// The row by which other nodes see that a term goes on. It is written with the planner's row.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TermRow {
+    /// The key of the node's presence row.
+    pub key: RowKey,
+    /// The value of the presence row of a planner.
+    pub value: Vec<u8>,
+}
+
+/// The proof that this node is the planner at a moment. Orders and changes of groups take it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct ActiveTerm {
+    ends_at: Moment,
+}
+
+impl ActiveTerm {
+    /// Returns when the term ends unless it is renewed.
+    pub(super) const fn ends_at(self) -> Moment {
+        self.ends_at
+    }
+}
+
+/// This node's term as the planner.
+#[derive(Debug, Default)]
+pub(super) struct Term {
+    span: Option<ActiveTerm>,
+    /// The row that the next transaction writes.
+    row: Option<TermRow>,
+    /// Whether `row` is newer than the last transaction.
+    is_due: bool,
+    /// When the other nodes were last asked for promises.
+    asked_at: Option<Moment>,
+}
+
+impl Term {
+    /// Begins a term with the transaction that was sent at `sent_at`.
+    pub(super) fn begin(&mut self, sent_at: Moment) {
+        self.span = Some(ActiveTerm {
+            ends_at: sent_at + TERM_LENGTH,
+        });
+    }
+
+    /// Extends the term by a transaction, or by promises, that were asked for at `sent_at`.
+    pub(super) fn renew(&mut self, sent_at: Moment) {
+        if let Some(span) = &mut self.span {
+            span.ends_at = span.ends_at.max(sent_at + TERM_LENGTH);
+        }
+    }
+
+    /// Ends the term at once.
+    pub(super) const fn end(&mut self) {
+        self.span = None;
+    }
+
+    pub(super) fn active(&self, now: Moment) -> Option<ActiveTerm> {
+        self.span.filter(|span| now < span.ends_at)
+    }
+
+    pub(super) fn set_row(&mut self, row: TermRow) {
+        self.row = Some(row);
+        self.is_due = true;
+    }
+
+    /// Returns the row for a transaction that is sent now.
+    pub(super) fn row_to_write(&mut self) -> Option<&TermRow> {
+        self.is_due = false;
+        self.row.as_ref()
+    }
+}
+
+impl Groups {
+    /// Returns the proof that this node is the planner; `None` if it isn't, or if its term has
+    /// ended and was not renewed.
+    pub(super) fn active_term(&self, now: Moment) -> Option<ActiveTerm> {
+        self.planner.term.active(now).filter(|_| self.is_planning())
+    }
+
+    /// Has the next transaction renew the term.
+    pub(super) fn set_term_row(&mut self, now: Moment, row: TermRow) {
+        self.planner.term.set_row(row);
+        self.renew_term(now);
+    }
+
+    /// Renews the term with a transaction without changes if that is due.
+    pub(super) fn renew_term(&mut self, now: Moment) {
+        if self.planner.term.is_due && self.planner.can_commit(now) {
+            self.send_changes(now, Vec::new());
+        }
+    }
+
+    /// Asks the other nodes for promises while the term is not renewed by the store.
+    pub(super) fn ask_promises(&mut self, now: Moment) {
+        let term = &mut self.planner.term;
+        let ends_soon = term
+            .active(now)
+            .is_some_and(|span| span.ends_at.since(now) < PROMISE_LEAD);
+        let has_waited = |at: Moment| now.since(at) >= PROMISE_INTERVAL;
+        if ends_soon && term.asked_at.is_none_or(has_waited) {
+            term.asked_at = Some(now);
+            self.actions.push(GroupsAction::AskPromises);
+        }
+    }
+
+    /// Extends a term that still lasts by the promises of all other nodes, which were asked for at
+    /// `asked_at`, not to begin one.
+    ///
+    /// A term that has ended stays so: another node may have begun one before it promised.
+    pub(super) fn apply_promises(&mut self, now: Moment, asked_at: Moment) {
+        if self.active_term(now).is_some() {
+            self.planner.term.renew(asked_at);
+        }
+    }
+
+    /// Records the end and the return of the term of a planner.
+    pub(super) fn record_term_change(&mut self, now: Moment) {
+        let lasts = self.active_term(now).is_some();
+        if self.planner.state == State::Idle || lasts != self.planner.is_suspended {
+            return;
+        }
+        self.planner.is_suspended = !lasts;
+        self.record(if lasts {
+            Decision::PlannerResumed
+        } else {
+            Decision::PlannerSuspended
+        });
+    }
+}
--- a/crates/tanagerhub_groups/src/presence.rs
+++ b/crates/tanagerhub_groups/src/presence.rs
@@ -7,11 +7,11 @@
 use serde::{Deserialize, Serialize};
 use tanagerhub_catalogue::{DataCentreId, NodeId};
 use tanagerhub_clock::Moment;
-use tanagerhub_table::{FeedPage, PageKind, StoreVersion};
+use tanagerhub_table::{FeedPage, PageKind, RowKey, StoreEra, StoreVersion};
 
-use crate::KnownBoots;
 use crate::relay_order::relay_order;
 use crate::rows::{RowError, decode, encode};
+use crate::{KnownBoots, LapsedBoot};
 
 /// The interval at which the planner writes its presence row.
 const PLANNER_WRITE_INTERVAL: Duration = Duration::from_secs(1);
@@ -30,6 +30,11 @@
 const ROW_DELAY_TOLERANCE: Duration = Duration::from_millis(1_500);
 /// The number of missed writes after which a node no longer counts as live.
 const MISSED_WRITES_LIMIT: u32 = 3;
+/// The longest time between two ticks of a node that runs. After a longer one it stood still, and may
+/// not have read what others wrote.
+const MAX_TICK_GAP: Duration = Duration::from_secs(1);
+/// How old the last read may be for a node that reaches the store.
+const MAX_READ_AGE: Duration = Duration::from_secs(1);
 /// The range over which nodes spread their attempts to become the planner.
 const PLANNING_JITTER: Duration = Duration::from_millis(250);
 
@@ -76,7 +81,12 @@
     /// Write this value to the node's presence row.
     Write(Vec<u8>),
     /// Try to become the planner.
-    BecomePlanner(KnownBoots),
+    BecomePlanner {
+        /// The processes that may be the planner, and those that are not.
+        boots: KnownBoots,
+        /// The value of this node's row as the planner, to be written with the planner's row.
+        value: Vec<u8>,
+    },
 }
 
 /// The live nodes, determined by changes of their rows.
@@ -90,6 +100,14 @@
     read_at: Option<Moment>,
     /// Whether the last attempt to read the rows failed.
     read_failed: bool,
+    /// Since when this node has run and read the rows without interruption; `None` before the first
+    /// time. A planner counts as silent only for as long.
+    observing_since: Option<Moment>,
+    /// The era of the rows that were read last.
+    era: Option<StoreEra>,
+    ticked_at: Option<Moment>,
+    /// Until when this node has promised not to become the planner.
+    promised_until: Moment,
     /// When this node first found that there is no planner.
     vacant_since: Option<Moment>,
     planning_delay: Duration,
@@ -97,6 +115,7 @@
 
 #[derive(Debug)]
 struct NodeEntry {
+    key: RowKey,
     /// The newest row that could be decoded; `None` if there was none yet.
     last_row: Option<PresenceRow>,
     /// Whether the newest row can't be decoded, as one of another build. The node counts as live,
@@ -111,8 +130,9 @@
 }
 
 impl NodeEntry {
-    fn new(version: StoreVersion, updated_at: Moment) -> Self {
+    fn new(key: RowKey, version: StoreVersion, updated_at: Moment) -> Self {
         Self {
+            key,
             last_row: None,
             unreadable: true,
             version,
@@ -197,6 +217,10 @@
             nodes: BTreeMap::new(),
             read_at: None,
             read_failed: false,
+            observing_since: None,
+            era: None,
+            ticked_at: None,
+            promised_until: Moment::ZERO,
             vacant_since: None,
             planning_delay: Duration::from_millis(draw % jitter),
         }
@@ -225,6 +249,7 @@
         page: &FeedPage,
         kind: PageKind,
     ) -> Result<(), RowError> {
+        self.observe(now, page.era);
         if std::mem::take(&mut self.read_failed) {
             self.end_outage(now);
         }
@@ -252,9 +277,9 @@
                 continue;
             }
             match content {
-                Ok(content) => self.update_node(now, name, Some(content), version),
+                Ok(content) => self.update_node(now, &row.key, Some(content), version),
                 Err(error) => {
-                    self.update_node(now, name, None, version);
+                    self.update_node(now, &row.key, None, version);
                     result = result.and(Err(error));
                 }
             }
@@ -284,6 +309,29 @@
         self.read_failed = true;
     }
 
+    /// Begins to observe the rows anew after what may have kept this node from reading them, or what
+    /// gave them other versions.
+    fn observe(&mut self, now: Moment, era: Option<StoreEra>) {
+        let is_continued = !self.read_failed && !self.stood_still(now) && self.era == era;
+        if !is_continued {
+            self.observing_since = Some(now);
+        }
+        self.observing_since.get_or_insert(now);
+        self.era = era;
+    }
+
+    /// Returns whether the node has not run for a while before `now`.
+    fn stood_still(&self, now: Moment) -> bool {
+        self.ticked_at
+            .is_some_and(|at| now.since(at) > MAX_TICK_GAP)
+    }
+
+    /// Returns for how long this node has observed a row without a change.
+    fn unchanged_time(&self, now: Moment, entry: &NodeEntry) -> Duration {
+        let since = self.observing_since.unwrap_or(now);
+        now.since(entry.updated_at.max(since))
+    }
+
     fn end_outage(&mut self, now: Moment) {
         let timeout = self.write_interval() * MISSED_WRITES_LIMIT;
         let at = self.read_at.unwrap_or(now);
@@ -342,17 +390,43 @@
             .collect()
     }
 
+    /// Returns the addresses of all other nodes that may become the planner; `None` if one of them
+    /// has none.
+    #[must_use]
+    pub fn successors(&self, now: Moment) -> Option<Vec<SocketAddr>> {
+        let at = self.read_at.filter(|_| self.read_failed).unwrap_or(now);
+        let timeout = self.write_interval() + ROW_DELAY_TOLERANCE;
+        let is_live = |entry: &NodeEntry| {
+            !entry.is_stopping() && at.since(entry.updated_at.max(entry.outage_end)) < timeout
+        };
+        let others = self.nodes.iter().filter(|(name, _)| **name != self.node);
+        let live = others.filter(|(_, entry)| is_live(entry));
+        live.map(|(_, entry)| Some(entry.relay()?.address))
+            .collect()
+    }
+
+    /// Promises not to become the planner for as long as a planner may be silent, unless this node
+    /// reads the rows itself or is the planner. Returns whether it did.
+    pub fn promise(&mut self, now: Moment) -> bool {
+        let is_current = |at: Moment| !self.read_failed && now.since(at) < MAX_READ_AGE;
+        if self.own.planning || self.read_at.is_some_and(is_current) {
+            return false;
+        }
+        self.promised_until = now + PLANNER_TIMEOUT;
+        true
+    }
+
     fn update_node(
         &mut self,
         now: Moment,
-        name: &str,
+        key: &RowKey,
         row: Option<PresenceRow>,
         version: StoreVersion,
     ) {
         let entry = self
             .nodes
-            .entry(name.to_owned())
-            .or_insert_with(|| NodeEntry::new(version, now));
+            .entry(key.name().to_owned())
+            .or_insert_with(|| NodeEntry::new(key.clone(), version, now));
         entry.update(row, version, now);
     }
 
@@ -374,8 +448,8 @@
     /// Returns the known boot ids, divided into live and ended ones.
     ///
     /// The boot id in this node's own row counts as ended, since it belongs to this process or an
-    /// earlier one. That of a node whose newest row can't be decoded is neither: another process
-    /// may have written the row.
+    /// earlier one. Nodes that merely don't write their rows have lapsed. That of a node whose newest
+    /// row can't be decoded is none of these: another process may have written the row.
     fn known_boots(&self, now: Moment) -> KnownBoots {
         let mut known_boots = KnownBoots::default();
         for (name, entry) in &self.nodes {
@@ -388,13 +462,17 @@
             } else {
                 self.write_interval() + ROW_DELAY_TOLERANCE
             };
-            let list =
-                if *name == self.node || row.stopping || now.since(entry.updated_at) >= timeout {
-                    &mut known_boots.ended
-                } else {
-                    &mut known_boots.live
-                };
-            list.push(row.boot);
+            if *name == self.node || row.stopping {
+                known_boots.ended.push(row.boot);
+            } else if self.unchanged_time(now, entry) >= timeout {
+                known_boots.lapsed.push(LapsedBoot {
+                    boot: row.boot,
+                    row: entry.key.clone(),
+                    version: entry.version,
+                });
+            } else {
+                known_boots.live.push(row.boot);
+            }
         }
         known_boots
     }
@@ -474,7 +552,7 @@
     pub fn has_other_planner(&self, now: Moment) -> bool {
         let timeout = self.planner_timeout(now);
         self.nodes.iter().any(|(name, entry)| {
-            *name != self.node && entry.is_planning() && now.since(entry.updated_at) < timeout
+            *name != self.node && entry.is_planning() && self.unchanged_time(now, entry) < timeout
         })
     }
 
@@ -492,6 +570,10 @@
     /// Returns the due actions. `rows_current` states that the rows of the nodes have been read and
     /// are up to date.
     pub fn tick(&mut self, now: Moment, rows_current: bool) -> Vec<PresenceAction> {
+        if self.stood_still(now) {
+            self.observing_since = self.observing_since.map(|_| now);
+        }
+        self.ticked_at = Some(now);
         let mut actions = Vec::new();
         let interval = if self.own.planning {
             PLANNER_WRITE_INTERVAL
@@ -504,14 +586,27 @@
             actions.push(PresenceAction::Write(encode(&self.own)));
         }
         if self.is_planning_due(now, rows_current) {
-            actions.push(PresenceAction::BecomePlanner(self.known_boots(now)));
+            let boots = self.known_boots(now);
+            let value = self.planner_value();
+            actions.push(PresenceAction::BecomePlanner { boots, value });
         }
         actions
     }
 
+    /// Returns the value of this node's row once it is the planner.
+    fn planner_value(&mut self) -> Vec<u8> {
+        self.own.write_count += 1;
+        let row = PresenceRow {
+            planning: true,
+            ..self.own.clone()
+        };
+        encode(&row)
+    }
+
     /// Returns whether there has been no planner for as long as this node's delay.
     fn is_planning_due(&mut self, now: Moment, rows_current: bool) -> bool {
-        if self.own.planning || !rows_current || self.has_other_planner(now) {
+        let may_plan = rows_current && now >= self.promised_until;
+        if self.own.planning || !may_plan || self.has_other_planner(now) {
             self.vacant_since = None;
             return false;
         }
--- a/crates/tanagerhub_groups/src/settings.rs
+++ b/crates/tanagerhub_groups/src/settings.rs
@@ -106,7 +106,7 @@
         Self {
             boot: 0,
             first_start: false,
-            unknown_planner_timeout: Duration::from_millis(1_500),
+            unknown_planner_timeout: Duration::from_millis(2_600),
             probe_interval: Duration::from_secs(2),
             pending_probes: 32,
             outage_probe_interval: Duration::from_millis(500),
--- a/crates/tanagerhub_groups/tests/demand.rs
+++ b/crates/tanagerhub_groups/tests/demand.rs
@@ -157,6 +157,7 @@
     let boots = KnownBoots {
         live: Vec::new(),
         ended: vec![1],
+        lapsed: Vec::new(),
     };
     simulation.plan(1, boots);
     run(&mut simulation, 60, CALM);
--- a/crates/tanagerhub_groups/tests/formation.rs
+++ b/crates/tanagerhub_groups/tests/formation.rs
@@ -143,6 +143,7 @@
         KnownBoots {
             live: Vec::new(),
             ended,
+            lapsed: Vec::new(),
         },
     );
     simulation.run(10 * SECOND);
--- a/crates/tanagerhub_groups/tests/outage.rs
+++ b/crates/tanagerhub_groups/tests/outage.rs
@@ -18,6 +18,7 @@
     KnownBoots {
         live: Vec::new(),
         ended: vec![boot],
+        lapsed: Vec::new(),
     }
 }
 
--- a/crates/tanagerhub_groups/tests/planner.rs
+++ b/crates/tanagerhub_groups/tests/planner.rs
@@ -16,6 +16,7 @@
     KnownBoots {
         live: live.to_vec(),
         ended: ended.to_vec(),
+        lapsed: Vec::new(),
     }
 }
 
@@ -86,7 +87,9 @@
     simulation.run(SECOND);
     simulation.nodes[0].alive = false;
     simulation.plan(1, KnownBoots::default());
-    simulation.run(SECOND);
+    simulation.run(2 * SECOND);
+    simulation.plan(1, KnownBoots::default());
+    simulation.run(Duration::from_millis(500));
     assert!(!simulation.nodes[1].groups.is_planning());
     simulation.run(SECOND);
     simulation.plan(1, KnownBoots::default());
--- a/crates/tanagerhub_groups/tests/store_return.rs
+++ b/crates/tanagerhub_groups/tests/store_return.rs
@@ -18,6 +18,7 @@
     KnownBoots {
         live: live.to_vec(),
         ended: ended.to_vec(),
+        lapsed: Vec::new(),
     }
 }
 
--- /dev/null
+++ b/crates/tanagerhub_groups/tests/term.rs
@@ -0,0 +1,175 @@
+//! A planner gives orders only within its term, which ends before another node begins one.
+
+#[path = "support/simulation.rs"]
+mod simulation;
+
+use std::time::Duration;
+
+use simulation::{CommitFault, Simulation};
+use tanagerhub_groups::{GroupsEvent, KnownBoots, TERM_LENGTH};
+use yare::parameterized;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Stops the backend server of a member of a group of the model, which both nodes notice.
+fn stop_member(simulation: &mut Simulation, model: &str) {
+    let head = simulation.open_heads(model).remove(0);
+    let stopped = simulation.members(&head)[1].clone();
+    simulation.stop_server(&stopped);
+    simulation.suspect(0, &head);
+    simulation.suspect(1, &head);
+}
+
+fn assert_one_planner(simulation: &Simulation) {
+    assert!(
+        simulation.foreign_orders.is_empty(),
+        "{:?}",
+        simulation.foreign_orders
+    );
+    assert!(
+        simulation.violations.is_empty(),
+        "{:?}",
+        simulation.violations
+    );
+}
+
+/// Returns the number of orders while members fail for some seconds.
+fn orders_for_failures(simulation: &mut Simulation) -> usize {
+    let before = simulation.orders.len();
+    stop_member(simulation, "small");
+    simulation.run(3 * SECOND);
+    simulation.orders.len() - before
+}
+
+/// Guards against two planners: the store turned one away, which went on giving orders while another
+/// one had taken over, and a VM was joined to a group of each.
+#[test]
+fn planner_turned_away_gives_no_orders_after_takeover() {
+    let mut simulation = Simulation::serving(2);
+    simulation.run(SECOND);
+    simulation.turned_away.insert(0);
+    simulation.send_event(0, GroupsEvent::StoreUnreachable);
+    simulation.run(Duration::from_millis(300));
+    // The planner still repairs a group within its term.
+    assert!(orders_for_failures(&mut simulation) > 0);
+    let boots = simulation.lapsed(1);
+    simulation.plan(1, boots);
+    simulation.run(SECOND);
+    for model in ["big", "small", "small"] {
+        stop_member(&mut simulation, model);
+        simulation.run(SECOND);
+    }
+    simulation.turned_away.clear();
+    simulation.send_event(0, GroupsEvent::StoreReachable);
+    simulation.run(6 * SECOND);
+    assert!(simulation.nodes[1].groups.is_planning());
+    assert!(!simulation.nodes[0].groups.is_planning());
+    assert_one_planner(&simulation);
+}
+
+/// Guards against a planner that was frozen while another node took over.
+#[parameterized(
+    briefly = { 3 },
+    long = { 60 },
+)]
+fn thawed_planner_gives_no_orders_after_takeover(seconds: u32) {
+    let mut simulation = Simulation::serving(2);
+    simulation.nodes[0].alive = false;
+    simulation.run(seconds * SECOND);
+    let boots = simulation.lapsed(1);
+    simulation.plan(1, boots);
+    simulation.run(SECOND);
+    assert!(simulation.nodes[1].groups.is_planning());
+    simulation.nodes[0].alive = true;
+    for model in ["big", "small", "small"] {
+        stop_member(&mut simulation, model);
+        simulation.run(2 * SECOND);
+    }
+    assert!(!simulation.nodes[0].groups.is_planning());
+    assert_one_planner(&simulation);
+}
+
+/// Guards against a node that takes over by a row that has been renewed since it was read.
+#[parameterized(
+    renewed = { false },
+    silent = { true },
+)]
+fn take_over_only_from_unchanged_row(planner_ends: bool) {
+    let mut simulation = Simulation::serving(2);
+    let boots = simulation.lapsed(1);
+    simulation.nodes[0].alive = !planner_ends;
+    simulation.run(2 * SECOND);
+    simulation.plan(1, boots);
+    simulation.run(SECOND);
+    assert_eq!(simulation.nodes[1].groups.is_planning(), planner_ends);
+    assert_one_planner(&simulation);
+}
+
+/// Groups are repaired in an outage of any length, but only while no other node may begin a term.
+#[parameterized(
+    all_promise = { true },
+    one_is_mute = { false },
+)]
+fn repair_in_outage_needs_promises(promised: bool) {
+    let mut simulation = Simulation::serving(3);
+    simulation.run(SECOND);
+    if !promised {
+        simulation.mute.insert(2);
+    }
+    simulation.set_store_down(true);
+    simulation.run(8 * SECOND);
+    assert_eq!(orders_for_failures(&mut simulation) > 0, promised);
+    simulation.set_store_down(false);
+    simulation.run(2 * SECOND);
+    assert!(orders_for_failures(&mut simulation) > 0);
+    assert_one_planner(&simulation);
+}
+
+/// A term that has ended is not continued by promises, since they may come from nodes that let
+/// another one plan meanwhile.
+#[test]
+fn ended_term_is_not_extended_by_promises() {
+    let mut simulation = Simulation::serving(2);
+    simulation.turned_away.insert(0);
+    simulation.run(TERM_LENGTH + SECOND);
+    let asked_at = simulation.now;
+    simulation.send_event(0, GroupsEvent::Promised { asked_at });
+    assert_eq!(orders_for_failures(&mut simulation), 0);
+}
+
+/// A renewal that the store applied counts, although its response was lost.
+#[test]
+fn renewal_without_response_counts() {
+    let mut simulation = Simulation::serving(2);
+    simulation.run(SECOND);
+    simulation
+        .commit_faults
+        .extend([CommitFault::ResponseLost; 8]);
+    for _ in 0..4 {
+        stop_member(&mut simulation, "small");
+        simulation.run(2 * SECOND);
+    }
+    assert!(simulation.nodes[0].groups.is_planning());
+    assert_one_planner(&simulation);
+}
+
+/// A new term begins without what the node remembers of an earlier one.
+#[test]
+fn planner_again_after_other_term() {
+    let mut simulation = Simulation::serving(2);
+    simulation.nodes[0].alive = false;
+    simulation.run(3 * SECOND);
+    let boots = simulation.lapsed(1);
+    simulation.plan(1, boots);
+    simulation.run(2 * SECOND);
+    simulation.nodes[1].alive = false;
+    simulation.nodes[0].alive = true;
+    simulation.run(3 * SECOND);
+    let boots = simulation.lapsed(2);
+    simulation.plan(0, boots);
+    simulation.run(SECOND);
+    assert!(simulation.nodes[0].groups.is_planning());
+    assert!(orders_for_failures(&mut simulation) > 0);
+    assert_one_planner(&simulation);
+    assert_ne!(simulation.lapsed(1), KnownBoots::default());
+}
