Wait before the result of a change is read again

Cause: `apply_read` asked for the next read at once when one failed.

Mend: the next read waits for `change_retry_delay`, as a refused change does.

Evidence: term::failed_reads_are_retried_after_delay failed before (1,000 reads in one tick) and takes at most ten reads in 5 s now.

--- a/crates/tanagerhub_groups/src/groups.rs
+++ b/crates/tanagerhub_groups/src/groups.rs
@@ -232,6 +232,7 @@
             return;
         }
         self.retake_planner(now);
+        self.read_back_again(now);
         self.renew_term(now);
         self.ask_promises(now);
         self.record_term_change(now);
--- a/crates/tanagerhub_groups/src/groups/planner.rs
+++ b/crates/tanagerhub_groups/src/groups/planner.rs
@@ -47,6 +47,8 @@
     unknown_holder: Option<(StoreVersion, Moment)>,
     /// No change is sent before this time, and no result of one is read, because the last call failed.
     pub(super) paused_until: Moment,
+    /// Whether the result of a change is to be read again.
+    is_read_due: bool,
     /// The planner's row is not taken over before this time, because the store has returned from a
     /// copy.
     pub(super) rests_until: Moment,
@@ -217,7 +219,10 @@
                     self.resign_planner(now);
                 }
             }
-            (State::ReadingBack, None) => self.actions.push(GroupsAction::ReadRows),
+            (State::ReadingBack, None) => {
+                self.planner.is_read_due = true;
+                self.planner.paused_until = now + self.settings.change_retry_delay;
+            }
             (
                 State::Idle
                 | State::Taking { .. }
@@ -229,6 +234,17 @@
         }
     }
 
+    /// Reads the rows again after a failed read, until the result of the last change is known.
+    pub(super) fn read_back_again(&mut self, now: Moment) {
+        if self.planner.state == State::ReadingBack
+            && self.planner.is_read_due
+            && now >= self.planner.paused_until
+        {
+            self.planner.is_read_due = false;
+            self.actions.push(GroupsAction::ReadRows);
+        }
+    }
+
     /// Takes the planner's row over if its holder allows it. Nobody holds the row of a copy, as long
     /// as this node was the planner before.
     fn take_over(&mut self, now: Moment, page: &FeedPage, retakes: bool) {
--- a/crates/tanagerhub_groups/tests/term.rs
+++ b/crates/tanagerhub_groups/tests/term.rs
@@ -153,6 +153,20 @@
     assert_one_planner(&simulation);
 }
 
+/// Guards against a planner that reads the rows again at once after each failure, which took a whole
+/// core and filled the log while the store refused its calls.
+#[test]
+fn failed_reads_are_retried_after_delay() {
+    let mut simulation = Simulation::serving(2);
+    simulation.store_silent = true;
+    simulation.run(5 * SECOND);
+    let reads = simulation.reads;
+    assert!((5..=10).contains(&reads), "{reads} reads in 5 s");
+    simulation.store_silent = false;
+    simulation.run(SECOND);
+    assert!(orders_for_failures(&mut simulation) > 0);
+}
+
 /// A new term begins without what the node remembers of an earlier one.
 #[test]
 fn planner_again_after_other_term() {
