Order joins only by what the VM itself has said in this term

After an outage in which all nodes were killed, a spare that served in one group was joined to another one; the first group stood still until it broke.

Cause: a row or a memory was enough to order a join. A node that starts reads rows from before the outage, by which the spare was free.

Mend: `Order::Join` takes a `JoinProof`, made only from a report of the VM itself that was asked for in the current term and is younger than 2 s, and from one of the head of its present group. Rows can forbid a join, not allow it. Spares are asked before a change is planned.

Why it works: whatever a planner believes, the VM's own word decides, and the VM compares its count when the join arrives.

With a check that proves everything the first four tests in `joins` failed. Tests of tanagerhub_groups and the engines' tests pass.

--- a/crates/tanagerhub/src/gateway/control.rs
+++ b/crates/tanagerhub/src/gateway/control.rs
@@ -351,7 +351,8 @@
     fn answer_planner(&mut self, now: Moment, call: PlannerCall, sender: &Sender<PlannerReply>) {
         match call {
             PlannerCall::Promise => {
-                let promised = self.groups.may_promise() && self.presence.promise(now);
+                let store_fails = self.view.store_unreachable;
+                let promised = self.groups.may_promise() && self.presence.promise(now, store_fails);
                 // The caller may have given up.
                 let _: Result<(), _> = sender.try_send(PlannerReply::Promise(promised));
             }
--- a/crates/tanagerhub/tests/support/deployment.rs
+++ b/crates/tanagerhub/tests/support/deployment.rs
@@ -118,6 +118,7 @@
             staged: Vec::new(),
             served_model: is_head.then(|| MODEL.to_owned()),
             busy: None,
+            order_count: None,
             group: is_head.then(|| GroupReport {
                 group: GroupId(xxh3_64(name.as_bytes())),
                 epoch: Epoch(1),
--- a/crates/tanagerhub_groups/src/groups.rs
+++ b/crates/tanagerhub_groups/src/groups.rs
@@ -3,6 +3,7 @@
 mod compose;
 mod demand;
 mod group;
+mod join_check;
 mod lifecycle;
 mod link_doubt;
 mod model_status;
@@ -39,6 +40,7 @@
 use vms::Vms;
 
 pub use model_status::ModelStatus;
+pub(crate) use term::TERM_GAP;
 pub use term::{TERM_LENGTH, TermRow};
 pub use view::{GroupStatus, Head, Reach, VmStatus};
 
@@ -88,6 +90,8 @@
     /// Groups with a member that became unreachable, until the caller takes them.
     degraded: Vec<(GroupId, Epoch)>,
     links: LinkDoubt,
+    /// The VMs whose reports a join or a change of a group waits for.
+    awaited: BTreeSet<VmId>,
     /// Counts the events after which the VMs' states may differ.
     revision: u64,
     decisions: Vec<Decision>,
@@ -116,6 +120,7 @@
             outage_probes: OutageProbeBudget::default(),
             degraded: Vec::new(),
             links: LinkDoubt::default(),
+            awaited: BTreeSet::new(),
             revision: 0,
             decisions: Vec::new(),
             actions: Vec::new(),
@@ -150,7 +155,7 @@
             GroupsEvent::StoreReturned(restored_at) => self.store_returned(restored_at),
             GroupsEvent::BecomePlanner { boots, row } => self.become_planner(now, boots, row),
             GroupsEvent::RenewTerm(row) => self.set_term_row(now, row),
-            GroupsEvent::Promised { asked_at } => self.apply_promises(now, asked_at),
+            GroupsEvent::Promised { asked_at } => self.apply_promises(asked_at),
             GroupsEvent::ResignPlanner => self.resign_planner(now),
             GroupsEvent::RowsRead(page) => self.apply_read(now, page),
             GroupsEvent::Committed(commit) => self.apply_commit(now, commit),
--- a/crates/tanagerhub_groups/src/groups/lifecycle.rs
+++ b/crates/tanagerhub_groups/src/groups/lifecycle.rs
@@ -10,6 +10,7 @@
 
 use super::Groups;
 use super::group::{Dissolving, Group, SentOrder};
+use super::join_check::JoinCheck;
 use super::term::ActiveTerm;
 use super::vm_entry::VmEntry;
 
@@ -61,12 +62,6 @@
             .iter()
             .map(|vm| (*vm, self.vms.state_in(*vm, group)))
             .collect();
-        let join = Order::Join {
-            group: id,
-            epoch: group.epoch,
-            model: group.row.model.clone(),
-            members: group.row.members.clone(),
-        };
         let was_ready = group.was_ready;
         let mut ready = true;
         for (vm, state) in &states {
@@ -75,7 +70,7 @@
                 None if was_ready => ready = false,
                 None => {
                     ready = false;
-                    self.send_order(now, term, id, *vm, join.clone());
+                    self.order_join(now, term, id, *vm);
                 }
                 Some(GroupState::Joining | GroupState::Broken | GroupState::Closing) => {
                     ready = false;
@@ -88,6 +83,27 @@
         }
     }
 
+    /// Orders a member to join if it has proven that it may, and finds out otherwise.
+    fn order_join(&mut self, now: Moment, term: ActiveTerm, id: GroupId, vm: VmId) {
+        match self.check_join(now, term, vm, Some(id)) {
+            JoinCheck::Proven(proof) => {
+                if let Some(group) = self.by_id.get(&id) {
+                    let join = Order::Join {
+                        group: id,
+                        epoch: group.epoch,
+                        model: group.row.model.clone(),
+                        members: group.row.members.clone(),
+                        proof,
+                    };
+                    self.send_order(now, term, id, vm, join);
+                }
+            }
+            JoinCheck::Unknown(needed) => self.ask_report(now, needed),
+            JoinCheck::MustLeave(group, epoch) => self.send_leave(now, term, vm, (group, epoch)),
+            JoinCheck::Taken | JoinCheck::Waits => {}
+        }
+    }
+
     fn open(
         &mut self,
         now: Moment,
@@ -174,10 +190,12 @@
         order: Order,
     ) -> bool {
         let interval = self.settings.order_retry_interval;
-        let Some((group, entry)) = self.by_id.get_mut(&id).zip(self.vms.get(vm)) else {
+        let entry = self.vms.list.get_mut(&vm);
+        let Some((group, entry)) = self.by_id.get_mut(&id).zip(entry) else {
             return false;
         };
-        let recent = |sent: &&SentOrder| sent.order == order && now.since(sent.sent_at) < interval;
+        let recent =
+            |sent: &&SentOrder| sent.order.is_same(&order) && now.since(sent.sent_at) < interval;
         if group.orders.get(&vm).as_ref().is_some_and(recent) {
             return false;
         }
@@ -186,6 +204,7 @@
             sent_at: now,
         };
         group.orders.insert(vm, sent);
+        entry.ordered_at = now;
         self.actions.push(GroupsAction::Order {
             vm,
             name: entry.report.vm.name.clone(),
@@ -210,6 +229,12 @@
             (Order::Join { group, epoch, .. }, OrderResult::Stale) => {
                 self.handle_stale_join(now, *group, *epoch);
             }
+            (Order::Join { .. }, OrderResult::Unfit) => {
+                // The VM may have accepted another order since its report.
+                if let Some(entry) = self.vms.list.get_mut(&vm) {
+                    entry.own = None;
+                }
+            }
             (_, OrderResult::Misdirected) => {
                 if let Some(entry) = self.vms.list.get_mut(&vm) {
                     entry.record_misdirected(now, &self.settings);
@@ -226,6 +251,12 @@
 
     /// Records that a head has left a group at an epoch.
     fn left(&mut self, id: GroupId, epoch: Epoch, vm: VmId) {
+        let reported = self.vms.get(vm).and_then(|entry| entry.report.group);
+        let is_head = reported.is_some_and(|it| (it.group, it.epoch, it.rank) == (id, epoch, 0));
+        let is_planned = |group: &Group| group.epoch == epoch && group.head() == Some(vm);
+        if is_head || self.by_id.get(&id).is_some_and(is_planned) {
+            self.planner.released.insert((id, epoch));
+        }
         if let Some(group) = self.by_id.get_mut(&id) {
             group.released_heads.insert((vm, epoch));
         }
--- a/crates/tanagerhub_groups/src/groups/planner.rs
+++ b/crates/tanagerhub_groups/src/groups/planner.rs
@@ -4,7 +4,7 @@
 //! the row. The changes are thus serialised, and a change whose response was lost can't be applied
 //! after a later one.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use rand::Rng as _;
 use tanagerhub_catalogue::{Epoch, GroupId};
@@ -31,6 +31,8 @@
     pub(super) state: State,
     /// The time in which this node may act as the planner.
     pub(super) term: Term,
+    /// The groups and epochs that their heads have left in this term.
+    pub(super) released: BTreeSet<(GroupId, Epoch)>,
     /// Whether the log has told that the term has ended and was not renewed.
     pub(super) is_suspended: bool,
     /// The transaction that was sent last.
@@ -145,9 +147,10 @@
     }
 
     /// Begins a term with the transaction that was sent last.
-    fn begin_term(&mut self) {
+    fn begin_term(&mut self, now: Moment) {
+        self.released.clear();
         if let Some(sent) = self.last_sent {
-            self.term.begin(sent.sent_at);
+            self.term.begin(now, sent.sent_at);
         }
     }
 
@@ -409,7 +412,7 @@
         match (self.planner.state, commit) {
             (State::Taking { .. }, CommitResult::Applied(version)) => {
                 self.planner.set_held(version);
-                self.planner.begin_term();
+                self.planner.begin_term(now);
                 self.planner.has_seen_return = false;
                 self.record(Decision::PlannerTaken { version: version.0 });
             }
--- a/crates/tanagerhub_groups/src/groups/probe.rs
+++ b/crates/tanagerhub_groups/src/groups/probe.rs
@@ -230,6 +230,17 @@
         vm: VmId,
         sent: Moment,
         result: Result<VmReport, ProbeFailure>,
+    ) {
+        self.apply_probed(now, vm, sent, result);
+        self.report_arrived(now, vm);
+    }
+
+    fn apply_probed(
+        &mut self,
+        now: Moment,
+        vm: VmId,
+        sent: Moment,
+        result: Result<VmReport, ProbeFailure>,
     ) {
         if result != Err(ProbeFailure::Paused) {
             self.links.record(vm, result.is_ok());
--- a/crates/tanagerhub_groups/src/groups/repair.rs
+++ b/crates/tanagerhub_groups/src/groups/repair.rs
@@ -11,6 +11,7 @@
 
 use super::Groups;
 use super::group::{Dissolving, Group};
+use super::join_check::JoinCheck;
 use super::term::ActiveTerm;
 use super::vm_entry::VmEntry;
 
@@ -43,6 +44,15 @@
     group: Option<GroupId>,
 }
 
+/// The result of a search for VMs.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Search {
+    Found(Vec<VmId>),
+    /// There may be enough once these VMs have reported.
+    Awaits(Vec<VmId>),
+    TooFew,
+}
+
 type PlannedChanges = Vec<(Change, Option<GroupRow>)>;
 
 impl Groups {
@@ -58,6 +68,7 @@
         if !self.planner.can_commit(now) {
             return;
         }
+        self.release_strays(now, term);
         self.release_for_waiting(now);
         self.plan_rebalance(now);
         let mut free = self.free_vms(now);
@@ -66,7 +77,7 @@
         for id in ids {
             self.plan_group(now, term, id, &mut free, &mut changes);
         }
-        self.plan_formations(now, &mut free, &mut changes);
+        self.plan_formations(now, term, &mut free, &mut changes);
         if !changes.is_empty() {
             self.submit_changes(now, term, changes);
         }
@@ -164,7 +175,10 @@
         let Some(group) = self.by_id.get(&id) else {
             return;
         };
-        if !self.is_broken(group) {
+        let is_missing = |vm: &VmId| self.vms.state_in(*vm, group).is_none();
+        let is_taken = |vm: &VmId| is_missing(vm) && self.is_taken(now, term, *vm, id);
+        let has_taken_member = group.members.iter().any(is_taken);
+        if !has_taken_member && !self.is_broken(group) {
             if !self.yield_to_larger(now, term, id) {
                 self.mark_healthy(id, changes);
             }
@@ -177,9 +191,10 @@
         if !self.finish_requests(now, term, id) {
             return;
         }
-        match self.renewed_members(id, free) {
-            Some(members) => changes.push(self.renew(id, &members)),
-            None => self.consider_dissolving(now, id, since, free),
+        match self.renewed_members(now, term, id, free) {
+            Search::Found(members) => changes.push(self.renew(id, &members)),
+            Search::Awaits(vms) => self.ask_reports(now, &vms),
+            Search::TooFew => self.consider_dissolving(now, id, since, free),
         }
     }
 
@@ -249,26 +264,45 @@
         now.since(started) >= timeout
     }
 
-    /// Returns the available members, followed by free VMs in place of the others; `None` if there
-    /// are too few.
-    fn renewed_members(&self, id: GroupId, free: &mut FreeVms) -> Option<Vec<VmId>> {
-        let group = self.by_id.get(&id)?;
-        let available = |vm: &VmId| self.is_available(*vm);
+    fn ask_reports(&mut self, now: Moment, vms: &[VmId]) {
+        for vm in vms {
+            self.ask_report(now, *vm);
+        }
+    }
+
+    /// Returns the available members, followed by free VMs in place of the others.
+    fn renewed_members(
+        &self,
+        now: Moment,
+        term: ActiveTerm,
+        id: GroupId,
+        free: &mut FreeVms,
+    ) -> Search {
+        let Some(group) = self.by_id.get(&id) else {
+            return Search::TooFew;
+        };
+        let available = |vm: &VmId| self.is_available(*vm) && !self.is_taken(now, term, *vm, id);
         let mut members: Vec<VmId> = group.members.iter().copied().filter(available).collect();
         self.prefer_joined(group, &mut members, free);
         let missing = group.members.len() - members.len();
         if missing > 0 {
+            let Some(domain) = self.domain_of(&group.members) else {
+                return Search::TooFew;
+            };
             let requirements = SpareRequirements {
-                domain: self.domain_of(&group.members)?,
+                domain,
                 service: &group.row.service,
                 model: &group.row.model,
                 group: Some(id),
             };
-            let spares = self.spares(free, requirements, missing)?;
+            let spares = match self.spares(now, term, free, requirements, missing) {
+                Search::Found(spares) => spares,
+                other => return other,
+            };
             free.take(requirements.domain, &spares);
             members.extend(spares);
         }
-        Some(members)
+        Search::Found(members)
     }
 
     /// Puts VMs first that report the group at a newer epoch than the store's.
@@ -303,18 +337,35 @@
         known.map(|entry| entry.domain)
     }
 
-    /// Returns `count` matching free VMs, or `None` if there are fewer.
+    /// Returns `count` matching free VMs that have proven that they may join a group.
     fn spares(
         &self,
+        now: Moment,
+        term: ActiveTerm,
         free: &FreeVms,
         requirements: SpareRequirements<'_>,
         count: usize,
-    ) -> Option<Vec<VmId>> {
-        let spares: Vec<VmId> = self
-            .matching_spares(free, requirements)
-            .take(count)
-            .collect();
-        (spares.len() == count).then_some(spares)
+    ) -> Search {
+        let (mut proven, mut unknown, mut needed) = (Vec::new(), 0, Vec::new());
+        for vm in self.matching_spares(free, requirements) {
+            match self.check_join(now, term, vm, requirements.group) {
+                JoinCheck::Proven(_) => proven.push(vm),
+                JoinCheck::Unknown(asked) => {
+                    unknown += 1;
+                    needed.push(asked);
+                }
+                JoinCheck::Taken | JoinCheck::MustLeave(..) | JoinCheck::Waits => {}
+            }
+            if proven.len() == count {
+                return Search::Found(proven);
+            }
+        }
+        let missing = count - proven.len();
+        if unknown < missing {
+            return Search::TooFew;
+        }
+        needed.truncate(missing);
+        Search::Awaits(needed)
     }
 
     /// Returns whether a VM reports another group at a newer epoch than the row's, from a renewal
@@ -429,7 +480,13 @@
         })
     }
 
-    fn plan_formations(&mut self, now: Moment, free: &mut FreeVms, changes: &mut PlannedChanges) {
+    fn plan_formations(
+        &mut self,
+        now: Moment,
+        term: ActiveTerm,
+        free: &mut FreeVms,
+        changes: &mut PlannedChanges,
+    ) {
         for candidate in self.formation_candidates(now) {
             let size = candidate.group_size + candidate.reserve;
             let requirements = SpareRequirements {
@@ -438,9 +495,15 @@
                 model: &candidate.model,
                 group: None,
             };
-            let spares = self.spares(free, requirements, size);
-            let Some(mut members) = spares else {
-                continue;
+            let mut members = match self.spares(now, term, free, requirements, size) {
+                Search::Found(spares) => spares,
+                Search::Awaits(vms) => {
+                    self.ask_reports(now, &vms);
+                    // Other groups must not take the VMs that are asked.
+                    free.take(candidate.domain, &vms);
+                    continue;
+                }
+                Search::TooFew => continue,
             };
             members.truncate(candidate.group_size);
             free.take(candidate.domain, &members);
--- a/crates/tanagerhub_groups/src/groups/stage.rs
+++ b/crates/tanagerhub_groups/src/groups/stage.rs
@@ -115,6 +115,7 @@
             return;
         };
         entry.staging = Some((model.name.clone(), now));
+        entry.ordered_at = now;
         let name = entry.report.vm.name.clone();
         let address = entry.report.vm.address;
         self.load_meter.record_start(now);
--- a/crates/tanagerhub_groups/src/groups/term.rs
+++ b/crates/tanagerhub_groups/src/groups/term.rs
@@ -16,9 +16,11 @@
 /// How long a term lasts after the call that renewed it was sent.
 pub const TERM_LENGTH: Duration = Duration::from_secs(2);
 /// The interval at which other nodes are asked for promises while the store is unreachable.
-const PROMISE_INTERVAL: Duration = Duration::from_millis(500);
+const PROMISE_INTERVAL: Duration = Duration::from_millis(400);
 /// How long before its end a term that the store doesn't renew is extended by promises.
-const PROMISE_LEAD: Duration = Duration::from_millis(1_500);
+const PROMISE_LEAD: Duration = Duration::from_millis(800);
+/// How long after the end of a term no other node can have begun one.
+pub(crate) const TERM_GAP: Duration = Duration::from_millis(600);
 
 /// The row by which other nodes see that a term goes on. It is written with the planner's row.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -32,10 +34,16 @@
 /// The proof that this node is the planner at a moment. Orders and changes of groups take it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct ActiveTerm {
+    began_at: Moment,
     ends_at: Moment,
 }
 
 impl ActiveTerm {
+    /// Returns when the term began; what was known before does not count.
+    pub(super) const fn began_at(self) -> Moment {
+        self.began_at
+    }
+
     /// Returns when the term ends unless it is renewed.
     pub(super) const fn ends_at(self) -> Moment {
         self.ends_at
@@ -56,8 +64,9 @@
 
 impl Term {
     /// Begins a term with the transaction that was sent at `sent_at`.
-    pub(super) fn begin(&mut self, sent_at: Moment) {
+    pub(super) fn begin(&mut self, now: Moment, sent_at: Moment) {
         self.span = Some(ActiveTerm {
+            began_at: now,
             ends_at: sent_at + TERM_LENGTH,
         });
     }
@@ -113,22 +122,24 @@
     /// Asks the other nodes for promises while the term is not renewed by the store.
     pub(super) fn ask_promises(&mut self, now: Moment) {
         let term = &mut self.planner.term;
-        let ends_soon = term
-            .active(now)
-            .is_some_and(|span| span.ends_at.since(now) < PROMISE_LEAD);
+        let is_needed = term.span.is_some_and(|span| {
+            let is_overdue = now + PROMISE_LEAD > span.ends_at;
+            (is_overdue || self.store_unreachable) && now < span.ends_at + TERM_GAP
+        });
         let has_waited = |at: Moment| now.since(at) >= PROMISE_INTERVAL;
-        if ends_soon && term.asked_at.is_none_or(has_waited) {
+        if is_needed && term.asked_at.is_none_or(has_waited) {
             term.asked_at = Some(now);
             self.actions.push(GroupsAction::AskPromises);
         }
     }
 
-    /// Extends a term that still lasts by the promises of all other nodes, which were asked for at
-    /// `asked_at`, not to begin one.
+    /// Extends the term by the promises of all other nodes, which were asked for at `asked_at`, not to
+    /// begin one.
     ///
-    /// A term that has ended stays so: another node may have begun one before it promised.
-    pub(super) fn apply_promises(&mut self, now: Moment, asked_at: Moment) {
-        if self.active_term(now).is_some() {
+    /// A term that had ended long before stays so: another node may have had one since.
+    pub(super) fn apply_promises(&mut self, asked_at: Moment) {
+        let span = self.planner.term.span;
+        if span.is_some_and(|span| asked_at < span.ends_at + TERM_GAP) {
             self.planner.term.renew(asked_at);
         }
     }
--- a/crates/tanagerhub_groups/src/groups/vm_entry.rs
+++ b/crates/tanagerhub_groups/src/groups/vm_entry.rs
@@ -5,12 +5,12 @@
 use tanagerhub_catalogue::{DataCentreId, DomainId, Epoch, GroupId, VmState};
 use tanagerhub_clock::Moment;
 
-use crate::{GroupState, GroupsSettings, ProbeFailure, VmReport};
+use crate::{GroupReport, GroupState, GroupsSettings, ProbeFailure, VmReport};
 
 use super::silence::Silence;
 
 /// The greatest age of the state that a probe returns.
-const MAX_REPORT_LAG: Duration = Duration::from_millis(400);
+pub(super) const MAX_REPORT_LAG: Duration = Duration::from_millis(400);
 /// The longest time between two rejected probes that count as one busy period. It is at least the
 /// interval at which the planner probes a member.
 const MAX_BUSY_GAP: Duration = Duration::from_millis(2_500);
@@ -24,6 +24,15 @@
 #[derive(Debug)]
 pub(super) struct VmEntry {
     pub(super) report: VmReport,
+    /// What the VM itself said last; `None` before the first probe of this start.
+    pub(super) own: Option<OwnReport>,
+    /// When it was last asked for its report because of a join.
+    pub(super) asked_at: Option<Moment>,
+    /// When the last order was sent to it.
+    pub(super) ordered_at: Moment,
+    /// Until when it must not join a group, because the head of the one that it left may not have
+    /// broken off.
+    pub(super) waits_until: Moment,
     /// The VM's fabric domain, as in the report.
     pub(super) domain: DomainId,
     /// The VM's data centre, as in the report.
@@ -55,6 +64,15 @@
     pub(super) staging: Option<(String, Moment)>,
 }
 
+/// What a VM said of itself in response to a probe.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct OwnReport {
+    /// When the probe was sent.
+    pub(super) asked_at: Moment,
+    pub(super) group: Option<GroupReport>,
+    pub(super) order_count: Option<u64>,
+}
+
 /// A period in which a VM rejects probes.
 #[derive(Debug, Clone, Copy)]
 struct BusyPeriod {
@@ -76,6 +94,10 @@
             domain: report.vm.domain_id(),
             data_centre: report.vm.data_centre_id(),
             report,
+            own: None,
+            asked_at: None,
+            ordered_at: Moment::ZERO,
+            waits_until: Moment::ZERO,
             removed: None,
             failures: 0,
             failed_at: Moment::ZERO,
@@ -177,6 +199,11 @@
     /// [`MAX_REPORT_LAG`]. If the store may have reported a newer state, only `busy` is applied,
     /// which the store's rows don't contain.
     pub(super) fn apply_probe(&mut self, sent: Moment, report: VmReport) {
+        self.own = Some(OwnReport {
+            asked_at: sent,
+            group: report.group,
+            order_count: report.order_count,
+        });
         if sent >= self.changed_at + MAX_REPORT_LAG {
             self.apply_report(report);
         } else {
@@ -187,6 +214,8 @@
     pub(super) fn apply_report(&mut self, report: VmReport) {
         let restarted = report.started_ms != self.report.started_ms;
         if restarted {
+            self.own = None;
+            self.waits_until = Moment::ZERO;
             self.clear_failures();
         }
         if self
--- a/crates/tanagerhub_groups/src/order.rs
+++ b/crates/tanagerhub_groups/src/order.rs
@@ -3,6 +3,8 @@
 use serde::Serialize;
 use tanagerhub_catalogue::{Epoch, GroupId};
 
+use crate::JoinProof;
+
 /// An order that the planner sends to a VM.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -17,6 +19,8 @@
         model: String,
         /// Names of all members, the head first.
         members: Vec<String>,
+        /// The evidence that the VM may join.
+        proof: JoinProof,
     },
     /// As the head of a ready group, start to accept requests.
     Open {
@@ -46,6 +50,23 @@
     },
 }
 
+impl Order {
+    /// Returns whether two orders tell a VM the same. Their evidence may differ.
+    pub(crate) fn is_same(&self, other: &Self) -> bool {
+        match (self, other) {
+            (
+                Self::Join { group, epoch, .. },
+                Self::Join {
+                    group: other_group,
+                    epoch: other_epoch,
+                    ..
+                },
+            ) => (group, epoch) == (other_group, other_epoch),
+            _ => self == other,
+        }
+    }
+}
+
 /// The result of an order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/tanagerhub_groups/src/presence.rs
+++ b/crates/tanagerhub_groups/src/presence.rs
@@ -9,6 +9,7 @@
 use tanagerhub_clock::Moment;
 use tanagerhub_table::{FeedPage, PageKind, RowKey, StoreEra, StoreVersion};
 
+use crate::groups::{TERM_GAP, TERM_LENGTH};
 use crate::relay_order::relay_order;
 use crate::rows::{RowError, decode, encode};
 use crate::{KnownBoots, LapsedBoot};
@@ -23,7 +24,7 @@
 /// number of nodes, which limits the number of writes in a large fleet.
 const WRITE_INTERVAL_PER_NODE: Duration = Duration::from_millis(250);
 /// The time without a new presence row after which a planner is replaced.
-const PLANNER_TIMEOUT: Duration = Duration::from_millis(2_600);
+const PLANNER_TIMEOUT: Duration = TERM_LENGTH.saturating_add(TERM_GAP);
 /// The same timeout on nodes that read the rows rarely.
 const SLOW_PLANNER_TIMEOUT: Duration = Duration::from_secs(12);
 /// How much later than its write interval the row of a node that is not the planner may be read.
@@ -406,10 +407,12 @@
     }
 
     /// Promises not to become the planner for as long as a planner may be silent, unless this node
-    /// reads the rows itself or is the planner. Returns whether it did.
-    pub fn promise(&mut self, now: Moment) -> bool {
+    /// reads the rows itself or is the planner. Returns whether it did. `store_fails` states that the
+    /// last call to the store failed.
+    pub fn promise(&mut self, now: Moment, store_fails: bool) -> bool {
         let is_current = |at: Moment| !self.read_failed && now.since(at) < MAX_READ_AGE;
-        if self.own.planning || self.read_at.is_some_and(is_current) {
+        let reads = !store_fails && self.read_at.is_some_and(is_current);
+        if self.own.planning || reads {
             return false;
         }
         self.promised_until = now + PLANNER_TIMEOUT;
--- a/crates/tanagerhub_groups/src/vm_report.rs
+++ b/crates/tanagerhub_groups/src/vm_report.rs
@@ -23,6 +23,9 @@
     /// Whether it is executing an order; `None` if the report does not contain this, as in the
     /// store's rows.
     pub busy: Option<bool>,
+    /// The number of orders that it has accepted since its start; `None` if the report does not contain
+    /// this, as in the store's rows.
+    pub order_count: Option<u64>,
     /// Its membership in a group, if any.
     pub group: Option<GroupReport>,
 }
--- a/crates/tanagerhub_groups/tests/presence.rs
+++ b/crates/tanagerhub_groups/tests/presence.rs
@@ -633,11 +633,12 @@
 fn promise_delays_takeover() {
     let mut now = Moment::from_millis(1_000);
     let mut presence = observing_planner(now);
-    assert!(!presence.promise(now));
+    assert!(!presence.promise(now, false));
+    assert!(observing_planner(now).promise(now, true));
     presence.record_read_failure();
     now = now + 10 * SECOND;
     presence.tick(now, false);
-    assert!(presence.promise(now));
+    assert!(presence.promise(now, false));
     let rows = [row_of("node-a", 1, false, 8)];
     presence
         .apply_page(now, &page(&rows), PageKind::Changes)
@@ -650,7 +651,7 @@
     assert!(plans_within(&mut presence, &mut now, SECOND));
     presence.set_planning(true);
     presence.record_read_failure();
-    assert!(!presence.promise(now));
+    assert!(!presence.promise(now, false));
 }
 
 /// All nodes that may take over are asked for promises: those that stop don't.
--- a/crates/tanagerhub_groups/tests/support/backend_server.rs
+++ b/crates/tanagerhub_groups/tests/support/backend_server.rs
@@ -19,6 +19,8 @@
     pub alive: bool,
     /// Whether another start has taken over its address and responds to probes.
     pub displaced: bool,
+    /// The number of orders that began something.
+    pub order_count: u64,
     /// The highest epoch that it has seen.
     pub(super) highest_epoch: Epoch,
     /// Names of the members of its group, the head first.
@@ -75,6 +77,15 @@
         OrderResult::Accepted
     }
 
+    /// Makes it a member of a group with these members, as by orders of another planner.
+    pub fn set_group(&mut self, membership: GroupReport, members: Vec<String>) {
+        self.order_count += 1;
+        self.highest_epoch = self.highest_epoch.max(membership.epoch);
+        self.members = members;
+        self.report.group = Some(membership);
+        self.report.served_model = Some("small".to_owned());
+    }
+
     pub(super) fn set_state(&mut self, state: GroupState) {
         if let Some(membership) = &mut self.report.group {
             membership.state = state;
--- a/crates/tanagerhub_groups/tests/support/simulation.rs
+++ b/crates/tanagerhub_groups/tests/support/simulation.rs
@@ -186,12 +186,14 @@
             staged: Vec::new(),
             served_model: None,
             busy: None,
+            order_count: None,
             group: None,
         };
         let server = BackendServer {
             report,
             alive: true,
             displaced: false,
+            order_count: 0,
             highest_epoch: Epoch(0),
             members: Vec::new(),
             last_model: None,
@@ -554,6 +556,7 @@
                     Ok(VmReport {
                         started_ms: server.report.started_ms + u64::from(server.displaced),
                         busy: Some(!server.pending.is_empty()),
+                        order_count: Some(server.order_count),
                         ..server.report.clone()
                     })
                 } else {
@@ -587,7 +590,10 @@
     /// Executes an order as a model engine does.
     pub fn execute_order(&mut self, vm: VmId, order: &Order) -> OrderResult {
         let (now, quick_loads) = (self.now, self.quick_loads);
-        self.check_join(vm, order);
+        let is_refused = self.is_refused(vm, order);
+        if !is_refused {
+            self.check_join(vm, order);
+        }
         self.check_load(vm, order);
         if let Order::Join {
             group,
@@ -604,6 +610,10 @@
         if server.displaced {
             return OrderResult::Misdirected;
         }
+        if is_refused {
+            return OrderResult::Unfit;
+        }
+        server.order_count += 1;
         let quick = if quick_loads { 10 } else { 1 };
         match order {
             Order::Stage { model } => {
@@ -617,6 +627,7 @@
                 epoch,
                 model,
                 members,
+                ..
             } => return server.join(now, (*group, *epoch), model, members),
             Order::Open { group, epoch } => {
                 if server.report.state_in(*group, *epoch) != Some(GroupState::Ready) {
@@ -640,6 +651,15 @@
         OrderResult::Accepted
     }
 
+    /// Returns whether a VM has accepted another order since the report that an order relies on.
+    fn is_refused(&self, vm: VmId, order: &Order) -> bool {
+        let Order::Join { proof, .. } = order else {
+            return false;
+        };
+        let count = self.servers[&vm].order_count;
+        proof.order_count().is_some_and(|known| known != count)
+    }
+
     fn advance_servers(&mut self) {
         let now = self.now;
         let mut changed = Vec::new();
