Ask other nodes before a VM that the planner can't reach counts as gone

The planner's machine lost its path to a head for 10 s. A group that served was dissolved, its member was joined to another group, and its streams stood still until the head broke off.

Cause: failed probes of one node counted as the end of a VM, and an unreachable head as one that stops serving after `stall_timeout`. A head breaks off only once a member is missing, so the wait proved nothing while all members took part.

Mend: the planner has up to three other nodes probe the VM. If one reaches it as a member of a group, it stays. If nobody reaches the head of a group that is dissolved, the members are ordered to leave, and the wait counts from then.

Why it works: a lost path to the planner leaves the other nodes' paths; a head whose members have left breaks off, reached or not.

With one node's probes as proof silence::group_stays_while_others_reach_its_head failed. All tests of tanagerhub_groups pass.

--- a/crates/tanagerhub/src/gateway/control.rs
+++ b/crates/tanagerhub/src/gateway/control.rs
@@ -350,6 +350,16 @@
     /// Replies to the planner on another node.
     fn answer_planner(&mut self, now: Moment, call: PlannerCall, sender: &Sender<PlannerReply>) {
         match call {
+            PlannerCall::Probe(vm) => {
+                if let Some(report) = self.groups.report(vm) {
+                    let sender = sender.clone();
+                    self.executor
+                        .probe_for_peer(&self.traffic, report.clone(), sender);
+                } else {
+                    // The caller may have given up.
+                    let _: Result<(), _> = sender.try_send(PlannerReply::Probe(None));
+                }
+            }
             PlannerCall::Promise => {
                 let store_fails = self.view.store_unreachable;
                 let promised = self.groups.may_promise() && self.presence.promise(now, store_fails);
@@ -390,6 +400,9 @@
                         .order(&self.traffic, server, (name, address), order, expires_at);
                 }
                 GroupsAction::AskPromises => self.ask_promises(now),
+                GroupsAction::AskPeers { vm } => {
+                    self.executor.ask_peers(self.presence.witnesses(now), vm);
+                }
                 GroupsAction::Probe { vm } => {
                     if let Some(report) = self.groups.report(vm) {
                         self.executor.probe(&self.traffic, report.clone());
--- a/crates/tanagerhub/src/gateway/control_store.rs
+++ b/crates/tanagerhub/src/gateway/control_store.rs
@@ -10,7 +10,7 @@
 use tanagerhub_catalogue::VmId;
 use tanagerhub_clock::{Clock, Moment};
 use tanagerhub_groups::{
-    GROUPS_TABLE, GroupsEvent, Order, OrderResult, ProbeFailure, TermRow, VmReport,
+    GROUPS_TABLE, GroupsEvent, Order, OrderResult, ProbeFailure, SeenVm, TermRow, VmReport,
 };
 use tanagerhub_proxy::Client;
 use tanagerhub_table::{CommitResult, RowKey, StoreAnswer, Transaction, TransactionId};
@@ -18,7 +18,7 @@
 
 use crate::gateway::control::GatewayEvent;
 use crate::gateway::limit_notices::{self, DueNotice};
-use crate::gateway::planner_calls;
+use crate::gateway::planner_calls::{self, PlannerReply};
 use crate::gateway::self_reports::record_engine_report;
 use crate::gateway::store_eras::StoreEras;
 use crate::gateway::{Adapters, CallConditions, GatewayMetrics};
@@ -64,6 +64,34 @@
         });
     }
 
+    /// Has nodes probe a VM that this node doesn't reach.
+    pub(crate) fn ask_peers(&self, nodes: Vec<SocketAddr>, vm: VmId) {
+        let (client, clock) = (self.peer_client.clone(), self.clock.clone());
+        self.spawn(async move {
+            let seen = planner_calls::ask_peers(&client, &clock, &nodes, vm).await;
+            GatewayEvent::Groups(GroupsEvent::PeersReplied { vm, seen })
+        });
+    }
+
+    /// Probes a backend server for the planner on another node, unless it is paused.
+    pub(crate) fn probe_for_peer(
+        &self,
+        traffic: &Arc<TrafficHandle>,
+        known: VmReport,
+        sender: Sender<PlannerReply>,
+    ) {
+        let probe = self.probe_once(traffic, known);
+        task::spawn(async move {
+            let report = probe.await.ok();
+            let seen = report.map(|report| SeenVm {
+                started_ms: report.started_ms,
+                group: report.group,
+            });
+            // The caller may have given up.
+            let _: Result<(), _> = sender.send(PlannerReply::Probe(seen)).await;
+        });
+    }
+
     /// Writes this node's row without a condition on its previous content.
     pub(crate) fn write_presence(&self, value: Vec<u8>) {
         let key = RowKey::in_table(NODES_TABLE, &self.node);
@@ -157,11 +185,24 @@
 
     /// Probes a backend server, unless it is paused.
     pub(crate) fn probe(&self, traffic: &Arc<TrafficHandle>, known: VmReport) {
+        let (vm, sent) = (known.vm.id(), self.clock.now());
+        let probe = self.probe_once(traffic, known);
+        self.spawn(async move {
+            let result = probe.await;
+            GatewayEvent::Groups(GroupsEvent::Probed { vm, sent, result })
+        });
+    }
+
+    /// Requests the report of a backend server, unless it is paused.
+    fn probe_once(
+        &self,
+        traffic: &Arc<TrafficHandle>,
+        known: VmReport,
+    ) -> impl Future<Output = Result<VmReport, ProbeFailure>> + Send + 'static {
         let (traffic, sender) = (Arc::clone(traffic), self.events.clone());
         let engines = Arc::clone(&self.adapters.engines);
         let metrics = self.metrics.clone();
-        let sent = self.clock.now();
-        self.spawn(async move {
+        async move {
             let vm = known.vm.id();
             let result = if may_begin_call(&traffic, vm) {
                 let may_send = || begin_call(&traffic, vm);
@@ -182,8 +223,8 @@
                 Err(ProbeFailure::Paused)
             };
             metrics.probe(probe_outcome(&result));
-            GatewayEvent::Groups(GroupsEvent::Probed { vm, sent, result })
-        });
+            result
+        }
     }
 
     fn timed_commit(
--- a/crates/tanagerhub/src/gateway/planner_calls.rs
+++ b/crates/tanagerhub/src/gateway/planner_calls.rs
@@ -4,15 +4,16 @@
 use std::time::Duration;
 
 use async_channel::Sender;
+use async_std::task;
 use bytes::Bytes;
-use futures_lite::StreamExt as _;
-use futures_lite::stream;
 use http::header::HOST;
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
+use tanagerhub_catalogue::VmId;
 use tanagerhub_clock::Clock;
+use tanagerhub_groups::SeenVm;
 use tanagerhub_proxy::{Client, ResponseBody, Reuse, empty_body, full_body};
 use tanagerhub_table::{Sections, decode_value, encode_value};
 
@@ -31,6 +32,8 @@
 pub(crate) enum PlannerCall {
     /// Promise not to become the planner for a while.
     Promise,
+    /// Probe a VM.
+    Probe(VmId),
 }
 
 /// The reply to a call of the planner.
@@ -38,28 +41,54 @@
 pub(crate) enum PlannerReply {
     /// Whether the node promises.
     Promise(bool),
+    /// What the node found of the VM; `None` if it did not reach it.
+    Probe(Option<SeenVm>),
 }
 
 /// Asks all these nodes to promise. Returns whether all of them did.
 pub(crate) async fn ask_promises(client: &Client, clock: &Clock, nodes: &[SocketAddr]) -> bool {
-    let calls = nodes.iter().map(|node| {
-        let (client, clock, node) = (client.clone(), clock.clone(), *node);
-        async_std::task::spawn(async move {
-            let reply = call(&client, &clock, node, PlannerCall::Promise).await;
-            let promised = reply == Some(PlannerReply::Promise(true));
-            if !promised {
-                log::info!(node:% = node, reply:?; "a node did not promise to leave planning to this one");
-            }
-            promised
-        })
+    let replies = call_all(client, clock, nodes, PlannerCall::Promise).await;
+    let is_promise = |reply: &Option<PlannerReply>| *reply == Some(PlannerReply::Promise(true));
+    let missing = replies.iter().filter(|reply| !is_promise(reply)).count();
+    if missing > 0 {
+        log::info!(nodes = nodes.len(), missing; "nodes did not promise to leave planning to this one");
+    }
+    missing == 0
+}
+
+/// Has nodes probe a VM. Returns what one of them found that reached it as a member of a group, or
+/// else what any of them found.
+pub(crate) async fn ask_peers(
+    client: &Client,
+    clock: &Clock,
+    nodes: &[SocketAddr],
+    vm: VmId,
+) -> Option<SeenVm> {
+    let replies = call_all(client, clock, nodes, PlannerCall::Probe(vm)).await;
+    let found = replies.into_iter().filter_map(|reply| match reply {
+        Some(PlannerReply::Probe(seen)) => seen,
+        Some(PlannerReply::Promise(_)) | None => None,
     });
-    let calls: Vec<_> = calls.collect();
-    let mut replies = stream::iter(calls).then(|call| call);
-    let mut all = true;
-    while let Some(promised) = replies.next().await {
-        all &= promised;
+    found.max_by_key(|seen| (seen.started_ms, seen.group.is_some()))
+}
+
+/// Sends a call to nodes at the same time. Returns their replies.
+async fn call_all(
+    client: &Client,
+    clock: &Clock,
+    nodes: &[SocketAddr],
+    planner_call: PlannerCall,
+) -> Vec<Option<PlannerReply>> {
+    let send = |node: &SocketAddr| {
+        let (client, clock, node) = (client.clone(), clock.clone(), *node);
+        task::spawn(async move { call(&client, &clock, node, planner_call).await })
+    };
+    let calls: Vec<_> = nodes.iter().map(send).collect();
+    let mut replies = Vec::new();
+    for call in calls {
+        replies.push(call.await);
     }
-    all
+    replies
 }
 
 /// Sends a call to a node. Returns `None` if there is no valid reply in time.
--- a/crates/tanagerhub_groups/src/action.rs
+++ b/crates/tanagerhub_groups/src/action.rs
@@ -29,6 +29,12 @@
         /// When the planner's term ends; the order must not be sent from then on.
         expires_at: Moment,
     },
+    /// Have other nodes probe a VM that this node doesn't reach, and return what they find as
+    /// [`PeersReplied`](crate::GroupsEvent::PeersReplied).
+    AskPeers {
+        /// The VM to probe.
+        vm: VmId,
+    },
     /// Ask all other live nodes to promise not to begin a term for a while. If all do, send
     /// [`Promised`](crate::GroupsEvent::Promised).
     AskPromises,
--- a/crates/tanagerhub_groups/src/decision.rs
+++ b/crates/tanagerhub_groups/src/decision.rs
@@ -65,6 +65,11 @@
         /// The result of the last probe; a VM that leaves it unanswered was silent for too long.
         cause: ProbeFailure,
     },
+    /// A VM that this node does not reach is reached by another one, and goes on as a member.
+    VmReachedByPeer {
+        /// The VM's name.
+        vm: String,
+    },
     /// A VM that was considered unreachable responds again.
     VmBack {
         /// The VM's name.
--- a/crates/tanagerhub_groups/src/event.rs
+++ b/crates/tanagerhub_groups/src/event.rs
@@ -5,7 +5,7 @@
 use tanagerhub_clock::Moment;
 use tanagerhub_table::{CommitResult, FeedPage, RowKey, StoreAnswer, StoreVersion};
 
-use crate::{Demand, EngineSpec, Order, OrderResult, TermRow, VmReport};
+use crate::{Demand, EngineSpec, Order, OrderResult, SeenVm, TermRow, VmReport};
 
 /// An event that [`Groups`](crate::Groups) handles.
 #[derive(Debug, Clone)]
@@ -73,6 +73,14 @@
         /// The VM's report, or why there is none.
         result: Result<VmReport, ProbeFailure>,
     },
+    /// What other nodes found of a VM, in response to
+    /// [`GroupsAction::AskPeers`](crate::GroupsAction::AskPeers).
+    PeersReplied {
+        /// The VM.
+        vm: VmId,
+        /// What one of them found; `None` if none reached the VM.
+        seen: Option<SeenVm>,
+    },
     /// The number of live nodes that probe the same VMs, including this one.
     NodeCount(usize),
     /// A backend server reported in a response that it is about to leave.
@@ -102,6 +110,7 @@
             | Self::VmRemoved(_)
             | Self::Ordered { .. }
             | Self::Leaving { .. }
+            | Self::PeersReplied { .. }
             | Self::Probed { .. } => true,
             Self::Tick
             | Self::Demand(_)
--- a/crates/tanagerhub_groups/src/groups.rs
+++ b/crates/tanagerhub_groups/src/groups.rs
@@ -7,6 +7,7 @@
 mod lifecycle;
 mod link_doubt;
 mod model_status;
+mod peer_view;
 mod planner;
 mod probe;
 mod reassign;
@@ -151,6 +152,7 @@
                 self.store_unreachable = false;
                 self.vms.start_relist_grace(now, &self.settings);
             }
+            GroupsEvent::PeersReplied { vm, seen } => self.peers_replied(now, vm, seen),
             GroupsEvent::NodeCount(count) => self.node_count = count,
             GroupsEvent::StoreReturned(restored_at) => self.store_returned(restored_at),
             GroupsEvent::BecomePlanner { boots, row } => self.become_planner(now, boots, row),
@@ -242,6 +244,7 @@
         self.ask_promises(now);
         self.record_term_change(now);
         if let Some(term) = self.active_term(now) {
+            self.ask_peers(now);
             self.plan(now, term);
         }
     }
--- a/crates/tanagerhub_groups/src/groups/group.rs
+++ b/crates/tanagerhub_groups/src/groups/group.rs
@@ -28,6 +28,9 @@
     pub(super) yields_to: Option<GroupId>,
     /// The progress of the dissolution; `None` if the group is not being dissolved.
     pub(super) dissolving: Option<Dissolving>,
+    /// When the members were first ordered to leave, because the head can't be asked. It breaks off
+    /// without them.
+    pub(super) members_left: Option<Moment>,
     /// Heads that have left the group, with the epochs that they left.
     pub(super) released_heads: BTreeSet<(VmId, Epoch)>,
     /// Whether the store does not contain this epoch yet.
@@ -67,6 +70,7 @@
             closing_since: None,
             yields_to: None,
             dissolving: None,
+            members_left: None,
             released_heads: BTreeSet::new(),
             provisional: false,
             change_pending: false,
--- a/crates/tanagerhub_groups/src/groups/lifecycle.rs
+++ b/crates/tanagerhub_groups/src/groups/lifecycle.rs
@@ -43,7 +43,7 @@
     pub(super) fn is_unusable(&self, vm: VmId) -> bool {
         self.vms
             .get(vm)
-            .is_none_or(|entry| entry.is_lost(&self.settings) || entry.is_leaving())
+            .is_none_or(|entry| entry.is_gone(&self.settings) || entry.is_leaving())
     }
 
     /// Returns whether a VM can become a member: it is usable and reachable.
@@ -137,10 +137,11 @@
         }
         let pending = self.pending_heads(now, group);
         for (vm, epoch) in &pending {
-            let entry = self.vms.get(*vm);
-            if entry.is_some_and(|entry| !entry.is_unavailable(&self.settings)) {
+            if self.is_reachable(*vm) {
                 let (group, epoch) = (id, *epoch);
                 self.send_order(now, term, id, *vm, Order::Leave { group, epoch });
+            } else if self.is_confirmed_gone(*vm) {
+                self.release_members(now, term, id);
             }
         }
         if pending.is_empty()
@@ -150,32 +151,64 @@
         }
     }
 
+    /// Orders the members of a group to leave it, because its head can't be reached: without them
+    /// the head breaks off.
+    fn release_members(&mut self, now: Moment, term: ActiveTerm, id: GroupId) {
+        let in_group = |entry: &VmEntry| {
+            let membership = entry
+                .report
+                .group
+                .filter(|it| it.group == id && it.rank > 0)?;
+            Some((membership.group, membership.epoch))
+        };
+        let list = self.vms.list.iter();
+        let members = list.filter_map(|(vm, entry)| Some((*vm, in_group(entry)?)));
+        let members: Vec<(VmId, (GroupId, Epoch))> = members.collect();
+        for (vm, membership) in members {
+            if self.is_reachable(vm) {
+                self.send_leave(now, term, vm, membership);
+            }
+        }
+        if let Some(group) = self.by_id.get_mut(&id) {
+            group.members_left.get_or_insert(now);
+        }
+    }
+
+    fn is_reachable(&self, vm: VmId) -> bool {
+        let entry = self.vms.get(vm);
+        entry.is_some_and(|entry| !entry.is_unavailable(&self.settings))
+    }
+
+    /// Returns whether neither this node nor other nodes reach a VM.
+    fn is_confirmed_gone(&self, vm: VmId) -> bool {
+        let entry = self.vms.get(vm);
+        entry.is_none_or(|entry| {
+            entry.is_unreachable(&self.settings) && entry.is_gone(&self.settings)
+        })
+    }
+
     /// Returns the heads of this and earlier epochs of a group that may still serve it.
     ///
     /// The head of an earlier epoch continues to serve while no order reaches it or its members.
     fn pending_heads(&self, now: Moment, group: &Group) -> BTreeSet<(VmId, Epoch)> {
         let serves = |(vm, entry): (&VmId, &VmEntry)| {
-            let (id, epoch) = entry.may_serve(now, &self.settings)?;
-            (id == group.id).then_some((*vm, epoch))
+            let membership = entry.report.group.filter(|_| entry.is_serving_head())?;
+            (membership.group == group.id).then_some((*vm, membership.epoch))
         };
         let mut pending: BTreeSet<_> = self.vms.list.iter().filter_map(serves).collect();
-        let head = group.head().filter(|head| self.may_open(now, *head, group));
+        let takes_part =
+            |head: &VmId| !self.is_reachable(*head) || self.vms.state_in(*head, group).is_some();
+        let head = group.head().filter(takes_part);
         pending.extend(head.map(|head| (head, group.epoch)));
+        pending.retain(|(vm, _)| !self.has_broken_off(now, *vm, group));
         pending.difference(&group.released_heads).copied().collect()
     }
 
-    /// Returns whether the head of the current epoch takes part in it, or may do so while it is
-    /// unreachable.
-    fn may_open(&self, now: Moment, head: VmId, group: &Group) -> bool {
-        let entry = self.vms.get(head);
-        let unavailable = entry.is_none_or(|entry| entry.is_unavailable(&self.settings));
-        if unavailable {
-            let timeout = self.settings.stall_timeout;
-            return group
-                .broken_since
-                .is_none_or(|since| now.since(since) < timeout);
-        }
-        self.vms.state_in(head, group).is_some()
+    /// Returns whether a head that can't be reached has been without its members for long enough.
+    fn has_broken_off(&self, now: Moment, head: VmId, group: &Group) -> bool {
+        let timeout = self.settings.stall_timeout;
+        let has_passed = |since: Moment| now.since(since) >= timeout;
+        self.is_confirmed_gone(head) && group.members_left.is_some_and(has_passed)
     }
 
     /// Sends an order to a member, unless the same order was sent within the retry interval.
--- a/crates/tanagerhub_groups/src/groups/probe.rs
+++ b/crates/tanagerhub_groups/src/groups/probe.rs
@@ -232,6 +232,9 @@
         result: Result<VmReport, ProbeFailure>,
     ) {
         self.apply_probed(now, vm, sent, result);
+        if self.active_term(now).is_some() {
+            self.ask_peers_about(now, vm);
+        }
         self.report_arrived(now, vm);
     }
 
--- a/crates/tanagerhub_groups/src/groups/repair.rs
+++ b/crates/tanagerhub_groups/src/groups/repair.rs
@@ -243,7 +243,7 @@
         };
         let has_ended = group.members.iter().any(|vm| {
             let entry = self.vms.get(*vm);
-            entry.is_none_or(|entry| entry.has_ended(&self.settings))
+            entry.is_none_or(|entry| entry.is_gone(&self.settings))
         });
         let Some(head) = group.head().filter(|_| !has_ended) else {
             return true;
--- a/crates/tanagerhub_groups/src/groups/vm_entry.rs
+++ b/crates/tanagerhub_groups/src/groups/vm_entry.rs
@@ -7,6 +7,7 @@
 
 use crate::{GroupReport, GroupState, GroupsSettings, ProbeFailure, VmReport};
 
+use super::peer_view::PeerView;
 use super::silence::Silence;
 
 /// The greatest age of the state that a probe returns.
@@ -52,6 +53,8 @@
     /// Whether failed probes showed that the VM will not go on; meaningful only while it is
     /// unreachable.
     ended: bool,
+    /// What other nodes found; meaningful only while it has ended.
+    pub(super) peer_view: PeerView,
     /// When the store last reported a change.
     pub(super) changed_at: Moment,
     pub(super) probed_at: Moment,
@@ -105,6 +108,7 @@
             busy_period: None,
             silence: None,
             ended: false,
+            peer_view: PeerView::default(),
             changed_at: Moment::ZERO,
             probed_at: Moment::ZERO,
             probe_pending: false,
@@ -124,6 +128,13 @@
         !self.is_listed() || self.has_ended(settings)
     }
 
+    /// Returns whether the VM will not go on, as other nodes have confirmed: it has ended, or was
+    /// removed from the store for good.
+    pub(super) fn is_gone(&self, settings: &GroupsSettings) -> bool {
+        let is_confirmed = self.peer_view == PeerView::Unreached;
+        !self.is_listed() || self.has_ended(settings) && is_confirmed
+    }
+
     /// Returns whether the VM is unreachable, and not merely silent for a short time.
     pub(super) fn has_ended(&self, settings: &GroupsSettings) -> bool {
         self.is_unreachable(settings) && (self.ended || !self.is_listed())
@@ -258,6 +269,7 @@
         self.busy_period = None;
         self.silence = None;
         self.ended = false;
+        self.peer_view = PeerView::Unasked;
     }
 
     /// Counts a failed probe, which was sent at `sent`.
--- a/crates/tanagerhub_groups/src/lib.rs
+++ b/crates/tanagerhub_groups/src/lib.rs
@@ -32,4 +32,4 @@
 pub use presence::{Peer, Presence, PresenceAction, PresenceRow, RelayEndpoint, SUCCESSOR_COUNT};
 pub use rows::{GROUPS_TABLE, GroupRow, PlannerRow, RowError};
 pub use settings::{GroupsSettings, SpareRule};
-pub use vm_report::{GroupReport, GroupState, VmReport};
+pub use vm_report::{GroupReport, GroupState, SeenVm, VmReport};
--- a/crates/tanagerhub_groups/src/presence.rs
+++ b/crates/tanagerhub_groups/src/presence.rs
@@ -36,6 +36,8 @@
 const MAX_TICK_GAP: Duration = Duration::from_secs(1);
 /// How old the last read may be for a node that reaches the store.
 const MAX_READ_AGE: Duration = Duration::from_secs(1);
+/// The number of other nodes that are asked about a VM.
+const WITNESS_COUNT: usize = 3;
 /// The range over which nodes spread their attempts to become the planner.
 const PLANNING_JITTER: Duration = Duration::from_millis(250);
 
@@ -406,6 +408,16 @@
             .collect()
     }
 
+    /// Returns the addresses of a few other nodes to ask about a VM, from all parts of the fleet.
+    #[must_use]
+    pub fn witnesses(&self, now: Moment) -> Vec<SocketAddr> {
+        let mut others = self.sending_peers(now);
+        others.retain(|peer| !peer.stopping);
+        let step = others.len().div_ceil(WITNESS_COUNT).max(1);
+        let chosen = others.iter().step_by(step);
+        chosen.map(|peer| peer.endpoint.address).collect()
+    }
+
     /// Promises not to become the planner for as long as a planner may be silent, unless this node
     /// reads the rows itself or is the planner. Returns whether it did. `store_fails` states that the
     /// last call to the store failed.
--- a/crates/tanagerhub_groups/src/vm_report.rs
+++ b/crates/tanagerhub_groups/src/vm_report.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use tanagerhub_catalogue::{Epoch, GroupId, Vm, VmId};
 
 /// A VM's report about itself, from its row in the store or from a probe.
@@ -30,8 +30,17 @@
     pub group: Option<GroupReport>,
 }
 
+/// What a node finds of a VM that it probes for another node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SeenVm {
+    /// The start of the backend server, as in [`VmReport::started_ms`].
+    pub started_ms: u64,
+    /// The VM's membership in a group, if any.
+    pub group: Option<GroupReport>,
+}
+
 /// A VM's membership in a group, as the VM reports it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GroupReport {
     /// The group's id.
     pub group: GroupId,
@@ -44,7 +53,7 @@
 }
 
 /// The state of a member of a group.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum GroupState {
     /// It is preparing the model.
--- a/crates/tanagerhub_groups/tests/silence.rs
+++ b/crates/tanagerhub_groups/tests/silence.rs
@@ -353,3 +353,86 @@
     }
     assert_eq!(planned(&simulation, group).0, epoch);
 }
+
+/// Returns a simulation in which a group of the first domain lacks a member, and no spare is left that
+/// could replace it, with the heads of this group and of one that could supply a member.
+fn group_without_spare() -> (Simulation, String, String) {
+    let mut simulation = Simulation::serving(3);
+    let domain = |name: &str| name.rsplit_once('-').unwrap().0.to_owned();
+    let heads = simulation.open_heads("small");
+    let pair = heads.windows(2).find(|it| domain(&it[0]) == domain(&it[1]));
+    let pair = pair.unwrap().to_vec();
+    let group = |simulation: &mut Simulation, name: &str| {
+        simulation.server(name).report.group.unwrap().group
+    };
+    let (one, other) = (&pair[0], &pair[1]);
+    // Of two groups that are alike the one with the lower id is dissolved.
+    let is_first = group(&mut simulation, one) < group(&mut simulation, other);
+    let (kept, supplier) = if is_first { (other, one) } else { (one, other) };
+    let assigned = simulation.assigned(0);
+    for number in 0..10 {
+        let name = format!("{}-{number}", domain(one));
+        if !assigned.contains(&name) {
+            simulation.stop_server(&name);
+            simulation.unlist(&name);
+        }
+    }
+    simulation.run(SECOND);
+    (simulation, kept.clone(), supplier.clone())
+}
+
+/// Guards against a group that is dissolved because the planner alone lost its path to the head, which
+/// serves.
+#[test]
+fn group_stays_while_others_reach_its_head() {
+    let (mut simulation, kept, supplier) = group_without_spare();
+    let members = simulation.members(&supplier);
+    simulation.lost_paths.insert((0, VmId::of(&supplier)));
+    simulation.run(3 * SECOND);
+    let stopped = simulation.members(&kept)[1].clone();
+    simulation.stop_server(&stopped);
+    simulation.suspect(0, &kept);
+    simulation.orders.clear();
+    simulation.run(12 * SECOND);
+    let members: Vec<VmId> = members.iter().map(|name| VmId::of(name)).collect();
+    let orders = simulation.orders.iter();
+    let orders: Vec<_> = orders.filter(|(vm, _)| members.contains(vm)).collect();
+    assert!(orders.is_empty(), "{orders:?}");
+    assert!(simulation.open_heads("small").contains(&supplier));
+    assert!(simulation.assigned(0).contains(&supplier));
+    assert!(
+        simulation.violations.is_empty(),
+        "{:?}",
+        simulation.violations
+    );
+    simulation.lost_paths.clear();
+    simulation.run(2 * SECOND);
+    assert!(simulation.open_heads("small").contains(&supplier));
+}
+
+/// The members of a group whose head nobody reaches leave it, and are used once it has broken off.
+#[test]
+fn members_leave_head_that_nobody_reaches() {
+    let (mut simulation, kept, supplier) = group_without_spare();
+    simulation.isolate(&supplier, ProbeFailure::Unanswered);
+    let stopped = simulation.members(&kept)[1].clone();
+    simulation.stop_server(&stopped);
+    simulation.suspect(0, &kept);
+    simulation.run(20 * SECOND);
+    let member = simulation.members(&supplier)[1].clone();
+    assert!(simulation.members(&kept).contains(&member));
+    let vm = VmId::of(&member);
+    let orders = simulation.orders.iter().filter(|(to, _)| *to == vm);
+    let orders: Vec<&Order> = orders.map(|(_, order)| order).collect();
+    let joins = |order: &&Order| matches!(order, Order::Join { .. });
+    let leaves = |order: &&Order| matches!(order, Order::Leave { .. });
+    let last_join = orders.iter().rposition(joins).unwrap();
+    let leave = orders.iter().position(leaves).unwrap();
+    assert!(leave < last_join, "{orders:?}");
+    assert!(
+        simulation.violations.is_empty(),
+        "{:?}",
+        simulation.violations
+    );
+    assert!(simulation.open_heads("small").contains(&kept));
+}
--- a/crates/tanagerhub_groups/tests/support/backend_server.rs
+++ b/crates/tanagerhub_groups/tests/support/backend_server.rs
@@ -23,6 +23,8 @@
     pub order_count: u64,
     /// The highest epoch that it has seen.
     pub(super) highest_epoch: Epoch,
+    /// The group that it was ready for and left last, with the epoch.
+    pub(super) left: Option<(GroupId, Epoch)>,
     /// Names of the members of its group, the head first.
     pub(super) members: Vec<String>,
     pub(super) last_model: Option<String>,
--- a/crates/tanagerhub_groups/tests/support/checks.rs
+++ b/crates/tanagerhub_groups/tests/support/checks.rs
@@ -108,7 +108,9 @@
             let ready = server.members.iter().filter(|name| {
                 let member = &self.servers[&VmId::of(name)];
                 let state = member.report.state_in(membership.group, membership.epoch);
-                let unusable = !member.alive || member.highest_epoch > membership.epoch;
+                let has_left = member.left == Some((membership.group, membership.epoch));
+                let is_later = member.highest_epoch > membership.epoch;
+                let unusable = !member.alive || is_later || has_left;
                 unusable || state.is_some_and(|state| state != GroupState::Joining)
             });
             if ready.count() != size {
--- a/crates/tanagerhub_groups/tests/support/simulation.rs
+++ b/crates/tanagerhub_groups/tests/support/simulation.rs
@@ -16,7 +16,7 @@
 use tanagerhub_groups::{
     EngineSpec, GROUPS_TABLE, GroupState, Groups, GroupsAction, GroupsEvent, GroupsSettings,
     KnownBoots, LapsedBoot, LoadLimit, ModelSpec, Order, OrderResult, PlannerRow, ProbeFailure,
-    TermRow, VmReport,
+    SeenVm, TermRow, VmReport,
 };
 use tanagerhub_table::{
     FeedPage, RowKey, RowVersion, StoreAnswer, StoreTime, StoreVersion, Transaction, VersionedRow,
@@ -81,6 +81,8 @@
     pub isolated: BTreeMap<VmId, ProbeFailure>,
     /// Nodes that reach no VM, with the result of their probes; the VMs continue to serve.
     pub cut_off: BTreeMap<usize, ProbeFailure>,
+    /// Nodes and VMs between which nothing passes; other nodes reach these VMs.
+    pub lost_paths: BTreeSet<(usize, VmId)>,
     /// VMs that stand still, and execute the orders sent meanwhile on [`Self::resume`].
     pub silent: BTreeSet<VmId>,
     /// All orders that nodes have sent.
@@ -141,6 +143,7 @@
             held_orders: Vec::new(),
             isolated: BTreeMap::new(),
             cut_off: BTreeMap::new(),
+            lost_paths: BTreeSet::new(),
             silent: BTreeSet::new(),
             orders: Vec::new(),
             overloaded: BTreeSet::new(),
@@ -195,6 +198,7 @@
             displaced: false,
             order_count: 0,
             highest_epoch: Epoch(0),
+            left: None,
             members: Vec::new(),
             last_model: None,
             pending: Vec::new(),
@@ -509,6 +513,10 @@
                 let asked_at = self.now;
                 GroupsEvent::Promised { asked_at }
             }
+            GroupsAction::AskPeers { vm } => {
+                let seen = self.seen_by_peers(node, vm);
+                GroupsEvent::PeersReplied { vm, seen }
+            }
             GroupsAction::ReadRows if self.is_turned_away(node) => {
                 self.reads += 1;
                 assert!(self.reads < 1_000, "{} reads", self.reads);
@@ -531,7 +539,8 @@
                 if ![0, self.nodes[node].boot].contains(&self.planner_boot()) {
                     self.foreign_orders.push((node, order.clone()));
                 }
-                let cut_off = self.cut_off.contains_key(&node);
+                let is_lost = self.lost_paths.contains(&(node, vm));
+                let cut_off = is_lost || self.cut_off.contains_key(&node);
                 let result = if cut_off || self.isolated.contains_key(&vm) {
                     OrderResult::NotSent
                 } else if self.order_holders.contains(&vm) || self.silent.contains(&vm) {
@@ -546,6 +555,8 @@
                 let server = &self.servers[&vm];
                 let result = if let Some(failure) = self.cut_off.get(&node) {
                     Err(*failure)
+                } else if self.lost_paths.contains(&(node, vm)) {
+                    Err(ProbeFailure::Unanswered)
                 } else if self.overloaded.contains(&vm) {
                     Err(ProbeFailure::TurnedAway)
                 } else if let Some(failure) = self.isolated.get(&vm) {
@@ -572,6 +583,22 @@
         Some(event)
     }
 
+    /// Returns what the other nodes find of a VM.
+    fn seen_by_peers(&self, node: usize, vm: VmId) -> Option<SeenVm> {
+        let server = &self.servers[&vm];
+        let answers = server.alive && !server.displaced;
+        let answers = answers && !self.isolated.contains_key(&vm) && !self.silent.contains(&vm);
+        let others = self.nodes.iter().enumerate();
+        let mut others = others.filter(|(index, it)| *index != node && it.alive);
+        let reaches = |index: usize| {
+            !self.cut_off.contains_key(&index) && !self.lost_paths.contains(&(index, vm))
+        };
+        (answers && others.any(|(index, _)| reaches(index))).then_some(SeenVm {
+            started_ms: server.report.started_ms,
+            group: server.report.group,
+        })
+    }
+
     /// Returns whether the store refuses the calls of a node.
     pub(crate) fn is_turned_away(&self, node: usize) -> bool {
         self.store_down || self.store_silent || self.turned_away.contains(&node)
@@ -643,6 +670,7 @@
             }
             Order::Leave { group, epoch } => {
                 if server.report.state_in(*group, *epoch).is_some() {
+                    server.left = Some((*group, *epoch));
                     server.report.group = None;
                     server.report.served_model = None;
                 }
