Wait for complete rows when a planner starts in a drill

The planner's process started while the store came back from a copy, and joined a spare to a second group while its own was open.

Cause: only a node that sees the era rise waits for complete rows. A node that starts sees its first era, which is no return.

Mend: a node that starts takes the rows of an era in which nobody has planned only once they are complete, except when the whole system starts for the first time.

Why it works: an era without a mark of a planner may have just begun; a heartbeat after this node has first seen it, VMs have written what they are.

--- a/crates/tanagerhub/src/gateway/control.rs
+++ b/crates/tanagerhub/src/gateway/control.rs
@@ -146,6 +146,8 @@
     capacity: CapacityView,
     /// The generation of the last published snapshot; 0 before the first one.
     generation: u64,
+    /// When the rows of the store's era are complete; `None` before it named one.
+    restored_at: Option<Moment>,
     /// How often the store had returned from a copy when this node last wrote its rows again.
     store_returns: u64,
 }
@@ -231,12 +233,19 @@
     /// Has this node's row written again, and planning wait for complete rows, once the store has
     /// returned from a copy.
     fn check_store_return(&mut self, now: Moment) {
+        let restored_at = self.eras.restored_at();
+        if self.view.restored_at.is_none()
+            && let Some(at) = restored_at
+        {
+            self.handle_groups_event(now, GroupsEvent::EraObserved(at));
+        }
+        self.view.restored_at = restored_at;
         let returns = self.eras.returns();
         if std::mem::replace(&mut self.view.store_returns, returns) == returns {
             return;
         }
         self.presence.write_again();
-        let restored_at = self.eras.restored_at().unwrap_or(now);
+        let restored_at = restored_at.unwrap_or(now);
         self.handle_groups_event(now, GroupsEvent::StoreReturned(restored_at));
     }
 
--- a/crates/tanagerhub_groups/src/event.rs
+++ b/crates/tanagerhub_groups/src/event.rs
@@ -33,6 +33,9 @@
     /// The store returned from an older copy. Its rows, and the list of VMs, are complete from this
     /// time on.
     StoreReturned(Moment),
+    /// The store names its era, which is the first that this node observes. Its rows, and the list of
+    /// VMs, are complete from this time on.
+    EraObserved(Moment),
     /// No other node is the planner, so this node tries to become it.
     BecomePlanner {
         /// The processes that may be the planner, and those that are not.
@@ -118,6 +121,7 @@
             | Self::StoreUnreachable
             | Self::StoreReachable
             | Self::StoreReturned(_)
+            | Self::EraObserved(_)
             | Self::BecomePlanner { .. }
             | Self::RenewTerm(_)
             | Self::Promised { .. }
--- a/crates/tanagerhub_groups/src/groups.rs
+++ b/crates/tanagerhub_groups/src/groups.rs
@@ -155,6 +155,7 @@
             GroupsEvent::PeersReplied { vm, seen } => self.peers_replied(now, vm, seen),
             GroupsEvent::NodeCount(count) => self.node_count = count,
             GroupsEvent::StoreReturned(restored_at) => self.store_returned(restored_at),
+            GroupsEvent::EraObserved(restored_at) => self.era_observed(restored_at),
             GroupsEvent::BecomePlanner { boots, row } => self.become_planner(now, boots, row),
             GroupsEvent::RenewTerm(row) => self.set_term_row(now, row),
             GroupsEvent::Promised { asked_at } => self.apply_promises(asked_at),
--- a/crates/tanagerhub_groups/src/groups/planner.rs
+++ b/crates/tanagerhub_groups/src/groups/planner.rs
@@ -54,6 +54,8 @@
     /// The planner's row is not taken over before this time, because the store has returned from a
     /// copy.
     pub(super) rests_until: Moment,
+    /// When the rows of the era are complete that this node has observed since its start.
+    pub(super) complete_at: Moment,
     /// Whether the store has returned from a copy since the last takeover.
     pub(super) has_seen_return: bool,
     /// The changes in the transaction in progress.
@@ -252,6 +254,13 @@
     /// as this node was the planner before.
     fn take_over(&mut self, now: Moment, page: &FeedPage, retakes: bool) {
         let is_planned = is_planned_era(page) && !(retakes && page.era.is_none());
+        let is_first = self.settings.first_start && !has_planner_row(page);
+        if !retakes && !is_planned && !is_first && now < self.planner.complete_at {
+            // The rows are those of a copy, and what the VMs say of themselves may be missing.
+            self.planner.rests_until = self.planner.complete_at;
+            self.planner.state = State::Idle;
+            return;
+        }
         let (version, row) = if is_planned {
             self.apply_rows(now, page)
         } else {
@@ -608,6 +617,11 @@
     (transaction, sent)
 }
 
+fn has_planner_row(page: &FeedPage) -> bool {
+    let mut rows = page.rows.iter();
+    rows.any(|row| row.value.is_some() && row_kind(&row.key) == RowKind::Planner)
+}
+
 /// Returns the group of each VM according to the rows.
 fn holders(rows: &BTreeMap<GroupId, GroupRow>) -> BTreeMap<String, GroupId> {
     let members = rows
--- a/crates/tanagerhub_groups/src/groups/restore.rs
+++ b/crates/tanagerhub_groups/src/groups/restore.rs
@@ -49,6 +49,12 @@
         }
     }
 
+    /// Handles the first era that this node observes, whose rows are complete from `restored_at` on.
+    /// The store may have just returned from a copy.
+    pub(super) fn era_observed(&mut self, restored_at: Moment) {
+        self.planner.complete_at = restored_at + LIST_MARGIN;
+    }
+
     /// Handles a VM that has seen a higher epoch than one of this planner, as after a return.
     pub(super) fn epoch_refused(&mut self) {
         if self.planner.names_eras() {
--- a/crates/tanagerhub_groups/tests/store_return.rs
+++ b/crates/tanagerhub_groups/tests/store_return.rs
@@ -8,7 +8,7 @@
 
 use simulation::{CommitFault, Simulation};
 use tanagerhub_catalogue::{Epoch, VmId};
-use tanagerhub_groups::{KnownBoots, Order};
+use tanagerhub_groups::{GroupsEvent, KnownBoots, Order};
 use tanagerhub_table::{CommitResult, RowKey, StoreEra};
 use yare::parameterized;
 
@@ -210,3 +210,29 @@
         simulation.violations
     );
 }
+
+/// Guards against a planner that starts while the store returns from a copy: it took the copy's rows
+/// for the present, and joined VMs of groups that the copy lacks.
+#[test]
+fn starting_planner_waits_for_complete_rows() {
+    let mut simulation = planner_before_groups();
+    simulation.run(40 * SECOND);
+    simulation.begin_traffic();
+    let copy = simulation.store.clone();
+    simulation.nodes[0].alive = false;
+    simulation.return_store(copy);
+    simulation.add_node(3);
+    let restored_at = simulation.now + Duration::from_millis(2_500);
+    simulation.send_event(2, GroupsEvent::EraObserved(restored_at));
+    let orders = simulation.orders.len();
+    for _ in 0..28 {
+        simulation.plan(2, known_boots(&[], &[1]));
+        simulation.run(Duration::from_millis(100));
+        assert!(!simulation.nodes[2].groups.is_planning());
+    }
+    assert_eq!(simulation.orders.len(), orders);
+    simulation.run(Duration::from_millis(300));
+    simulation.plan(2, known_boots(&[], &[1]));
+    simulation.run(SECOND);
+    assert!(simulation.nodes[2].groups.is_planning());
+}
