Forget what a planner knew in an earlier term

Cause: a node that became the planner again kept `dissolving` and `released_heads` of its earlier term if the group's row had the same epoch, and went on dissolving a group that another planner had kept.

Mend: a node that takes the row over forgets groups, loads and reports of an earlier term.

Why it works: a new term decides only by the rows that it reads and by what VMs say in it.

Evidence: silence::dissolution_of_earlier_term_is_forgotten failed without clearing the groups (the head was ordered to leave) and passes now.

--- a/crates/tanagerhub_groups/src/groups/join_check.rs
+++ b/crates/tanagerhub_groups/src/groups/join_check.rs
@@ -117,10 +117,9 @@
         self.check_join(now, term, vm, Some(group)) == JoinCheck::Taken
     }
 
-    /// Asks a VM for its report, unless it was just asked or too many probes are in flight.
+    /// Asks a VM for its report, unless it was just asked or many others are being asked.
     pub(super) fn ask_report(&mut self, now: Moment, vm: VmId) {
-        let pending = self.vms.list.values().filter(|entry| entry.probe_pending);
-        if pending.count() >= self.settings.pending_probes {
+        if self.awaited.len() >= self.settings.pending_probes {
             return;
         }
         let Some(entry) = self.vms.list.get_mut(&vm) else {
--- a/crates/tanagerhub_groups/src/groups/planner.rs
+++ b/crates/tanagerhub_groups/src/groups/planner.rs
@@ -261,6 +261,9 @@
             self.planner.state = State::Idle;
             return;
         }
+        if !retakes {
+            self.forget_earlier_term();
+        }
         let (version, row) = if is_planned {
             self.apply_rows(now, page)
         } else {
@@ -287,6 +290,14 @@
         }
     }
 
+    /// Forgets what this node decided and knew as the planner in an earlier term.
+    fn forget_earlier_term(&mut self) {
+        self.by_id.clear();
+        for entry in self.vms.list.values_mut() {
+            entry.forget_orders();
+        }
+    }
+
     /// Sends a transaction that takes the planner's row over.
     fn send_takeover(&mut self, now: Moment, version: RowVersion, vacancy: &Vacancy) {
         let row = self.new_planner_row(self.settings.boot);
--- a/crates/tanagerhub_groups/src/groups/vm_entry.rs
+++ b/crates/tanagerhub_groups/src/groups/vm_entry.rs
@@ -264,6 +264,13 @@
         }
     }
 
+    /// Forgets the orders of an earlier term. What they began is seen in the VM's reports.
+    pub(super) fn forget_orders(&mut self) {
+        self.staging = None;
+        self.own = None;
+        self.peer_view = PeerView::Unasked;
+    }
+
     pub(super) fn clear_failures(&mut self) {
         self.failures = 0;
         self.busy_period = None;
--- a/crates/tanagerhub_groups/tests/silence.rs
+++ b/crates/tanagerhub_groups/tests/silence.rs
@@ -436,3 +436,42 @@
     );
     assert!(simulation.open_heads("small").contains(&kept));
 }
+
+/// Guards against a planner that, in a later term, goes on dissolving a group by what it remembers of
+/// an earlier one: another planner had kept the group, at the same epoch.
+#[test]
+fn dissolution_of_earlier_term_is_forgotten() {
+    let (mut simulation, kept, supplier) = group_without_spare();
+    // The head of the group that is to be dissolved gets no order, and stays.
+    simulation.hold_orders(&supplier);
+    let isolated = simulation.members(&supplier)[1].clone();
+    simulation.isolate(&isolated, ProbeFailure::Unanswered);
+    let stopped = simulation.members(&kept)[1].clone();
+    simulation.stop_server(&stopped);
+    simulation.suspect(0, &kept);
+    simulation.run(5 * SECOND);
+    let vm = VmId::of(&supplier);
+    let is_leave = |(to, order): &(VmId, Order)| *to == vm && matches!(order, Order::Leave { .. });
+    assert!(simulation.orders.iter().any(is_leave), "it is dissolved");
+    simulation.held_orders.clear();
+    simulation.order_holders.clear();
+    simulation.nodes[0].alive = false;
+    simulation.isolated.clear();
+    simulation.run(3 * SECOND);
+    let boots = simulation.lapsed(1);
+    simulation.plan(1, boots);
+    simulation.server(&stopped).alive = true;
+    simulation.run(6 * SECOND);
+    assert!(simulation.open_heads("small").contains(&supplier));
+    simulation.nodes[1].alive = false;
+    simulation.run(3 * SECOND);
+    simulation.orders.clear();
+    simulation.nodes[0].alive = true;
+    let boots = simulation.lapsed(2);
+    simulation.run(SECOND);
+    simulation.plan(0, boots);
+    simulation.run(3 * SECOND);
+    assert!(simulation.nodes[0].groups.is_planning());
+    assert!(!simulation.orders.iter().any(is_leave), "it is kept");
+    assert!(simulation.open_heads("small").contains(&supplier));
+}
