--- a/crates/tanagerhub/src/gateway/planner_calls.rs
+++ b/crates/tanagerhub/src/gateway/planner_calls.rs
@@ -145,3 +145,6 @@
     *response.status_mut() = status;
     response
 }
+
+#[cfg(test)]
+mod tests;
