Tell the node that forwarded a request which server leaves

A node that reached no VMs passed on a response with `Server-Leaving` that another node had received, and sent that VM a request itself 2.8 s later.

Cause: only the node that receives a response from the VM records what it says; the one that passes it on doesn't know the VM.

Mend: the response to a forwarded request names the leaving VM and its start in a header, which the other node takes out and records before it passes the response on.

--- a/crates/tanagerhub/src/gateway/attempt.rs
+++ b/crates/tanagerhub/src/gateway/attempt.rs
@@ -189,6 +189,9 @@
     let dialect = &frontend.dialect;
     let decoded = dialect.self_report(response.status, &response.headers);
     frontend.record_self_report(call, dispatch, &name, &decoded);
+    if call.forwarded {
+        frontend.mark_leaving(dispatch, &mut response.headers, decoded.report.leaving);
+    }
     let (status, reused) = (response.status, response.reused);
     match dialect.response_kind(&call.id, status, &response.headers, reused) {
         ResponseKind::NotRun => {
--- a/crates/tanagerhub/src/gateway/front.rs
+++ b/crates/tanagerhub/src/gateway/front.rs
@@ -131,7 +131,9 @@
             let reason = "the node stops, and another one may have run the request";
             Some(Failure::new(StatusCode::BAD_GATEWAY, reason).into_response())
         };
-        future::or(self.forwarder.forward(call), stopped).await
+        let mut response = future::or(self.forwarder.forward(call), stopped).await?;
+        self.record_forwarded_report(call, response.headers_mut());
+        Some(response)
     }
 
     fn record_refused(&self, arrived: Moment, refused: &RefusedRequest) {
--- a/crates/tanagerhub/src/gateway/self_reports.rs
+++ b/crates/tanagerhub/src/gateway/self_reports.rs
@@ -3,8 +3,11 @@
 use std::sync::Arc;
 
 use async_channel::Sender;
+use http::header::HeaderName;
+use http::{HeaderMap, HeaderValue};
+use tanagerhub_catalogue::VmId;
 use tanagerhub_groups::GroupsEvent;
-use tanagerhub_traffic::{Dispatch, SelfReportChange, ServerLifetime};
+use tanagerhub_traffic::{Dispatch, SelfReport, SelfReportChange, ServerLifetime};
 
 use crate::gateway::call::Call;
 use crate::gateway::control::GatewayEvent;
@@ -12,7 +15,45 @@
 use crate::gateway::{DecodedReport, GatewayMetrics};
 use crate::traffic_handle::TrafficHandle;
 
+/// Names the backend server of a forwarded response that says that the server is about to leave. The
+/// node that passes the response on knows no other way which server that is.
+const LEAVING_SERVER: HeaderName = HeaderName::from_static("tanagerhub-leaving-server");
+
 impl Frontend {
+    /// Names the leaving server in a response that goes to the node that forwarded the request.
+    pub(crate) fn mark_leaving(&self, dispatch: Dispatch, headers: &mut HeaderMap, leaves: bool) {
+        headers.remove(LEAVING_SERVER);
+        let server = self
+            .traffic
+            .with(|traffic, _| traffic.attempt_server(dispatch.attempt));
+        let value = server.filter(|_| leaves).and_then(encode_server);
+        if let Some(value) = value {
+            headers.insert(LEAVING_SERVER, value);
+        }
+    }
+
+    /// Records what a response that another node has received says about its backend server, before
+    /// the response is passed on.
+    pub(crate) fn record_forwarded_report(&self, call: &Call, headers: &mut HeaderMap) {
+        let Some(value) = headers.remove(LEAVING_SERVER) else {
+            return;
+        };
+        let Some(server) = decode_server(&value) else {
+            let error = format!("{value:?}");
+            return self.metrics.unreadable_value("leaving server", &error);
+        };
+        let report = SelfReport {
+            leaving: true,
+            pause: None,
+        };
+        let change = self
+            .traffic
+            .with(|traffic, now| traffic.record_report_of(now, server, report, false));
+        let vm = format!("{:016x}", server.server.0);
+        log_change(&self.metrics, Some(call.id.as_str()), &vm, change, None);
+        send_leaving(&self.suspicions, server);
+    }
+
     /// Records what the response to an attempt says about its backend server, before the response
     /// is passed on.
     pub(crate) fn record_self_report(
@@ -62,6 +103,19 @@
     }
 }
 
+fn encode_server(server: ServerLifetime) -> Option<HeaderValue> {
+    let text = format!("{:x}-{:x}", server.server.0, server.started_ms);
+    HeaderValue::from_str(&text).ok()
+}
+
+fn decode_server(value: &HeaderValue) -> Option<ServerLifetime> {
+    let (server, started_ms) = value.to_str().ok()?.split_once('-')?;
+    Some(ServerLifetime {
+        server: VmId(u64::from_str_radix(server, 16).ok()?),
+        started_ms: u64::from_str_radix(started_ms, 16).ok()?,
+    })
+}
+
 fn is_empty(decoded: &DecodedReport) -> bool {
     decoded.report.is_empty() && decoded.invalid.is_none()
 }
--- a/crates/tanagerhub/tests/gateway/cut_off.rs
+++ b/crates/tanagerhub/tests/gateway/cut_off.rs
@@ -133,3 +133,26 @@
         assert!((1..=2_000).contains(&left), "{left}");
     });
 }
+
+/// Guards against a node that passes on what another node has received from a leaving backend server,
+/// and later sends the server a request itself, because it didn't learn which one leaves.
+#[parameterized(
+    idempotent = { "GET", "/safe/x" },
+    unrepeatable = { "POST", "/unsafe/x" },
+)]
+fn leaving_server_is_known_from_forwarded_response(method: &str, path: &str) {
+    task::block_on(async {
+        let leaving = Script::response(200, "leaving: 1\r\n", "hello");
+        let desk = BackendServer::start(vec![leaving]).await;
+        let llm = BackendServer::start(vec![Script::events(1, 3, true)]).await;
+        let backends = [("desk", &desk), ("llm", &llm)];
+        let (_sound, cut_off) = start(&backends, &llm, Cut::Refused, "POST", "/stream/x").await;
+        let response = cut_off.send_with_headers(method, path, HEADERS).await;
+        assert_eq!(status(&response), 200, "{response}");
+        let headers = response.to_lowercase();
+        assert!(headers.contains("leaving: 1"), "{response}");
+        assert!(!headers.contains("leaving-server"), "{response}");
+        let name = "tanagerhub_self_reports_total{outcome=\"leaving\"}";
+        assert_eq!(cut_off.metric(name).await, 1);
+    });
+}
