Repair groups in an outage although one node gives no answer

Cause: the machine had been taken away for good 11 s before. In a fleet of 84 nodes a node writes its row every 21 s, so it still counted as live.

Mend: nodes that fewer than three live ones precede must promise, as before. The others replace a planner after 12 s only, so they need not answer in the first 9.4 s after the last renewal; a refusal counts from any node.

--- a/crates/tanagerhub/src/gateway/control_store.rs
+++ b/crates/tanagerhub/src/gateway/control_store.rs
@@ -10,7 +10,8 @@
 use tanagerhub_catalogue::VmId;
 use tanagerhub_clock::{Clock, Moment};
 use tanagerhub_groups::{
-    GROUPS_TABLE, GroupsEvent, Order, OrderResult, ProbeFailure, SeenVm, TermRow, VmReport,
+    GROUPS_TABLE, GroupsEvent, Order, OrderResult, ProbeFailure, SeenVm, Successors, TermRow,
+    VmReport,
 };
 use tanagerhub_proxy::Client;
 use tanagerhub_table::{CommitResult, RowKey, StoreAnswer, Transaction, TransactionId};
@@ -18,7 +19,7 @@
 
 use crate::gateway::control::GatewayEvent;
 use crate::gateway::limit_notices::{self, DueNotice};
-use crate::gateway::planner_calls::{self, PlannerReply};
+use crate::gateway::planner_calls::{self, PlannerReply, Promises};
 use crate::gateway::self_reports::record_engine_report;
 use crate::gateway::store_eras::StoreEras;
 use crate::gateway::{Adapters, CallConditions, GatewayMetrics};
@@ -53,14 +54,17 @@
     }
 
     /// Asks nodes to promise not to become the planner.
-    pub(crate) fn ask_promises(&self, nodes: Vec<SocketAddr>) {
+    pub(crate) fn ask_promises(&self, nodes: Successors) {
         let (client, clock) = (self.peer_client.clone(), self.clock.clone());
         let (asked_at, events) = (self.clock.now(), self.events.clone());
         task::spawn(async move {
-            if planner_calls::ask_promises(&client, &clock, &nodes).await {
-                let event = GatewayEvent::Groups(GroupsEvent::Promised { asked_at });
-                drop(events.send(event).await);
-            }
+            let by_all = match planner_calls::ask_promises(&client, &clock, &nodes).await {
+                Promises::All => true,
+                Promises::Enough => false,
+                Promises::TooFew => return,
+            };
+            let event = GatewayEvent::Groups(GroupsEvent::Promised { asked_at, by_all });
+            drop(events.send(event).await);
         });
     }
 
--- a/crates/tanagerhub/src/gateway/planner_calls.rs
+++ b/crates/tanagerhub/src/gateway/planner_calls.rs
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 use tanagerhub_catalogue::VmId;
 use tanagerhub_clock::Clock;
-use tanagerhub_groups::SeenVm;
+use tanagerhub_groups::{SeenVm, Successors};
 use tanagerhub_proxy::{Client, ResponseBody, Reuse, empty_body, full_body};
 use tanagerhub_table::{Sections, decode_value, encode_value};
 
@@ -45,15 +45,34 @@
     Probe(Option<SeenVm>),
 }
 
-/// Asks all these nodes to promise. Returns whether all of them did.
-pub(crate) async fn ask_promises(client: &Client, clock: &Clock, nodes: &[SocketAddr]) -> bool {
-    let replies = call_all(client, clock, nodes, PlannerCall::Promise).await;
-    let is_promise = |reply: &Option<PlannerReply>| *reply == Some(PlannerReply::Promise(true));
-    let missing = replies.iter().filter(|reply| !is_promise(reply)).count();
-    if missing > 0 {
-        log::info!(nodes = nodes.len(), missing; "nodes did not promise to leave planning to this one");
+/// The promises of the nodes that may become the planner.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Promises {
+    /// All nodes promised.
+    All,
+    /// Only nodes that replace a planner late gave no reply.
+    Enough,
+    TooFew,
+}
+
+/// Asks all these nodes to promise not to become the planner.
+pub(crate) async fn ask_promises(client: &Client, clock: &Clock, nodes: &Successors) -> Promises {
+    let all: Vec<SocketAddr> = nodes.first.iter().chain(&nodes.others).copied().collect();
+    let replies = call_all(client, clock, &all, PlannerCall::Promise).await;
+    let promised = Some(PlannerReply::Promise(true));
+    let missing = replies.iter().filter(|reply| **reply != promised).count();
+    if missing == 0 {
+        return Promises::All;
+    }
+    let (first, others) = replies.split_at(nodes.first.len());
+    let is_enough = first.iter().all(|reply| *reply == promised)
+        && others.iter().all(|it| it.is_none() || *it == promised);
+    log::info!(nodes = all.len(), missing, is_enough; "nodes did not promise to leave planning to this one");
+    if is_enough {
+        Promises::Enough
+    } else {
+        Promises::TooFew
     }
-    missing == 0
 }
 
 /// Has nodes probe a VM. Returns what one of them found that reached it as a member of a group, or
--- a/crates/tanagerhub_groups/src/action.rs
+++ b/crates/tanagerhub_groups/src/action.rs
@@ -35,8 +35,8 @@
         /// The VM to probe.
         vm: VmId,
     },
-    /// Ask all other live nodes to promise not to begin a term for a while. If all do, send
-    /// [`Promised`](crate::GroupsEvent::Promised).
+    /// Ask all other live nodes to promise not to begin a term for a while. If none refuses, and all
+    /// promise that replace a planner soon, send [`Promised`](crate::GroupsEvent::Promised).
     AskPromises,
     /// Request a VM's report, and return it as [`Probed`](crate::GroupsEvent::Probed).
     Probe {
--- a/crates/tanagerhub_groups/src/event.rs
+++ b/crates/tanagerhub_groups/src/event.rs
@@ -45,11 +45,13 @@
     },
     /// The planner's presence row is due, which renews its term.
     RenewTerm(TermRow),
-    /// All other live nodes have promised not to begin a term for a while, as
+    /// The other live nodes have promised not to begin a term for a while, as
     /// [`GroupsAction::AskPromises`](crate::GroupsAction::AskPromises) asked them.
     Promised {
         /// When they were asked.
         asked_at: Moment,
+        /// Whether all of them did. Otherwise some gave no answer that replace a planner late.
+        by_all: bool,
     },
     /// Another node is the planner, or this node is stopping.
     ResignPlanner,
--- a/crates/tanagerhub_groups/src/groups.rs
+++ b/crates/tanagerhub_groups/src/groups.rs
@@ -158,7 +158,7 @@
             GroupsEvent::EraObserved(restored_at) => self.era_observed(restored_at),
             GroupsEvent::BecomePlanner { boots, row } => self.become_planner(now, boots, row),
             GroupsEvent::RenewTerm(row) => self.set_term_row(now, row),
-            GroupsEvent::Promised { asked_at } => self.apply_promises(asked_at),
+            GroupsEvent::Promised { asked_at, by_all } => self.apply_promises(asked_at, by_all),
             GroupsEvent::ResignPlanner => self.resign_planner(now),
             GroupsEvent::RowsRead(page) => self.apply_read(now, page),
             GroupsEvent::Committed(commit) => self.apply_commit(now, commit),
--- a/crates/tanagerhub_groups/src/groups/term.rs
+++ b/crates/tanagerhub_groups/src/groups/term.rs
@@ -8,7 +8,7 @@
 use tanagerhub_clock::Moment;
 use tanagerhub_table::RowKey;
 
-use crate::{Decision, GroupsAction};
+use crate::{Decision, GroupsAction, SLOW_PLANNER_TIMEOUT};
 
 use super::Groups;
 use super::planner::State;
@@ -19,6 +19,9 @@
 const PROMISE_INTERVAL: Duration = Duration::from_millis(400);
 /// How long before its end a term that the store doesn't renew is extended by promises.
 const PROMISE_LEAD: Duration = Duration::from_millis(800);
+/// How long after the last transaction a node that replaces a planner late need not promise.
+const UNANSWERED_TIME: Duration =
+    SLOW_PLANNER_TIMEOUT.saturating_sub(TERM_LENGTH.saturating_add(TERM_GAP));
 /// How long after the end of a term no other node can have begun one.
 pub(crate) const TERM_GAP: Duration = Duration::from_millis(600);
 
@@ -54,6 +57,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Term {
     span: Option<ActiveTerm>,
+    /// When the last transaction that renewed it was sent.
+    written_at: Moment,
     /// The row that the next transaction writes.
     row: Option<TermRow>,
     /// Whether `row` is newer than the last transaction.
@@ -65,14 +70,21 @@
 impl Term {
     /// Begins a term with the transaction that was sent at `sent_at`.
     pub(super) fn begin(&mut self, now: Moment, sent_at: Moment) {
+        self.written_at = sent_at;
         self.span = Some(ActiveTerm {
             began_at: now,
             ends_at: sent_at + TERM_LENGTH,
         });
     }
 
-    /// Extends the term by a transaction, or by promises, that were asked for at `sent_at`.
+    /// Renews the term by a transaction that was sent at `sent_at`.
     pub(super) fn renew(&mut self, sent_at: Moment) {
+        self.written_at = sent_at;
+        self.extend(sent_at);
+    }
+
+    /// Has the term last as if it were renewed at `sent_at`.
+    fn extend(&mut self, sent_at: Moment) {
         if let Some(span) = &mut self.span {
             span.ends_at = span.ends_at.max(sent_at + TERM_LENGTH);
         }
@@ -137,10 +149,14 @@
     /// begin one.
     ///
     /// A term that had ended long before stays so: another node may have had one since.
-    pub(super) fn apply_promises(&mut self, asked_at: Moment) {
-        let span = self.planner.term.span;
+    ///
+    /// Nodes that replace a planner late need not answer until then.
+    pub(super) fn apply_promises(&mut self, asked_at: Moment, by_all: bool) {
+        let term = &mut self.planner.term;
+        let is_early = asked_at < term.written_at + UNANSWERED_TIME;
+        let span = term.span.filter(|_| by_all || is_early);
         if span.is_some_and(|span| asked_at < span.ends_at + TERM_GAP) {
-            self.planner.term.renew(asked_at);
+            term.extend(asked_at);
         }
     }
 
--- a/crates/tanagerhub_groups/src/lib.rs
+++ b/crates/tanagerhub_groups/src/lib.rs
@@ -29,7 +29,10 @@
 pub use join_proof::JoinProof;
 pub use load_limit::LoadLimit;
 pub use order::{Order, OrderResult};
-pub use presence::{Peer, Presence, PresenceAction, PresenceRow, RelayEndpoint, SUCCESSOR_COUNT};
+pub use presence::{
+    Peer, Presence, PresenceAction, PresenceRow, RelayEndpoint, SLOW_PLANNER_TIMEOUT,
+    SUCCESSOR_COUNT, Successors,
+};
 pub use rows::{GROUPS_TABLE, GroupRow, PlannerRow, RowError};
 pub use settings::{GroupsSettings, SpareRule};
 pub use vm_report::{GroupReport, GroupState, SeenVm, VmReport};
--- a/crates/tanagerhub_groups/src/presence.rs
+++ b/crates/tanagerhub_groups/src/presence.rs
@@ -26,7 +26,7 @@
 /// The time without a new presence row after which a planner is replaced.
 const PLANNER_TIMEOUT: Duration = TERM_LENGTH.saturating_add(TERM_GAP);
 /// The same timeout on nodes that read the rows rarely.
-const SLOW_PLANNER_TIMEOUT: Duration = Duration::from_secs(12);
+pub const SLOW_PLANNER_TIMEOUT: Duration = Duration::from_secs(12);
 /// How much later than its write interval the row of a node that is not the planner may be read.
 const ROW_DELAY_TOLERANCE: Duration = Duration::from_millis(1_500);
 /// The number of missed writes after which a node no longer counts as live.
@@ -78,6 +78,15 @@
     pub stopping: bool,
 }
 
+/// The nodes that may become the planner.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Successors {
+    /// Those that replace a planner soon, since few live nodes precede them by name.
+    pub first: Vec<SocketAddr>,
+    /// Those that wait for [`SLOW_PLANNER_TIMEOUT`].
+    pub others: Vec<SocketAddr>,
+}
+
 /// An action that [`Presence`] requests from its caller.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum PresenceAction {
@@ -393,19 +402,31 @@
             .collect()
     }
 
-    /// Returns the addresses of all other nodes that may become the planner; `None` if one of them
-    /// has none.
+    /// Returns the other live nodes, which may become the planner; `None` if one of them has no
+    /// address.
     #[must_use]
-    pub fn successors(&self, now: Moment) -> Option<Vec<SocketAddr>> {
+    pub fn successors(&self, now: Moment) -> Option<Successors> {
         let at = self.read_at.filter(|_| self.read_failed).unwrap_or(now);
         let timeout = self.write_interval() + ROW_DELAY_TOLERANCE;
-        let is_live = |entry: &NodeEntry| {
-            !entry.is_stopping() && at.since(entry.updated_at.max(entry.outage_end)) < timeout
-        };
-        let others = self.nodes.iter().filter(|(name, _)| **name != self.node);
-        let live = others.filter(|(_, entry)| is_live(entry));
-        live.map(|(_, entry)| Some(entry.relay()?.address))
-            .collect()
+        let mut successors = Successors::default();
+        let mut preceding = 0;
+        for (name, entry) in &self.nodes {
+            let is_own = *name == self.node;
+            let is_live = at.since(entry.updated_at.max(entry.outage_end)) < timeout;
+            if !is_own && (!is_live || entry.is_stopping()) {
+                continue;
+            }
+            if !is_own {
+                let list = if preceding < SUCCESSOR_COUNT {
+                    &mut successors.first
+                } else {
+                    &mut successors.others
+                };
+                list.push(entry.relay()?.address);
+            }
+            preceding += 1;
+        }
+        Some(successors)
     }
 
     /// Returns the addresses of a few other nodes to ask about a VM, from all parts of the fleet.
