Split the planner, the presence of nodes and their simulation

Change: the takeover of the planner's row, what is known of one node, the actions of simulated nodes and the tests of the planner's succession have files of their own. No behaviour changes.

--- a/crates/tanagerhub_groups/src/groups.rs
+++ b/crates/tanagerhub_groups/src/groups.rs
@@ -16,6 +16,7 @@
 mod restore;
 mod silence;
 mod stage;
+mod takeover;
 mod term;
 mod view;
 mod vm_entry;
--- a/crates/tanagerhub_groups/src/groups/planner.rs
+++ b/crates/tanagerhub_groups/src/groups/planner.rs
@@ -15,11 +15,11 @@
 };
 
 use crate::rows::{RowKind, decode, encode, group_key, planner_key, row_kind};
-use crate::{Change, Decision, GroupRow, GroupsAction, KnownBoots, LapsedBoot, PlannerRow};
+use crate::{Change, Decision, GroupRow, GroupsAction, KnownBoots, PlannerRow};
 
 use super::Groups;
 use super::group::Group;
-use super::restore::{bind_to_era, is_planned_era, mark_eras};
+use super::restore::bind_to_era;
 use super::term::{ActiveTerm, Term, TermRow};
 
 /// The number of epochs reserved for each version of the planner's row.
@@ -38,15 +38,15 @@
     /// The transaction that was sent last.
     last_sent: Option<SentTransaction>,
     /// The era of the rows that this node knows.
-    era: Option<StoreEra>,
+    pub(super) era: Option<StoreEra>,
     /// The last version at which this node held the row; epochs are derived from it.
     epoch_base: RowVersion,
     /// The last epoch that this node issued, or knows to have been issued.
     pub(super) last_epoch: Epoch,
     /// The known boot ids, which decide whether the planner's row may be taken over.
-    known_boots: KnownBoots,
+    pub(super) known_boots: KnownBoots,
     /// The version of a planner's row whose boot id is unknown, and when it was first read.
-    unknown_holder: Option<(StoreVersion, Moment)>,
+    pub(super) unknown_holder: Option<(StoreVersion, Moment)>,
     /// No change is sent before this time, and no result of one is read, because the last call failed.
     pub(super) paused_until: Moment,
     /// Whether the result of a change is to be read again.
@@ -70,15 +70,6 @@
     nonce: u64,
 }
 
-/// Why this node may take the planner's row over.
-#[derive(Debug, Clone, PartialEq, Eq)]
-enum Vacancy {
-    /// The row names no planner, this process, or one that has ended.
-    Free,
-    /// The planner has not renewed its term for long enough, which the transaction confirms.
-    Lapsed(LapsedBoot),
-}
-
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
 pub(super) enum State {
     /// This node is not the planner.
@@ -250,70 +241,6 @@
         }
     }
 
-    /// Takes the planner's row over if its holder allows it. Nobody holds the row of a copy, as long
-    /// as this node was the planner before.
-    fn take_over(&mut self, now: Moment, page: &FeedPage, retakes: bool) {
-        let is_planned = is_planned_era(page) && !(retakes && page.era.is_none());
-        let is_first = self.settings.first_start && !has_planner_row(page);
-        if !retakes && !is_planned && !is_first && now < self.planner.complete_at {
-            // The rows are those of a copy, and what the VMs say of themselves may be missing.
-            self.planner.rests_until = self.planner.complete_at;
-            self.planner.state = State::Idle;
-            return;
-        }
-        if !retakes {
-            self.forget_earlier_term();
-        }
-        let (version, row) = if is_planned {
-            self.apply_rows(now, page)
-        } else {
-            self.apply_copy(now, page, retakes)
-        };
-        self.planner.era = page.era;
-        let is_own = |row: &PlannerRow| row.boot == self.settings.boot;
-        let vacancy = if retakes {
-            let stays = !is_planned || row.as_ref().is_some_and(is_own);
-            stays.then_some(Vacancy::Free)
-        } else {
-            self.find_vacancy(now, version, row.as_ref())
-        };
-        if let Some(vacancy) = vacancy {
-            self.planner.state = State::Taking { retakes };
-            if retakes || page.era.is_some() {
-                self.raise_epochs(!is_planned);
-            }
-            self.send_takeover(now, version, &vacancy);
-        } else if retakes {
-            self.resign_silently();
-        } else {
-            self.planner.state = State::Idle;
-        }
-    }
-
-    /// Forgets what this node decided and knew as the planner in an earlier term.
-    fn forget_earlier_term(&mut self) {
-        self.by_id.clear();
-        for entry in self.vms.list.values_mut() {
-            entry.forget_orders();
-        }
-    }
-
-    /// Sends a transaction that takes the planner's row over.
-    fn send_takeover(&mut self, now: Moment, version: RowVersion, vacancy: &Vacancy) {
-        let row = self.new_planner_row(self.settings.boot);
-        let mut transaction = self.planner_transaction(version, &row);
-        transaction = mark_eras(transaction, self.planner.era);
-        if let Vacancy::Lapsed(LapsedBoot { row, version, .. }) = vacancy {
-            transaction = if version.era == self.planner.era {
-                transaction.require_version(row.clone(), version.version)
-            } else {
-                // The store lost the row with an earlier era, and the planner has not written it again.
-                transaction.require_absent(row.clone())
-            };
-        }
-        self.commit(now, &row, transaction);
-    }
-
     /// Sends changes in one transaction, each with the group's new row (`None` to delete it). The
     /// transaction renews the term, so it may be without changes.
     ///
@@ -351,48 +278,18 @@
         self.planner.changes = changes;
     }
 
-    /// Returns why the planner's row may be taken over; `None` if its holder may be the planner. The
-    /// row is `None` if it can't be decoded, so that its holder is unknown.
-    fn find_vacancy(
-        &mut self,
-        now: Moment,
-        version: RowVersion,
-        row: Option<&PlannerRow>,
-    ) -> Option<Vacancy> {
-        let planner = &mut self.planner;
-        let boots = &planner.known_boots;
-        if let Some(PlannerRow { boot, .. }) = row {
-            if *boot == 0 || *boot == self.settings.boot || boots.ended.contains(boot) {
-                return Some(Vacancy::Free);
-            }
-            if boots.live.contains(boot) {
-                return None;
-            }
-            if let Some(lapsed) = boots.lapsed.iter().find(|lapsed| lapsed.boot == *boot) {
-                return Some(Vacancy::Lapsed(lapsed.clone()));
-            }
-        }
-        let version = StoreVersion::new(planner.era, version);
-        match planner.unknown_holder {
-            Some((known, since)) if known == version => {
-                let has_waited = now.since(since) >= self.settings.unknown_planner_timeout;
-                has_waited.then_some(Vacancy::Free)
-            }
-            _ => {
-                planner.unknown_holder = Some((version, now));
-                None
-            }
-        }
-    }
-
-    fn new_planner_row(&mut self, boot: u64) -> PlannerRow {
+    pub(super) fn new_planner_row(&mut self, boot: u64) -> PlannerRow {
         let nonce = self.rng.next_u64();
         PlannerRow { boot, nonce }
     }
 
     /// Returns a transaction that writes the planner's row, and the presence row of a planner, on
     /// condition that the planner's row has a version.
-    fn planner_transaction(&mut self, version: RowVersion, row: &PlannerRow) -> Transaction {
+    pub(super) fn planner_transaction(
+        &mut self,
+        version: RowVersion,
+        row: &PlannerRow,
+    ) -> Transaction {
         let id = TransactionId(u128::from(row.nonce));
         let mut transaction = Transaction::new(id).put(planner_key(), encode(row));
         transaction = if version == RowVersion(0) {
@@ -408,7 +305,7 @@
         bind_to_era(transaction, self.planner.era)
     }
 
-    fn commit(&mut self, now: Moment, row: &PlannerRow, transaction: Transaction) {
+    pub(super) fn commit(&mut self, now: Moment, row: &PlannerRow, transaction: Transaction) {
         self.planner.last_sent = Some(SentTransaction {
             sent_at: now,
             nonce: row.nonce,
@@ -522,7 +419,11 @@
 
     /// Applies all rows. Returns the planner's row, which is `None` if it can't be decoded, and its
     /// version, which is zero if there is no row.
-    fn apply_rows(&mut self, now: Moment, page: &FeedPage) -> (RowVersion, Option<PlannerRow>) {
+    pub(super) fn apply_rows(
+        &mut self,
+        now: Moment,
+        page: &FeedPage,
+    ) -> (RowVersion, Option<PlannerRow>) {
         let (planner_row, groups) = self.decode_rows(page);
         self.by_id.retain(|id, _| groups.contains_key(id));
         self.apply_group_rows(now, groups);
@@ -531,7 +432,7 @@
 
     /// Applies the rows of a store that has returned from a copy, in which no planner has written
     /// since. `plans` says that this node was the planner.
-    fn apply_copy(
+    pub(super) fn apply_copy(
         &mut self,
         now: Moment,
         page: &FeedPage,
@@ -628,11 +529,6 @@
     (transaction, sent)
 }
 
-fn has_planner_row(page: &FeedPage) -> bool {
-    let mut rows = page.rows.iter();
-    rows.any(|row| row.value.is_some() && row_kind(&row.key) == RowKind::Planner)
-}
-
 /// Returns the group of each VM according to the rows.
 fn holders(rows: &BTreeMap<GroupId, GroupRow>) -> BTreeMap<String, GroupId> {
     let members = rows
--- a/crates/tanagerhub_groups/src/presence.rs
+++ b/crates/tanagerhub_groups/src/presence.rs
@@ -1,5 +1,7 @@
 //! Liveness of the nodes, and succession of the planner.
 
+mod node_entry;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -14,6 +16,8 @@
 use crate::rows::{RowError, decode, encode};
 use crate::{KnownBoots, LapsedBoot};
 
+use node_entry::NodeEntry;
+
 /// The interval at which the planner writes its presence row.
 const PLANNER_WRITE_INTERVAL: Duration = Duration::from_secs(1);
 /// The number of nodes, first by name, that watch closely whether there is a planner.
@@ -125,91 +129,6 @@
     planning_delay: Duration,
 }
 
-#[derive(Debug)]
-struct NodeEntry {
-    key: RowKey,
-    /// The newest row that could be decoded; `None` if there was none yet.
-    last_row: Option<PresenceRow>,
-    /// Whether the newest row can't be decoded, as one of another build. The node counts as live,
-    /// but it may be another process than the one of `last_row`.
-    unreadable: bool,
-    version: StoreVersion,
-    updated_at: Moment,
-    /// When an outage ended in which the node could not write its row.
-    outage_end: Moment,
-    /// The previous boot id, whose writes may still be applied late.
-    previous_boot: Option<u64>,
-}
-
-impl NodeEntry {
-    fn new(key: RowKey, version: StoreVersion, updated_at: Moment) -> Self {
-        Self {
-            key,
-            last_row: None,
-            unreadable: true,
-            version,
-            updated_at,
-            outage_end: Moment::ZERO,
-            previous_boot: None,
-        }
-    }
-
-    /// Returns the newest row if it could be decoded.
-    fn row(&self) -> Option<&PresenceRow> {
-        self.last_row.as_ref().filter(|_| !self.unreadable)
-    }
-
-    /// Returns the endpoint of the node if it is known.
-    fn relay(&self) -> Option<RelayEndpoint> {
-        self.row()?.relay
-    }
-
-    fn is_planning(&self) -> bool {
-        self.row().is_some_and(|row| row.planning)
-    }
-
-    fn is_stopping(&self) -> bool {
-        self.row().is_some_and(|row| row.stopping)
-    }
-
-    /// Returns the node as a peer if it has an endpoint.
-    fn peer(&self, name: &str) -> Option<Peer> {
-        let row = self.row()?;
-        Some(Peer {
-            node: NodeId::of(name),
-            boot: row.boot,
-            endpoint: row.relay?,
-            stopping: row.stopping,
-        })
-    }
-
-    /// Returns whether the process that wrote the newest row wrote this one later.
-    fn is_continued_by(&self, row: &PresenceRow) -> bool {
-        let last = self.last_row.as_ref();
-        last.is_none_or(|last| last.boot == row.boot && last.write_count < row.write_count)
-    }
-
-    /// Applies a newer row, unless the previous boot wrote it. `None` is a row that can't be
-    /// decoded.
-    fn update(&mut self, row: Option<PresenceRow>, version: StoreVersion, updated_at: Moment) {
-        self.version = version;
-        if let Some(row) = row {
-            if self.previous_boot == Some(row.boot) {
-                return;
-            }
-            let last_boot = self.last_row.as_ref().map(|row| row.boot);
-            if last_boot != Some(row.boot) {
-                self.previous_boot = last_boot;
-            }
-            self.last_row = Some(row);
-            self.unreadable = false;
-        } else {
-            self.unreadable = true;
-        }
-        self.updated_at = updated_at;
-    }
-}
-
 impl Presence {
     /// Creates the state of a node that knows no other nodes. `boot` and `draw` are random numbers.
     #[must_use]
--- a/crates/tanagerhub_groups/tests/presence.rs
+++ b/crates/tanagerhub_groups/tests/presence.rs
@@ -1,5 +1,8 @@
 //! Liveness of the nodes, and succession of the planner.
 
+#[path = "support/presence_rows.rs"]
+mod presence_rows;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -7,19 +10,12 @@
 use tanagerhub_catalogue::{DataCentreId, NodeId};
 use tanagerhub_clock::Moment;
 use tanagerhub_groups::{KnownBoots, Presence, PresenceAction, RelayEndpoint, SUCCESSOR_COUNT};
-use tanagerhub_table::{FeedPage, PageKind, RowKey, RowVersion, StoreEra, StoreTime, VersionedRow};
+use tanagerhub_table::{FeedPage, PageKind, RowKey, RowVersion, StoreEra, VersionedRow};
 use yare::parameterized;
 
-const SECOND: Duration = Duration::from_secs(1);
+use presence_rows::{page, planning_boots, row_of};
 
-fn page(rows: &[VersionedRow]) -> FeedPage {
-    FeedPage {
-        rows: rows.to_vec(),
-        version: RowVersion(0),
-        at: StoreTime(0),
-        era: None,
-    }
-}
+const SECOND: Duration = Duration::from_secs(1);
 
 fn page_of_era(era: u64, rows: &[VersionedRow]) -> FeedPage {
     FeedPage {
@@ -168,26 +164,6 @@
     assert!(writes <= 30 + 2 * 59 + 5, "{writes}");
 }
 
-/// Returns the row that a node writes at its start.
-fn row_of(node: &str, boot: u64, planning: bool, version: u64) -> VersionedRow {
-    let mut presence = Presence::new(node, boot, 0);
-    presence.set_planning(planning);
-    let actions = presence.tick(Moment::from_millis(1_000), false);
-    let Some(PresenceAction::Write(value)) = actions.into_iter().next() else {
-        panic!("a node writes its row at once");
-    };
-    VersionedRow {
-        key: RowKey::in_table("nodes", node),
-        version: RowVersion(version),
-        value: Some(value),
-    }
-}
-
-/// Returns the boot ids with which a node tries to become the planner.
-fn planning_boots(presence: &mut Presence, now: Moment) -> Option<KnownBoots> {
-    planning_boots_if(presence, now, true)
-}
-
 #[test]
 fn previous_boot_counts_as_ended() {
     let now = Moment::from_millis(1_000);
@@ -541,119 +517,6 @@
     assert_eq!(presence.tick(now, false).len(), 1);
 }
 
-/// Returns whether the node tries to become the planner within a time in which it runs and reads the
-/// rows, of which none changes.
-fn plans_within(presence: &mut Presence, now: &mut Moment, duration: Duration) -> bool {
-    let end = *now + duration;
-    while *now < end {
-        *now = *now + Duration::from_millis(100);
-        presence
-            .apply_page(*now, &page(&[]), PageKind::Changes)
-            .unwrap();
-        if planning_boots(presence, *now).is_some() {
-            return true;
-        }
-    }
-    false
-}
-
-fn observing_planner(now: Moment) -> Presence {
-    let mut presence = Presence::new("node-b", 2, 0);
-    let rows = [row_of("node-a", 1, true, 7)];
-    presence
-        .apply_page(now, &page(&rows), PageKind::All)
-        .unwrap();
-    presence
-}
-
-/// Guards against a node that takes over right after an outage, in which the planner could not renew
-/// its term, or after it stood still: it has not seen that the planner is silent.
-#[parameterized(
-    start = { false, 0 },
-    outage = { true, 5_000 },
-    freeze = { false, 5_000 },
-)]
-fn planner_is_observed_before_takeover(read_fails: bool, gap_ms: u64) {
-    let mut now = Moment::from_millis(1_000);
-    let mut presence = observing_planner(now);
-    if gap_ms > 0 {
-        assert!(!plans_within(&mut presence, &mut now, SECOND));
-    }
-    if read_fails {
-        presence.record_read_failure();
-        for _ in 0..gap_ms / 100 {
-            now = now + Duration::from_millis(100);
-            assert_eq!(planning_boots_if(&mut presence, now, false), None);
-        }
-    } else {
-        now = now + Duration::from_millis(gap_ms);
-    }
-    let most = Duration::from_millis(2_500);
-    assert!(!plans_within(&mut presence, &mut now, most));
-    assert!(plans_within(
-        &mut presence,
-        &mut now,
-        Duration::from_millis(500)
-    ));
-}
-
-fn planning_boots_if(presence: &mut Presence, now: Moment, current: bool) -> Option<KnownBoots> {
-    let mut actions = presence.tick(now, current).into_iter();
-    actions.find_map(|action| match action {
-        PresenceAction::BecomePlanner { boots, .. } => Some(boots),
-        PresenceAction::Write(_) => None,
-    })
-}
-
-/// A planner that is merely silent is replaced on condition of the row that was observed.
-#[test]
-fn silent_planner_has_lapsed() {
-    let mut now = Moment::from_millis(1_000);
-    let mut presence = observing_planner(now);
-    while now < Moment::from_millis(3_500) {
-        now = now + Duration::from_millis(100);
-        presence
-            .apply_page(now, &page(&[]), PageKind::Changes)
-            .unwrap();
-        assert_eq!(planning_boots(&mut presence, now), None);
-    }
-    now = now + Duration::from_millis(200);
-    let boots = planning_boots(&mut presence, now).unwrap();
-    assert_eq!((boots.ended, boots.live), (vec![], vec![]));
-    let [lapsed] = &*boots.lapsed else {
-        panic!("{:?}", boots.lapsed);
-    };
-    assert_eq!(lapsed.boot, 1);
-    assert_eq!(lapsed.row, RowKey::in_table("nodes", "node-a"));
-    assert_eq!(lapsed.version.version, RowVersion(7));
-}
-
-/// A node promises not to take over only while it can't read the rows, and keeps the promise.
-#[test]
-fn promise_delays_takeover() {
-    let mut now = Moment::from_millis(1_000);
-    let mut presence = observing_planner(now);
-    assert!(!presence.promise(now, false));
-    assert!(observing_planner(now).promise(now, true));
-    presence.record_read_failure();
-    now = now + 10 * SECOND;
-    presence.tick(now, false);
-    assert!(presence.promise(now, false));
-    let rows = [row_of("node-a", 1, false, 8)];
-    presence
-        .apply_page(now, &page(&rows), PageKind::Changes)
-        .unwrap();
-    assert!(!plans_within(
-        &mut presence,
-        &mut now,
-        Duration::from_millis(2_500)
-    ));
-    assert!(plans_within(&mut presence, &mut now, SECOND));
-    presence.set_planning(true);
-    presence.record_read_failure();
-    assert!(!presence.promise(now, false));
-}
-
 /// All nodes that may take over are asked for promises: those that stop don't.
 #[test]
 fn successors_are_live_nodes() {
