Take no answer to an earlier transaction for that to a takeover

What callers could see: two planners at once (TWO).

Cause: the answer to a transaction didn't name it. After a resignation, or a change without an answer, a late answer that arrived while a takeover was on its way began a term.

Mend: answers name their transaction; only that to the last one counts.

Evidence: term::late_answer_of_earlier_term_begins_none failed with every answer counted.

--- a/crates/tanagerhub/src/gateway/control_store.rs
+++ b/crates/tanagerhub/src/gateway/control_store.rs
@@ -122,8 +122,12 @@
     }
 
     pub(crate) fn commit(&self, transaction: Transaction) {
+        let id = transaction.id;
         let commit = self.timed_commit(transaction);
-        self.spawn(async move { GatewayEvent::Groups(GroupsEvent::Committed(commit.await)) });
+        self.spawn(async move {
+            let answer = commit.await;
+            GatewayEvent::Groups(GroupsEvent::Committed { id, answer })
+        });
     }
 
     pub(crate) fn read_groups(&self) {
--- a/crates/tanagerhub_groups/src/event.rs
+++ b/crates/tanagerhub_groups/src/event.rs
@@ -3,7 +3,7 @@
 use serde::Serialize;
 use tanagerhub_catalogue::{DataCentreId, Epoch, GroupId, VmId};
 use tanagerhub_clock::Moment;
-use tanagerhub_table::{CommitResult, FeedPage, RowKey, StoreAnswer, StoreVersion};
+use tanagerhub_table::{CommitResult, FeedPage, RowKey, StoreAnswer, StoreVersion, TransactionId};
 
 use crate::{Demand, EngineSpec, Order, OrderResult, SeenVm, TermRow, VmReport};
 
@@ -59,7 +59,12 @@
     /// read failed.
     RowsRead(Option<FeedPage>),
     /// The result of [`GroupsAction::Commit`](crate::GroupsAction::Commit).
-    Committed(StoreAnswer<CommitResult>),
+    Committed {
+        /// The transaction.
+        id: TransactionId,
+        /// The store's answer.
+        answer: StoreAnswer<CommitResult>,
+    },
     /// The result of [`GroupsAction::Order`](crate::GroupsAction::Order).
     Ordered {
         /// The VM that the order was sent to.
@@ -129,7 +134,7 @@
             | Self::Promised { .. }
             | Self::ResignPlanner
             | Self::RowsRead(_)
-            | Self::Committed(_)
+            | Self::Committed { .. }
             | Self::NodeCount(_)
             | Self::Suspected { .. } => false,
         }
--- a/crates/tanagerhub_groups/src/groups.rs
+++ b/crates/tanagerhub_groups/src/groups.rs
@@ -162,7 +162,7 @@
             GroupsEvent::Promised { asked_at, by_all } => self.apply_promises(asked_at, by_all),
             GroupsEvent::ResignPlanner => self.resign_planner(now),
             GroupsEvent::RowsRead(page) => self.apply_read(now, page),
-            GroupsEvent::Committed(commit) => self.apply_commit(now, commit),
+            GroupsEvent::Committed { id, answer } => self.apply_commit(now, id, answer),
             GroupsEvent::Ordered { vm, order, result } => self.order_done(now, vm, &order, result),
             GroupsEvent::Probed { vm, sent, result } => self.probe_done(now, vm, sent, result),
             GroupsEvent::Leaving { vm, started_ms } => self.vms.record_leaving(vm, started_ms),
--- a/crates/tanagerhub_groups/src/groups/planner.rs
+++ b/crates/tanagerhub_groups/src/groups/planner.rs
@@ -70,6 +70,12 @@
     nonce: u64,
 }
 
+impl SentTransaction {
+    fn id(self) -> TransactionId {
+        TransactionId(u128::from(self.nonce))
+    }
+}
+
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
 pub(super) enum State {
     /// This node is not the planner.
@@ -315,7 +321,16 @@
 
     /// Handles the result of a transaction. One in another era than the known rows is of a store
     /// that began to name eras, or has returned; its meaning is unknown.
-    pub(super) fn apply_commit(&mut self, now: Moment, commit: StoreAnswer<CommitResult>) {
+    pub(super) fn apply_commit(
+        &mut self,
+        now: Moment,
+        id: TransactionId,
+        commit: StoreAnswer<CommitResult>,
+    ) {
+        if self.planner.last_sent.is_none_or(|sent| sent.id() != id) {
+            // A late answer to a transaction of an earlier term.
+            return;
+        }
         let commit = match commit.result {
             CommitResult::Applied(_) if commit.era != self.planner.era => CommitResult::Unknown,
             result => result,
--- a/crates/tanagerhub_groups/tests/support/actions.rs
+++ b/crates/tanagerhub_groups/tests/support/actions.rs
@@ -37,8 +37,10 @@
     fn run_action(&mut self, node: usize, action: GroupsAction) -> Option<GroupsEvent> {
         let event = match action {
             GroupsAction::Commit(transaction) => {
+                let id = transaction.id;
                 let result = self.commit(node, transaction);
-                GroupsEvent::Committed(StoreAnswer::new(result, self.store.era))
+                let answer = StoreAnswer::new(result, self.store.era);
+                GroupsEvent::Committed { id, answer }
             }
             GroupsAction::AskPromises => {
                 if !self.is_promised(node) {
--- a/crates/tanagerhub_groups/tests/term.rs
+++ b/crates/tanagerhub_groups/tests/term.rs
@@ -6,7 +6,13 @@
 use std::time::Duration;
 
 use simulation::{CommitFault, Simulation};
-use tanagerhub_groups::{GroupsEvent, KnownBoots, TERM_LENGTH};
+use tanagerhub_clock::Moment;
+use tanagerhub_groups::{
+    Groups, GroupsAction, GroupsEvent, GroupsSettings, KnownBoots, TERM_LENGTH, TermRow,
+};
+use tanagerhub_table::{
+    CommitResult, FeedPage, RowKey, RowVersion, StoreAnswer, StoreTime, TransactionId,
+};
 use yare::parameterized;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -204,3 +210,33 @@
     assert_one_planner(&simulation);
     assert_ne!(simulation.lapsed(1), KnownBoots::default());
 }
+
+/// Guards against an answer to a transaction of an earlier term that is taken for that to a takeover.
+#[test]
+fn late_answer_of_earlier_term_begins_none() {
+    let mut groups = Groups::new(GroupsSettings::default().boot(7), 1);
+    let now = Moment::from_millis(1_000);
+    let row = TermRow {
+        key: RowKey::in_table("nodes", "node-7"),
+        value: Vec::new(),
+    };
+    let boots = KnownBoots::default();
+    groups.on_event(now, GroupsEvent::BecomePlanner { boots, row });
+    let page = FeedPage {
+        rows: Vec::new(),
+        version: RowVersion(0),
+        at: StoreTime(0),
+        era: None,
+    };
+    let actions = groups.on_event(now, GroupsEvent::RowsRead(Some(page)));
+    let [GroupsAction::Commit(takeover)] = &*actions else {
+        panic!("{actions:?}");
+    };
+    let answer = StoreAnswer::new(CommitResult::Applied(RowVersion(5)), None);
+    let id = TransactionId(takeover.id.0 + 1);
+    groups.on_event(now, GroupsEvent::Committed { id, answer });
+    assert!(!groups.is_planning());
+    let id = takeover.id;
+    groups.on_event(now, GroupsEvent::Committed { id, answer });
+    assert!(groups.is_planning());
+}
