--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -4,6 +4,7 @@
 mod garble;
 mod http;
 mod json;
+mod late;
 mod node;
 mod planners;
 mod record;
@@ -29,6 +30,7 @@
     record.add(format!("case {name}, trouble {trouble}"));
     let result = match name.as_str() {
         "garble" => garble::run(&temporary, trouble, &record),
+        "late" => late::run(&temporary, trouble, &record),
         "planners" => planners::run(&temporary, trouble, &record),
         _ => return ExitCode::from(2),
     };
--- a/review/standin-3/vm.rs
+++ b/review/standin-3/vm.rs
@@ -84,9 +84,120 @@
     record: Record,
     list: Mutex<BTreeMap<String, Vm>>,
     broken_rules: Mutex<Vec<String>>,
+    late: Mutex<Late>,
+}
+
+/// Orders that get no answer and are carried out later, and replicas that are silent for a while.
+#[derive(Default)]
+struct Late {
+    /// The orders to leave unanswered: the operation and the model, or the replica.
+    wanted: Vec<(&'static str, String)>,
+    /// The orders that were left unanswered and are not carried out yet.
+    held: Vec<HeldOrder>,
+    silent: BTreeMap<String, Instant>,
+    /// The replicas that have left a group, in order.
+    left: Vec<String>,
+}
+
+/// An order that was left unanswered.
+#[derive(Clone)]
+pub struct HeldOrder {
+    pub op: &'static str,
+    pub id: String,
+    pub at: Instant,
+    text: String,
 }
 
 impl Vms {
+    fn late(&self) -> MutexGuard<'_, Late> {
+        self.late.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Leaves the next such order unanswered; `whom` is the model of a group whose head gets it, or the
+    /// replica that gets it.
+    pub fn hold_next(&self, op: &'static str, whom: &str) {
+        self.late().wanted.push((op, whom.to_owned()));
+    }
+
+    /// Returns the orders that were left unanswered and are not carried out yet.
+    pub fn held(&self) -> Vec<HeldOrder> {
+        self.late().held.clone()
+    }
+
+    /// Returns the replica that has left a group last.
+    pub fn left(&self) -> Option<String> {
+        self.late().left.last().cloned()
+    }
+
+    /// Has a replica handle nothing for a while.
+    pub fn silence(&self, id: &str, time: Duration) {
+        self.record
+            .add(format!("{id} falls silent for {} ms", time.as_millis()));
+        self.late().silent.insert(id.to_owned(), Instant::now() + time);
+    }
+
+    /// Carries out an order that was left unanswered. Returns how late.
+    pub fn carry_out(&self, op: &str, id: &str) -> Option<Duration> {
+        let held = {
+            let mut late = self.late();
+            let index = late.held.iter().position(|it| it.op == op && it.id == id)?;
+            late.held.remove(index)
+        };
+        let status = Json::parse(&held.text).map_or(400, |order| self.order(id, &order));
+        let age = held.at.elapsed();
+        let text = &held.text;
+        self.record.add(format!(
+            "late by {} ms, {id} carries out {text} -> {status}",
+            age.as_millis()
+        ));
+        Some(age)
+    }
+
+    /// Returns whether an order is to be left unanswered, and keeps it then.
+    fn holds(&self, id: &str, text: &str) -> bool {
+        let Some(order) = Json::parse(text) else {
+            return false;
+        };
+        let head_of = {
+            let list = self.lock();
+            let member = list.get(id).and_then(|vm| vm.member.as_ref());
+            let own = member.filter(|it| it.members.first().is_some_and(|head| head == id));
+            own.map(|it| it.model.clone())
+        };
+        let joins_as_head = order.texts("members").first().is_some_and(|head| head == id);
+        let model = if joins_as_head {
+            Some(order.text("model").to_owned())
+        } else {
+            head_of
+        };
+        let mut late = self.late();
+        let is_wanted = |it: &(&'static str, String)| {
+            it.0 == order.text("op") && (it.1 == id || Some(&it.1) == model.as_ref())
+        };
+        let Some(index) = late.wanted.iter().position(is_wanted) else {
+            return false;
+        };
+        let (op, _) = late.wanted.remove(index);
+        late.held.push(HeldOrder {
+            op,
+            id: id.to_owned(),
+            at: Instant::now(),
+            text: text.to_owned(),
+        });
+        true
+    }
+
+    fn wait_while_silent(&self, id: &str) {
+        while self
+            .late()
+            .silent
+            .get(id)
+            .is_some_and(|until| Instant::now() < *until)
+        {
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+
     pub fn new(service: &str, warm: &[(&str, u64)], store: &Arc<Store>, record: &Record) -> Arc<Self> {
         let warm = warm
             .iter()
@@ -101,6 +212,7 @@
             record: record.clone(),
             list: Mutex::default(),
             broken_rules: Mutex::default(),
+            late: Mutex::default(),
         });
         let ticking = Arc::clone(&vms);
         thread::spawn(move || {
@@ -204,6 +316,7 @@
     }
 
     fn handle(&self, id: &str, request: &Message, channel: &mut Channel) -> io::Result<()> {
+        self.wait_while_silent(id);
         let expected = request.header("x-tanagerhub-expect-instance").unwrap_or(id);
         if expected != id {
             return channel.respond(421, "X-Tanagerhub-Not-Run: 1\r\n", b"");
@@ -215,6 +328,12 @@
             }
             "/order" => {
                 let body = String::from_utf8_lossy(&request.body).into_owned();
+                if self.holds(id, &body) {
+                    self.record
+                        .add(format!("order to {id}: {body} is left unanswered"));
+                    thread::sleep(Duration::from_secs(2));
+                    return Err(io::ErrorKind::TimedOut.into());
+                }
                 let status = Json::parse(&body).map_or(400, |order| self.order(id, &order));
                 self.record.add(format!("order to {id}: {body} -> {status}"));
                 channel.respond(status, "", b"{}")
@@ -290,6 +409,7 @@
                     }
                     ("close", State::Ready | State::Closing) => 200,
                     ("leave", _) => {
+                        self.late().left.push(id.to_owned());
                         vm.member = None;
                         202
                     }
