--- a/review/standin-3/garble.rs
+++ b/review/standin-3/garble.rs
@@ -21,16 +21,36 @@
 const REQUESTS: usize = 3_600;
 const CLIENTS: usize = 6;
 
-/// Bytes that are no response in the protocol: none of them names the request or bears a stamp.
-const NO_RESPONSES: [&str; 3] = [
-    "\u{1}\u{2}\u{3} 7f3a91c2 c9f2a4d1\r\n\r\n",
-    "HTTP/1.1 200 OK\r\n\r\nc9f2a4d1 7f3a91c2 5c1e07a2 91bd3f06",
-    "HTTP/1.1 200 OK\r\nContent-Length: 17\r\n\r\nc9f2a4d1 7f3a91c2",
-];
+/// What the bytes of the faulty replica begin like.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    Success,
+    Refusal,
+}
+
+impl Kind {
+    /// Returns bytes that are no response in the protocol: none of them names the request or bears a
+    /// stamp, and none says that the request has not run.
+    const fn bytes(self) -> [&'static str; 3] {
+        match self {
+            Self::Success => [
+                "\u{1}\u{2}\u{3} 7f3a91c2 c9f2a4d1\r\n\r\n",
+                "HTTP/1.1 200 OK\r\n\r\nc9f2a4d1 7f3a91c2 5c1e07a2 91bd3f06",
+                "HTTP/1.1 200 OK\r\nContent-Length: 17\r\n\r\nc9f2a4d1 7f3a91c2",
+            ],
+            Self::Refusal => [
+                "\u{1}\u{2}\u{3} 7f3a91c2 c9f2a4d1\r\n\r\n",
+                "HTTP/1.1 503 Service Unavailable\r\n\r\nc9f2a4d1 7f3a91c2 5c1e07a2 91bd3f06",
+                "HTTP/1.1 429 Too Many Requests\r\nContent-Length: 17\r\n\r\nc9f2a4d1 7f3a91c2",
+            ],
+        }
+    }
+}
 
 struct Replica {
     id: String,
-    spoils: bool,
+    /// How it spoils answers, if it does.
+    spoils: Option<Kind>,
     runs: AtomicUsize,
     /// How each request ended here.
     ended: Mutex<BTreeMap<String, &'static str>>,
@@ -52,8 +72,10 @@
         }
         let number = self.runs.fetch_add(1, Ordering::SeqCst);
         thread::sleep(Duration::from_millis(5));
-        if self.spoils && number % SPOILED_EVERY == SPOILED_EVERY - 1 {
-            let bytes = NO_RESPONSES[number / SPOILED_EVERY % NO_RESPONSES.len()];
+        if let Some(kind) = self.spoils
+            && number % SPOILED_EVERY == SPOILED_EVERY - 1
+        {
+            let bytes = kind.bytes()[number / SPOILED_EVERY % 3];
             self.ended.lock().unwrap().insert(request_id.clone(), "spoiled");
             self.record
                 .add(format!("{} ran {request_id} and sends {bytes:?}", self.id));
@@ -78,14 +100,14 @@
     )));
 }
 
-pub fn run(folder: &Path, trouble: bool, record: &Record) -> io::Result<Option<bool>> {
+pub fn run(folder: &Path, trouble: bool, record: &Record, kind: Kind) -> io::Result<Option<bool>> {
     let store = Store::new();
     config(&store);
     let mut replicas = Vec::new();
     for index in 0..REPLICAS {
         let replica = Arc::new(Replica {
             id: format!("i-{:08x}", 0x7f3a_91c2_u32.wrapping_mul(index as u32 + 1)),
-            spoils: trouble && index == 0,
+            spoils: Some(kind).filter(|_| trouble && index == 0),
             runs: AtomicUsize::new(0),
             ended: Mutex::default(),
             record: record.clone(),
@@ -148,7 +170,7 @@
     for client in clients {
         let _ = client.join();
     }
-    let mut without_stamp = 0;
+    let mut broken = 0;
     let mut statuses: BTreeMap<String, usize> = BTreeMap::new();
     for (id, path, answer) in answers.lock().unwrap().iter() {
         let ends = replicas
@@ -165,23 +187,34 @@
                 "request {id} ({path}): answered {text}; at the replicas: {ends:?}"
             ));
         }
-        if let Ok(answer) = answer
-            && (200..300).contains(&answer.status())
-            && answer.header("x-tanagerhub-server-stamp").is_none()
-        {
-            without_stamp += 1;
+        let Ok(answer) = answer else {
+            continue;
+        };
+        let is_broken = match kind {
+            Kind::Success => {
+                let has_stamp = answer.header("x-tanagerhub-server-stamp").is_some();
+                (200..300).contains(&answer.status()) && !has_stamp
+            }
+            Kind::Refusal => {
+                let promises = [408, 421, 429, 503].contains(&answer.status());
+                promises && path.starts_with("/book/") && !ends.is_empty()
+            }
+        };
+        if is_broken {
+            broken += 1;
+            let rule = if kind == Kind::Success { "MIXED" } else { "REFUSED" };
             let body = String::from_utf8_lossy(&answer.body).into_owned();
             record.add(format!(
-                "MIXED: request {id} ({path}) got {:?} without a stamp, headers {:?}, body {body:?}",
+                "{rule}: request {id} ({path}) got {:?}, headers {:?}, body {body:?}; at the replicas: {ends:?}",
                 answer.first_line, answer.headers
             ));
         }
     }
     record.add(format!(
-        "answers by status: {statuses:?}; successes without a stamp: {without_stamp}"
+        "answers by status: {statuses:?}; answers that break the rule: {broken}"
     ));
     if nodes.iter_mut().any(Node::has_ended) {
         record.add("a node has ended by itself");
     }
-    Ok(Some(without_stamp > 0))
+    Ok(Some(broken > 0))
 }
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -14,6 +14,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+use garble::Kind;
 use record::Record;
 
 fn main() -> ExitCode {
@@ -29,7 +30,8 @@
     }
     record.add(format!("case {name}, trouble {trouble}"));
     let result = match name.as_str() {
-        "garble" => garble::run(&temporary, trouble, &record),
+        "garble" => garble::run(&temporary, trouble, &record, Kind::Success),
+        "refusal" => garble::run(&temporary, trouble, &record, Kind::Refusal),
         "late" => late::run(&temporary, trouble, &record),
         "planners" => planners::run(&temporary, trouble, &record),
         _ => return ExitCode::from(2),
