--- a/review/standin-3/planners.rs
+++ b/review/standin-3/planners.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::path::Path;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::http::wait_for;
 use crate::node::Node;
@@ -16,7 +16,9 @@
 const SERVICE: &str = "advisor-llm";
 /// Deployments that are played at the same time, and how often.
 const DEPLOYMENTS: usize = 8;
-const WAVES: usize = 2;
+const WAVES: usize = 4;
+/// No wave begins after this time, so that the script ends within its limit.
+const LAST_START: Duration = Duration::from_secs(75);
 /// How long the store turns the planner away: the site's `platform_down` for some machines.
 const CUT: Duration = Duration::from_secs(9);
 /// How slow the store is for the others, and for how long: less than the site's `platform_slow`, which
@@ -44,7 +46,11 @@
 /// new machine starts.
 pub fn run(folder: &Path, trouble: bool, record: &Record) -> io::Result<Option<bool>> {
     let mut results = Vec::new();
+    let started = Instant::now();
     for wave in 0..WAVES {
+        if started.elapsed() > LAST_START {
+            break;
+        }
         let plays: Vec<_> = (0..DEPLOYMENTS)
             .map(|index| {
                 let number = wave * DEPLOYMENTS + index;
