--- a/review/standin-3/node.rs
+++ b/review/standin-3/node.rs
@@ -1,15 +1,55 @@
 //! Nodes: the program of the deploy file, started as a process.
 
+use std::collections::BTreeSet;
 use std::fs::{self, File};
-use std::io;
+use std::io::{self, Write as _};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, ChildStdin, Command, Stdio};
 use std::time::Duration;
 
 use crate::http::{call, wait_for};
 use crate::store::{Store, StoreLink};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
+
+/// The way to the guard, which ends the nodes if this process is killed.
+static GUARD: OnceLock<Mutex<ChildStdin>> = OnceLock::new();
+
+/// Starts the guard: this program again, which reads the ids of processes.
+pub fn start_guard() -> io::Result<()> {
+    let mut guard = Command::new(std::env::current_exe()?)
+        .arg("guard")
+        .stdin(Stdio::piped())
+        .stdout(Stdio::null())
+        .spawn()?;
+    if let Some(stdin) = guard.stdin.take() {
+        let _ = GUARD.set(Mutex::new(stdin));
+    }
+    Ok(())
+}
+
+/// Reads ids of started (`+`) and ended (`-`) processes until the parent has ended, and then ends the
+/// rest.
+pub fn guard() {
+    let mut running = BTreeSet::new();
+    for line in io::stdin().lines().map_while(Result::ok) {
+        match line.split_at_checked(1) {
+            Some(("+", id)) => running.insert(id.to_owned()),
+            Some(("-", id)) => running.remove(id),
+            _ => false,
+        };
+    }
+    for id in running {
+        let _ = Command::new("kill").args(["-KILL", &id]).status();
+    }
+}
+
+fn tell_guard(sign: char, id: u32) {
+    if let Some(guard) = GUARD.get() {
+        let mut guard = guard.lock().unwrap_or_else(PoisonError::into_inner);
+        let _ = writeln!(guard, "{sign}{id}");
+    }
+}
 
 pub struct Node {
     pub name: String,
@@ -127,6 +167,7 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
+        tell_guard('+', child.id());
         self.child = Some(child);
         Ok(())
     }
@@ -172,7 +213,9 @@
     pub fn signal(&self, signal: &str) {
         if let Some(child) = &self.child {
             let id = child.id().to_string();
-            let _ = Command::new("kill").args([&format!("-{signal}"), &id]).status();
+            let _ = Command::new("kill")
+                .args([&format!("-{signal}"), &id])
+                .status();
         }
     }
 
@@ -185,6 +228,7 @@
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
             let _ = child.wait();
+            tell_guard('-', child.id());
         }
     }
 }
--- a/review/standin-3/store.rs
+++ b/review/standin-3/store.rs
@@ -83,7 +83,12 @@
         Ok(StoreLink { server, is_cut })
     }
 
-    fn handle(&self, request: &Message, channel: &mut Channel, is_cut: &AtomicBool) -> io::Result<()> {
+    fn handle(
+        &self,
+        request: &Message,
+        channel: &mut Channel,
+        is_cut: &AtomicBool,
+    ) -> io::Result<()> {
         let wait_while_cut = || -> io::Result<()> {
             if !is_cut.load(Ordering::SeqCst) {
                 return Ok(());
@@ -104,7 +109,11 @@
             _ => (404, "{}".to_owned()),
         };
         wait_while_cut()?;
-        channel.respond(status, "Content-Type: application/json\r\n", body.as_bytes())
+        channel.respond(
+            status,
+            "Content-Type: application/json\r\n",
+            body.as_bytes(),
+        )
     }
 
     fn now_ms(&self) -> u128 {
@@ -197,6 +206,8 @@
 
 fn row_text(key: &Key, version: u64, value: Option<&str>) -> String {
     let (table, name) = key;
-    let value = value.map_or("\"removed\":true".to_owned(), |it| format!("\"value\":\"{it}\""));
+    let value = value.map_or("\"removed\":true".to_owned(), |it| {
+        format!("\"value\":\"{it}\"")
+    });
     format!("{{\"table\":\"{table}\",\"part\":\"\",\"key\":\"{name}\",{value},\"ver\":{version}}}")
 }
