Join a VM that answers no numbered join without the number, at an epoch of its own

Cause: the number, which is optional on the users' page, was part of each join, and there was no other.

Mend: a VM in no group that leaves three joins with the number unanswered gets one without. It is the only join of the VM at its epoch; if it has no effect, the group is renewed before the VM gets another one. A planner joins VMs only at epochs that it has issued in its own term, so a group that was forming under the planner before it is renewed first. JoinProof is an enum of both forms; TermEpoch is the proof of the epoch's origin.

Why it works: a VM refuses a join of a lower epoch than one that it has seen, and every join after the sole one has a higher epoch, whoever plans (docs/design/planner.md).

The simulation now counts only orders that begin something, as the page says.

--- a/crates/tanagerhub_groups/src/groups.rs
+++ b/crates/tanagerhub_groups/src/groups.rs
@@ -7,6 +7,7 @@
 mod lifecycle;
 mod link_doubt;
 mod model_status;
+mod order_tries;
 mod peer_view;
 mod planner;
 mod probe;
--- a/crates/tanagerhub_groups/src/groups/group.rs
+++ b/crates/tanagerhub_groups/src/groups/group.rs
@@ -7,6 +7,8 @@
 
 use crate::{GroupRow, Order};
 
+use super::order_tries::JoinForm;
+
 /// A group's row, and what this node has done for the group.
 #[derive(Debug)]
 pub(super) struct Group {
@@ -18,6 +20,8 @@
     pub(super) known_since: Moment,
     /// The last order sent to each member.
     pub(super) orders: BTreeMap<VmId, SentOrder>,
+    /// The joins at this epoch.
+    pub(super) joins: EpochJoins,
     /// Whether every member has been ready at this epoch.
     pub(super) was_ready: bool,
     /// When the group was found broken: a member is unusable, or the group failed.
@@ -37,6 +41,15 @@
     pub(super) change_pending: bool,
 }
 
+/// The joins that name one epoch of a group.
+#[derive(Debug, Default)]
+pub(super) struct EpochJoins {
+    /// The form in which each member was ordered to join.
+    pub(super) forms: BTreeMap<VmId, JoinForm>,
+    /// Whether no further join may name the epoch, so that the group needs another one.
+    pub(super) is_spent: bool,
+}
+
 /// An order and the time it was sent.
 #[derive(Debug, Clone)]
 pub(super) struct SentOrder {
@@ -44,6 +57,8 @@
     pub(super) sent_at: Moment,
     /// Whether the VM has refused it. It is sent again as soon as its evidence is another one.
     pub(super) refused: bool,
+    /// Whether the call has ended without an answer.
+    pub(super) is_unanswered: bool,
 }
 
 /// The progress of a group's dissolution.
@@ -65,6 +80,7 @@
             members,
             known_since: now,
             orders: BTreeMap::new(),
+            joins: EpochJoins::default(),
             was_ready: false,
             broken_since: None,
             closing_since: None,
@@ -79,4 +95,10 @@
     pub(super) fn head(&self) -> Option<VmId> {
         self.members.first().copied()
     }
+
+    /// Has the group renewed before another member joins.
+    pub(super) fn spend_epoch(&mut self, now: Moment) {
+        self.joins.is_spent = true;
+        self.broken_since.get_or_insert(now);
+    }
 }
--- a/crates/tanagerhub_groups/src/groups/join_check.rs
+++ b/crates/tanagerhub_groups/src/groups/join_check.rs
@@ -12,6 +12,7 @@
 
 use super::Groups;
 use super::group::Group;
+use super::planner::TermEpoch;
 use super::term::ActiveTerm;
 use super::vm_entry::{OwnReport, VmEntry};
 
@@ -23,7 +24,7 @@
 /// Whether a VM may join a group.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum JoinCheck {
-    Proven(JoinProof),
+    Proven(JoinEvidence),
     /// The report of this VM is needed: of the VM itself, or of the head of its present group.
     Unknown(VmId),
     /// Its present group serves.
@@ -37,6 +38,30 @@
     Waits,
 }
 
+/// What a VM has said by which it may join a group.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct JoinEvidence {
+    order_count: u64,
+    /// Whether it is in no group, not even in the one that it is to join.
+    is_free: bool,
+}
+
+impl JoinEvidence {
+    pub(super) const fn is_free(self) -> bool {
+        self.is_free
+    }
+
+    /// Returns the proof by the number of orders.
+    pub(super) const fn counted(self) -> JoinProof {
+        JoinProof::counted(self.order_count)
+    }
+
+    /// Returns the proof of a VM in no group by an epoch at which it gets no other join.
+    pub(super) fn sole(self, epoch: TermEpoch) -> Option<JoinProof> {
+        self.is_free.then(|| JoinProof::sole_at(epoch.get()))
+    }
+}
+
 impl Groups {
     /// Returns whether a VM may join a group; `None` is a new group.
     pub(super) fn check_join(
@@ -62,7 +87,10 @@
         if entry.is_report_outdated() || own.is_opening(group) {
             return JoinCheck::Unknown(vm);
         }
-        JoinCheck::Proven(JoinProof::with_count(own.order_count))
+        JoinCheck::Proven(JoinEvidence {
+            order_count: own.order_count,
+            is_free: own.group.is_none() && entry.report.group.is_none(),
+        })
     }
 
     /// Returns what keeps a VM from leaving its present group for another one.
--- a/crates/tanagerhub_groups/src/groups/lifecycle.rs
+++ b/crates/tanagerhub_groups/src/groups/lifecycle.rs
@@ -6,11 +6,12 @@
 use tanagerhub_catalogue::{Epoch, GroupId, VmId};
 use tanagerhub_clock::Moment;
 
-use crate::{Decision, GroupState, GroupsAction, OpenProof, Order, OrderResult};
+use crate::{Decision, GroupState, GroupsAction, JoinProof, OpenProof, Order, OrderResult};
 
 use super::Groups;
 use super::group::{Dissolving, Group, SentOrder};
-use super::join_check::JoinCheck;
+use super::join_check::{JoinCheck, JoinEvidence};
+use super::order_tries::JoinForm;
 use super::term::ActiveTerm;
 use super::vm_entry::{OwnReport, VmEntry};
 
@@ -62,6 +63,9 @@
             .iter()
             .map(|vm| (*vm, self.vms.state_in(*vm, group)))
             .collect();
+        if group.joins.is_spent {
+            return;
+        }
         let was_ready = group.was_ready;
         let mut ready = true;
         for (vm, state) in &states {
@@ -98,18 +102,7 @@
             return;
         }
         match self.check_join(now, term, vm, Some(id)) {
-            JoinCheck::Proven(proof) => {
-                if let Some(group) = self.by_id.get(&id) {
-                    let join = Order::Join {
-                        group: id,
-                        epoch: group.epoch,
-                        model: group.row.model.clone(),
-                        members: group.row.members.clone(),
-                        proof,
-                    };
-                    self.send_order(now, term, id, vm, join);
-                }
-            }
+            JoinCheck::Proven(evidence) => self.send_join(now, term, id, vm, evidence),
             JoinCheck::Unknown(needed) => self.ask_report(now, needed),
             JoinCheck::MustLeave(group, epoch) => self.send_leave(now, term, vm, (group, epoch)),
             JoinCheck::HeadMustLeave(head, group, epoch) => {
@@ -119,6 +112,49 @@
         }
     }
 
+    /// Sends a member the next join, or has the group renewed if that needs another epoch.
+    fn send_join(
+        &mut self,
+        now: Moment,
+        term: ActiveTerm,
+        id: GroupId,
+        vm: VmId,
+        evidence: JoinEvidence,
+    ) {
+        let Some((group, entry)) = self.by_id.get_mut(&id).zip(self.vms.get(vm)) else {
+            return;
+        };
+        let wanted = if evidence.is_free() {
+            entry.tries.next_join()
+        } else {
+            JoinForm::Counted
+        };
+        let interval = self.settings.order_retry_interval;
+        let is_pending = |sent: &SentOrder| {
+            let has_failed = sent.is_unanswered || sent.refused;
+            !has_failed && now.since(sent.sent_at) < interval
+        };
+        let epoch = self.planner.term_epoch(group.epoch);
+        let proof = match (group.joins.forms.get(&vm), wanted) {
+            (None | Some(JoinForm::Counted), JoinForm::Counted) => Some(evidence.counted()),
+            (None, JoinForm::Sole) => epoch.and_then(|epoch| evidence.sole(epoch)),
+            (Some(JoinForm::Sole), _) if group.orders.get(&vm).is_some_and(is_pending) => return,
+            (Some(JoinForm::Counted), JoinForm::Sole) | (Some(JoinForm::Sole), _) => None,
+        };
+        let Some((epoch, proof)) = epoch.zip(proof) else {
+            return group.spend_epoch(now);
+        };
+        let join = Order::Join {
+            group: id,
+            epoch: epoch.get(),
+            model: group.row.model.clone(),
+            members: group.row.members.clone(),
+            proof,
+        };
+        group.joins.forms.insert(vm, wanted);
+        self.send_order(now, term, id, vm, join);
+    }
+
     fn open(
         &mut self,
         now: Moment,
@@ -270,6 +306,7 @@
             order: order.clone(),
             sent_at: now,
             refused: false,
+            is_unanswered: false,
         };
         group.orders.insert(vm, sent);
         entry.ordered_at = now;
@@ -292,6 +329,7 @@
                 result,
             });
         }
+        self.join_done(vm, order, result);
         match (order, result) {
             // That the VM has left is known once it says so.
             (Order::Leave { .. }, OrderResult::Accepted) => self.ask_report(now, vm),
@@ -305,8 +343,10 @@
                 OrderResult::Accepted,
             ) => {
                 // The VM confirms the number, so this needs no report.
-                let count = proof.order_count().saturating_add(1);
-                if let Some(entry) = self.vms.list.get_mut(&vm) {
+                if let JoinProof::Counted(proof) = proof
+                    && let Some(entry) = self.vms.list.get_mut(&vm)
+                {
+                    let count = proof.order_count().saturating_add(1);
                     entry.record_membership(now, (*group, *epoch), count);
                 }
             }
@@ -330,6 +370,23 @@
         }
     }
 
+    /// Records that a join has its result or got no answer.
+    fn join_done(&mut self, vm: VmId, order: &Order, result: OrderResult) {
+        let Order::Join { group, proof, .. } = order else {
+            return;
+        };
+        if let Some(entry) = self.vms.list.get_mut(&vm) {
+            entry.tries.record_join(*proof, result);
+        }
+        let sent = self
+            .by_id
+            .get_mut(group)
+            .and_then(|it| it.orders.get_mut(&vm));
+        if let Some(sent) = sent.filter(|sent| sent.order == *order) {
+            sent.is_unanswered = result == OrderResult::Unknown;
+        }
+    }
+
     /// Handles a VM that refuses an order by its evidence: it may have accepted another order since.
     fn order_refused(&mut self, now: Moment, vm: VmId, id: GroupId) {
         if let Some(entry) = self.vms.list.get_mut(&vm) {
@@ -353,8 +410,7 @@
             && group.epoch == epoch
         {
             let is_first = group.broken_since.is_none();
-            group.was_ready = true;
-            group.broken_since.get_or_insert(now);
+            group.spend_epoch(now);
             if is_first {
                 self.epoch_refused();
             }
--- a/crates/tanagerhub_groups/src/groups/planner.rs
+++ b/crates/tanagerhub_groups/src/groups/planner.rs
@@ -47,6 +47,8 @@
     epoch_base: RowVersion,
     /// The last epoch that this node issued, or knows to have been issued.
     pub(super) last_epoch: Epoch,
+    /// The last epoch that may have been issued before this node's term.
+    earlier_epoch: Epoch,
     /// The known boot ids, which decide whether the planner's row may be taken over.
     pub(super) known_boots: KnownBoots,
     /// What the row of guarantors contained when the rows were last read.
@@ -70,6 +72,17 @@
     changes: Vec<(Change, Option<GroupRow>)>,
 }
 
+/// An epoch that this node has issued in its present term. All joins take it: a VM that gets one has
+/// been sent none of a higher epoch.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct TermEpoch(Epoch);
+
+impl TermEpoch {
+    pub(super) const fn get(self) -> Epoch {
+        self.0
+    }
+}
+
 /// A transaction that was sent to the store.
 #[derive(Debug, Clone, Copy)]
 struct SentTransaction {
@@ -122,11 +135,22 @@
 
     /// Returns an epoch above all epochs issued before by any node.
     pub(super) fn next_epoch(&mut self) -> Epoch {
-        let base = Epoch(self.epoch_base.0 * EPOCHS_PER_VERSION);
-        self.last_epoch = Epoch(self.last_epoch.max(base).0 + 1);
+        self.last_epoch = Epoch(self.highest_epoch().0 + 1);
         self.last_epoch
     }
 
+    /// Returns an epoch that is not below any that was issued before by any node.
+    fn highest_epoch(&self) -> Epoch {
+        let base = Epoch(self.epoch_base.0 * EPOCHS_PER_VERSION);
+        self.last_epoch.max(base)
+    }
+
+    /// Returns the proof that an epoch was issued in this node's term; `None` if an earlier planner
+    /// issued it.
+    pub(super) fn term_epoch(&self, epoch: Epoch) -> Option<TermEpoch> {
+        (epoch > self.earlier_epoch).then_some(TermEpoch(epoch))
+    }
+
     /// Returns whether the store names its eras.
     pub(super) const fn names_eras(&self) -> bool {
         self.era.is_some()
@@ -157,6 +181,7 @@
 
     /// Begins a term with the transaction that was sent last.
     fn begin_term(&mut self, now: Moment) {
+        self.earlier_epoch = self.highest_epoch();
         if let Some(sent) = self.last_sent {
             self.term.begin(now, sent.sent_at);
         }
--- a/crates/tanagerhub_groups/src/groups/repair.rs
+++ b/crates/tanagerhub_groups/src/groups/repair.rs
@@ -215,7 +215,8 @@
 
     /// Returns whether a group can't continue at its epoch.
     fn is_broken(&self, group: &Group) -> bool {
-        if self.has_unusable_member(group)
+        if group.joins.is_spent
+            || self.has_unusable_member(group)
             || group.broken_since.is_some() && !self.is_complete(group)
         {
             return true;
--- a/crates/tanagerhub_groups/src/groups/vm_entry.rs
+++ b/crates/tanagerhub_groups/src/groups/vm_entry.rs
@@ -7,6 +7,7 @@
 
 use crate::{GroupReport, GroupState, GroupsSettings, ProbeFailure, VmReport};
 
+use super::order_tries::OrderTries;
 use super::peer_view::PeerView;
 use super::silence::Silence;
 
@@ -33,6 +34,8 @@
     pub(super) asked_at: Option<Moment>,
     /// When the last order was sent to it.
     pub(super) ordered_at: Moment,
+    /// The orders that it has left without an answer.
+    pub(super) tries: OrderTries,
     /// Until when it must not join a group, because the head of the one that it left may not have
     /// broken off.
     pub(super) waits_until: Moment,
@@ -116,6 +119,7 @@
             seen_in: None,
             asked_at: None,
             ordered_at: Moment::ZERO,
+            tries: OrderTries::default(),
             waits_until: Moment::ZERO,
             removed: None,
             failures: 0,
@@ -248,6 +252,7 @@
         if restarted {
             self.forget_report();
             self.waits_until = Moment::ZERO;
+            self.tries = OrderTries::default();
             self.clear_failures();
         }
         if self
@@ -288,6 +293,7 @@
     /// Forgets the orders of an earlier term. What they began is seen in the VM's reports.
     pub(super) fn forget_orders(&mut self) {
         self.staging = None;
+        self.tries = OrderTries::default();
         self.forget_report();
         self.peer_view = PeerView::Unasked;
     }
--- a/crates/tanagerhub_groups/src/lib.rs
+++ b/crates/tanagerhub_groups/src/lib.rs
@@ -27,7 +27,7 @@
 pub use engine_spec::{EngineSpec, ModelSpec};
 pub use event::{GroupsEvent, KnownBoots, LapsedBoot, ProbeFailure};
 pub use groups::{GroupStatus, Groups, Head, ModelStatus, Reach, TERM_LENGTH, TermRow, VmStatus};
-pub use join_proof::{JoinProof, OpenProof};
+pub use join_proof::{CountedJoin, JoinProof, OpenProof, SoleJoin};
 pub use load_limit::LoadLimit;
 pub use order::{Order, OrderResult};
 pub use pledge::Pledge;
--- a/crates/tanagerhub_groups/tests/joins.rs
+++ b/crates/tanagerhub_groups/tests/joins.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use simulation::Simulation;
+use simulation::{Simulation, joined_count};
 use tanagerhub_catalogue::{Epoch, GroupId, VmId};
 use tanagerhub_groups::{
     GroupReport, GroupState, GroupsEvent, JoinProof, KnownBoots, Order, OrderResult, VmReport,
@@ -309,7 +309,7 @@
         state: GroupState::Ready,
     });
     let proof = JoinProof::from_report(&report, GroupId(7));
-    let count = proof.map(JoinProof::order_count);
+    let count = proof.and_then(|proof| joined_count(&proof));
     assert_eq!(count, proven.then_some(3));
     // The number of orders is part of each proof.
     report.order_count = None;
--- a/crates/tanagerhub_groups/tests/support/actions.rs
+++ b/crates/tanagerhub_groups/tests/support/actions.rs
@@ -98,7 +98,7 @@
                 let cut_off = is_lost || self.cut_off.contains_key(&node);
                 let result = if cut_off || self.isolated.contains_key(&vm) {
                     OrderResult::NotSent
-                } else if self.order_holders.contains(&vm) || self.silent.contains(&vm) {
+                } else if self.holds(vm, &order) || self.silent.contains(&vm) {
                     self.held_orders.push((vm, order.clone()));
                     OrderResult::Unknown
                 } else if self.pretending.contains(&vm)
@@ -142,6 +142,12 @@
         Some(event)
     }
 
+    /// Returns whether a VM leaves an order without a response.
+    fn holds(&self, vm: VmId, order: &Order) -> bool {
+        let is_held = self.order_holders.get(&vm);
+        is_held.is_some_and(|is_held| is_held(order))
+    }
+
     /// Returns what the other nodes find of a VM.
     fn seen_by_peers(&self, node: usize, vm: VmId) -> Option<SeenVm> {
         let server = &self.servers[&vm];
--- a/crates/tanagerhub_groups/tests/support/backend_server.rs
+++ b/crates/tanagerhub_groups/tests/support/backend_server.rs
@@ -4,7 +4,7 @@
 
 use tanagerhub_catalogue::{Epoch, GroupId};
 use tanagerhub_clock::Moment;
-use tanagerhub_groups::{GroupReport, GroupState, OrderResult, VmReport};
+use tanagerhub_groups::{GroupReport, GroupState, VmReport};
 
 use super::engine;
 
@@ -19,6 +19,8 @@
     pub alive: bool,
     /// Whether another start has taken over its address and responds to probes.
     pub displaced: bool,
+    /// Whether it refuses each join, as one that lacks the model does.
+    pub refuses_joins: bool,
     /// The number of orders that began something.
     pub order_count: u64,
     /// The highest epoch that it has seen.
@@ -41,20 +43,17 @@
 }
 
 impl BackendServer {
-    /// Executes a join order, unless a higher epoch was seen.
+    /// Executes a join order; returns `false` if a higher epoch was seen.
     pub(super) fn join(
         &mut self,
         now: Moment,
         membership: (GroupId, Epoch),
         model: &str,
         members: &[String],
-    ) -> OrderResult {
+    ) -> bool {
         let (group, epoch) = membership;
         if epoch < self.highest_epoch {
-            return OrderResult::Stale;
-        }
-        if self.report.state_in(group, epoch).is_some() {
-            return OrderResult::Accepted;
+            return false;
         }
         assert!(self.report.has_staged(model), "{model} is not staged");
         self.highest_epoch = epoch;
@@ -76,7 +75,7 @@
         self.last_model = Some(model.to_owned());
         self.pending
             .push((now + time, PendingStep::Ready(group, epoch)));
-        OrderResult::Accepted
+        true
     }
 
     /// Makes it a member of a group with these members, as by orders of another planner.
--- a/crates/tanagerhub_groups/tests/support/search/calls.rs
+++ b/crates/tanagerhub_groups/tests/support/search/calls.rs
@@ -1,14 +1,17 @@
 //! What differs between builds of the deciding code: the questions of a planner, and the evidence of
 //! orders.
 
-use tanagerhub_groups::{GroupsAction, GroupsEvent, Order, Promised, TermRow};
+use tanagerhub_groups::{GroupsAction, GroupsEvent, JoinProof, Order, Promised, TermRow};
 
 use super::world::{Delivery, Question, World};
 
 /// Returns the number of accepted orders that an order names.
 pub fn expected_count(order: &Order) -> Option<u64> {
     match order {
-        Order::Join { proof, .. } => Some(proof.order_count()),
+        Order::Join { proof, .. } => match proof {
+            JoinProof::Counted(proof) => Some(proof.order_count()),
+            JoinProof::Sole(_) => None,
+        },
         Order::Open { proof, .. } => Some(proof.order_count()),
         Order::Close { .. } | Order::Leave { .. } | Order::Stage { .. } => None,
     }
--- a/crates/tanagerhub_groups/tests/support/simulation.rs
+++ b/crates/tanagerhub_groups/tests/support/simulation.rs
@@ -15,9 +15,9 @@
 use tanagerhub_catalogue::{EntryId, Epoch, GroupId, Vm, VmId, VmState};
 use tanagerhub_clock::Moment;
 use tanagerhub_groups::{
-    EngineSpec, GROUPS_TABLE, GroupState, Groups, GroupsEvent, GroupsSettings, KnownBoots,
-    LapsedBoot, LoadLimit, ModelSpec, Order, OrderResult, PlannerRow, Pledge, ProbeFailure,
-    TermRow, VmReport,
+    EngineSpec, GROUPS_TABLE, GroupState, Groups, GroupsEvent, GroupsSettings, JoinProof,
+    KnownBoots, LapsedBoot, LoadLimit, ModelSpec, Order, OrderResult, PlannerRow, Pledge,
+    ProbeFailure, TermRow, VmReport,
 };
 use tanagerhub_table::{RowKey, RowVersion, StoreVersion, Transaction, VersionedRow};
 
@@ -34,6 +34,14 @@
 /// The interval at which a planner writes its presence row.
 const RENEWAL_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Returns the number of orders that a join names.
+pub const fn joined_count(proof: &JoinProof) -> Option<u64> {
+    match proof {
+        JoinProof::Counted(proof) => Some(proof.order_count()),
+        JoinProof::Sole(_) => None,
+    }
+}
+
 /// Returns the key of the presence row of a node with this boot id.
 fn presence_key(boot: u64) -> RowKey {
     RowKey::in_table("nodes", &format!("node-{boot}"))
@@ -79,8 +87,9 @@
     pub commit_faults: VecDeque<CommitFault>,
     /// Transactions that the store received and has not applied yet.
     pub delayed: Vec<Transaction>,
-    /// VMs that leave orders without a response, and execute them on [`Self::deliver_held_orders`].
-    pub order_holders: BTreeSet<VmId>,
+    /// VMs that leave such orders without a response, and execute them on
+    /// [`Self::deliver_held_orders`].
+    pub order_holders: BTreeMap<VmId, fn(&Order) -> bool>,
     pub held_orders: Vec<(VmId, Order)>,
     /// VMs where junk passes for the answer to orders to close and to leave, which they don't carry out.
     pub pretending: BTreeSet<VmId>,
@@ -158,7 +167,7 @@
             },
             commit_faults: VecDeque::new(),
             delayed: Vec::new(),
-            order_holders: BTreeSet::new(),
+            order_holders: BTreeMap::new(),
             held_orders: Vec::new(),
             pretending: BTreeSet::new(),
             isolated: BTreeMap::new(),
@@ -218,6 +227,7 @@
             report,
             alive: true,
             displaced: false,
+            refuses_joins: false,
             order_count: 0,
             highest_epoch: Epoch(0),
             left: None,
@@ -415,7 +425,12 @@
 
     /// Makes a VM leave orders without a response.
     pub fn hold_orders(&mut self, name: &str) {
-        self.order_holders.insert(VmId::of(name));
+        self.hold_such_orders(name, |_| true);
+    }
+
+    /// Makes a VM leave some orders without a response.
+    pub fn hold_such_orders(&mut self, name: &str, is_held: fn(&Order) -> bool) {
+        self.order_holders.insert(VmId::of(name), is_held);
     }
 
     /// Makes a VM unreachable for all nodes, whose probes fail in the given way; it continues to
@@ -541,7 +556,6 @@
         if is_refused {
             return OrderResult::Unfit;
         }
-        server.order_count += 1;
         let quick = if quick_loads { 10 } else { 1 };
         match order {
             Order::Stage { model } => {
@@ -556,7 +570,14 @@
                 model,
                 members,
                 ..
-            } => return server.join(now, (*group, *epoch), model, members),
+            } => {
+                if server.report.state_in(*group, *epoch).is_some() {
+                    return OrderResult::Accepted;
+                }
+                if !server.join(now, (*group, *epoch), model, members) {
+                    return OrderResult::Stale;
+                }
+            }
             Order::Open { group, epoch, .. } => {
                 if server.report.state_in(*group, *epoch) != Some(GroupState::Ready) {
                     return OrderResult::Unfit;
@@ -577,17 +598,21 @@
                 }
             }
         }
+        server.order_count += 1;
         OrderResult::Accepted
     }
 
-    /// Returns whether a VM has accepted another order since the report that an order relies on.
+    /// Returns whether a VM has accepted another order since the report that an order relies on, or
+    /// refuses it anyway.
     fn is_refused(&self, vm: VmId, order: &Order) -> bool {
         let known = match order {
-            Order::Join { proof, .. } => proof.order_count(),
-            Order::Open { proof, .. } => proof.order_count(),
-            Order::Close { .. } | Order::Leave { .. } | Order::Stage { .. } => return false,
+            Order::Join { proof, .. } => joined_count(proof),
+            Order::Open { proof, .. } => Some(proof.order_count()),
+            Order::Close { .. } | Order::Leave { .. } | Order::Stage { .. } => None,
         };
-        known != self.servers[&vm].order_count
+        let server = &self.servers[&vm];
+        let refuses = server.refuses_joins && matches!(order, Order::Join { .. });
+        refuses || known.is_some_and(|known| known != server.order_count)
     }
 
     fn advance_servers(&mut self) {
