Leave out the epochs that a copy of the store lost, also at a node that saw no return

Found by reading; no run showed it.

Cause: epochs come from versions, which fall when the store returns from a copy. A planner that started after the return raised its epochs only above those that VMs report or rows contain, not above one of a join that is still under way.

Evidence: store_return::epochs_rise_for_planner_that_saw_no_return failed before (its joins named epochs below 3932162, which an earlier join names), and passes now. The other tests of the crate pass.

--- a/crates/tanagerhub_groups/src/groups/restore.rs
+++ b/crates/tanagerhub_groups/src/groups/restore.rs
@@ -163,7 +163,7 @@
         let planned = self.by_id.values().map(|group| group.epoch);
         let highest = reported.chain(planned).max().unwrap_or(Epoch(0));
         self.planner.last_epoch = self.planner.last_epoch.max(highest);
-        if is_copy && self.planner.has_seen_return {
+        if is_copy {
             self.skip_lost_epochs();
         }
     }
--- a/crates/tanagerhub_groups/src/groups/takeover.rs
+++ b/crates/tanagerhub_groups/src/groups/takeover.rs
@@ -215,7 +215,9 @@
     ) {
         let retakes = self.planner.state == State::Taking { retakes: true };
         if retakes || self.planner.era.is_some() {
-            self.raise_epochs(!is_planned);
+            // A copy has a planner's row unless it is older than the first planner.
+            let has_planner = version != RowVersion(0) || self.planner.has_seen_return;
+            self.raise_epochs(!is_planned && has_planner);
         }
         let row = self.new_planner_row(self.settings.boot);
         let mut transaction = self.planner_transaction(version, &row);
--- a/crates/tanagerhub_groups/tests/store_return.rs
+++ b/crates/tanagerhub_groups/tests/store_return.rs
@@ -236,3 +236,43 @@
     simulation.run(SECOND);
     assert!(simulation.nodes[2].groups.is_planning());
 }
+
+/// Guards against a late join that follows a newer one: a node that started after the return took over, and
+/// issued epochs below one that no VM had told of, since its join was still under way.
+#[test]
+fn epochs_rise_for_planner_that_saw_no_return() {
+    let mut simulation = planner_before_groups();
+    let copy = simulation.store.clone();
+    let names: Vec<String> = simulation
+        .servers
+        .values()
+        .map(|server| server.report.vm.name.clone())
+        .collect();
+    for name in &names {
+        simulation.hold_such_orders(name, |order| matches!(order, Order::Join { .. }));
+    }
+    simulation.run(20 * SECOND);
+    let joined = |simulation: &Simulation| -> Vec<Epoch> {
+        let orders = simulation.orders.iter();
+        let epochs = orders.filter_map(|(_, order)| match order {
+            Order::Join { epoch, .. } => Some(*epoch),
+            _ => None,
+        });
+        epochs.collect()
+    };
+    let before = joined(&simulation).into_iter().max().unwrap();
+    simulation.nodes[0].alive = false;
+    simulation.return_store(copy);
+    simulation.add_node(3);
+    let restored_at = simulation.now + Duration::from_millis(2_500);
+    simulation.send_event(2, GroupsEvent::EraObserved(restored_at));
+    simulation.run(4 * SECOND);
+    simulation.orders.clear();
+    simulation.order_holders.clear();
+    simulation.plan(2, known_boots(&[], &[1]));
+    simulation.run(10 * SECOND);
+    assert!(simulation.nodes[2].groups.is_planning());
+    let after = joined(&simulation);
+    assert!(!after.is_empty());
+    assert!(after.iter().all(|epoch| *epoch > before), "{before:?}");
+}
