Let a VM join another group only from none

A join that was sent rightly, once the head of a dissolved group had left, may be carried out seconds later, when late orders have brought the head back.

Cause: the evidence of the join was the head's report, which need not be true any more when the join is carried out. Only the numbers in the head's own late orders stood against that.

Mend: members of a dissolved group, VMs that a renewal left out and former heads are ordered to leave, and join elsewhere only by a report that shows them in no group (JoinCheck::MustLeave with FormerHead). A VM in no group has no head, whatever its former one does. Never while the head serves.

Evidence: joins::late_join_meets_head_that_is_back and members_of_dissolved_group_leave failed before (the first with "was ordered to leave a group that is serving") and pass now.

--- a/crates/tanagerhub_groups/src/groups/join_check.rs
+++ b/crates/tanagerhub_groups/src/groups/join_check.rs
@@ -29,8 +29,8 @@
     Unknown(VmId),
     /// Its present group serves.
     Taken,
-    /// The head of its present group has ended. The VM must leave this group first.
-    MustLeave(GroupId, Epoch),
+    /// It must leave its present group first, whose head doesn't serve.
+    MustLeave(GroupId, Epoch, FormerHead),
     /// The head of its present group doesn't serve, but may be about to. It must leave first.
     HeadMustLeave(VmId, GroupId, Epoch),
     /// It left a group whose head has ended, and which may not have broken off yet; or the head of its
@@ -38,6 +38,15 @@
     Waits,
 }
 
+/// What is known of the head of a group that a VM must leave.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum FormerHead {
+    /// It is out of the group, or it is the VM itself.
+    Out,
+    /// It has ended. It may not have broken off yet.
+    Ended,
+}
+
 /// What a VM has said by which it may join a group.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct JoinEvidence {
@@ -77,46 +86,58 @@
         if now < entry.waits_until {
             return JoinCheck::Waits;
         }
-        let memberships = entry.memberships();
-        for membership in memberships.filter(|it| Some(it.group) != group) {
-            if let Some(obstacle) = self.find_obstacle(now, term, vm, membership) {
-                return obstacle;
-            }
+        // A row may lag behind what the VM has said.
+        let has_left = |it: &GroupReport| entry.has_left(it.group, it.epoch);
+        let present: Vec<GroupReport> = entry.memberships().filter(|it| !has_left(it)).collect();
+        if let Some(other) = present.iter().find(|it| Some(it.group) != group) {
+            return self.obstacle(now, term, vm, *other);
         }
         // The VM would refuse the number of an earlier report.
-        if entry.is_report_outdated() || own.is_opening(group) {
+        let is_row_newer =
+            entry.report.group.as_ref().is_some_and(has_left) && entry.changed_at > own.asked_at;
+        if entry.is_report_outdated() || is_row_newer {
             return JoinCheck::Unknown(vm);
         }
         JoinCheck::Proven(JoinEvidence {
             order_count: own.order_count,
-            is_free: own.group.is_none() && entry.report.group.is_none(),
+            is_free: present.is_empty(),
         })
     }
 
-    /// Returns what keeps a VM from leaving its present group for another one.
-    fn find_obstacle(
+    /// Returns what keeps a VM from joining another group than its present one.
+    ///
+    /// It leaves its present group in any case: its head may be brought back by a late order, and a VM
+    /// that is in no group has no head.
+    fn obstacle(
         &self,
         now: Moment,
         term: ActiveTerm,
         vm: VmId,
         membership: GroupReport,
-    ) -> Option<JoinCheck> {
+    ) -> JoinCheck {
+        let (group, epoch) = (membership.group, membership.epoch);
         if membership.rank == 0 {
-            return membership.state.serves().then_some(JoinCheck::Taken);
+            let own = self.own_report(now, term, vm);
+            return if membership.state.serves() {
+                JoinCheck::Taken
+            } else if own.is_some_and(OwnReport::is_opening) {
+                JoinCheck::Unknown(vm)
+            } else {
+                JoinCheck::MustLeave(group, epoch, FormerHead::Out)
+            };
         }
-        let (group, epoch) = (membership.group, membership.epoch);
-        let must_leave = JoinCheck::MustLeave(group, epoch);
+        let has_ended = JoinCheck::MustLeave(group, epoch, FormerHead::Ended);
         let Some(head) = self.find_head(vm, group, epoch) else {
-            return Some(must_leave);
+            return has_ended;
         };
         let Some(own) = self.own_report(now, term, head) else {
-            return Some(if self.is_confirmed_gone(head) {
-                must_leave
+            return if self.is_confirmed_gone(head) {
+                has_ended
             } else if self.is_reachable(head) {
                 JoinCheck::Unknown(head)
             } else {
                 JoinCheck::Waits
-            });
+            };
         };
         let is_member = |it: GroupReport| (it.group, it.epoch) == (group, epoch);
         if !own.group.is_some_and(is_member) {
@@ -124,16 +145,19 @@
             let is_out = |entry: &VmEntry| {
                 entry.has_left(group, epoch) && !entry.report.group.is_some_and(is_member)
             };
-            let is_free = self.vms.get(head).is_some_and(is_out);
-            return (!is_free).then_some(JoinCheck::Unknown(head));
+            return if self.vms.get(head).is_some_and(is_out) {
+                JoinCheck::MustLeave(group, epoch, FormerHead::Out)
+            } else {
+                JoinCheck::Unknown(head)
+            };
         }
         let is_planned = |it: &Group| it.epoch == epoch && it.dissolving.is_none();
         let is_in_use = own.serves(group, epoch) || self.by_id.get(&group).is_some_and(is_planned);
-        Some(if is_in_use {
+        if is_in_use {
             JoinCheck::Taken
         } else {
             JoinCheck::HeadMustLeave(head, group, epoch)
-        })
+        }
     }
 
     /// Returns the head of a group at an epoch, according to the VMs or to the group's row.
@@ -193,16 +217,18 @@
         }
     }
 
-    /// Orders a VM to leave a group whose head has ended. It is used elsewhere only after the time in
-    /// which such a head breaks off.
+    /// Orders a VM to leave a group that doesn't serve. If its head has ended, the VM is used elsewhere
+    /// only after the time in which such a head breaks off.
     pub(super) fn send_leave(
         &mut self,
         now: Moment,
         term: ActiveTerm,
         vm: VmId,
         membership: (GroupId, Epoch),
+        head: FormerHead,
     ) {
         if self.order_to_leave(now, term, vm, membership)
+            && head == FormerHead::Ended
             && let Some(entry) = self.vms.list.get_mut(&vm)
         {
             entry.waits_until = now + self.settings.stall_timeout;
@@ -236,7 +262,7 @@
         true
     }
 
-    /// Has the free VMs that report a group without a known head leave it.
+    /// Has the free VMs that report a group leave it once its head doesn't serve.
     pub(super) fn release_strays(&mut self, now: Moment, term: ActiveTerm) {
         let free = self.available_vms().into_iter();
         let in_group = |vm: &VmId| {
@@ -248,8 +274,8 @@
         for vm in strays {
             match self.check_join(now, term, vm, None) {
                 JoinCheck::Unknown(needed) => self.ask_report(now, needed),
-                JoinCheck::MustLeave(group, epoch) => {
-                    self.send_leave(now, term, vm, (group, epoch));
+                JoinCheck::MustLeave(group, epoch, head) => {
+                    self.send_leave(now, term, vm, (group, epoch), head);
                 }
                 JoinCheck::HeadMustLeave(head, group, epoch) => {
                     self.order_to_leave(now, term, head, (group, epoch));
@@ -261,11 +287,10 @@
 }
 
 impl OwnReport {
-    /// Returns whether the VM may be about to serve another group as the head: it is ready, and
-    /// executes an order.
-    fn is_opening(&self, group: Option<GroupId>) -> bool {
-        let other = self.group.filter(|it| Some(it.group) != group);
-        other.is_some_and(|it| it.rank == 0 && it.state == GroupState::Ready && self.busy)
+    /// Returns whether the VM may be about to serve as the head: it is ready, and executes an order.
+    fn is_opening(&self) -> bool {
+        let is_ready = |it: GroupReport| it.rank == 0 && it.state == GroupState::Ready;
+        self.busy && self.group.is_some_and(is_ready)
     }
 
     /// Returns whether the VM serves a group as the head.
--- a/crates/tanagerhub_groups/src/groups/lifecycle.rs
+++ b/crates/tanagerhub_groups/src/groups/lifecycle.rs
@@ -10,7 +10,7 @@
 
 use super::Groups;
 use super::group::{Dissolving, Group, SentOrder};
-use super::join_check::{JoinCheck, JoinEvidence};
+use super::join_check::{FormerHead, JoinCheck, JoinEvidence};
 use super::order_tries::JoinForm;
 use super::term::ActiveTerm;
 use super::vm_entry::{OwnReport, VmEntry};
@@ -104,7 +104,9 @@
         match self.check_join(now, term, vm, Some(id)) {
             JoinCheck::Proven(evidence) => self.send_join(now, term, id, vm, evidence),
             JoinCheck::Unknown(needed) => self.ask_report(now, needed),
-            JoinCheck::MustLeave(group, epoch) => self.send_leave(now, term, vm, (group, epoch)),
+            JoinCheck::MustLeave(group, epoch, head) => {
+                self.send_leave(now, term, vm, (group, epoch), head);
+            }
             JoinCheck::HeadMustLeave(head, group, epoch) => {
                 self.order_to_leave(now, term, head, (group, epoch));
             }
@@ -205,19 +207,23 @@
                 self.send_order(now, term, id, *vm, Order::Leave { group, epoch });
                 self.ask_report(now, *vm);
             } else if self.is_confirmed_gone(*vm) {
-                self.release_members(now, term, id);
+                self.release_members(now, term, id, FormerHead::Ended);
+                if let Some(group) = self.by_id.get_mut(&id) {
+                    group.members_left.get_or_insert(now);
+                }
             }
         }
-        if pending.is_empty()
-            && let Some(group) = self.by_id.get_mut(&id)
-        {
-            group.dissolving = Some(Dissolving::HeadLeft);
+        if pending.is_empty() {
+            self.release_members(now, term, id, FormerHead::Out);
+            if let Some(group) = self.by_id.get_mut(&id) {
+                group.dissolving = Some(Dissolving::HeadLeft);
+            }
         }
     }
 
-    /// Orders the members of a group to leave it, because its head can't be reached: without them
-    /// the head breaks off.
-    fn release_members(&mut self, now: Moment, term: ActiveTerm, id: GroupId) {
+    /// Orders the members of a group to leave it, because its head is out, or can't be reached: without
+    /// them it breaks off.
+    fn release_members(&mut self, now: Moment, term: ActiveTerm, id: GroupId, head: FormerHead) {
         let in_group = |entry: &VmEntry| {
             let membership = entry
                 .report
@@ -230,12 +236,9 @@
         let members: Vec<(VmId, (GroupId, Epoch))> = members.collect();
         for (vm, membership) in members {
             if self.is_reachable(vm) {
-                self.send_leave(now, term, vm, membership);
+                self.send_leave(now, term, vm, membership, head);
             }
         }
-        if let Some(group) = self.by_id.get_mut(&id) {
-            group.members_left.get_or_insert(now);
-        }
     }
 
     pub(super) fn is_reachable(&self, vm: VmId) -> bool {
--- a/crates/tanagerhub_groups/src/groups/repair.rs
+++ b/crates/tanagerhub_groups/src/groups/repair.rs
@@ -11,7 +11,7 @@
 
 use super::Groups;
 use super::group::{Dissolving, Group};
-use super::join_check::JoinCheck;
+use super::join_check::{FormerHead, JoinCheck};
 use super::term::ActiveTerm;
 use super::vm_entry::VmEntry;
 
@@ -62,6 +62,7 @@
             return;
         }
         if self.store_unreachable {
+            self.release_strays(now, term);
             self.renew_groups_in_outage(now, term);
             return;
         }
@@ -383,8 +384,13 @@
                     unknown += 1;
                     needed.push(asked);
                 }
+                // It is in no group shortly.
+                JoinCheck::MustLeave(_, _, FormerHead::Out) => {
+                    unknown += 1;
+                    needed.push(vm);
+                }
                 JoinCheck::Taken
-                | JoinCheck::MustLeave(..)
+                | JoinCheck::MustLeave(_, _, FormerHead::Ended)
                 | JoinCheck::HeadMustLeave(..)
                 | JoinCheck::Waits => {}
             }
--- a/crates/tanagerhub_groups/tests/joins.rs
+++ b/crates/tanagerhub_groups/tests/joins.rs
@@ -266,6 +266,52 @@
     assert_sound(&simulation);
 }
 
+/// Guards against members of a group that serves (TWO): a join that was sent once the head had left is
+/// carried out late, after other orders brought the head back. Its member is in no group by then.
+#[test]
+fn late_join_meets_head_that_is_back() {
+    let (mut simulation, before) = before_dissolution();
+    for head in &before {
+        let member = simulation.members(head)[1].clone();
+        let staged = ["big", "small"].map(str::to_owned);
+        simulation.report(&member, |report| report.staged = staged.into());
+    }
+    simulation.run_until(40 * SECOND, "a head leaves", |simulation| {
+        simulation.open_heads("small").len() < before.len()
+    });
+    let open = simulation.open_heads("small");
+    let head = before.iter().find(|head| !open.contains(head)).unwrap();
+    let members = simulation.members(head);
+    let membership = simulation.server(&members[1]).report.group.unwrap();
+    simulation.hold_such_orders(&members[1], |order| matches!(order, Order::Join { .. }));
+    simulation.run_until(60 * SECOND, "the member is to join", |simulation| {
+        !simulation.held_orders.is_empty()
+    });
+    let membership = GroupReport {
+        rank: 0,
+        state: GroupState::Open,
+        ..membership
+    };
+    simulation.server(head).set_group(membership, members);
+    simulation.deliver_held_orders();
+    assert_sound(&simulation);
+}
+
+/// A member of a dissolved group leaves it, by an order, within a second of its head.
+#[test]
+fn members_of_dissolved_group_leave() {
+    let (mut simulation, before) = before_dissolution();
+    simulation.run_until(40 * SECOND, "a head leaves", |simulation| {
+        simulation.open_heads("small").len() < before.len()
+    });
+    let open = simulation.open_heads("small");
+    let head = before.iter().find(|head| !open.contains(head)).unwrap();
+    let member = simulation.members(head)[1].clone();
+    assert!(report(&mut simulation, &member).group.is_some());
+    simulation.run(SECOND);
+    assert_eq!(report(&mut simulation, &member).group, None);
+}
+
 /// Guards against a dissolved group that serves again (review/13): the first orders to join and to open
 /// are carried out once more, late. They name numbers of orders that no longer hold.
 #[test]
