End a group that serves without a row, so that its VMs can be used

Cause: a VM whose group serves is left alone until that ends. A group that no row lists, which late orders brought back, has nobody who ends it.

Mend: its head is ordered to close, then to leave once it has finished its requests or after 2.5 s; its members leave after it. A group at an epoch above all that the planner knows is another planner's, and stays.

--- a/crates/tanagerhub_groups/src/decision.rs
+++ b/crates/tanagerhub_groups/src/decision.rs
@@ -90,6 +90,15 @@
         /// The group's epoch.
         epoch: Epoch,
     },
+    /// A group that serves without a row is to end: its head finishes its requests, and its VMs leave.
+    EndingGroup {
+        /// The group's id.
+        group: GroupId,
+        /// The epoch at which it serves.
+        epoch: Epoch,
+        /// The head's name.
+        head: String,
+    },
     /// A group is to be dissolved to supply a member to a larger group.
     GivesWay {
         /// The group to dissolve.
--- a/crates/tanagerhub_groups/src/groups.rs
+++ b/crates/tanagerhub_groups/src/groups.rs
@@ -17,6 +17,7 @@
 mod restore;
 mod silence;
 mod stage;
+mod stray;
 mod takeover;
 mod term;
 mod view;
--- a/crates/tanagerhub_groups/src/groups/group.rs
+++ b/crates/tanagerhub_groups/src/groups/group.rs
@@ -61,6 +61,17 @@
     pub(super) is_unanswered: bool,
 }
 
+impl SentOrder {
+    pub(super) const fn new(sent_at: Moment, order: Order) -> Self {
+        Self {
+            order,
+            sent_at,
+            refused: false,
+            is_unanswered: false,
+        }
+    }
+}
+
 /// The progress of a group's dissolution.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Dissolving {
--- a/crates/tanagerhub_groups/src/groups/join_check.rs
+++ b/crates/tanagerhub_groups/src/groups/join_check.rs
@@ -8,7 +8,7 @@
 use tanagerhub_catalogue::{Epoch, GroupId, VmId};
 use tanagerhub_clock::Moment;
 
-use crate::{GroupReport, GroupState, GroupsAction, JoinProof, Order};
+use crate::{GroupReport, GroupState, JoinProof};
 
 use super::Groups;
 use super::group::Group;
@@ -86,16 +86,25 @@
         if now < entry.waits_until {
             return JoinCheck::Waits;
         }
+        // Its state may be another one since the last order to it.
+        if entry.is_report_outdated() {
+            return JoinCheck::Unknown(vm);
+        }
         // A row may lag behind what the VM has said.
         let has_left = |it: &GroupReport| entry.has_left(it.group, it.epoch);
         let present: Vec<GroupReport> = entry.memberships().filter(|it| !has_left(it)).collect();
-        if let Some(other) = present.iter().find(|it| Some(it.group) != group) {
-            return self.obstacle(now, term, vm, *other);
+        let others = present.iter().filter(|it| Some(it.group) != group);
+        let obstacles = others.map(|other| self.obstacle(now, term, vm, *other));
+        let obstacles: Vec<JoinCheck> = obstacles.collect();
+        // It is left alone while what it says, or its row, tells that its group serves.
+        if obstacles.contains(&JoinCheck::Taken) {
+            return JoinCheck::Taken;
+        }
+        if let Some(first) = obstacles.first() {
+            return *first;
         }
-        // The VM would refuse the number of an earlier report.
-        let is_row_newer =
-            entry.report.group.as_ref().is_some_and(has_left) && entry.changed_at > own.asked_at;
-        if entry.is_report_outdated() || is_row_newer {
+        let is_row_newer = entry.changed_at > own.asked_at;
+        if is_row_newer && entry.report.group.as_ref().is_some_and(has_left) {
             return JoinCheck::Unknown(vm);
         }
         JoinCheck::Proven(JoinEvidence {
@@ -216,74 +225,6 @@
             self.plan(now, term);
         }
     }
-
-    /// Orders a VM to leave a group that doesn't serve. If its head has ended, the VM is used elsewhere
-    /// only after the time in which such a head breaks off.
-    pub(super) fn send_leave(
-        &mut self,
-        now: Moment,
-        term: ActiveTerm,
-        vm: VmId,
-        membership: (GroupId, Epoch),
-        head: FormerHead,
-    ) {
-        if self.order_to_leave(now, term, vm, membership)
-            && head == FormerHead::Ended
-            && let Some(entry) = self.vms.list.get_mut(&vm)
-        {
-            entry.waits_until = now + self.settings.stall_timeout;
-        }
-    }
-
-    /// Orders a VM to leave a group, unless it was given another order shortly before. Returns whether
-    /// the order was sent.
-    pub(super) fn order_to_leave(
-        &mut self,
-        now: Moment,
-        term: ActiveTerm,
-        vm: VmId,
-        (group, epoch): (GroupId, Epoch),
-    ) -> bool {
-        let interval = self.settings.order_retry_interval;
-        let Some(entry) = self.vms.list.get_mut(&vm) else {
-            return false;
-        };
-        if now.since(entry.ordered_at) < interval {
-            return false;
-        }
-        entry.ordered_at = now;
-        self.actions.push(GroupsAction::Order {
-            vm,
-            name: entry.report.vm.name.clone(),
-            address: entry.report.vm.address,
-            order: Order::Leave { group, epoch },
-            expires_at: term.ends_at(),
-        });
-        true
-    }
-
-    /// Has the free VMs that report a group leave it once its head doesn't serve.
-    pub(super) fn release_strays(&mut self, now: Moment, term: ActiveTerm) {
-        let free = self.available_vms().into_iter();
-        let in_group = |vm: &VmId| {
-            self.vms
-                .get(*vm)
-                .is_some_and(|it| it.report.group.is_some())
-        };
-        let strays: Vec<VmId> = free.filter(in_group).collect();
-        for vm in strays {
-            match self.check_join(now, term, vm, None) {
-                JoinCheck::Unknown(needed) => self.ask_report(now, needed),
-                JoinCheck::MustLeave(group, epoch, head) => {
-                    self.send_leave(now, term, vm, (group, epoch), head);
-                }
-                JoinCheck::HeadMustLeave(head, group, epoch) => {
-                    self.order_to_leave(now, term, head, (group, epoch));
-                }
-                JoinCheck::Proven(_) | JoinCheck::Taken | JoinCheck::Waits => {}
-            }
-        }
-    }
 }
 
 impl OwnReport {
--- a/crates/tanagerhub_groups/src/groups/lifecycle.rs
+++ b/crates/tanagerhub_groups/src/groups/lifecycle.rs
@@ -305,13 +305,7 @@
         if group.orders.get(&vm).as_ref().is_some_and(recent) {
             return false;
         }
-        let sent = SentOrder {
-            order: order.clone(),
-            sent_at: now,
-            refused: false,
-            is_unanswered: false,
-        };
-        group.orders.insert(vm, sent);
+        group.orders.insert(vm, SentOrder::new(now, order.clone()));
         entry.ordered_at = now;
         self.actions.push(GroupsAction::Order {
             vm,
--- a/crates/tanagerhub_groups/src/groups/planner.rs
+++ b/crates/tanagerhub_groups/src/groups/planner.rs
@@ -140,7 +140,7 @@
     }
 
     /// Returns an epoch that is not below any that was issued before by any node.
-    fn highest_epoch(&self) -> Epoch {
+    pub(super) fn highest_epoch(&self) -> Epoch {
         let base = Epoch(self.epoch_base.0 * EPOCHS_PER_VERSION);
         self.last_epoch.max(base)
     }
--- a/crates/tanagerhub_groups/src/groups/repair.rs
+++ b/crates/tanagerhub_groups/src/groups/repair.rs
@@ -178,8 +178,12 @@
         };
         let is_missing = |vm: &VmId| self.vms.state_in(*vm, group).is_none();
         let is_taken = |vm: &VmId| is_missing(vm) && self.is_taken(now, term, *vm, id);
-        let has_taken_member = group.members.iter().any(is_taken);
-        if !has_taken_member && !self.is_broken(group) {
+        let taken: Vec<VmId> = group.members.iter().copied().filter(is_taken).collect();
+        let is_broken = self.is_broken(group);
+        for vm in &taken {
+            self.end_group(now, term, *vm);
+        }
+        if taken.is_empty() && !is_broken {
             if !self.yield_to_larger(now, term, id) {
                 self.mark_healthy(id, changes);
             }
--- a/crates/tanagerhub_groups/src/groups/vm_entry.rs
+++ b/crates/tanagerhub_groups/src/groups/vm_entry.rs
@@ -7,9 +7,11 @@
 
 use crate::{GroupReport, GroupState, GroupsSettings, ProbeFailure, VmReport};
 
+use super::group::SentOrder;
 use super::order_tries::OrderTries;
 use super::peer_view::PeerView;
 use super::silence::Silence;
+use super::stray::EndingGroup;
 
 /// The greatest age of the state that a probe returns.
 pub(super) const MAX_REPORT_LAG: Duration = Duration::from_millis(400);
@@ -36,6 +38,10 @@
     pub(super) ordered_at: Moment,
     /// The orders that it has left without an answer.
     pub(super) tries: OrderTries,
+    /// The last order that it was sent because it is to be free.
+    pub(super) stray_order: Option<SentOrder>,
+    /// The group that it serves and whose requests it is to finish.
+    pub(super) ending: Option<EndingGroup>,
     /// Until when it must not join a group, because the head of the one that it left may not have
     /// broken off.
     pub(super) waits_until: Moment,
@@ -120,6 +126,8 @@
             asked_at: None,
             ordered_at: Moment::ZERO,
             tries: OrderTries::default(),
+            stray_order: None,
+            ending: None,
             waits_until: Moment::ZERO,
             removed: None,
             failures: 0,
@@ -252,7 +260,7 @@
         if restarted {
             self.forget_report();
             self.waits_until = Moment::ZERO;
-            self.tries = OrderTries::default();
+            self.forget_sent();
             self.clear_failures();
         }
         if self
@@ -293,11 +301,18 @@
     /// Forgets the orders of an earlier term. What they began is seen in the VM's reports.
     pub(super) fn forget_orders(&mut self) {
         self.staging = None;
-        self.tries = OrderTries::default();
+        self.forget_sent();
         self.forget_report();
         self.peer_view = PeerView::Unasked;
     }
 
+    /// Forgets what the VM was ordered, and how it took that.
+    fn forget_sent(&mut self) {
+        self.tries = OrderTries::default();
+        self.stray_order = None;
+        self.ending = None;
+    }
+
     /// Forgets what the VM has said of itself, because it may not hold any more.
     pub(super) fn forget_report(&mut self) {
         self.own = None;
@@ -337,6 +352,24 @@
         Some(seen.order_count)
     }
 
+    /// Returns whether the VM was ordered to finish the requests of a group that it serves.
+    pub(super) fn is_ending(&self, group: GroupId, epoch: Epoch) -> bool {
+        self.ending
+            .is_some_and(|it| (it.group, it.epoch) == (group, epoch))
+    }
+
+    /// Records that the VM is to finish the requests of a group. Returns since when it is.
+    pub(super) fn begin_ending(&mut self, now: Moment, group: GroupId, epoch: Epoch) -> Moment {
+        let is_same = |it: &EndingGroup| (it.group, it.epoch) == (group, epoch);
+        let begun = self.ending.filter(is_same).unwrap_or(EndingGroup {
+            group,
+            epoch,
+            since: now,
+        });
+        self.ending = Some(begun);
+        begun.since
+    }
+
     /// Returns whether the VM, which was a member of a group, has left it for good: it says so, and
     /// what it says is newer than its membership.
     pub(super) fn has_left(&self, group: GroupId, epoch: Epoch) -> bool {
--- a/crates/tanagerhub_groups/tests/support/backend_server.rs
+++ b/crates/tanagerhub_groups/tests/support/backend_server.rs
@@ -19,6 +19,8 @@
     pub alive: bool,
     /// Whether another start has taken over its address and responds to probes.
     pub displaced: bool,
+    /// How long it finishes requests once it is ordered to close.
+    pub closing_time: Duration,
     /// Whether it refuses each join, as one that lacks the model does.
     pub refuses_joins: bool,
     /// The number of orders that began something.
@@ -40,6 +42,7 @@
     Staged(String),
     Ready(GroupId, Epoch),
     Open(GroupId, Epoch),
+    Closed(GroupId, Epoch),
 }
 
 impl BackendServer {
@@ -113,6 +116,11 @@
                         self.set_state(GroupState::Open);
                     }
                 }
+                PendingStep::Closed(group, epoch) => {
+                    if self.report.state_in(group, epoch) == Some(GroupState::Closing) {
+                        self.set_state(GroupState::Ready);
+                    }
+                }
             }
         }
         changed
--- a/crates/tanagerhub_groups/tests/support/simulation.rs
+++ b/crates/tanagerhub_groups/tests/support/simulation.rs
@@ -227,6 +227,7 @@
             report,
             alive: true,
             displaced: false,
+            closing_time: Duration::ZERO,
             refuses_joins: false,
             order_count: 0,
             highest_epoch: Epoch(0),
@@ -587,7 +588,12 @@
             }
             Order::Close { group, epoch } => {
                 if server.report.state_in(*group, *epoch).is_some() {
-                    server.set_state(GroupState::Ready);
+                    server.set_state(GroupState::Closing);
+                    let done = PendingStep::Closed(*group, *epoch);
+                    server.pending.push((now + server.closing_time, done));
+                    if server.closing_time.is_zero() {
+                        server.set_state(GroupState::Ready);
+                    }
                 }
             }
             Order::Leave { group, epoch } => {
