Close a head that is open again before it is ordered to leave

Cause: the head is closed before the dissolution begins, and not looked at again until it has left.

Evidence: strays::head_that_is_back_while_it_leaves_closes_first failed before (Leave came first).

--- a/crates/tanagerhub_groups/src/groups/lifecycle.rs
+++ b/crates/tanagerhub_groups/src/groups/lifecycle.rs
@@ -40,6 +40,15 @@
         group.members.iter().any(|vm| self.is_unusable(*vm))
     }
 
+    /// Returns whether a member is lost, so that the group's requests can't go on.
+    pub(super) fn has_lost_member(&self, group: &Group) -> bool {
+        let is_gone = |vm: &VmId| {
+            let entry = self.vms.get(*vm);
+            entry.is_none_or(|entry| entry.is_gone(&self.settings))
+        };
+        group.members.iter().any(is_gone)
+    }
+
     /// Returns whether a VM can't remain a member: it is unknown, lost or leaving.
     pub(super) fn is_unusable(&self, vm: VmId) -> bool {
         self.vms
@@ -201,11 +210,16 @@
             return;
         }
         let pending = self.pending_heads(now, group);
+        let (current, runs) = (group.epoch, !self.has_lost_member(group));
         for (vm, epoch) in &pending {
             if self.is_reachable(*vm) {
                 let (group, epoch) = (id, *epoch);
-                self.send_order(now, term, id, *vm, Order::Leave { group, epoch });
-                self.ask_report(now, *vm);
+                // A complete group may have been brought back since its head was closed.
+                let may_run = runs && epoch == current;
+                if !may_run || self.close_head(now, term, *vm, (group, epoch)) {
+                    self.send_order(now, term, id, *vm, Order::Leave { group, epoch });
+                    self.ask_report(now, *vm);
+                }
             } else if self.is_confirmed_gone(*vm) {
                 self.release_members(now, term, id, FormerHead::Ended);
                 if let Some(group) = self.by_id.get_mut(&id) {
--- a/crates/tanagerhub_groups/src/groups/repair.rs
+++ b/crates/tanagerhub_groups/src/groups/repair.rs
@@ -247,11 +247,8 @@
         let Some(group) = self.by_id.get(&id) else {
             return false;
         };
-        let has_ended = group.members.iter().any(|vm| {
-            let entry = self.vms.get(*vm);
-            entry.is_none_or(|entry| entry.is_gone(&self.settings))
-        });
-        let Some(head) = group.head().filter(|_| !has_ended) else {
+        let runs = !self.has_lost_member(group);
+        let Some(head) = group.head().filter(|_| runs) else {
             return true;
         };
         let epoch = group.epoch;
@@ -264,6 +261,9 @@
             .by_id
             .get_mut(&id)
             .map_or(now, |group| *group.closing_since.get_or_insert(now));
+        if let Some(entry) = self.vms.list.get_mut(&head) {
+            entry.begin_ending(started, id, epoch);
+        }
         if state == Some(GroupState::Open) {
             self.send_order(now, term, id, head, Order::Close { group: id, epoch });
         }
--- a/crates/tanagerhub_groups/tests/strays.rs
+++ b/crates/tanagerhub_groups/tests/strays.rs
@@ -178,3 +178,30 @@
     assert_eq!(orders(&simulation, &head).count(), 0);
     assert!(simulation.is_open_head(VmId::of(&head)));
 }
+
+/// Guards against requests that are cut off: a head that is open again before its group's row is deleted
+/// got the order to leave without the one to close.
+#[test]
+fn head_that_is_back_while_it_leaves_closes_first() {
+    let Dissolved {
+        mut simulation,
+        head,
+        membership,
+        ..
+    } = serving_groups();
+    let (group, epoch) = (membership.group, membership.epoch);
+    simulation.hold_such_orders(&head, |order| matches!(order, Order::Leave { .. }));
+    simulation.run_until(10 * SECOND, "the head is to leave", |simulation| {
+        orders(simulation, &head).any(|it| *it == Order::Leave { group, epoch })
+    });
+    simulation.report(&head, |report| {
+        report.group = Some(GroupReport {
+            state: GroupState::Open,
+            ..membership
+        });
+    });
+    simulation.orders.clear();
+    simulation.run(2 * SECOND);
+    let first = orders(&simulation, &head).next();
+    assert_eq!(first, Some(&Order::Close { group, epoch }));
+}
