Give the place of a VM that begins no order to another one

Cause: orders were repeated each second without a last try; a VM counted as lost only by its probes.

Mend: OrderTries counts the orders sent to a VM since it last began one, by its reports and its row, not by answers. Heads that begin no order to end their group go on if the group is whole; loads go to other VMs. Operators see it in the log, in the state dump and as a gauge.

--- a/crates/tanagerhub/src/gateway/control.rs
+++ b/crates/tanagerhub/src/gateway/control.rs
@@ -265,6 +265,8 @@
         let addresses = nearby.map(|peer| peer.endpoint.address).collect();
         self.forwarder.set_nodes(addresses);
         self.metrics.record_unreachable(reach.unreachable);
+        self.metrics
+            .record_ignoring(self.groups.vms_ignoring_orders());
         if reach.is_cut_off() == self.view.cut_off {
             return;
         }
--- a/crates/tanagerhub/src/gateway/gateway_metrics.rs
+++ b/crates/tanagerhub/src/gateway/gateway_metrics.rs
@@ -36,6 +36,7 @@
     duration: Histogram,
     routes: Gauge,
     unreachable: Gauge,
+    ignoring: Gauge,
     store_age: Gauge,
     store_returns: Counter,
     log_drops: Counter,
@@ -86,6 +87,7 @@
             duration: new_histogram(),
             routes: Gauge::default(),
             unreachable: Gauge::default(),
+            ignoring: Gauge::default(),
             store_age: Gauge::default(),
             store_returns: Counter::default(),
             log_drops: Counter::default(),
@@ -177,6 +179,11 @@
             "Back ends that are listed and don't answer this node",
             self.unreachable.clone(),
         );
+        registry.register(
+            "servers_ignoring_orders",
+            "VMs that report and begin no order of this node, which plans",
+            self.ignoring.clone(),
+        );
         registry.register(
             "store_age_ms",
             "Age of what is known of the operators' rows",
@@ -298,6 +305,11 @@
             .set(i64::try_from(servers).unwrap_or(i64::MAX));
     }
 
+    pub(crate) fn record_ignoring(&self, servers: usize) {
+        self.ignoring
+            .set(i64::try_from(servers).unwrap_or(i64::MAX));
+    }
+
     pub(crate) fn record_routes(&self, routes: usize, age: Duration) {
         self.routes.set(i64::try_from(routes).unwrap_or(i64::MAX));
         let age = i64::try_from(age.as_millis()).unwrap_or(i64::MAX);
--- a/crates/tanagerhub_groups/src/decision.rs
+++ b/crates/tanagerhub_groups/src/decision.rs
@@ -151,6 +151,18 @@
         /// The result of the order.
         result: crate::OrderResult,
     },
+    /// A VM has begun none of the last orders to it, though it reports.
+    VmIgnoresOrders {
+        /// The VM's name.
+        vm: String,
+        /// The number of these orders.
+        orders: u32,
+    },
+    /// A VM that ignored orders has begun one.
+    VmFollowsOrders {
+        /// The VM's name.
+        vm: String,
+    },
     /// A row of the groups' table was ignored.
     RowIgnored {
         /// The reason the row can't be decoded.
--- a/crates/tanagerhub_groups/src/groups.rs
+++ b/crates/tanagerhub_groups/src/groups.rs
@@ -267,6 +267,7 @@
 
     /// Gives the orders and sends the changes that are due.
     fn plan(&mut self, now: Moment, term: ActiveTerm) {
+        self.tell_ignored_orders(now);
         self.advance_groups(now, term);
         // The target composition of a domain depends on its number of VMs, so staging waits until
         // VMs that start together are listed.
--- a/crates/tanagerhub_groups/src/groups/group.rs
+++ b/crates/tanagerhub_groups/src/groups/group.rs
@@ -32,8 +32,10 @@
     pub(super) yields_to: Option<GroupId>,
     /// The progress of the dissolution; `None` if the group is not being dissolved.
     pub(super) dissolving: Option<Dissolving>,
-    /// When the members were first ordered to leave, because the head can't be asked. It breaks off
-    /// without them.
+    /// Until when it is not dissolved for another group or model, because its head began no order to
+    /// end it.
+    pub(super) stays_until: Moment,
+    /// When the members were first ordered to leave before the head. It breaks off without them.
     pub(super) members_left: Option<Moment>,
     /// Whether the store does not contain this epoch yet.
     pub(super) provisional: bool,
@@ -97,6 +99,7 @@
             closing_since: None,
             yields_to: None,
             dissolving: None,
+            stays_until: Moment::ZERO,
             members_left: None,
             provisional: false,
             change_pending: false,
--- a/crates/tanagerhub_groups/src/groups/lifecycle.rs
+++ b/crates/tanagerhub_groups/src/groups/lifecycle.rs
@@ -2,6 +2,7 @@
 //! leave.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use tanagerhub_catalogue::{Epoch, GroupId, VmId};
 use tanagerhub_clock::Moment;
@@ -11,10 +12,13 @@
 use super::Groups;
 use super::group::{Dissolving, Group, SentOrder};
 use super::join_check::{FormerHead, JoinCheck, JoinEvidence};
-use super::order_tries::JoinForm;
+use super::order_tries::{JoinForm, OrderNews};
 use super::term::ActiveTerm;
 use super::vm_entry::{OwnReport, VmEntry};
 
+/// How long a group is not chosen again to be dissolved, whose head began no order to end it.
+const STAY_TIME: Duration = Duration::from_mins(1);
+
 impl Groups {
     /// Sends the orders that bring groups into service, or that make the heads of groups being
     /// dissolved leave.
@@ -35,9 +39,40 @@
         }
     }
 
-    /// Returns whether a member is unusable.
-    pub(super) fn has_unusable_member(&self, group: &Group) -> bool {
-        group.members.iter().any(|vm| self.is_unusable(*vm))
+    /// Returns whether a member can't take part, so that another VM is to take its place.
+    pub(super) fn lacks_member(&self, now: Moment, group: &Group) -> bool {
+        let mut members = group.members.iter();
+        members.any(|vm| self.is_missing(now, group, *vm))
+    }
+
+    /// Returns whether a VM can't take part in its group: it is unusable, or is not in place and ignores
+    /// the orders that would bring it there.
+    pub(super) fn is_missing(&self, now: Moment, group: &Group, vm: VmId) -> bool {
+        let is_in_place = match self.vms.state_in(vm, group) {
+            None => false,
+            Some(GroupState::Ready) => group.head() != Some(vm) || !group.was_ready,
+            Some(_) => true,
+        };
+        self.is_unusable(vm) || !is_in_place && self.ignores_orders(now, Some(vm))
+    }
+
+    /// Tells operators of the VMs that ignore orders, and of those that follow them again.
+    pub(super) fn tell_ignored_orders(&mut self, now: Moment) {
+        let entries = self.vms.list.values_mut();
+        let news = entries.filter_map(|entry| {
+            let vm = entry.report.vm.name.clone();
+            Some(match entry.tries.take_news(now)? {
+                OrderNews::Ignores(orders) => Decision::VmIgnoresOrders { vm, orders },
+                OrderNews::Follows => Decision::VmFollowsOrders { vm },
+            })
+        });
+        self.decisions.extend(news);
+    }
+
+    /// Returns whether a VM has begun none of the last orders to it.
+    pub(super) fn ignores_orders(&self, now: Moment, vm: Option<VmId>) -> bool {
+        let entry = vm.and_then(|vm| self.vms.get(vm));
+        entry.is_some_and(|entry| entry.tries.ignores_orders(now))
     }
 
     /// Returns whether a member is lost, so that the group's requests can't go on.
@@ -211,8 +246,15 @@
         }
         let pending = self.pending_heads(now, group);
         let (current, runs) = (group.epoch, !self.has_lost_member(group));
+        let takes_part = |vm: &VmId| self.vms.state_in(*vm, group).is_some();
+        let is_complete = group.members.iter().all(takes_part);
         for (vm, epoch) in &pending {
-            if self.is_reachable(*vm) {
+            if self.ignores_orders(now, Some(*vm)) {
+                if is_complete {
+                    return self.keep_group(now, id);
+                }
+                self.release_members_first(now, term, id);
+            } else if self.is_reachable(*vm) {
                 let (group, epoch) = (id, *epoch);
                 // A complete group may have been brought back since its head was closed.
                 let may_run = runs && epoch == current;
@@ -221,10 +263,7 @@
                     self.ask_report(now, *vm);
                 }
             } else if self.is_confirmed_gone(*vm) {
-                self.release_members(now, term, id, FormerHead::Ended);
-                if let Some(group) = self.by_id.get_mut(&id) {
-                    group.members_left.get_or_insert(now);
-                }
+                self.release_members_first(now, term, id);
             }
         }
         if pending.is_empty() {
@@ -235,8 +274,26 @@
         }
     }
 
-    /// Orders the members of a group to leave it, because its head is out, or can't be reached: without
-    /// them it breaks off.
+    /// Ends the dissolution of a complete group whose head begins no order: it can go on.
+    fn keep_group(&mut self, now: Moment, id: GroupId) {
+        if let Some(group) = self.by_id.get_mut(&id) {
+            group.dissolving = None;
+            group.yields_to = None;
+            group.closing_since = None;
+            group.stays_until = now + STAY_TIME;
+        }
+    }
+
+    /// Orders the members of a group to leave it before its head, which can't be reached or begins no
+    /// order: without them it breaks off.
+    fn release_members_first(&mut self, now: Moment, term: ActiveTerm, id: GroupId) {
+        self.release_members(now, term, id, FormerHead::Ended);
+        if let Some(group) = self.by_id.get_mut(&id) {
+            group.members_left.get_or_insert(now);
+        }
+    }
+
+    /// Orders the members of a group to leave it, whose head is out or is to break off.
     fn release_members(&mut self, now: Moment, term: ActiveTerm, id: GroupId, head: FormerHead) {
         let in_group = |entry: &VmEntry| {
             let membership = entry
@@ -289,11 +346,14 @@
         pending
     }
 
-    /// Returns whether a head that can't be reached has been without its members for long enough.
+    /// Returns whether a head that can't be reached, or begins no order, has been without its members for
+    /// long enough.
     fn has_broken_off(&self, now: Moment, head: VmId, group: &Group) -> bool {
         let timeout = self.settings.stall_timeout;
         let has_passed = |since: Moment| now.since(since) >= timeout;
-        self.is_confirmed_gone(head) && group.members_left.is_some_and(has_passed)
+        let serves = self.vms.get(head).is_some_and(VmEntry::is_serving_head);
+        let is_off = self.is_confirmed_gone(head) || !serves;
+        is_off && group.members_left.is_some_and(has_passed)
     }
 
     /// Sends an order to a member, unless the same order was sent within the retry interval.
@@ -316,11 +376,11 @@
             let is_same = sent.order.is_same(&order) && now.since(sent.sent_at) < interval;
             is_same && (!sent.refused || sent.order == order)
         };
-        if group.orders.get(&vm).as_ref().is_some_and(recent) {
+        if entry.tries.ignores_orders(now) || group.orders.get(&vm).as_ref().is_some_and(recent) {
             return false;
         }
         group.orders.insert(vm, SentOrder::new(now, order.clone()));
-        entry.ordered_at = now;
+        entry.record_order(now);
         self.actions.push(GroupsAction::Order {
             vm,
             name: entry.report.vm.name.clone(),
@@ -340,6 +400,9 @@
                 result,
             });
         }
+        if let Some(entry) = self.vms.list.get_mut(&vm) {
+            entry.tries.record_result(result);
+        }
         self.join_done(vm, order, result);
         match (order, result) {
             // That the VM has left is known once it says so.
--- a/crates/tanagerhub_groups/src/groups/reassign.rs
+++ b/crates/tanagerhub_groups/src/groups/reassign.rs
@@ -38,14 +38,14 @@
         let waiting = of_engine.filter(|group| {
             let since = group.broken_since;
             since.is_some_and(|since| now.since(since) >= SPARE_TIMEOUT)
-                && self.has_unusable_member(group)
+                && self.lacks_member(now, group)
         });
         waiting
             .filter_map(|group| {
                 let domain = self.domain_of(&group.members)?;
                 let members = group.members.iter();
-                let missing = members.filter(|vm| self.is_unusable(**vm)).count();
-                let is_short = self.supply(domain, &group.row.model) < missing;
+                let missing = members.filter(|vm| self.is_missing(now, group, **vm));
+                let is_short = self.supply(now, domain, &group.row.model) < missing.count();
                 let group = group.id;
                 is_short.then_some(WaitingGroup { group, domain })
             })
@@ -60,11 +60,11 @@
 
     /// Counts the free VMs of a domain that have a model, are loading it, or have no model and may
     /// load it.
-    fn supply(&self, domain: DomainId, model: &str) -> usize {
+    fn supply(&self, now: Moment, domain: DomainId, model: &str) -> usize {
         let free = self.unassigned_vms();
         let entries = free.iter().filter_map(|vm| self.vms.get(*vm));
         entries
-            .filter(|entry| entry.domain == domain)
+            .filter(|entry| entry.domain == domain && !entry.tries.ignores_orders(now))
             .filter(|entry| match &entry.staging {
                 Some((staged, _)) => staged == model,
                 None => entry.report.staged.is_empty() || entry.report.has_staged(model),
@@ -101,6 +101,7 @@
                 && entry.report.vm.service.as_deref() == Some(&engine.service)
                 && entry.staging.is_none()
                 && entry.report.busy != Some(true)
+                && !entry.tries.ignores_orders(now)
                 && entry.may_serve(now, &self.settings).is_none()
                 && !entry.report.has_staged(&model.name)
         };
@@ -128,7 +129,7 @@
                     self.find_reassignable(now, waiting.domain, model, &engine)
                 });
                 if reassignable.is_none()
-                    && let Some(id) = self.find_yielding_group(waiting, &engine)
+                    && let Some(id) = self.find_yielding_group(now, waiting, &engine)
                     && let Some(group) = self.by_id.get_mut(&id)
                 {
                     group.yields_to = Some(waiting.group);
@@ -143,7 +144,12 @@
     /// target.
     ///
     /// At most one group of a domain is selected at a time.
-    fn find_yielding_group(&self, waiting: WaitingGroup, engine: &EngineSpec) -> Option<GroupId> {
+    fn find_yielding_group(
+        &self,
+        now: Moment,
+        waiting: WaitingGroup,
+        engine: &EngineSpec,
+    ) -> Option<GroupId> {
         let larger = self.by_id.get(&waiting.group)?.members.len();
         let compositions = self.configured_compositions(engine);
         let wanted = compositions.get(&waiting.domain)?;
@@ -168,7 +174,7 @@
         self.by_id
             .values()
             .filter(|group| group.members.len() < larger && group.broken_since.is_none())
-            .filter(|group| group.dissolving.is_none())
+            .filter(|group| group.dissolving.is_none() && group.stays_until <= now)
             .filter(in_domain)
             .filter(surplus)
             .min_by_key(|group| (group.members.len(), group.id))
--- a/crates/tanagerhub_groups/src/groups/rebalance.rs
+++ b/crates/tanagerhub_groups/src/groups/rebalance.rs
@@ -392,13 +392,15 @@
         id: GroupId,
     ) -> bool {
         let shift = self.rebalance.shift.as_ref();
-        if self.store_unreachable || !shift.is_some_and(|shift| shift.leaving.contains(&id)) {
+        let leaves = shift.is_some_and(|shift| shift.leaving.contains(&id));
+        let stays = |group: &Group| now < group.stays_until;
+        if self.store_unreachable || !leaves || self.by_id.get(&id).is_some_and(stays) {
             return false;
         }
         let is_unusable = self
             .by_id
             .get(&id)
-            .is_some_and(|group| self.has_unusable_member(group));
+            .is_some_and(|group| self.lacks_member(now, group));
         let is_finished = self.finish_requests(now, term, id);
         if let Some(group) = self.by_id.get_mut(&id) {
             if is_unusable {
--- a/crates/tanagerhub_groups/src/groups/repair.rs
+++ b/crates/tanagerhub_groups/src/groups/repair.rs
@@ -179,7 +179,7 @@
         let is_missing = |vm: &VmId| self.vms.state_in(*vm, group).is_none();
         let is_taken = |vm: &VmId| is_missing(vm) && self.is_taken(now, term, *vm, id);
         let taken: Vec<VmId> = group.members.iter().copied().filter(is_taken).collect();
-        let is_broken = self.is_broken(group);
+        let is_broken = self.is_broken(now, group);
         for vm in &taken {
             self.end_group(now, term, *vm);
         }
@@ -219,9 +219,9 @@
     }
 
     /// Returns whether a group can't continue at its epoch.
-    fn is_broken(&self, group: &Group) -> bool {
+    fn is_broken(&self, now: Moment, group: &Group) -> bool {
         if group.joins.is_spent
-            || self.has_unusable_member(group)
+            || self.lacks_member(now, group)
             || group.broken_since.is_some() && !self.is_complete(group)
         {
             return true;
@@ -292,7 +292,7 @@
             .members
             .iter()
             .copied()
-            .filter(|vm| self.is_available(*vm))
+            .filter(|vm| self.is_available(*vm) && !self.is_missing(now, group, *vm))
         {
             if self.reports_group(vm, id) {
                 members.push(vm);
@@ -381,7 +381,10 @@
         count: usize,
     ) -> Search {
         let (mut proven, mut unknown, mut needed) = (Vec::new(), 0, Vec::new());
-        for vm in self.matching_spares(free, requirements) {
+        // Those that have begun the last order to them come first.
+        let mut spares: Vec<VmId> = self.matching_spares(now, free, requirements).collect();
+        spares.sort_by_key(|vm| self.vms.get(*vm).map(|entry| entry.tries.sent()));
+        for vm in spares {
             match self.check_join(now, term, vm, requirements.group) {
                 JoinCheck::Proven(_) => proven.push(vm),
                 JoinCheck::Unknown(asked) => {
@@ -423,6 +426,7 @@
     /// Returns the free VMs of a domain that have the model staged and are available.
     fn matching_spares(
         &self,
+        now: Moment,
         free: &FreeVms,
         requirements: SpareRequirements<'_>,
     ) -> impl Iterator<Item = VmId> {
@@ -438,6 +442,7 @@
                 entry.report.vm.service.as_deref() == Some(requirements.service)
                     && entry.report.has_staged(requirements.model)
                     && entry.staging.is_none()
+                    && !entry.tries.ignores_orders(now)
                     && !self.joined_elsewhere(entry, requirements.group)
                     && !serves(entry)
             })
@@ -479,7 +484,7 @@
         let is_silent = |vm: &VmId| !self.is_unusable(*vm) && !self.is_available(*vm);
         if now.since(since) < DISSOLVE_DELAY
             || group.members.iter().any(is_silent)
-            || !self.completes_another(group, free)
+            || !self.completes_another(now, group, free)
         {
             return;
         }
@@ -490,13 +495,15 @@
 
     /// Returns whether another broken group of the domain can be completed with the usable members
     /// of a group.
-    fn completes_another(&self, group: &Group, free: &FreeVms) -> bool {
+    fn completes_another(&self, now: Moment, group: &Group, free: &FreeVms) -> bool {
         let Some(domain) = self.domain_of(&group.members) else {
             return false;
         };
         let usable = |group: &Group| {
             let members = group.members.iter();
-            members.filter(|vm| !self.is_unusable(**vm)).count()
+            members
+                .filter(|vm| !self.is_missing(now, group, **vm))
+                .count()
         };
         let requirements = SpareRequirements {
             domain,
@@ -504,7 +511,7 @@
             model: &group.row.model,
             group: None,
         };
-        let spare = usable(group) + self.matching_spares(free, requirements).count();
+        let spare = usable(group) + self.matching_spares(now, free, requirements).count();
         self.by_id.values().any(|other| {
             let alike = other.id != group.id
                 && other.row.model == group.row.model
--- a/crates/tanagerhub_groups/src/groups/stage.rs
+++ b/crates/tanagerhub_groups/src/groups/stage.rs
@@ -23,6 +23,7 @@
         let engines = self.engines.clone();
         for engine in &engines {
             self.expire_late_loads(now, engine);
+            self.ask_about_loads(now);
             let mut running = self.running_loads(engine);
             let mut plan = None;
             while self
@@ -50,12 +51,22 @@
                 let load = engine.model(model).map(|model| model.load_time);
                 load.is_some_and(|load| now.since(*at) > load * LOAD_TIMEOUT_FACTOR)
             });
-            if late {
+            if late || entry.has_not_begun_load(now) {
                 entry.staging = None;
             }
         }
     }
 
+    /// Asks the VMs that have not answered the order to load a model whether they have begun it.
+    fn ask_about_loads(&mut self, now: Moment) {
+        let entries = self.vms.list.iter();
+        let doubtful = entries.filter(|(_, entry)| entry.is_load_doubtful());
+        let doubtful: Vec<VmId> = doubtful.map(|(vm, _)| *vm).collect();
+        for vm in doubtful {
+            self.ask_report(now, vm);
+        }
+    }
+
     /// Counts the VMs that were ordered to load a model, and those without one that may be loading
     /// it, because they have not told yet whether they are busy.
     fn running_loads(&self, engine: &EngineSpec) -> usize {
@@ -100,7 +111,7 @@
             }
         }
         for vm in self.available_vms() {
-            if let Some(entry) = self.vms.get(vm).filter(|entry| is_idle(entry, engine))
+            if let Some(entry) = self.vms.get(vm).filter(|entry| is_idle(now, entry, engine))
                 && let Some(stock) = plan.domains.get_mut(&entry.domain)
             {
                 stock.idle.push(vm);
@@ -115,7 +126,7 @@
             return;
         };
         entry.staging = Some((model.name.clone(), now));
-        entry.ordered_at = now;
+        entry.record_order(now);
         let name = entry.report.vm.name.clone();
         let address = entry.report.vm.address;
         self.load_meter.record_start(now);
@@ -136,11 +147,12 @@
 }
 
 /// Returns whether a VM has no model and is not loading one.
-fn is_idle(entry: &VmEntry, engine: &EngineSpec) -> bool {
+fn is_idle(now: Moment, entry: &VmEntry, engine: &EngineSpec) -> bool {
     let has_staged = |model: &ModelSpec| entry.report.has_staged(&model.name);
     entry.report.vm.service.as_deref() == Some(&engine.service)
         && entry.staging.is_none()
         && entry.report.busy == Some(false)
+        && !entry.tries.ignores_orders(now)
         && !engine.models.iter().any(has_staged)
 }
 
--- a/crates/tanagerhub_groups/src/groups/stray.rs
+++ b/crates/tanagerhub_groups/src/groups/stray.rs
@@ -65,11 +65,11 @@
         };
         let is_recent =
             |sent: &SentOrder| sent.order == order && now.since(sent.sent_at) < interval;
-        if entry.stray_order.as_ref().is_some_and(is_recent) {
+        if entry.tries.ignores_orders(now) || entry.stray_order.as_ref().is_some_and(is_recent) {
             return false;
         }
         entry.stray_order = Some(SentOrder::new(now, order.clone()));
-        entry.ordered_at = now;
+        entry.record_order(now);
         self.actions.push(GroupsAction::Order {
             vm,
             name: entry.report.vm.name.clone(),
--- a/crates/tanagerhub_groups/src/groups/view.rs
+++ b/crates/tanagerhub_groups/src/groups/view.rs
@@ -73,6 +73,8 @@
     pub lost: bool,
     /// Whether the VM is leaving.
     pub leaving: bool,
+    /// Whether it reports and has begun none of the last orders of this node, which plans.
+    pub ignores_orders: bool,
     /// The remaining time for which the VM is cold, as it reports it.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "cold_ms")]
@@ -149,6 +151,13 @@
             .collect()
     }
 
+    /// Returns the number of VMs that report and have begun none of the last orders of this node.
+    #[must_use]
+    pub fn vms_ignoring_orders(&self) -> usize {
+        let entries = self.vms.list.values();
+        entries.filter(|entry| entry.tries.is_told()).count()
+    }
+
     /// Returns all VMs that this node knows.
     #[must_use]
     pub fn vm_statuses(&self) -> Vec<VmStatus> {
@@ -162,6 +171,7 @@
                 group: entry.report.group,
                 lost: entry.is_unavailable(&self.settings),
                 leaving: entry.is_leaving(),
+                ignores_orders: entry.tries.is_told(),
                 cold_remaining: entry.report.cold_remaining,
             })
             .collect()
--- a/crates/tanagerhub_groups/src/groups/vm_entry.rs
+++ b/crates/tanagerhub_groups/src/groups/vm_entry.rs
@@ -21,6 +21,8 @@
 /// How long a VM must reject probes until it is considered ended; a shorter time may be a fault of
 /// the link.
 const MIN_REJECTION_TIME: Duration = Duration::from_millis(500);
+/// The time within which a VM is seen to begin a load.
+const LOAD_BEGIN_TIME: Duration = Duration::from_secs(1);
 /// How long a suspicion affects the failure count of a VM.
 const SUSPICION_LIFETIME: Duration = Duration::from_millis(500);
 
@@ -36,7 +38,7 @@
     pub(super) asked_at: Option<Moment>,
     /// When the last order was sent to it.
     pub(super) ordered_at: Moment,
-    /// The orders that it has left without an answer.
+    /// The orders that it has not begun.
     pub(super) tries: OrderTries,
     /// The last order that it was sent because it is to be free.
     pub(super) stray_order: Option<SentOrder>,
@@ -245,6 +247,9 @@
             busy: report.busy != Some(false),
             order_count,
         });
+        if let Some(own) = self.own {
+            self.tries.record_count(own.order_count);
+        }
         if let Some((own, it)) = self.own.and_then(|own| Some((own, own.group?))) {
             self.record_membership(sent, (it.group, it.epoch), own.order_count);
         }
@@ -270,6 +275,9 @@
         {
             self.staging = None;
         }
+        if (&report.group, &report.staged) != (&self.report.group, &self.report.staged) {
+            self.tries.record_begun();
+        }
         let busy = report.busy.or(self.report.busy.filter(|_| !restarted));
         self.domain = report.vm.domain_id();
         self.data_centre = report.vm.data_centre_id();
@@ -352,6 +360,12 @@
         Some(seen.order_count)
     }
 
+    /// Records that an order is sent to the VM.
+    pub(super) const fn record_order(&mut self, now: Moment) {
+        self.ordered_at = now;
+        self.tries.record_sent(now);
+    }
+
     /// Returns whether the VM was ordered to finish the requests of a group that it serves.
     pub(super) fn is_ending(&self, group: GroupId, epoch: Epoch) -> bool {
         self.ending
@@ -384,6 +398,22 @@
         is_settled || seen.is_some_and(|it| own.order_count > it.order_count)
     }
 
+    /// Returns whether the VM did not answer the order to load a model.
+    pub(super) const fn is_load_doubtful(&self) -> bool {
+        self.staging.is_some() && self.tries.has_failed()
+    }
+
+    /// Returns whether the VM has not begun a load: it gave no answer, and its report, which is newer,
+    /// tells that it executes no order.
+    pub(super) fn has_not_begun_load(&self, now: Moment) -> bool {
+        let Some((_, at)) = self.staging else {
+            return false;
+        };
+        let is_idle = |own: OwnReport| own.asked_at >= at + MAX_REPORT_LAG && !own.busy;
+        let is_doubtful = self.is_load_doubtful() && now.since(at) >= LOAD_BEGIN_TIME;
+        is_doubtful && self.own.is_some_and(is_idle)
+    }
+
     /// Returns the groups that the VM is in, according to itself and to its row.
     pub(super) fn memberships(&self) -> impl Iterator<Item = GroupReport> {
         let own = self.own.and_then(|own| own.group);
--- a/crates/tanagerhub_groups/tests/support/actions.rs
+++ b/crates/tanagerhub_groups/tests/support/actions.rs
@@ -43,7 +43,8 @@
             }
             events = results;
         }
-        self.nodes[index].groups.take_decisions();
+        let decisions = self.nodes[index].groups.take_decisions();
+        self.decisions.extend(decisions);
         let degraded = self.nodes[index].groups.take_degraded();
         self.degraded.extend(degraded);
     }
--- a/crates/tanagerhub_groups/tests/support/simulation.rs
+++ b/crates/tanagerhub_groups/tests/support/simulation.rs
@@ -15,7 +15,7 @@
 use tanagerhub_catalogue::{EntryId, Epoch, GroupId, Vm, VmId, VmState};
 use tanagerhub_clock::Moment;
 use tanagerhub_groups::{
-    EngineSpec, GROUPS_TABLE, GroupState, Groups, GroupsEvent, GroupsSettings, JoinProof,
+    Decision, EngineSpec, GROUPS_TABLE, GroupState, Groups, GroupsEvent, GroupsSettings, JoinProof,
     KnownBoots, LapsedBoot, LoadLimit, ModelSpec, Order, OrderResult, PlannerRow, Pledge,
     ProbeFailure, TermRow, VmReport,
 };
@@ -132,6 +132,8 @@
     member_lists: BTreeMap<(String, Epoch), Vec<String>>,
     /// Groups that a node reported to have an unreachable member.
     pub degraded: Vec<(GroupId, Epoch)>,
+    /// The decisions of all nodes.
+    pub decisions: Vec<Decision>,
 }
 
 /// A node and its group state machine.
@@ -190,6 +192,7 @@
             violations: BTreeSet::new(),
             member_lists: BTreeMap::new(),
             degraded: Vec::new(),
+            decisions: Vec::new(),
         };
         for domain in 0..domains {
             for index in 0..size {
