Let a planner go on that reaches some VM while most heads are lost

What callers saw: in a small deployment refusals last up to 3.6 s longer after the crash of its heads, until the store drops their rows.

Cause: a planner counted itself as cut off if more than half of the serving heads were out of its reach, changed nothing, resigned, and took over again, ten times a second.

Mend: the answer of any VM within a second shows that its links work; it asks VMs that have not failed. One that reaches no VM resigns as before.

Evidence: cut_off::planner_that_reaches_spares_stays failed before.

--- a/crates/tanagerhub_groups/src/groups/link_doubt.rs
+++ b/crates/tanagerhub_groups/src/groups/link_doubt.rs
@@ -15,6 +15,8 @@
 const CONTROL_PROBES: usize = 3;
 /// The minimum interval between such probes.
 const CONTROL_INTERVAL: Duration = Duration::from_millis(100);
+/// How long the answer of one VM shows that the planner's links work.
+const ANSWER_LIFETIME: Duration = Duration::from_secs(1);
 /// How long a planner is cut off until it resigns.
 const RESIGN_DELAY: Duration = Duration::from_millis(500);
 
@@ -29,13 +31,16 @@
     cut_off_since: Option<Moment>,
     /// When it last was.
     pub(super) cut_off_until: Moment,
+    /// When a VM last answered a probe.
+    answered_at: Option<Moment>,
 }
 
 impl LinkDoubt {
     /// Records the result of a probe.
-    pub(super) fn record(&mut self, vm: VmId, succeeded: bool) {
+    pub(super) fn record(&mut self, now: Moment, vm: VmId, succeeded: bool) {
         if succeeded {
             self.failed.clear();
+            self.answered_at = Some(now);
         } else {
             self.failed.insert(vm);
         }
@@ -44,6 +49,12 @@
     fn exists(&self) -> bool {
         self.failed.len() >= FAILED_VMS
     }
+
+    /// Returns whether a VM has answered within `period`. If most backend servers are out of reach, they
+    /// have failed rather than the links then.
+    fn has_answer(&self, now: Moment, period: Duration) -> bool {
+        self.answered_at.is_some_and(|at| now.since(at) < period)
+    }
 }
 
 impl Groups {
@@ -53,9 +64,17 @@
         self.links.exists() || self.reach().is_cut_off()
     }
 
+    /// Returns whether this node, as the planner, may reach no VM, so that it changes no groups.
+    pub(super) fn may_reach_no_vm(&self, now: Moment) -> bool {
+        let has_answer = self.links.has_answer(now, ANSWER_LIFETIME);
+        self.links.exists() || self.reach().is_cut_off() && !has_answer
+    }
+
     /// Probes VMs that have not failed while the links are in doubt.
     pub(super) fn settle_link_doubt(&mut self, now: Moment) {
-        if !self.links.exists() || now.since(self.links.probed_at) < CONTROL_INTERVAL {
+        let is_cut_off = self.planner.is_held() && self.links.cut_off_since.is_some();
+        let is_open = is_cut_off && !self.links.has_answer(now, ANSWER_LIFETIME / 2);
+        if !(is_open || self.links.exists()) || now.since(self.links.probed_at) < CONTROL_INTERVAL {
             return;
         }
         self.links.probed_at = now;
@@ -75,7 +94,9 @@
         }
         self.links.cut_off_until = now;
         let since = *self.links.cut_off_since.get_or_insert(now);
-        if self.planner.is_held() && !self.store_unreachable && now.since(since) >= RESIGN_DELAY {
+        let has_answer = self.links.has_answer(now, ANSWER_LIFETIME);
+        let is_long = now.since(since) >= RESIGN_DELAY && !has_answer;
+        if self.planner.is_held() && !self.store_unreachable && is_long {
             self.resign_planner(now);
         }
     }
--- a/crates/tanagerhub_groups/src/groups/probe.rs
+++ b/crates/tanagerhub_groups/src/groups/probe.rs
@@ -250,7 +250,7 @@
         result: Result<VmReport, ProbeFailure>,
     ) {
         if result != Err(ProbeFailure::Paused) {
-            self.links.record(vm, result.is_ok());
+            self.links.record(now, vm, result.is_ok());
         }
         let change = self
             .vms
--- a/crates/tanagerhub_groups/src/groups/repair.rs
+++ b/crates/tanagerhub_groups/src/groups/repair.rs
@@ -58,7 +58,7 @@
 impl Groups {
     /// Collects the due changes, and sends them in one transaction.
     pub(super) fn plan_changes(&mut self, now: Moment, term: ActiveTerm) {
-        if self.are_links_in_doubt() {
+        if self.may_reach_no_vm(now) {
             return;
         }
         if self.store_unreachable {
--- a/crates/tanagerhub_groups/tests/cut_off.rs
+++ b/crates/tanagerhub_groups/tests/cut_off.rs
@@ -8,7 +8,7 @@
 
 use simulation::{Simulation, TICK};
 use tanagerhub_catalogue::{Epoch, GroupId};
-use tanagerhub_groups::{KnownBoots, ProbeFailure};
+use tanagerhub_groups::{Decision, KnownBoots, ProbeFailure};
 use yare::parameterized;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -92,3 +92,33 @@
     let renewed = served(&simulation);
     assert_eq!(renewed.difference(&before).count(), 4, "{renewed:?}");
 }
+
+/// Guards against a planner that resigns and takes over ten times a second, and repairs nothing, while the
+/// rows of crashed heads are still listed: it reaches other VMs.
+#[test]
+fn planner_that_reaches_spares_stays() {
+    let mut simulation = Simulation::new(1, 20);
+    simulation.resize_groups((4, 2));
+    for server in simulation.servers.values_mut() {
+        server.report.staged = vec!["big".to_owned(), "small".to_owned()];
+    }
+    simulation.list_all();
+    simulation.plan(0, KnownBoots::default());
+    simulation.run(8 * SECOND);
+    simulation.begin_traffic();
+    let before = simulation.open_heads("big").len();
+    let heads = ["big", "small"].map(|model| simulation.open_heads(model));
+    let lost = heads[1].iter().chain(&heads[0][..1]);
+    for head in lost.take(heads.concat().len() / 2 + 1) {
+        simulation.stop_server(head);
+        simulation.suspect(0, head);
+    }
+    let reads = simulation.reads;
+    simulation.decisions.clear();
+    simulation.run(4 * SECOND);
+    let yields = simulation.decisions.iter();
+    let yields = yields.filter(|it| matches!(it, Decision::PlannerYielded));
+    assert_eq!(yields.count(), 0, "{reads}");
+    assert!(simulation.nodes[0].groups.is_planning());
+    assert_eq!(simulation.open_heads("big").len(), before);
+}
