Complete one of two broken groups with the members of the other, whatever their models

What callers saw: requests for two models were refused until a VM was added, though the members that were left sufficed for one group.

Cause: only a healthy smaller group, or one of the same model, was dissolved for a group without a spare. A group that was to give way and broke blocked the choice of another one.

Mend: of the groups that wait for a spare in vain the largest that the members of the others complete is repaired; the smallest of the others is dissolved for it.

Evidence: repair::complete_one_of_two_models (both orders) fails without the mend.

--- a/crates/tanagerhub_groups/src/decision.rs
+++ b/crates/tanagerhub_groups/src/decision.rs
@@ -99,11 +99,11 @@
         /// The head's name.
         head: String,
     },
-    /// A group is to be dissolved to supply a member to a larger group.
+    /// A group is to be dissolved to supply a member to another group.
     GivesWay {
         /// The group to dissolve.
         group: GroupId,
-        /// The larger group, which lacks a member.
+        /// The other group, which lacks a member.
         to: GroupId,
     },
     /// A model began to miss many of its asks, or ceased to.
--- a/crates/tanagerhub_groups/src/groups/group.rs
+++ b/crates/tanagerhub_groups/src/groups/group.rs
@@ -28,7 +28,7 @@
     pub(super) broken_since: Option<Moment>,
     /// When the head was first ordered to finish its requests.
     pub(super) closing_since: Option<Moment>,
-    /// The larger group of the same domain in whose favour this group is to be dissolved.
+    /// The broken group of the same domain in whose favour this group is to be dissolved.
     pub(super) yields_to: Option<GroupId>,
     /// The progress of the dissolution; `None` if the group is not being dissolved.
     pub(super) dissolving: Option<Dissolving>,
--- a/crates/tanagerhub_groups/src/groups/reassign.rs
+++ b/crates/tanagerhub_groups/src/groups/reassign.rs
@@ -29,7 +29,7 @@
 
 impl Groups {
     /// Returns the groups of an engine that have waited longer than [`SPARE_TIMEOUT`] and will get
-    /// too few spares.
+    /// too few spares, the largest first.
     fn waiting_groups(&self, now: Moment, engine: &EngineSpec) -> Vec<WaitingGroup> {
         let of_engine = self
             .by_id
@@ -40,7 +40,10 @@
             since.is_some_and(|since| now.since(since) >= SPARE_TIMEOUT)
                 && self.lacks_member(now, group)
         });
+        let mut waiting: Vec<&Group> = waiting.collect();
+        waiting.sort_by_key(|group| std::cmp::Reverse(group.members.len()));
         waiting
+            .into_iter()
             .filter_map(|group| {
                 let domain = self.domain_of(&group.members)?;
                 let members = group.members.iter();
@@ -120,16 +123,21 @@
         })
     }
 
-    /// Selects a smaller group to dissolve for each waiting group that no free VM can serve.
+    /// Selects a group to dissolve for each waiting group that no free VM can serve, at most one in a
+    /// domain at a time.
     pub(super) fn release_for_waiting(&mut self, now: Moment) {
         for engine in self.engines.clone() {
-            for waiting in self.waiting_groups(now, &engine) {
+            let all = self.waiting_groups(now, &engine);
+            for waiting in all.iter().copied() {
                 let reassignable = self.by_id.get(&waiting.group).and_then(|group| {
                     let model = engine.model(&group.row.model)?;
                     self.find_reassignable(now, waiting.domain, model, &engine)
                 });
                 if reassignable.is_none()
-                    && let Some(id) = self.find_yielding_group(now, waiting, &engine)
+                    && !self.has_yielding_group(waiting.domain)
+                    && let Some(id) = self
+                        .find_broken_group(now, waiting, &all)
+                        .or_else(|| self.find_yielding_group(now, waiting, &engine))
                     && let Some(group) = self.by_id.get_mut(&id)
                 {
                     group.yields_to = Some(waiting.group);
@@ -140,10 +148,41 @@
         }
     }
 
+    fn has_yielding_group(&self, domain: DomainId) -> bool {
+        let mut groups = self.by_id.values();
+        groups.any(|group| {
+            group.yields_to.is_some() && self.domain_of(&group.members) == Some(domain)
+        })
+    }
+
+    /// Returns the smallest other group of the domain that waits too, if the members of all of them
+    /// suffice for this one. They serve nobody, and none of them can be repaired alone.
+    fn find_broken_group(
+        &self,
+        now: Moment,
+        waiting: WaitingGroup,
+        all: &[WaitingGroup],
+    ) -> Option<GroupId> {
+        let group = self.by_id.get(&waiting.group)?;
+        let missing = |group: &Group| {
+            let members = group.members.iter();
+            members
+                .filter(|vm| self.is_missing(now, group, **vm))
+                .count()
+        };
+        let is_other =
+            |it: &&WaitingGroup| it.domain == waiting.domain && it.group != waiting.group;
+        let others = all.iter().filter(is_other);
+        let others: Vec<&Group> = others.filter_map(|it| self.by_id.get(&it.group)).collect();
+        let usable = others.iter().map(|it| it.members.len() - missing(it));
+        let free = self.supply(now, waiting.domain, &group.row.model);
+        let suffices = free + usable.sum::<usize>() >= missing(group);
+        let smallest = others.iter().min_by_key(|it| (it.members.len(), it.id));
+        smallest.filter(|_| suffices).map(|it| it.id)
+    }
+
     /// Returns the smallest group to dissolve, of a model with more groups in the domain than the
     /// target.
-    ///
-    /// At most one group of a domain is selected at a time.
     fn find_yielding_group(
         &self,
         now: Moment,
@@ -154,13 +193,6 @@
         let compositions = self.configured_compositions(engine);
         let wanted = compositions.get(&waiting.domain)?;
         let in_domain = |group: &&Group| self.domain_of(&group.members) == Some(waiting.domain);
-        if self
-            .by_id
-            .values()
-            .any(|group| group.yields_to.is_some() && in_domain(&group))
-        {
-            return None;
-        }
         let surplus = |group: &&Group| {
             let index = engine
                 .models
@@ -181,15 +213,15 @@
             .map(|group| group.id)
     }
 
-    /// Dissolves a group in favour of a larger one once its head has finished its requests.
+    /// Dissolves a group in favour of another one once its head has finished its requests.
     ///
     /// Returns whether the group is still to be dissolved.
-    pub(super) fn yield_to_larger(&mut self, now: Moment, term: ActiveTerm, id: GroupId) -> bool {
+    pub(super) fn yield_to_other(&mut self, now: Moment, term: ActiveTerm, id: GroupId) -> bool {
         let Some(group) = self.by_id.get(&id) else {
             return false;
         };
-        let larger = group.yields_to.and_then(|to| self.by_id.get(&to));
-        if larger.is_none_or(|larger| larger.broken_since.is_none()) {
+        let other = group.yields_to.and_then(|to| self.by_id.get(&to));
+        if other.is_none_or(|other| other.broken_since.is_none()) {
             if let Some(group) = self.by_id.get_mut(&id) {
                 group.yields_to = None;
             }
--- a/crates/tanagerhub_groups/src/groups/repair.rs
+++ b/crates/tanagerhub_groups/src/groups/repair.rs
@@ -170,7 +170,7 @@
             Some(Dissolving::HeadLeaves) => return,
             None => {}
         }
-        if self.dissolve_for_other_model(now, term, id) {
+        if self.dissolve_for_other_model(now, term, id) || self.yield_to_other(now, term, id) {
             return;
         }
         let Some(group) = self.by_id.get(&id) else {
@@ -184,10 +184,7 @@
             self.end_group(now, term, *vm);
         }
         if taken.is_empty() && !is_broken {
-            if !self.yield_to_larger(now, term, id) {
-                self.mark_healthy(id, changes);
-            }
-            return;
+            return self.mark_healthy(id, changes);
         }
         let since = self
             .by_id
--- a/crates/tanagerhub_groups/tests/repair.rs
+++ b/crates/tanagerhub_groups/tests/repair.rs
@@ -3,6 +3,7 @@
 #[path = "support/simulation.rs"]
 mod simulation;
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use simulation::Simulation;
@@ -114,6 +115,54 @@
     );
 }
 
+/// Guards against two groups of different models that wait for each other's members for ever: the larger
+/// one is completed, whichever of them broke first.
+#[parameterized(
+    larger_first = { ["big", "small"] },
+    smaller_first = { ["small", "big"] },
+)]
+fn complete_one_of_two_models(order: [&str; 2]) {
+    let mut simulation = Simulation::new(1, 6);
+    simulation.engine.models[0].share = 0.75;
+    simulation.engine.models[1].share = 0.25;
+    simulation.resize_groups((3, 2));
+    for server in simulation.servers.values_mut() {
+        server.report.staged = vec!["big".to_owned(), "small".to_owned()];
+    }
+    simulation.list_all();
+    simulation.plan(0, KnownBoots::default());
+    simulation.run(6 * SECOND);
+    simulation.begin_traffic();
+    let assigned = simulation.assigned(0);
+    let names = (0..6).map(|index| format!("vm-0-{index}"));
+    let spare = names.into_iter().find(|name| !assigned.contains(name));
+    let spare = spare.unwrap();
+    simulation.stop_server(&spare);
+    simulation.unlist(&spare);
+    for model in order {
+        let head = simulation.open_heads(model).remove(0);
+        let stopped = simulation.members(&head)[1].clone();
+        simulation.stop_server(&stopped);
+        simulation.unlist(&stopped);
+        simulation.suspect(0, &head);
+        simulation.run(SECOND);
+    }
+    simulation.run(8 * SECOND);
+    let names: BTreeSet<String> = simulation.assigned(0).into_iter().collect();
+    let heads = simulation.open_heads("big");
+    let members: BTreeSet<String> = heads
+        .iter()
+        .flat_map(|head| simulation.members(head))
+        .collect();
+    assert_eq!(members.len(), 3, "{names:?}");
+    assert!(members.iter().all(|name| simulation.server(name).alive));
+    assert!(
+        simulation.violations.is_empty(),
+        "{:?}",
+        simulation.violations
+    );
+}
+
 #[test]
 fn finish_requests_before_member_leaves() {
     let mut simulation = Simulation::serving(1);
