Lead a member out that answers no join with a number

What callers saw: requests for a model were refused for ever after the loss of a member, if another member answers no join that names the number of orders: it is in the group's last epoch, and only a VM in no group gets a join without the number.

Mend: after three such joins without an answer it is ordered to leave, and then joins without the number. That joins got no answer is forgotten only when the VM takes part in another epoch. A head that breaks off by itself has begun no order.

Evidence: sole_joins::member_that_answers_no_number_is_renewed fails without the mend.

--- a/crates/tanagerhub_groups/src/groups/join_check.rs
+++ b/crates/tanagerhub_groups/src/groups/join_check.rs
@@ -51,13 +51,13 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct JoinEvidence {
     order_count: u64,
-    /// Whether it is in no group, not even in the one that it is to join.
-    is_free: bool,
+    /// Its membership in the group that it is to join, at another epoch; `None` if it is in no group.
+    membership: Option<(GroupId, Epoch)>,
 }
 
 impl JoinEvidence {
-    pub(super) const fn is_free(self) -> bool {
-        self.is_free
+    pub(super) const fn membership(self) -> Option<(GroupId, Epoch)> {
+        self.membership
     }
 
     /// Returns the proof by the number of orders.
@@ -67,7 +67,8 @@
 
     /// Returns the proof of a VM in no group by an epoch at which it gets no other join.
     pub(super) fn sole(self, epoch: TermEpoch) -> Option<JoinProof> {
-        self.is_free.then(|| JoinProof::sole_at(epoch.get()))
+        let is_free = self.membership.is_none();
+        is_free.then(|| JoinProof::sole_at(epoch.get()))
     }
 }
 
@@ -109,7 +110,7 @@
         }
         JoinCheck::Proven(JoinEvidence {
             order_count: own.order_count,
-            is_free: present.is_empty(),
+            membership: present.first().map(|it| (it.group, it.epoch)),
         })
     }
 
--- a/crates/tanagerhub_groups/src/groups/lifecycle.rs
+++ b/crates/tanagerhub_groups/src/groups/lifecycle.rs
@@ -170,11 +170,14 @@
         let Some((group, entry)) = self.by_id.get_mut(&id).zip(self.vms.get(vm)) else {
             return;
         };
-        let wanted = if evidence.is_free() {
-            entry.tries.next_join()
-        } else {
-            JoinForm::Counted
-        };
+        let wanted = entry.tries.next_join();
+        if wanted == JoinForm::Sole
+            && let Some(membership) = evidence.membership()
+        {
+            // Only a VM in no group gets a sole join.
+            self.order_to_leave(now, term, vm, membership);
+            return;
+        }
         let interval = self.settings.order_retry_interval;
         let is_pending = |sent: &SentOrder| {
             let has_failed = sent.is_unanswered || sent.refused;
--- a/crates/tanagerhub_groups/src/groups/order_tries.rs
+++ b/crates/tanagerhub_groups/src/groups/order_tries.rs
@@ -128,10 +128,14 @@
     /// Records that the VM has begun an order.
     pub(super) const fn record_begun(&mut self) {
         self.sent = 0;
-        self.unanswered_joins = 0;
         self.has_failed = false;
     }
 
+    /// Records that the VM takes part in another group or epoch than before.
+    pub(super) const fn record_joined(&mut self) {
+        self.unanswered_joins = 0;
+    }
+
     /// Returns whether operators were told that the VM ignores orders.
     pub(super) const fn is_told(&self) -> bool {
         self.is_told
--- a/crates/tanagerhub_groups/src/groups/vm_entry.rs
+++ b/crates/tanagerhub_groups/src/groups/vm_entry.rs
@@ -275,9 +275,16 @@
         {
             self.staging = None;
         }
-        if (&report.group, &report.staged) != (&self.report.group, &self.report.staged) {
+        // A head breaks off by itself.
+        let has_broken = report
+            .group
+            .is_some_and(|it| it.state == GroupState::Broken);
+        if report.staged != self.report.staged || report.group != self.report.group && !has_broken {
             self.tries.record_begun();
         }
+        if report.group.is_some() && report.served_group() != self.report.served_group() {
+            self.tries.record_joined();
+        }
         let busy = report.busy.or(self.report.busy.filter(|_| !restarted));
         self.domain = report.vm.domain_id();
         self.data_centre = report.vm.data_centre_id();
--- a/crates/tanagerhub_groups/tests/sole_joins.rs
+++ b/crates/tanagerhub_groups/tests/sole_joins.rs
@@ -196,3 +196,23 @@
     let joins = simulation.orders.iter().filter(|(_, order)| is_join(order));
     assert_eq!(joins.count(), 0, "{:?}", simulation.orders);
 }
+
+/// Guards against a group that is never renewed: a member of its last epoch answers no join with a number,
+/// and only a VM in no group gets one without. It is led out first.
+#[test]
+fn member_that_answers_no_number_is_renewed() {
+    let mut simulation = before_first_join();
+    simulation.plan(0, KnownBoots::default());
+    simulation.run(6 * SECOND);
+    simulation.begin_traffic();
+    let head = simulation.open_heads("small").remove(0);
+    let stopped = simulation.members(&head)[1].clone();
+    simulation.hold_such_orders(&head, names_number);
+    simulation.stop_server(&stopped);
+    simulation.suspect(0, &head);
+    simulation.run(10 * SECOND);
+    assert_eq!(simulation.open_heads("small").len(), 2);
+    let last = joins(&simulation, &head).pop().unwrap();
+    assert_eq!(last.1, None);
+    assert!(simulation.violations.is_empty());
+}
