Wait for no report and no join for ever

What callers saw: requests for a model were refused as long as a VM of its group gave no report that can be read, or was joining without an end, with a spare beside it.

Cause: these waits of the planner had no end, nor had the one for a ready head without a row that doesn't leave.

Mend: a VM is asked for 2 s, and again 5 s later; meanwhile another one takes its place. A join may take three times the load and the join of its model. A member whose head doesn't leave goes first.

--- a/crates/tanagerhub_groups/src/groups/join_check.rs
+++ b/crates/tanagerhub_groups/src/groups/join_check.rs
@@ -43,7 +43,7 @@
 pub(super) enum FormerHead {
     /// It is out of the group, or it is the VM itself.
     Out,
-    /// It has ended. It may not have broken off yet.
+    /// It has ended, or begins no order. It may not have broken off yet.
     Ended,
 }
 
@@ -82,7 +82,7 @@
         group: Option<GroupId>,
     ) -> JoinCheck {
         let Some((entry, own)) = self.vms.get(vm).zip(self.own_report(now, term, vm)) else {
-            return JoinCheck::Unknown(vm);
+            return self.needs_report(now, vm);
         };
         if now < entry.waits_until {
             return JoinCheck::Waits;
@@ -144,7 +144,7 @@
             return if self.is_confirmed_gone(head) {
                 has_ended
             } else if self.is_reachable(head) {
-                JoinCheck::Unknown(head)
+                self.needs_report(now, head)
             } else {
                 JoinCheck::Waits
             };
@@ -165,11 +165,21 @@
         let is_in_use = own.serves(group, epoch) || self.by_id.get(&group).is_some_and(is_planned);
         if is_in_use {
             JoinCheck::Taken
+        } else if self.is_unresponsive(now, head) {
+            has_ended
         } else {
             JoinCheck::HeadMustLeave(head, group, epoch)
         }
     }
 
+    /// Returns that a VM is to be asked, unless it gives no report.
+    fn needs_report(&self, now: Moment, vm: VmId) -> JoinCheck {
+        match self.vms.get(vm) {
+            Some(entry) if entry.gives_no_report(now) => JoinCheck::Waits,
+            _ => JoinCheck::Unknown(vm),
+        }
+    }
+
     /// Returns the head of a group at an epoch, according to the VMs or to the group's row.
     fn find_head(&self, member: VmId, group: GroupId, epoch: Epoch) -> Option<VmId> {
         let is_head = |it: GroupReport| (it.group, it.epoch, it.rank) == (group, epoch, 0);
@@ -209,7 +219,7 @@
         if was_asked || entry.probe_pending {
             return;
         }
-        entry.asked_at = Some(now);
+        entry.record_question(now);
         self.awaited.insert(vm);
         self.probe(now, vm);
     }
--- a/crates/tanagerhub_groups/src/groups/lifecycle.rs
+++ b/crates/tanagerhub_groups/src/groups/lifecycle.rs
@@ -13,6 +13,7 @@
 use super::group::{Dissolving, Group, SentOrder};
 use super::join_check::{FormerHead, JoinCheck, JoinEvidence};
 use super::order_tries::{JoinForm, OrderNews};
+use super::stage::LOAD_TIMEOUT_FACTOR;
 use super::term::ActiveTerm;
 use super::vm_entry::{OwnReport, VmEntry};
 
@@ -45,15 +46,34 @@
         members.any(|vm| self.is_missing(now, group, *vm))
     }
 
-    /// Returns whether a VM can't take part in its group: it is unusable, or is not in place and ignores
-    /// the orders that would bring it there.
+    /// Returns whether a VM can't take part in its group: it is unusable, or is not in place and can't be
+    /// brought there.
     pub(super) fn is_missing(&self, now: Moment, group: &Group, vm: VmId) -> bool {
-        let is_in_place = match self.vms.state_in(vm, group) {
-            None => false,
-            Some(GroupState::Ready) => group.head() != Some(vm) || !group.was_ready,
-            Some(_) => true,
+        let is_late = match self.vms.state_in(vm, group) {
+            None => self.is_unresponsive(now, vm),
+            Some(GroupState::Ready) if group.was_ready && group.head() == Some(vm) => {
+                self.is_unresponsive(now, vm)
+            }
+            Some(GroupState::Joining) => now.since(group.known_since) > self.join_timeout(group),
+            Some(_) => false,
         };
-        self.is_unusable(vm) || !is_in_place && self.ignores_orders(now, Some(vm))
+        is_late || self.is_unusable(vm)
+    }
+
+    /// Returns the time after which a member that still joins is taken for lost.
+    fn join_timeout(&self, group: &Group) -> Duration {
+        let mut engines = self.engines.iter();
+        let engine = engines.find(|engine| engine.service == group.row.service);
+        let model = engine.and_then(|engine| engine.model(&group.row.model));
+        model.map_or(Duration::MAX, |model| {
+            (model.load_time + model.join_time) * LOAD_TIMEOUT_FACTOR
+        })
+    }
+
+    /// Returns whether a VM can't be brought anywhere now: it begins no order, or gives no report.
+    pub(super) fn is_unresponsive(&self, now: Moment, vm: VmId) -> bool {
+        let entry = self.vms.get(vm);
+        entry.is_some_and(|entry| entry.is_unresponsive(now))
     }
 
     /// Tells operators of the VMs that ignore orders, and of those that follow them again.
@@ -69,12 +89,6 @@
         self.decisions.extend(news);
     }
 
-    /// Returns whether a VM has begun none of the last orders to it.
-    pub(super) fn ignores_orders(&self, now: Moment, vm: Option<VmId>) -> bool {
-        let entry = vm.and_then(|vm| self.vms.get(vm));
-        entry.is_some_and(|entry| entry.tries.ignores_orders(now))
-    }
-
     /// Returns whether a member is lost, so that the group's requests can't go on.
     pub(super) fn has_lost_member(&self, group: &Group) -> bool {
         let is_gone = |vm: &VmId| {
@@ -252,7 +266,7 @@
         let takes_part = |vm: &VmId| self.vms.state_in(*vm, group).is_some();
         let is_complete = group.members.iter().all(takes_part);
         for (vm, epoch) in &pending {
-            if self.ignores_orders(now, Some(*vm)) {
+            if self.is_unresponsive(now, *vm) {
                 if is_complete {
                     return self.keep_group(now, id);
                 }
--- a/crates/tanagerhub_groups/src/groups/reassign.rs
+++ b/crates/tanagerhub_groups/src/groups/reassign.rs
@@ -67,7 +67,7 @@
         let free = self.unassigned_vms();
         let entries = free.iter().filter_map(|vm| self.vms.get(*vm));
         entries
-            .filter(|entry| entry.domain == domain && !entry.tries.ignores_orders(now))
+            .filter(|entry| entry.domain == domain && !entry.is_unresponsive(now))
             .filter(|entry| match &entry.staging {
                 Some((staged, _)) => staged == model,
                 None => entry.report.staged.is_empty() || entry.report.has_staged(model),
@@ -104,7 +104,7 @@
                 && entry.report.vm.service.as_deref() == Some(&engine.service)
                 && entry.staging.is_none()
                 && entry.report.busy != Some(true)
-                && !entry.tries.ignores_orders(now)
+                && !entry.is_unresponsive(now)
                 && entry.may_serve(now, &self.settings).is_none()
                 && !entry.report.has_staged(&model.name)
         };
--- a/crates/tanagerhub_groups/src/groups/repair.rs
+++ b/crates/tanagerhub_groups/src/groups/repair.rs
@@ -439,7 +439,7 @@
                 entry.report.vm.service.as_deref() == Some(requirements.service)
                     && entry.report.has_staged(requirements.model)
                     && entry.staging.is_none()
-                    && !entry.tries.ignores_orders(now)
+                    && !entry.is_unresponsive(now)
                     && !self.joined_elsewhere(entry, requirements.group)
                     && !serves(entry)
             })
--- a/crates/tanagerhub_groups/src/groups/stage.rs
+++ b/crates/tanagerhub_groups/src/groups/stage.rs
@@ -15,7 +15,7 @@
 use super::vm_entry::VmEntry;
 
 /// A load may take this multiple of its expected time before it is ordered again.
-const LOAD_TIMEOUT_FACTOR: u32 = 3;
+pub(super) const LOAD_TIMEOUT_FACTOR: u32 = 3;
 
 impl Groups {
     /// Orders model loads within the limit of the store of weights.
@@ -152,7 +152,7 @@
     entry.report.vm.service.as_deref() == Some(&engine.service)
         && entry.staging.is_none()
         && entry.report.busy == Some(false)
-        && !entry.tries.ignores_orders(now)
+        && !entry.is_unresponsive(now)
         && !engine.models.iter().any(has_staged)
 }
 
--- a/crates/tanagerhub_groups/src/groups/stage/restage.rs
+++ b/crates/tanagerhub_groups/src/groups/stage/restage.rs
@@ -39,7 +39,7 @@
                 && entry.report.vm.service.as_deref() == Some(&engine.service)
                 && entry.staging.is_none()
                 && entry.report.busy != Some(true)
-                && !entry.tries.ignores_orders(now)
+                && !entry.is_unresponsive(now)
                 && entry.may_serve(now, &self.settings).is_none()
                 && let Some(index) = only_model(entry, engine)
                 && let Some(stock) = plan.domains.get_mut(&entry.domain)
--- a/crates/tanagerhub_groups/src/groups/vm_entry.rs
+++ b/crates/tanagerhub_groups/src/groups/vm_entry.rs
@@ -21,6 +21,10 @@
 /// How long a VM must reject probes until it is considered ended; a shorter time may be a fault of
 /// the link.
 const MIN_REJECTION_TIME: Duration = Duration::from_millis(500);
+/// How long a VM is asked for a report that can be used.
+const REPORT_TIMEOUT: Duration = Duration::from_secs(2);
+/// The time after which a VM that has given none is asked again.
+const REPORT_RETRY_DELAY: Duration = Duration::from_secs(5);
 /// The time within which a VM is seen to begin a load.
 const LOAD_BEGIN_TIME: Duration = Duration::from_secs(1);
 /// How long a suspicion affects the failure count of a VM.
@@ -36,6 +40,8 @@
     pub(super) seen_in: Option<SeenIn>,
     /// When it was last asked for its report because of a join.
     pub(super) asked_at: Option<Moment>,
+    /// Since when it is asked for a report, because of joins, and has given none that can be used.
+    report_due_since: Option<Moment>,
     /// When the last order was sent to it.
     pub(super) ordered_at: Moment,
     /// The orders that it has not begun.
@@ -126,6 +132,7 @@
             own: None,
             seen_in: None,
             asked_at: None,
+            report_due_since: None,
             ordered_at: Moment::ZERO,
             tries: OrderTries::default(),
             stray_order: None,
@@ -249,6 +256,7 @@
         });
         if let Some(own) = self.own {
             self.tries.record_count(own.order_count);
+            self.report_due_since = None;
         }
         if let Some((own, it)) = self.own.and_then(|own| Some((own, own.group?))) {
             self.record_membership(sent, (it.group, it.epoch), own.order_count);
@@ -367,6 +375,27 @@
         Some(seen.order_count)
     }
 
+    /// Records that the VM is asked for its report because of a join.
+    pub(super) fn record_question(&mut self, now: Moment) {
+        self.asked_at = Some(now);
+        let since = self.report_due_since.get_or_insert(now);
+        if now.since(*since) >= REPORT_TIMEOUT + REPORT_RETRY_DELAY {
+            *since = now;
+        }
+    }
+
+    /// Returns whether the VM, though it may be reachable, gives no report that can be used, so that it
+    /// isn't asked now.
+    pub(super) fn gives_no_report(&self, now: Moment) -> bool {
+        let waited = self.report_due_since.map(|since| now.since(since));
+        waited.is_some_and(|it| (REPORT_TIMEOUT..REPORT_TIMEOUT + REPORT_RETRY_DELAY).contains(&it))
+    }
+
+    /// Returns whether the VM can't be brought anywhere now: it begins no order, or gives no report.
+    pub(super) fn is_unresponsive(&self, now: Moment) -> bool {
+        self.tries.ignores_orders(now) || self.gives_no_report(now)
+    }
+
     /// Records that an order is sent to the VM.
     pub(super) const fn record_order(&mut self, now: Moment) {
         self.ordered_at = now;
--- a/crates/tanagerhub_groups/tests/support/actions.rs
+++ b/crates/tanagerhub_groups/tests/support/actions.rs
@@ -123,6 +123,8 @@
                     Err(*failure)
                 } else if self.silent.contains(&vm) {
                     Err(ProbeFailure::Unanswered)
+                } else if self.unreadable.contains(&vm) {
+                    Err(ProbeFailure::Malformed)
                 } else if server.alive {
                     Ok(VmReport {
                         started_ms: server.report.started_ms + u64::from(server.displaced),
--- a/crates/tanagerhub_groups/tests/support/backend_server.rs
+++ b/crates/tanagerhub_groups/tests/support/backend_server.rs
@@ -21,6 +21,8 @@
     pub displaced: bool,
     /// How long it finishes requests once it is ordered to close.
     pub closing_time: Duration,
+    /// Whether no join of it comes to an end.
+    pub joins_for_ever: bool,
     /// Whether it refuses each join, as one that lacks the model does.
     pub refuses_joins: bool,
     /// The number of orders that began something.
@@ -76,8 +78,10 @@
             engine().model(model).unwrap().join_time
         };
         self.last_model = Some(model.to_owned());
-        self.pending
-            .push((now + time, PendingStep::Ready(group, epoch)));
+        if !self.joins_for_ever {
+            let done = PendingStep::Ready(group, epoch);
+            self.pending.push((now + time, done));
+        }
         true
     }
 
--- a/crates/tanagerhub_groups/tests/support/simulation.rs
+++ b/crates/tanagerhub_groups/tests/support/simulation.rs
@@ -101,6 +101,8 @@
     pub cut_off: BTreeMap<usize, ProbeFailure>,
     /// Nodes and VMs between which nothing passes; other nodes reach these VMs.
     pub lost_paths: BTreeSet<(usize, VmId)>,
+    /// VMs whose reports to probes can't be read.
+    pub unreadable: BTreeSet<VmId>,
     /// VMs that stand still, and execute the orders sent meanwhile on [`Self::resume`].
     pub silent: BTreeSet<VmId>,
     /// All orders that nodes have sent.
@@ -175,6 +177,7 @@
             isolated: BTreeMap::new(),
             cut_off: BTreeMap::new(),
             lost_paths: BTreeSet::new(),
+            unreadable: BTreeSet::new(),
             silent: BTreeSet::new(),
             orders: Vec::new(),
             overloaded: BTreeSet::new(),
@@ -231,6 +234,7 @@
             alive: true,
             displaced: false,
             closing_time: Duration::ZERO,
+            joins_for_ever: false,
             refuses_joins: false,
             order_count: 0,
             highest_epoch: Epoch(0),
