Search for groups that stay broken, with sole joins, VMs that ignore orders, and heads that come back

The search draws VMs that ignore the number of an open, that need a join without one (carried out late), and that begin no order of a kind, and heads that open a group which they have left. Beside TWO and two planners it finds a group that stays broken for 18 s while a node may plan and the VMs in no group that serves suffice for it.

SEARCH_TRACE=1 prints orders and decisions.

--- a/crates/tanagerhub_groups/src/groups.rs
+++ b/crates/tanagerhub_groups/src/groups.rs
@@ -186,7 +186,14 @@
         self.revision
     }
 
-    /// Returns whether this node is the planner.
+    /// Returns whether this node may give orders and change groups now: it is the planner, and its term
+    /// lasts.
+    #[must_use]
+    pub fn may_plan(&self, now: Moment) -> bool {
+        self.active_term(now).is_some()
+    }
+
+    /// Returns whether this node is the planner, as far as it knows. Its term may have ended.
     #[must_use]
     pub const fn is_planning(&self) -> bool {
         self.planner.is_held()
--- a/crates/tanagerhub_groups/tests/search.rs
+++ b/crates/tanagerhub_groups/tests/search.rs
@@ -1,9 +1,9 @@
 //! Searches for an order of events in which a VM takes a join of another group while the head of its own
-//! serves (TWO), or two nodes plan at the same time.
+//! serves (TWO), two nodes plan at the same time, or a group stays broken although there are VMs for it.
 //!
 //! A run is a deployment with a few troubles, at times close to where terms, promises and reports run out.
 //! `SEARCH_RUNS` and `SEARCH_SEED` make a long search; a run that breaks a rule is shortened.
-//! With `SEARCH_TWO=1` two planners alone break none.
+//! With `SEARCH_TWO=1` two planners alone break none, `SEARCH_TRACE=1` prints what happens.
 
 #[path = "support/search/calls.rs"]
 mod calls;
@@ -17,13 +17,13 @@
 use std::time::{Duration, Instant};
 
 use tanagerhub_clock::Moment;
-use trouble::{LateOrder, Role, Trouble};
+use trouble::{Habit, LateOrder, OrderKind, Role, Trouble};
 use world::{Delivery, World};
 
 /// When the first trouble comes, in milliseconds: the groups of an undisturbed deployment serve.
 const SETTLE_TIME: u64 = 6_000;
 /// The length of a run, in milliseconds.
-const RUN_TIME: u64 = 26_000;
+const RUN_TIME: u64 = 42_000;
 /// The number of runs without a setting.
 const RUNS: u64 = 400;
 /// The number of seeds with which a known course is played.
@@ -47,6 +47,8 @@
     seed: u64,
     /// The size of a large group, and the number of VMs.
     size: (usize, usize),
+    /// What VMs do with orders, by their index.
+    habits: Vec<(usize, Habit)>,
     late: Vec<LateOrder>,
     /// The troubles, with their times after the first one in milliseconds.
     troubles: Vec<(u64, Trouble)>,
@@ -95,11 +97,28 @@
             let time = Duration::from_millis([600, 1_200][pick(2)]);
             troubles.push(Trouble::Silence(ROLES[pick(5)], time));
         }
+        if pick(4) == 0 {
+            let with_members = pick(2) == 0;
+            troubles.push(Trouble::Revive { with_members });
+        }
         let troubles = troubles.into_iter();
         let troubles = troubles.map(|it| (TIMES[pick(TIMES.len())], it)).collect();
+        let mut habits = Vec::new();
+        if pick(3) == 0 {
+            habits.extend((0..size.1).map(|vm| (vm, Habit::OpensUncounted)));
+        }
+        if pick(3) == 0 {
+            let by = [2_000, 5_000, 7_000, 9_000, 12_000][pick(5)];
+            let habit = Habit::NeedsSoleJoin(Duration::from_millis(by));
+            habits.push((pick(size.1), habit));
+        }
+        if pick(3) == 0 {
+            habits.push((pick(size.1), ignored_orders(&mut pick)));
+        }
         Self {
             seed,
             size,
+            habits,
             late,
             troubles,
         }
@@ -109,7 +128,9 @@
     fn play(&self) -> (Vec<String>, usize) {
         let mut world = World::new(self.seed, self.size.0, self.size.1);
         world.late.clone_from(&self.late);
+        world.set_habits(&self.habits);
         world.allows_two_planners = setting("SEARCH_TWO", 0) == 1;
+        world.is_traced = setting("SEARCH_TRACE", 0) == 1;
         for (at, trouble) in &self.troubles {
             let delay = Duration::from_millis(SETTLE_TIME + at);
             world.send(delay, 0, Delivery::Trouble(*trouble));
@@ -129,6 +150,13 @@
                 run = shorter;
             }
         }
+        for index in (0..run.habits.len()).rev() {
+            let mut shorter = run.clone();
+            shorter.habits.remove(index);
+            if breaks(&shorter) {
+                run = shorter;
+            }
+        }
         for index in (0..run.late.len()).rev() {
             let mut shorter = run.clone();
             shorter.late.remove(index);
@@ -188,6 +216,19 @@
     }
 }
 
+fn ignored_orders(pick: &mut impl FnMut(usize) -> usize) -> Habit {
+    let kinds = [
+        OrderKind::Any,
+        OrderKind::Join,
+        OrderKind::Open,
+        OrderKind::End,
+    ];
+    let from = [0, SETTLE_TIME][pick(2)];
+    let to = [8_000, 14_000, 2 * RUN_TIME][pick(3)];
+    let times = [from, to].map(Moment::from_millis);
+    Habit::Ignores(kinds[pick(4)], times[0], times[1])
+}
+
 fn setting(name: &str, default: u64) -> u64 {
     let value = std::env::var(name).ok();
     value.map_or(default, |value| value.parse().unwrap())
@@ -199,6 +240,7 @@
     let run = Run {
         seed: 1,
         size: (3, 6),
+        habits: Vec::new(),
         late: Vec::new(),
         troubles: Vec::new(),
     };
@@ -227,6 +269,7 @@
     let run = Run {
         seed: 0,
         size: (4, 7),
+        habits: Vec::new(),
         late: Vec::new(),
         troubles: vec![
             (0, Trouble::StopOther),
@@ -252,6 +295,7 @@
     let run = Run {
         seed: 0,
         size: (3, 6),
+        habits: Vec::new(),
         late: vec![
             late(false, Role::SmallHead, false, 12),
             late(true, Role::SmallHead, false, 7),
--- a/crates/tanagerhub_groups/tests/support/search/trouble.rs
+++ b/crates/tanagerhub_groups/tests/support/search/trouble.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use tanagerhub_clock::Moment;
 use tanagerhub_groups::Order;
 
 /// The part of a VM.
@@ -49,6 +50,38 @@
     }
 }
 
+/// What a VM does with orders, beside what the pages say of a sound one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Habit {
+    /// It opens whatever number of orders the order names.
+    OpensUncounted,
+    /// It leaves joins unanswered that name a number, until it gets one without, which it carries out
+    /// late by this time.
+    NeedsSoleJoin(Duration),
+    /// It leaves orders of a kind unanswered, between two times, and never carries them out.
+    Ignores(OrderKind, Moment, Moment),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OrderKind {
+    Any,
+    Join,
+    Open,
+    /// To close or to leave.
+    End,
+}
+
+impl OrderKind {
+    pub const fn includes(self, order: &Order) -> bool {
+        match self {
+            Self::Any => true,
+            Self::Join => matches!(order, Order::Join { .. }),
+            Self::Open => matches!(order, Order::Open { .. }),
+            Self::End => matches!(order, Order::Close { .. } | Order::Leave { .. }),
+        }
+    }
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Trouble {
     /// A node that doesn't plan stops in order.
@@ -68,4 +101,8 @@
     LoseAnswers(Duration),
     Crash(Role),
     Silence(Role, Duration),
+    /// A head that has left its group opens it once more, alone or with the members that are in none.
+    Revive {
+        with_members: bool,
+    },
 }
--- a/crates/tanagerhub_groups/tests/support/search/vm.rs
+++ b/crates/tanagerhub_groups/tests/support/search/vm.rs
@@ -8,6 +8,7 @@
 use tanagerhub_groups::{GroupReport, GroupState, Order, OrderResult, VmReport};
 
 use super::calls::expected_count;
+use super::trouble::Habit;
 
 /// The time of a join whose model was that of the VM's last group, and of any other.
 const REJOIN_TIME: Duration = Duration::from_millis(200);
@@ -48,8 +49,9 @@
     pub alive: bool,
     pub silent_until: Moment,
     pub member: Option<Member>,
-    /// When it last left a group by an order.
-    pub left_at: Option<Moment>,
+    /// The group that it left last by an order.
+    pub former: Option<Member>,
+    pub habits: Vec<Habit>,
     /// Orders that were left unanswered, with the time at which each came.
     pub held: VecDeque<(Moment, Order)>,
     last_model: String,
@@ -74,7 +76,8 @@
             alive: true,
             silent_until: Moment::ZERO,
             member: None,
-            left_at: None,
+            former: None,
+            habits: Vec::new(),
             held: VecDeque::new(),
             last_model: String::new(),
             newest_epoch: Epoch(0),
@@ -134,14 +137,52 @@
         true
     }
 
-    pub fn leave(&mut self, now: Moment) {
-        self.member = None;
-        self.left_at = Some(now);
+    /// Returns whether the VM can become a member.
+    pub fn is_usable(&self, now: Moment) -> bool {
+        let is_deaf = |it: &Habit| matches!(it, Habit::Ignores(_, _, to) if now < *to);
+        self.alive && self.silent_until <= now && !self.habits.iter().any(is_deaf)
+    }
+
+    /// Takes part once more in a group that it has left, in another state.
+    pub fn rejoin(&mut self, mut member: Member, state: GroupState) {
+        member.state = state;
+        member.due = None;
+        member.missing_since = None;
+        self.member = Some(member);
+        self.order_count += 1;
+    }
+
+    /// Returns whether the VM never carries an order out.
+    pub fn ignores(&self, now: Moment, order: &Order) -> bool {
+        self.habits.iter().any(|habit| match habit {
+            Habit::Ignores(kind, from, to) => kind.includes(order) && (*from..*to).contains(&now),
+            Habit::NeedsSoleJoin(_) => {
+                matches!(order, Order::Join { .. }) && expected_count(order).is_some()
+            }
+            Habit::OpensUncounted => false,
+        })
+    }
+
+    /// Returns how late the VM carries a join out because of a habit, which ends with that.
+    pub fn delay_sole_join(&mut self, order: &Order) -> Option<Duration> {
+        let is_join = matches!(order, Order::Join { .. });
+        let index = self
+            .habits
+            .iter()
+            .position(|it| matches!(it, Habit::NeedsSoleJoin(_)));
+        let index = index.filter(|_| is_join && expected_count(order).is_none())?;
+        match self.habits.remove(index) {
+            Habit::NeedsSoleJoin(by) => Some(by),
+            Habit::OpensUncounted | Habit::Ignores(..) => None,
+        }
     }
 
     /// Carries an order out.
     pub fn execute(&mut self, now: Moment, order: &Order) -> OrderResult {
-        if expected_count(order).is_some_and(|count| count != self.order_count) {
+        let is_open = matches!(order, Order::Open { .. });
+        let is_counted = !(is_open && self.habits.contains(&Habit::OpensUncounted));
+        let count = expected_count(order).filter(|_| is_counted);
+        if count.is_some_and(|count| count != self.order_count) {
             return OrderResult::Unfit;
         }
         let is_in = |it: &Option<Member>, group: &GroupId, epoch: &Epoch| {
@@ -195,7 +236,7 @@
                 if !is_in(&self.member, group, epoch) {
                     return OrderResult::Unfit;
                 }
-                self.leave(now);
+                self.former = self.member.take();
             }
             Order::Stage { .. } => {}
         }
--- a/crates/tanagerhub_groups/tests/support/search/world.rs
+++ b/crates/tanagerhub_groups/tests/support/search/world.rs
@@ -9,8 +9,9 @@
 use tanagerhub_catalogue::{DataCentreId, EntryId, VmId};
 use tanagerhub_clock::Moment;
 use tanagerhub_groups::{
-    EngineSpec, Groups, GroupsAction, GroupsEvent, GroupsSettings, LoadLimit, ModelSpec, Order,
-    OrderResult, Presence, PresenceAction, ProbeFailure, RelayEndpoint, SeenVm, VmReport,
+    EngineSpec, GroupRow, GroupState, Groups, GroupsAction, GroupsEvent, GroupsSettings, LoadLimit,
+    ModelSpec, Order, OrderResult, Presence, PresenceAction, ProbeFailure, RelayEndpoint, SeenVm,
+    VmReport,
 };
 use tanagerhub_table::{
     CommitResult, FeedPage, PageKind, RowKey, RowVersion, StoreAnswer, StoreTime, Transaction,
@@ -18,7 +19,7 @@
 };
 
 use super::calls::Answer;
-use super::trouble::{LateOrder, Role, Trouble};
+use super::trouble::{Habit, LateOrder, Role, Trouble};
 use super::vm::VmModel;
 
 pub const TICK: Duration = Duration::from_millis(100);
@@ -28,6 +29,9 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
 /// The range of times after which an order that was left unanswered is carried out.
 const LATE_TIMES: (Duration, Duration) = (Duration::from_secs(2), Duration::from_secs(12));
+/// The longest time for which a group stays broken while there are VMs for it and a node may plan: a VM
+/// is found to be lost, another group gives way for it, and two VMs in turn begin no order.
+const REPAIR_TIME: Duration = Duration::from_secs(18);
 /// The time after which the store drops the row of a VM that has ended.
 const LAPSE_TIME: Duration = Duration::from_millis(3_600);
 
@@ -93,8 +97,12 @@
     pub broken: BTreeSet<String>,
     /// Whether a run may go on with two planners, in search of what they do.
     pub allows_two_planners: bool,
+    /// Whether orders and decisions are printed.
+    pub is_traced: bool,
     /// Who began to plan, by the store, and when.
     planner: (u64, Moment),
+    /// Since when VMs suffice for a group that doesn't serve, while a node may plan.
+    idle_since: Option<Moment>,
     pub orders: usize,
 }
 
@@ -143,7 +151,9 @@
             is_troubled: false,
             broken: BTreeSet::new(),
             allows_two_planners: false,
+            is_traced: false,
             planner: (0, Moment::ZERO),
+            idle_since: None,
             orders: 0,
         };
         for index in 0..vms {
@@ -159,6 +169,14 @@
         world
     }
 
+    /// Sets what VMs do with orders, by their index.
+    pub fn set_habits(&mut self, habits: &[(usize, Habit)]) {
+        for (index, habit) in habits {
+            let vm = VmId::of(&format!("vm-{index}"));
+            self.vms.get_mut(&vm).unwrap().habits.push(*habit);
+        }
+    }
+
     /// Returns a pseudo-random number below `bound`.
     pub fn draw(&mut self, bound: u64) -> u64 {
         self.seed ^= self.seed << 13;
@@ -341,6 +359,7 @@
         self.send(TICK + jitter, node, Delivery::Tick);
         self.feed(node);
         self.handle(node, GroupsEvent::Tick);
+        self.check_repair();
         let now = self.now;
         let it = &mut self.nodes[node];
         let can_plan = it.read.is_some() && !it.reads_fail && !it.draining;
@@ -367,7 +386,9 @@
     pub fn handle(&mut self, node: usize, event: GroupsEvent) {
         let now = self.now;
         let actions = self.nodes[node].groups.on_event(now, event);
-        self.nodes[node].groups.take_decisions();
+        for decision in self.nodes[node].groups.take_decisions() {
+            self.trace(&format!("node-{node}: {decision:?}"));
+        }
         self.nodes[node].groups.take_degraded();
         for action in actions {
             self.act(node, action);
@@ -523,14 +544,17 @@
     fn order_arrives(&mut self, node: usize, vm: VmId, order: Order) {
         let model = &self.vms[&vm];
         let unreached = !model.alive || model.silent_until > self.now;
+        let ignored = model.ignores(self.now, &order);
         let role = self.role_of(vm, &order);
         let in_trouble = self.is_troubled;
         let mut late = self.late.iter();
         let held = late.position(|it| it.matches(&order, role, in_trouble));
-        let result = if unreached {
+        let held = held.filter(|_| !unreached && !ignored);
+        let late = held.map(|index| self.late.remove(index).by);
+        let late = late.or_else(|| self.vms.get_mut(&vm).unwrap().delay_sole_join(&order));
+        let result = if unreached || ignored {
             OrderResult::Unknown
-        } else if let Some(index) = held {
-            let by = self.late.remove(index).by;
+        } else if let Some(by) = late {
             let now = self.now;
             self.vms
                 .get_mut(&vm)
@@ -542,6 +566,10 @@
         } else {
             self.execute(vm, &order)
         };
+        self.trace(&format!(
+            "{}: {order:?} -> {result:?}",
+            self.vms[&vm].vm.name
+        ));
         let delay = if result == OrderResult::Unknown {
             ORDER_TIMEOUT
         } else {
@@ -570,7 +598,10 @@
         let age = self.now.since(at);
         let model = &self.vms[&vm];
         if model.alive && (LATE_TIMES.0..=LATE_TIMES.1).contains(&age) {
-            self.execute(vm, &order);
+            self.idle_since = None;
+            let result = self.execute(vm, &order);
+            let name = &self.vms[&vm].vm.name;
+            self.trace(&format!("{name}, late: {order:?} -> {result:?}"));
         }
     }
 
@@ -639,13 +670,64 @@
         }
     }
 
+    /// Checks that no group stays broken for long for which there are VMs, while a node may plan.
+    fn check_repair(&mut self) {
+        let now = self.now;
+        let plans = |it: &Node| it.groups.may_plan(now) && self.runs(it);
+        let broken = self.broken_group().filter(|_| self.nodes.iter().any(plans));
+        let Some(group) = broken else {
+            self.idle_since = None;
+            return;
+        };
+        let since = *self.idle_since.get_or_insert(now);
+        if now.since(since) > REPAIR_TIME {
+            self.broken
+                .insert(format!("REPAIR: {group} is broken since {since:?}"));
+        }
+    }
+
+    /// Returns a group that doesn't serve although the VMs in no group that serves suffice for it.
+    fn broken_group(&self) -> Option<String> {
+        let rows = self
+            .rows
+            .iter()
+            .filter(|(key, _)| key.name().starts_with("g/"));
+        let rows = rows.filter_map(|(key, row)| Some((key.name(), group_in(row.value.as_ref()?))));
+        let (serving, broken): (Vec<_>, Vec<_>) = rows.partition(|(_, row)| self.serves(row));
+        let is_used = |name: &String| serving.iter().any(|(_, row)| row.members.contains(name));
+        let is_idle = |it: &&VmModel| it.is_usable(self.now) && !is_used(&it.vm.name);
+        let idle = self.vms.values().filter(is_idle).count();
+        let broken = broken.iter().filter(|(_, row)| row.members.len() <= idle);
+        broken.map(|(name, _)| (*name).to_owned()).next()
+    }
+
+    /// Returns whether the head of a group's row is open with all its members.
+    fn serves(&self, row: &GroupRow) -> bool {
+        row.members.iter().enumerate().all(|(rank, name)| {
+            let model = &self.vms[&VmId::of(name)];
+            let member = model.member.as_ref().filter(|_| model.alive);
+            member.is_some_and(|it| it.epoch >= row.epoch && (rank > 0 || it.serves()))
+        })
+    }
+
     /// Returns the node that plans, by the store, and the other ones.
     fn planner_node(&self) -> Option<usize> {
         self.nodes.iter().position(|it| it.boot == self.planner.0)
     }
 
+    fn trace(&self, line: &str) {
+        if self.is_traced {
+            println!(
+                "{:.3} s  {line}",
+                self.now.since(Moment::ZERO).as_secs_f64()
+            );
+        }
+    }
+
     fn trouble(&mut self, trouble: Trouble) {
+        self.trace(&format!("{trouble:?}"));
         self.is_troubled = true;
+        self.idle_since = None;
         let planner = self.planner_node();
         let now = self.now;
         let others = (0..self.nodes.len()).filter(|index| Some(*index) != planner);
@@ -709,6 +791,33 @@
                     self.vms.get_mut(&vm).unwrap().silent_until = now + time;
                 }
             }
+            Trouble::Revive { with_members } => self.revive(with_members),
+        }
+    }
+
+    /// Brings back the group that a head has left last, if it is in none.
+    fn revive(&mut self, with_members: bool) {
+        let is_former_head = |it: &VmModel| {
+            let former = it
+                .former
+                .as_ref()
+                .filter(|_| it.alive && it.member.is_none());
+            former.is_some_and(|member| member.members[0] == it.vm.name)
+        };
+        let head = self.vms.values().find(|it| is_former_head(it));
+        let Some(member) = head.and_then(|it| it.former.clone()) else {
+            return;
+        };
+        for (rank, name) in member.members.iter().enumerate() {
+            let model = self.vms.get_mut(&VmId::of(name)).unwrap();
+            let state = if rank == 0 {
+                GroupState::Open
+            } else {
+                GroupState::Ready
+            };
+            if model.alive && model.member.is_none() && (rank == 0 || with_members) {
+                model.rejoin(member.clone(), state);
+            }
         }
     }
 
@@ -723,6 +832,12 @@
     }
 }
 
+/// Returns a group's row.
+fn group_in(value: &[u8]) -> GroupRow {
+    let config = bincode::config::standard();
+    bincode::serde::decode_from_slice(value, config).unwrap().0
+}
+
 /// Returns the boot id in a planner's row.
 fn boot_in(value: &[u8]) -> u64 {
     let config = bincode::config::standard();
