--- a/crates/tanagerhub_groups/tests/sole_joins.rs
+++ b/crates/tanagerhub_groups/tests/sole_joins.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use simulation::{Simulation, joined_count};
+use simulation::{JoinFault, Simulation, joined_count};
 use tanagerhub_catalogue::{Epoch, VmId};
 use tanagerhub_groups::{GroupsEvent, KnownBoots, Order, OrderResult};
 
@@ -130,7 +130,7 @@
 fn refused_number_stays() {
     let mut simulation = before_first_join();
     for server in simulation.servers.values_mut() {
-        server.refuses_joins = true;
+        server.join_fault = Some(JoinFault::Refused);
     }
     simulation.plan(0, KnownBoots::default());
     simulation.run(12 * SECOND);
--- a/crates/tanagerhub_groups/tests/support/backend_server.rs
+++ b/crates/tanagerhub_groups/tests/support/backend_server.rs
@@ -21,10 +21,8 @@
     pub displaced: bool,
     /// How long it finishes requests once it is ordered to close.
     pub closing_time: Duration,
-    /// Whether no join of it comes to an end.
-    pub joins_for_ever: bool,
-    /// Whether it refuses each join, as one that lacks the model does.
-    pub refuses_joins: bool,
+    /// What goes wrong with each join; `None` if nothing does.
+    pub join_fault: Option<JoinFault>,
     /// The number of orders that began something.
     pub order_count: u64,
     /// The highest epoch that it has seen.
@@ -38,6 +36,15 @@
     pub(super) pending: Vec<(Moment, PendingStep)>,
 }
 
+/// What goes wrong with the joins of a VM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum JoinFault {
+    /// It refuses each one, as a VM that lacks the model does.
+    Refused,
+    /// None of them comes to an end.
+    Endless,
+}
+
 /// A step that a VM completes after some time.
 #[derive(Debug, Clone)]
 pub(super) enum PendingStep {
@@ -78,7 +85,7 @@
             engine().model(model).unwrap().join_time
         };
         self.last_model = Some(model.to_owned());
-        if !self.joins_for_ever {
+        if self.join_fault != Some(JoinFault::Endless) {
             let done = PendingStep::Ready(group, epoch);
             self.pending.push((now + time, done));
         }
--- a/crates/tanagerhub_groups/tests/support/simulation.rs
+++ b/crates/tanagerhub_groups/tests/support/simulation.rs
@@ -21,6 +21,7 @@
 };
 use tanagerhub_table::{RowKey, RowVersion, StoreVersion, Transaction, VersionedRow};
 
+pub use self::backend_server::JoinFault;
 use self::backend_server::{BackendServer, PendingStep};
 pub use self::commit_fault::CommitFault;
 pub use self::store::StoreState;
@@ -234,8 +235,7 @@
             alive: true,
             displaced: false,
             closing_time: Duration::ZERO,
-            joins_for_ever: false,
-            refuses_joins: false,
+            join_fault: None,
             order_count: 0,
             highest_epoch: Epoch(0),
             left: None,
@@ -624,7 +624,8 @@
             Order::Close { .. } | Order::Leave { .. } | Order::Stage { .. } => None,
         };
         let server = &self.servers[&vm];
-        let refuses = server.refuses_joins && matches!(order, Order::Join { .. });
+        let refuses =
+            server.join_fault == Some(JoinFault::Refused) && matches!(order, Order::Join { .. });
         refuses || known.is_some_and(|known| known != server.order_count)
     }
 
