Tell in the state dump whether a node may plan now, and who holds the planner's row

Cause: the dump told that the node holds the row, as far as it knows.

Mend: plans says whether its term lasts; planner tells the holder, whether this node holds the row, and how long its term lasts.

Evidence: gateway planner_state::state_tells_who_may_plan fails with the former value (run with it put back).

--- a/crates/tanagerhub/src/gateway/control.rs
+++ b/crates/tanagerhub/src/gateway/control.rs
@@ -34,7 +34,7 @@
 use crate::gateway::planner_calls::{PlannerCall, PlannerReply};
 use crate::gateway::relay::Peers;
 use crate::gateway::shared::SharedState;
-use crate::gateway::state_dump::{EraDump, StateDump};
+use crate::gateway::state_dump::{EraDump, PlannerDump, StateDump};
 use crate::gateway::store_eras::StoreEras;
 use crate::gateway::store_health::{MIN_PEERS, StoreHealth};
 use crate::gateway::{Adapters, Configuration, GatewayMetrics};
@@ -486,13 +486,23 @@
         self.presence.set_planning(planning);
     }
 
+    fn planner_dump(&self, now: Moment) -> PlannerDump {
+        let term = self.groups.term_remaining(now);
+        PlannerDump {
+            holder: self.presence.planner().map(str::to_owned),
+            holds_row: self.groups.is_planning(),
+            term_ms: u64::try_from(term.as_millis()).unwrap_or(u64::MAX),
+        }
+    }
+
     fn dump(&self, now: Moment) -> String {
         let dump = StateDump {
             configuration: self.view.configuration.as_ref().map(|it| it.version),
             store_age_ms: u64::try_from(self.shared.age().as_millis()).unwrap_or(u64::MAX),
             store_era: EraDump::of(&self.eras),
             nodes: self.view.live_nodes,
-            plans: self.groups.is_planning(),
+            plans: self.groups.may_plan(now),
+            planner: self.planner_dump(now),
             evacuated: self.view.evacuated.iter().cloned().collect(),
             memory: self.shared.memory().map(MemoryDump::of),
             routes: self.view.heads.iter().map(Into::into).collect(),
--- a/crates/tanagerhub/src/gateway/state_dump.rs
+++ b/crates/tanagerhub/src/gateway/state_dump.rs
@@ -29,6 +29,17 @@
     }
 }
 
+/// The planner, as far as a node knows.
+#[derive(Debug, Serialize)]
+pub(crate) struct PlannerDump {
+    /// The name of the node that holds the planner's row; `None` if no node tells that it does.
+    pub(crate) holder: Option<String>,
+    /// Whether this node holds the row. Its term may have ended.
+    pub(crate) holds_row: bool,
+    /// Milliseconds until the term of this node ends, unless it is renewed.
+    pub(crate) term_ms: u64,
+}
+
 /// The state of a node, with the version and the age of its configuration.
 #[derive(Debug, Serialize)]
 pub(crate) struct StateDump {
@@ -41,8 +52,10 @@
     pub(crate) store_era: Option<EraDump>,
     /// The number of live nodes.
     pub(crate) nodes: usize,
-    /// Whether this node is the planner.
+    /// Whether this node may give orders and change groups now.
     pub(crate) plans: bool,
+    /// The planner, as far as this node knows.
+    pub(crate) planner: PlannerDump,
     /// The names of data centres that are out of service.
     pub(crate) evacuated: Vec<String>,
     /// The memory budget, if the node has one.
--- a/crates/tanagerhub/tests/gateway.rs
+++ b/crates/tanagerhub/tests/gateway.rs
@@ -10,6 +10,8 @@
 mod foreign_bytes;
 #[path = "gateway/kept_connections.rs"]
 mod kept_connections;
+#[path = "gateway/planner_state.rs"]
+mod planner_state;
 #[path = "gateway/self_reports.rs"]
 mod self_reports;
 #[path = "gateway/server_limits.rs"]
--- a/crates/tanagerhub/tests/support/deployment.rs
+++ b/crates/tanagerhub/tests/support/deployment.rs
@@ -499,6 +499,27 @@
         status(&response)
     }
 
+    /// Returns the state dump once it fulfils a condition; panics after `timeout`.
+    pub async fn wait_for_state(
+        &self,
+        timeout: Duration,
+        is_met: impl Fn(&serde_json::Value) -> bool,
+    ) -> serde_json::Value {
+        let address = self.settings.metrics_address.unwrap();
+        let request = "GET /state HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+        let started = Instant::now();
+        loop {
+            let text = exchange(address, request).await;
+            let body = text.split_once("\r\n\r\n").map_or("", |(_, body)| body);
+            let state = serde_json::from_str(body).unwrap_or_default();
+            if is_met(&state) {
+                return state;
+            }
+            assert!(started.elapsed() < timeout, "{text}");
+            task::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
     /// Returns the value of a metric, whose name includes its labels.
     pub async fn metric(&self, name: &str) -> u64 {
         let address = self.settings.metrics_address.unwrap();
--- a/crates/tanagerhub/tests/support/memory_store.rs
+++ b/crates/tanagerhub/tests/support/memory_store.rs
@@ -17,6 +17,8 @@
     rows: Mutex<Rows>,
     /// Whether all reads fail.
     pub down: AtomicBool,
+    /// Whether all transactions are refused.
+    pub refuses_commits: AtomicBool,
     /// The waits of all calls for changes, in order; the store doesn't wait for them.
     pub waits: Mutex<Vec<Duration>>,
 }
@@ -126,6 +128,10 @@
 impl Store for MemoryStore {
     fn commit(&self, transaction: Transaction) -> BoxFuture<'_, StoreAnswer<CommitResult>> {
         let mut rows = self.rows();
+        if self.refuses_commits.load(Ordering::SeqCst) {
+            let answer = StoreAnswer::new(CommitResult::NotApplied, rows.era);
+            return Box::pin(async move { answer });
+        }
         for write in transaction.writes {
             match write {
                 Write::Put { key, value } => rows.put(key, Some(value)),
--- a/crates/tanagerhub_groups/src/groups.rs
+++ b/crates/tanagerhub_groups/src/groups.rs
@@ -193,6 +193,14 @@
         self.active_term(now).is_some()
     }
 
+    /// Returns the time until this node's term as the planner ends, unless it is renewed; zero without
+    /// one.
+    #[must_use]
+    pub fn term_remaining(&self, now: Moment) -> Duration {
+        let term = self.active_term(now);
+        term.map_or(Duration::ZERO, |term| term.ends_at().since(now))
+    }
+
     /// Returns whether this node is the planner, as far as it knows. Its term may have ended.
     #[must_use]
     pub const fn is_planning(&self) -> bool {
--- a/crates/tanagerhub_groups/src/presence.rs
+++ b/crates/tanagerhub_groups/src/presence.rs
@@ -533,6 +533,18 @@
         WRITE_INTERVAL.max(WRITE_INTERVAL_PER_NODE.saturating_mul(nodes))
     }
 
+    /// Returns the name of the node that holds the planner's row, by its own presence row; `None` if none
+    /// says so.
+    #[must_use]
+    pub fn planner(&self) -> Option<&str> {
+        if self.own.planning {
+            return Some(&self.node);
+        }
+        let planning = self.nodes.iter().filter(|(_, entry)| entry.is_planning());
+        let newest = planning.max_by_key(|(_, entry)| entry.version);
+        newest.map(|(name, _)| name.as_str())
+    }
+
     /// Returns whether another node is the planner, according to its row.
     #[must_use]
     pub fn has_other_planner(&self, now: Moment) -> bool {
