Split the planner's rows, spares, members and dissolutions, and the peers of a node, into modules

Functions moved as they were; only visibilities, imports and the headers of modules changed. The tests of the crate pass.

--- a/crates/tanagerhub_groups/src/groups.rs
+++ b/crates/tanagerhub_groups/src/groups.rs
@@ -2,10 +2,13 @@
 
 mod compose;
 mod demand;
+mod dissolve;
 mod group;
+mod group_rows;
 mod join_check;
 mod lifecycle;
 mod link_doubt;
+mod members;
 mod model_status;
 mod order_tries;
 mod peer_view;
@@ -16,6 +19,7 @@
 mod repair;
 mod restore;
 mod silence;
+mod spares;
 mod stage;
 mod stray;
 mod takeover;
