--- a/crates/tanagerhub_groups/tests/search.rs
+++ b/crates/tanagerhub_groups/tests/search.rs
@@ -7,6 +7,12 @@
 
 #[path = "support/search/calls.rs"]
 mod calls;
+#[path = "support/search/effects.rs"]
+mod effects;
+#[path = "support/search/orders.rs"]
+mod orders;
+#[path = "support/search/repairs.rs"]
+mod repairs;
 #[path = "support/search/trouble.rs"]
 mod trouble;
 #[path = "support/search/vm.rs"]
--- a/crates/tanagerhub_groups/tests/sole_joins.rs
+++ b/crates/tanagerhub_groups/tests/sole_joins.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use simulation::{JoinFault, Simulation, joined_count};
+use simulation::{Simulation, joined_count};
 use tanagerhub_catalogue::{Epoch, VmId};
 use tanagerhub_groups::{GroupsEvent, KnownBoots, Order, OrderResult};
 
@@ -129,8 +129,8 @@
 #[test]
 fn refused_number_stays() {
     let mut simulation = before_first_join();
-    for server in simulation.servers.values_mut() {
-        server.join_fault = Some(JoinFault::Refused);
+    for index in 0..5 {
+        simulation.refuse_joins(&format!("vm-0-{index}"));
     }
     simulation.plan(0, KnownBoots::default());
     simulation.run(12 * SECOND);
--- a/crates/tanagerhub_groups/tests/support/backend_server.rs
+++ b/crates/tanagerhub_groups/tests/support/backend_server.rs
@@ -22,7 +22,7 @@
     /// How long it finishes requests once it is ordered to close.
     pub closing_time: Duration,
     /// What goes wrong with each join; `None` if nothing does.
-    pub join_fault: Option<JoinFault>,
+    pub(super) join_fault: Option<JoinFault>,
     /// The number of orders that began something.
     pub order_count: u64,
     /// The highest epoch that it has seen.
@@ -38,7 +38,7 @@
 
 /// What goes wrong with the joins of a VM.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum JoinFault {
+pub(super) enum JoinFault {
     /// It refuses each one, as a VM that lacks the model does.
     Refused,
     /// None of them comes to an end.
--- a/crates/tanagerhub_groups/tests/support/search/world.rs
+++ b/crates/tanagerhub_groups/tests/support/search/world.rs
@@ -9,9 +9,8 @@
 use tanagerhub_catalogue::{DataCentreId, EntryId, VmId};
 use tanagerhub_clock::Moment;
 use tanagerhub_groups::{
-    EngineSpec, GroupRow, GroupState, Groups, GroupsAction, GroupsEvent, GroupsSettings, LoadLimit,
-    ModelSpec, Order, OrderResult, Presence, PresenceAction, ProbeFailure, RelayEndpoint, SeenVm,
-    VmReport,
+    EngineSpec, Groups, GroupsAction, GroupsEvent, GroupsSettings, LoadLimit, ModelSpec, Order,
+    Presence, PresenceAction, ProbeFailure, RelayEndpoint, SeenVm, VmReport,
 };
 use tanagerhub_table::{
     CommitResult, FeedPage, PageKind, RowKey, RowVersion, StoreAnswer, StoreTime, Transaction,
@@ -19,21 +18,13 @@
 };
 
 use super::calls::Answer;
-use super::trouble::{Habit, LateOrder, Role, Trouble};
+use super::trouble::{Habit, LateOrder, Trouble};
 use super::vm::VmModel;
 
 pub const TICK: Duration = Duration::from_millis(100);
 const COMMIT_TIMEOUT: Duration = Duration::from_millis(1_500);
-const ORDER_TIMEOUT: Duration = Duration::from_millis(700);
 const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
-/// The range of times after which an order that was left unanswered is carried out.
-const LATE_TIMES: (Duration, Duration) = (Duration::from_secs(2), Duration::from_secs(12));
-/// The longest time for which a group stays broken while there are VMs for it and a node may plan: a VM
-/// is found to be lost, another group gives way for it, and two VMs in turn begin no order.
-const REPAIR_TIME: Duration = Duration::from_secs(18);
-/// The time after which the store drops the row of a VM that has ended.
-const LAPSE_TIME: Duration = Duration::from_millis(3_600);
 
 /// A question of a planner to other nodes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -69,30 +60,30 @@
     pub draining: bool,
     pub frozen_until: Moment,
     /// Until when the store turns the node away.
-    turned_until: Moment,
+    pub turned_until: Moment,
     /// The version of the rows that it has read; `None` before the first time.
-    read: Option<u64>,
-    reads_fail: bool,
+    pub read: Option<u64>,
+    pub reads_fail: bool,
 }
 
 /// A simulated deployment.
 pub struct World {
     pub now: Moment,
-    seed: u64,
+    pub seed: u64,
     pub nodes: Vec<Node>,
     pub vms: BTreeMap<VmId, VmModel>,
-    rows: BTreeMap<RowKey, VersionedRow>,
-    version: u64,
-    slow_until: Moment,
-    slow_by: Duration,
+    pub rows: BTreeMap<RowKey, VersionedRow>,
+    pub version: u64,
+    pub slow_until: Moment,
+    pub slow_by: Duration,
     /// Until when the answers of the store are lost.
-    lost_until: Moment,
-    queue: BinaryHeap<Reverse<(Moment, u64)>>,
-    deliveries: BTreeMap<u64, (usize, u64, Delivery)>,
-    sent: u64,
+    pub lost_until: Moment,
+    pub queue: BinaryHeap<Reverse<(Moment, u64)>>,
+    pub deliveries: BTreeMap<u64, (usize, u64, Delivery)>,
+    pub sent: u64,
     pub late: Vec<LateOrder>,
     /// Whether the first trouble has come.
-    is_troubled: bool,
+    pub is_troubled: bool,
     /// The rules that were broken.
     pub broken: BTreeSet<String>,
     /// Whether a run may go on with two planners, in search of what they do.
@@ -100,9 +91,9 @@
     /// Whether orders and decisions are printed.
     pub is_traced: bool,
     /// Who began to plan, by the store, and when.
-    planner: (u64, Moment),
+    pub planner: (u64, Moment),
     /// Since when VMs suffice for a group that doesn't serve, while a node may plan.
-    idle_since: Option<Moment>,
+    pub idle_since: Option<Moment>,
     pub orders: usize,
 }
 
@@ -185,7 +176,7 @@
         (self.seed >> 11) % bound
     }
 
-    fn millis(&mut self, from: u64, to: u64) -> Duration {
+    pub fn millis(&mut self, from: u64, to: u64) -> Duration {
         Duration::from_millis(from + self.draw(to - from))
     }
 
@@ -273,7 +264,7 @@
         self.nodes[node].turned_until <= self.now
     }
 
-    fn write(&mut self, key: RowKey, value: Option<Vec<u8>>) {
+    pub fn write(&mut self, key: RowKey, value: Option<Vec<u8>>) {
         self.version += 1;
         let version = RowVersion(self.version);
         let row = VersionedRow {
@@ -284,7 +275,7 @@
         self.rows.insert(key, row);
     }
 
-    fn page(&self, table: &str, after: u64) -> FeedPage {
+    pub fn page(&self, table: &str, after: u64) -> FeedPage {
         let rows = self.rows.values();
         let rows = rows.filter(|it| it.key.table() == table && it.version.0 > after);
         let is_listed = |it: &&VersionedRow| after > 0 || it.value.is_some();
@@ -297,7 +288,7 @@
     }
 
     /// Reads the rows of nodes and VMs, or finds that the store turns the node away.
-    fn feed(&mut self, node: usize) {
+    pub fn feed(&mut self, node: usize) {
         if !self.reaches_store(node) {
             let it = &mut self.nodes[node];
             it.presence.record_read_failure();
@@ -449,7 +440,7 @@
         }
     }
 
-    fn runs(&self, node: &Node) -> bool {
+    pub fn runs(&self, node: &Node) -> bool {
         node.alive && node.frozen_until <= self.now
     }
 
@@ -490,7 +481,7 @@
         self.send(delay, node, Delivery::Event(event));
     }
 
-    fn commit_arrives(&mut self, node: usize, transaction: &Transaction) {
+    pub fn commit_arrives(&mut self, node: usize, transaction: &Transaction) {
         let id = transaction.id;
         let applied = self.reaches_store(node).then(|| self.apply(transaction));
         let answered = applied.filter(|_| self.now >= self.lost_until);
@@ -506,7 +497,7 @@
         }
     }
 
-    fn apply(&mut self, transaction: &Transaction) -> CommitResult {
+    pub fn apply(&mut self, transaction: &Transaction) -> CommitResult {
         let known = |key: &RowKey| {
             let row = self.rows.get(key).filter(|row| row.value.is_some());
             row.map(|row| row.version)
@@ -541,108 +532,6 @@
         CommitResult::Applied(version)
     }
 
-    fn order_arrives(&mut self, node: usize, vm: VmId, order: Order) {
-        let model = &self.vms[&vm];
-        let unreached = !model.alive || model.silent_until > self.now;
-        let ignored = model.ignores(self.now, &order);
-        let role = self.role_of(vm, &order);
-        let in_trouble = self.is_troubled;
-        let mut late = self.late.iter();
-        let held = late.position(|it| it.matches(&order, role, in_trouble));
-        let held = held.filter(|_| !unreached && !ignored);
-        let late = held.map(|index| self.late.remove(index).by);
-        let late = late.or_else(|| self.vms.get_mut(&vm).unwrap().delay_sole_join(&order));
-        let result = if unreached || ignored {
-            OrderResult::Unknown
-        } else if let Some(by) = late {
-            let now = self.now;
-            self.vms
-                .get_mut(&vm)
-                .unwrap()
-                .held
-                .push_back((now, order.clone()));
-            self.send(by, node, Delivery::LateOrder(vm));
-            OrderResult::Unknown
-        } else {
-            self.execute(vm, &order)
-        };
-        self.trace(&format!(
-            "{}: {order:?} -> {result:?}",
-            self.vms[&vm].vm.name
-        ));
-        let delay = if result == OrderResult::Unknown {
-            ORDER_TIMEOUT
-        } else {
-            Duration::from_millis(1)
-        };
-        let event = GroupsEvent::Ordered { vm, order, result };
-        self.send(delay, node, Delivery::Event(event));
-    }
-
-    /// Returns the part that a VM has, or gets by an order.
-    fn role_of(&self, vm: VmId, order: &Order) -> Role {
-        let name = &self.vms[&vm].vm.name;
-        let own = self.vms[&vm].member.as_ref().map(|it| it.members.clone());
-        let members = match order {
-            Order::Join { members, .. } => members.clone(),
-            _ => own.unwrap_or_default(),
-        };
-        Role::of(members.len(), members.first() == Some(name))
-    }
-
-    /// Carries out the first order that a VM holds, if it is late enough.
-    fn carry_out_late(&mut self, vm: VmId) {
-        let Some((at, order)) = self.vms.get_mut(&vm).unwrap().held.pop_front() else {
-            return;
-        };
-        let age = self.now.since(at);
-        let model = &self.vms[&vm];
-        if model.alive && (LATE_TIMES.0..=LATE_TIMES.1).contains(&age) {
-            self.idle_since = None;
-            let result = self.execute(vm, &order);
-            let name = &self.vms[&vm].vm.name;
-            self.trace(&format!("{name}, late: {order:?} -> {result:?}"));
-        }
-    }
-
-    fn execute(&mut self, vm: VmId, order: &Order) -> OrderResult {
-        let now = self.now;
-        let before = self.vms[&vm].member.clone();
-        let result = self.vms.get_mut(&vm).unwrap().execute(now, order);
-        if let (Order::Join { group, .. }, OrderResult::Accepted) = (order, result)
-            && let Some(before) = before.filter(|it| it.group != *group)
-        {
-            let head = &self.vms[&VmId::of(&before.members[0])];
-            let own = VmId::of(&before.members[0]) == vm;
-            let serves = if own {
-                before.serves()
-            } else {
-                let member = head.member.as_ref();
-                head.alive
-                    && member.is_some_and(|it| it.is(before.group, before.epoch) && it.serves())
-            };
-            if serves {
-                let name = &self.vms[&vm].vm.name;
-                self.broken
-                    .insert(format!("TWO: {name} leaves {:?}", before.group));
-            }
-        }
-        if matches!(order, Order::Leave { .. }) && result == OrderResult::Accepted {
-            self.release_held(vm);
-        }
-        result
-    }
-
-    /// Has a VM that has just left a group carry out what it holds, if it is late enough by then.
-    fn release_held(&mut self, vm: VmId) {
-        let mut delay = Duration::ZERO;
-        for _ in 0..self.vms[&vm].held.len() {
-            let gap = [5, 60, 250, 400][usize::try_from(self.draw(4)).unwrap()];
-            delay += Duration::from_millis(gap);
-            self.send(delay, 0, Delivery::LateOrder(vm));
-        }
-    }
-
     fn advance_vms(&mut self) {
         let ids: Vec<VmId> = self.vms.keys().copied().collect();
         for vm in ids {
@@ -670,52 +559,7 @@
         }
     }
 
-    /// Checks that no group stays broken for long for which there are VMs, while a node may plan.
-    fn check_repair(&mut self) {
-        let now = self.now;
-        let plans = |it: &Node| it.groups.may_plan(now) && self.runs(it);
-        let broken = self.broken_group().filter(|_| self.nodes.iter().any(plans));
-        let Some(group) = broken else {
-            self.idle_since = None;
-            return;
-        };
-        let since = *self.idle_since.get_or_insert(now);
-        if now.since(since) > REPAIR_TIME {
-            self.broken
-                .insert(format!("REPAIR: {group} is broken since {since:?}"));
-        }
-    }
-
-    /// Returns a group that doesn't serve although the VMs in no group that serves suffice for it.
-    fn broken_group(&self) -> Option<String> {
-        let rows = self
-            .rows
-            .iter()
-            .filter(|(key, _)| key.name().starts_with("g/"));
-        let rows = rows.filter_map(|(key, row)| Some((key.name(), group_in(row.value.as_ref()?))));
-        let (serving, broken): (Vec<_>, Vec<_>) = rows.partition(|(_, row)| self.serves(row));
-        let is_used = |name: &String| serving.iter().any(|(_, row)| row.members.contains(name));
-        let is_idle = |it: &&VmModel| it.is_usable(self.now) && !is_used(&it.vm.name);
-        let idle = self.vms.values().filter(is_idle).count();
-        let broken = broken.iter().filter(|(_, row)| row.members.len() <= idle);
-        broken.map(|(name, _)| (*name).to_owned()).next()
-    }
-
-    /// Returns whether the head of a group's row is open with all its members.
-    fn serves(&self, row: &GroupRow) -> bool {
-        row.members.iter().enumerate().all(|(rank, name)| {
-            let model = &self.vms[&VmId::of(name)];
-            let member = model.member.as_ref().filter(|_| model.alive);
-            member.is_some_and(|it| it.epoch >= row.epoch && (rank > 0 || it.serves()))
-        })
-    }
-
-    /// Returns the node that plans, by the store, and the other ones.
-    fn planner_node(&self) -> Option<usize> {
-        self.nodes.iter().position(|it| it.boot == self.planner.0)
-    }
-
-    fn trace(&self, line: &str) {
+    pub fn trace(&self, line: &str) {
         if self.is_traced {
             println!(
                 "{:.3} s  {line}",
@@ -723,119 +567,6 @@
             );
         }
     }
-
-    fn trouble(&mut self, trouble: Trouble) {
-        self.trace(&format!("{trouble:?}"));
-        self.is_troubled = true;
-        self.idle_since = None;
-        let planner = self.planner_node();
-        let now = self.now;
-        let others = (0..self.nodes.len()).filter(|index| Some(*index) != planner);
-        let mut others = others.filter(|index| self.nodes[*index].alive);
-        let other = others.next();
-        match trouble {
-            Trouble::StopOther => {
-                if let Some(node) = other {
-                    self.nodes[node].draining = true;
-                    self.handle(node, GroupsEvent::ResignPlanner);
-                    self.nodes[node].presence.set_stopping();
-                    self.send(
-                        Duration::from_millis(400),
-                        node,
-                        Delivery::Trouble(Trouble::End(node)),
-                    );
-                }
-            }
-            Trouble::End(node) => self.nodes[node].alive = false,
-            Trouble::KillPlanner => {
-                if let Some(node) = planner {
-                    self.nodes[node].alive = false;
-                }
-            }
-            Trouble::KillOther => {
-                if let Some(node) = other {
-                    self.nodes[node].alive = false;
-                }
-            }
-            Trouble::FreezePlanner(time) => {
-                if let Some(node) = planner {
-                    self.nodes[node].frozen_until = now + time;
-                }
-            }
-            Trouble::StartNode(large) => self.start_node(large),
-            Trouble::TurnPlannerAway(time) => {
-                if let Some(node) = planner {
-                    self.nodes[node].turned_until = now + time;
-                }
-            }
-            Trouble::TurnAllAway(time) => {
-                for node in &mut self.nodes {
-                    node.turned_until = now + time;
-                }
-            }
-            Trouble::SlowStore(time, by) => {
-                self.slow_until = now + time;
-                self.slow_by = by;
-            }
-            Trouble::LoseAnswers(time) => self.lost_until = now + time,
-            Trouble::Crash(role) => {
-                if let Some(vm) = self.find(role) {
-                    let model = self.vms.get_mut(&vm).unwrap();
-                    model.alive = false;
-                    model.member = None;
-                    self.send(LAPSE_TIME, 0, Delivery::VmRowLapses(vm));
-                }
-            }
-            Trouble::Silence(role, time) => {
-                if let Some(vm) = self.find(role) {
-                    self.vms.get_mut(&vm).unwrap().silent_until = now + time;
-                }
-            }
-            Trouble::Revive { with_members } => self.revive(with_members),
-        }
-    }
-
-    /// Brings back the group that a head has left last, if it is in none.
-    fn revive(&mut self, with_members: bool) {
-        let is_former_head = |it: &VmModel| {
-            let former = it
-                .former
-                .as_ref()
-                .filter(|_| it.alive && it.member.is_none());
-            former.is_some_and(|member| member.members[0] == it.vm.name)
-        };
-        let head = self.vms.values().find(|it| is_former_head(it));
-        let Some(member) = head.and_then(|it| it.former.clone()) else {
-            return;
-        };
-        for (rank, name) in member.members.iter().enumerate() {
-            let model = self.vms.get_mut(&VmId::of(name)).unwrap();
-            let state = if rank == 0 {
-                GroupState::Open
-            } else {
-                GroupState::Ready
-            };
-            if model.alive && model.member.is_none() && (rank == 0 || with_members) {
-                model.rejoin(member.clone(), state);
-            }
-        }
-    }
-
-    /// Returns a living VM with a part, the last by name.
-    fn find(&self, role: Role) -> Option<VmId> {
-        let part = |model: &VmModel| match &model.member {
-            Some(it) => Role::of(it.members.len(), it.members[0] == model.vm.name),
-            None => Role::Spare,
-        };
-        let mut living = self.vms.iter().rev().filter(|(_, it)| it.alive);
-        living.find(|(_, it)| part(it) == role).map(|(vm, _)| *vm)
-    }
-}
-
-/// Returns a group's row.
-fn group_in(value: &[u8]) -> GroupRow {
-    let config = bincode::config::standard();
-    bincode::serde::decode_from_slice(value, config).unwrap().0
 }
 
 /// Returns the boot id in a planner's row.
--- a/crates/tanagerhub_groups/tests/support/simulation.rs
+++ b/crates/tanagerhub_groups/tests/support/simulation.rs
@@ -5,6 +5,7 @@
 mod backend_server;
 mod checks;
 mod commit_fault;
+mod orders;
 mod serving;
 mod store;
 
@@ -16,13 +17,12 @@
 use tanagerhub_clock::Moment;
 use tanagerhub_groups::{
     Decision, EngineSpec, GROUPS_TABLE, GroupState, Groups, GroupsEvent, GroupsSettings, JoinProof,
-    KnownBoots, LapsedBoot, LoadLimit, ModelSpec, Order, OrderResult, PlannerRow, Pledge,
-    ProbeFailure, TermRow, VmReport,
+    KnownBoots, LapsedBoot, LoadLimit, ModelSpec, Order, PlannerRow, Pledge, ProbeFailure, TermRow,
+    VmReport,
 };
 use tanagerhub_table::{RowKey, RowVersion, StoreVersion, Transaction, VersionedRow};
 
-pub use self::backend_server::JoinFault;
-use self::backend_server::{BackendServer, PendingStep};
+use self::backend_server::BackendServer;
 pub use self::commit_fault::CommitFault;
 pub use self::store::StoreState;
 
@@ -423,24 +423,6 @@
         }
     }
 
-    /// Makes the VMs execute the orders that they left without a response.
-    pub fn deliver_held_orders(&mut self) {
-        self.order_holders.clear();
-        for (vm, order) in std::mem::take(&mut self.held_orders) {
-            self.execute_order(vm, &order);
-        }
-    }
-
-    /// Makes a VM leave orders without a response.
-    pub fn hold_orders(&mut self, name: &str) {
-        self.hold_such_orders(name, |_| true);
-    }
-
-    /// Makes a VM leave some orders without a response.
-    pub fn hold_such_orders(&mut self, name: &str, is_held: fn(&Order) -> bool) {
-        self.order_holders.insert(VmId::of(name), is_held);
-    }
-
     /// Makes a VM unreachable for all nodes, whose probes fail in the given way; it continues to
     /// serve.
     pub fn isolate(&mut self, name: &str, failure: ProbeFailure) {
@@ -538,97 +520,6 @@
         self.servers[&VmId::of(head)].members.clone()
     }
 
-    /// Executes an order as a model engine does.
-    pub fn execute_order(&mut self, vm: VmId, order: &Order) -> OrderResult {
-        let (now, quick_loads) = (self.now, self.quick_loads);
-        let is_refused = self.is_refused(vm, order);
-        if !is_refused {
-            self.check_join(vm, order);
-        }
-        self.check_load(vm, order);
-        if let Order::Join {
-            group,
-            epoch,
-            members,
-            ..
-        } = order
-        {
-            self.check_member_list(format!("g/{group}"), *epoch, members);
-        }
-        let Some(server) = self.servers.get_mut(&vm).filter(|server| server.alive) else {
-            return OrderResult::Unknown;
-        };
-        if server.displaced {
-            return OrderResult::Misdirected;
-        }
-        if is_refused {
-            return OrderResult::Unfit;
-        }
-        let quick = if quick_loads { 10 } else { 1 };
-        match order {
-            Order::Stage { model } => {
-                let time = engine().model(model).unwrap().load_time / quick;
-                server
-                    .pending
-                    .push((now + time, PendingStep::Staged(model.clone())));
-            }
-            Order::Join {
-                group,
-                epoch,
-                model,
-                members,
-                ..
-            } => {
-                if server.report.state_in(*group, *epoch).is_some() {
-                    return OrderResult::Accepted;
-                }
-                if !server.join(now, (*group, *epoch), model, members) {
-                    return OrderResult::Stale;
-                }
-            }
-            Order::Open { group, epoch, .. } => {
-                if server.report.state_in(*group, *epoch) != Some(GroupState::Ready) {
-                    return OrderResult::Unfit;
-                }
-                let done = PendingStep::Open(*group, *epoch);
-                server.pending.push((now + OPEN_TIME, done));
-            }
-            Order::Close { group, epoch } => {
-                if server.report.state_in(*group, *epoch).is_some() {
-                    server.set_state(GroupState::Closing);
-                    let done = PendingStep::Closed(*group, *epoch);
-                    server.pending.push((now + server.closing_time, done));
-                    if server.closing_time.is_zero() {
-                        server.set_state(GroupState::Ready);
-                    }
-                }
-            }
-            Order::Leave { group, epoch } => {
-                if server.report.state_in(*group, *epoch).is_some() {
-                    server.left = Some((*group, *epoch));
-                    server.report.group = None;
-                    server.report.served_model = None;
-                }
-            }
-        }
-        server.order_count += 1;
-        OrderResult::Accepted
-    }
-
-    /// Returns whether a VM has accepted another order since the report that an order relies on, or
-    /// refuses it anyway.
-    fn is_refused(&self, vm: VmId, order: &Order) -> bool {
-        let known = match order {
-            Order::Join { proof, .. } => joined_count(proof),
-            Order::Open { proof, .. } => Some(proof.order_count()),
-            Order::Close { .. } | Order::Leave { .. } | Order::Stage { .. } => None,
-        };
-        let server = &self.servers[&vm];
-        let refuses =
-            server.join_fault == Some(JoinFault::Refused) && matches!(order, Order::Join { .. });
-        refuses || known.is_some_and(|known| known != server.order_count)
-    }
-
     fn advance_servers(&mut self) {
         let now = self.now;
         let mut changed = Vec::new();
--- a/crates/tanagerhub_groups/tests/waits.rs
+++ b/crates/tanagerhub_groups/tests/waits.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use simulation::{JoinFault, Simulation};
+use simulation::Simulation;
 use tanagerhub_catalogue::{Epoch, GroupId, VmId};
 use tanagerhub_groups::{GroupReport, GroupState, KnownBoots};
 
@@ -90,7 +90,7 @@
 fn join_that_never_ends() {
     for name in names() {
         let mut simulation = staged_domain();
-        simulation.server(&name).join_fault = Some(JoinFault::Endless);
+        simulation.join_for_ever(&name);
         simulation.plan(0, KnownBoots::default());
         simulation.run(62 * SECOND);
         assert!(serves_both(&simulation), "{name}");
