--- a/crates/tanagerhub_groups/tests/search.rs
+++ b/crates/tanagerhub_groups/tests/search.rs
@@ -25,6 +25,7 @@
 use tanagerhub_clock::Moment;
 use trouble::{Habit, LateOrder, OrderKind, Role, Trouble};
 use world::{Delivery, World};
+use yare::parameterized;
 
 /// When the first trouble comes, in milliseconds: the groups of an undisturbed deployment serve.
 const SETTLE_TIME: u64 = 6_000;
@@ -292,13 +293,42 @@
 /// it (seed 25600).
 #[test]
 fn late_join_and_open_of_dissolved_group() {
+    let run = late_orders_of_dissolved_group();
+    assert_eq!(broken_seeds(&run), Vec::<u64>::new());
+}
+
+/// Guards against the same where the VMs open whatever number the order names, and against a group that
+/// is never repaired beside a head that is back (trials with review/13).
+#[test]
+fn late_join_and_uncounted_open_of_dissolved_group() {
+    let mut run = late_orders_of_dissolved_group();
+    run.habits = (0..6).map(|vm| (vm, Habit::OpensUncounted)).collect();
+    assert_eq!(broken_seeds(&run), Vec::<u64>::new());
+}
+
+/// The head of a dissolved group comes back, alone or with its member.
+#[parameterized(
+    alone = { false },
+    with_members = { true },
+)]
+fn head_of_dissolved_group_is_back(with_members: bool) {
+    let mut run = late_orders_of_dissolved_group();
+    run.late.truncate(0);
+    run.troubles.push((4_500, Trouble::Revive { with_members }));
+    run.troubles.push((5_300, Trouble::Revive { with_members }));
+    assert_eq!(broken_seeds(&run), Vec::<u64>::new());
+}
+
+/// A run in which the small group gives way for the large one, with late orders to its head and to its
+/// other member.
+fn late_orders_of_dissolved_group() -> Run {
     let late = |is_open, role, in_trouble, seconds| LateOrder {
         is_open,
         role,
         in_trouble,
         by: Duration::from_secs(seconds),
     };
-    let run = Run {
+    Run {
         seed: 0,
         size: (3, 6),
         habits: Vec::new(),
@@ -311,8 +341,7 @@
             (300, Trouble::Crash(Role::LargeMember)),
             (300, Trouble::Crash(Role::Spare)),
         ],
-    };
-    assert_eq!(broken_seeds(&run), Vec::<u64>::new());
+    }
 }
 
 /// No order of events breaks the rule.
