Ask a VM again whose report may be older than its row

What callers saw: a group that lacks a member serves up to 1.8 s later, after another one was dissolved for it.

Cause: what the former head had said before it left still told that it serves, so its VMs were left alone until that report was 2 s old, and nobody asked again.

Mend: where a VM's row tells of another membership than its report, and may be newer, the VM is asked at once. A head that leaves is not ordered to once more by the search for strays.

--- a/crates/tanagerhub_groups/src/groups/dissolve.rs
+++ b/crates/tanagerhub_groups/src/groups/dissolve.rs
@@ -6,8 +6,6 @@
 use tanagerhub_catalogue::{Epoch, GroupId, VmId};
 use tanagerhub_clock::Moment;
 
-use crate::Order;
-
 use super::Groups;
 use super::group::{Dissolving, Group};
 use super::join_check::FormerHead;
@@ -41,7 +39,7 @@
                 // A complete group may have been brought back since its head was closed.
                 let may_run = runs && epoch == current;
                 if !may_run || self.close_head(now, term, *vm, (group, epoch)) {
-                    self.send_order(now, term, id, *vm, Order::Leave { group, epoch });
+                    self.order_to_leave(now, term, *vm, (group, epoch));
                     self.ask_report(now, *vm);
                 }
             } else if self.is_confirmed_gone(*vm) {
--- a/crates/tanagerhub_groups/src/groups/join_check.rs
+++ b/crates/tanagerhub_groups/src/groups/join_check.rs
@@ -87,8 +87,8 @@
         if now < entry.waits_until {
             return JoinCheck::Waits;
         }
-        // Its state may be another one since the last order to it.
-        if entry.is_report_outdated() {
+        // Its state may be another one since the last order to it, or since its row changed.
+        if entry.is_report_outdated() || entry.is_row_newer(own) {
             return JoinCheck::Unknown(vm);
         }
         // A row may lag behind what the VM has said.
@@ -104,10 +104,6 @@
         if let Some(first) = obstacles.first() {
             return *first;
         }
-        let is_row_newer = entry.changed_at > own.asked_at;
-        if is_row_newer && entry.report.group.as_ref().is_some_and(has_left) {
-            return JoinCheck::Unknown(vm);
-        }
         JoinCheck::Proven(JoinEvidence {
             order_count: own.order_count,
             membership: present.first().map(|it| (it.group, it.epoch)),
--- a/crates/tanagerhub_groups/src/groups/vm_entry.rs
+++ b/crates/tanagerhub_groups/src/groups/vm_entry.rs
@@ -367,6 +367,13 @@
         self.own.is_none_or(|own| own.asked_at < self.ordered_at)
     }
 
+    /// Returns whether the VM's row tells of another membership than its report, and may be newer.
+    pub(super) fn is_row_newer(&self, own: &OwnReport) -> bool {
+        let membership = |it: GroupReport| (it.group, it.epoch, it.state);
+        let differs = own.group.map(membership) != self.report.group.map(membership);
+        differs && own.asked_at < self.changed_at + MAX_REPORT_LAG
+    }
+
     /// Returns the number of orders that the VM had accepted as a member of a group; `None` if it was
     /// not known to be one since the last order to it.
     pub(super) fn count_in(&self, group: GroupId, epoch: Epoch) -> Option<u64> {
--- a/crates/tanagerhub_groups/tests/search.rs
+++ b/crates/tanagerhub_groups/tests/search.rs
@@ -24,6 +24,7 @@
 
 use tanagerhub_clock::Moment;
 use trouble::{Habit, LateOrder, OrderKind, Role, Trouble};
+use vm::Member;
 use world::{Delivery, World};
 use yare::parameterized;
 
@@ -131,8 +132,8 @@
         }
     }
 
-    /// Plays the run. Returns the rules that it broke, and the number of orders.
-    fn play(&self) -> (Vec<String>, usize) {
+    /// Returns the deployment before the run.
+    fn world(&self) -> World {
         let mut world = World::new(self.seed, self.size.0, self.size.1);
         world.late.clone_from(&self.late);
         world.set_habits(&self.habits);
@@ -142,6 +143,12 @@
             let delay = Duration::from_millis(SETTLE_TIME + at);
             world.send(delay, 0, Delivery::Trouble(*trouble));
         }
+        world
+    }
+
+    /// Plays the run. Returns the rules that it broke, and the number of orders.
+    fn play(&self) -> (Vec<String>, usize) {
+        let mut world = self.world();
         world.run(Moment::from_millis(RUN_TIME));
         (world.broken.into_iter().collect(), world.orders)
     }
@@ -319,6 +326,29 @@
     assert_eq!(broken_seeds(&run), Vec::<u64>::new());
 }
 
+/// Guards against members of a dissolved group that are left alone for 2 s, by what they have said before they
+/// left: the large group serves 5 s after it lost a member.
+#[test]
+fn members_of_dissolved_group_are_used_at_once() {
+    let mut course = late_orders_of_dissolved_group();
+    course.late.clear();
+    let mut late = Vec::new();
+    for seed in 1..=COURSE_SEEDS {
+        let mut world = Run {
+            seed,
+            ..course.clone()
+        }
+        .world();
+        world.run(Moment::from_millis(SETTLE_TIME + 300 + 5_000));
+        let serves = |it: &Member| it.serves() && it.members.len() == 3;
+        let mut members = world.vms.values().filter_map(|it| it.member.as_ref());
+        if !members.any(serves) {
+            late.push(seed);
+        }
+    }
+    assert_eq!(late, Vec::<u64>::new());
+}
+
 /// A run in which the small group gives way for the large one, with late orders to its head and to its
 /// other member.
 fn late_orders_of_dissolved_group() -> Run {
