--- a/crates/tanagerhub_groups/src/groups/reassign.rs
+++ b/crates/tanagerhub_groups/src/groups/reassign.rs
@@ -177,7 +177,9 @@
         let usable = others.iter().map(|it| it.members.len() - missing(it));
         let free = self.supply(now, waiting.domain, &group.row.model);
         let suffices = free + usable.sum::<usize>() >= missing(group);
-        let smallest = others.iter().min_by_key(|it| (it.members.len(), it.id));
+        let may_yield = |it: &&&Group| it.stays_until <= now;
+        let smallest = others.iter().filter(may_yield);
+        let smallest = smallest.min_by_key(|it| (it.members.len(), it.id));
         smallest.filter(|_| suffices).map(|it| it.id)
     }
 
--- a/crates/tanagerhub_groups/tests/joins.rs
+++ b/crates/tanagerhub_groups/tests/joins.rs
@@ -312,6 +312,69 @@
     assert_eq!(report(&mut simulation, &member).group, None);
 }
 
+/// A former head that doesn't serve, and has not left its group, is joined to no other one.
+#[test]
+fn head_that_has_not_left_joins_nowhere() {
+    let mut simulation = Simulation::serving(1);
+    let Domain { heads, spare } = domain_with_one_spare(&mut simulation);
+    let members = vec![spare.clone(), "gone".to_owned()];
+    let membership = GroupReport {
+        group: GroupId(99),
+        epoch: Epoch(1),
+        rank: 0,
+        state: GroupState::Ready,
+    };
+    simulation.server(&spare).set_group(membership, members);
+    simulation.report(&spare, |_| {});
+    simulation.hold_such_orders(&spare, |order| matches!(order, Order::Leave { .. }));
+    simulation.orders.clear();
+    stop_member(&mut simulation, &heads[0], 1);
+    simulation.run(4 * SECOND);
+    assert_only_leaves(&simulation, &spare);
+    simulation.deliver_held_orders();
+    simulation.run(9 * SECOND);
+    assert!(simulation.members(&heads[0]).contains(&spare));
+    assert_sound(&simulation);
+}
+
+/// A member of a dissolved group that has not left it is joined to no other one, though its head is out.
+#[test]
+fn member_that_has_not_left_joins_nowhere() {
+    let (mut simulation, before) = before_dissolution();
+    let members: Vec<String> = before
+        .iter()
+        .map(|head| simulation.members(head)[1].clone())
+        .collect();
+    for member in &members {
+        let staged = ["big", "small"].map(str::to_owned);
+        simulation.report(member, |report| report.staged = staged.into());
+        simulation.hold_such_orders(member, |order| matches!(order, Order::Leave { .. }));
+    }
+    simulation.run_until(40 * SECOND, "a head leaves", |simulation| {
+        simulation.open_heads("small").len() < before.len()
+    });
+    let open = simulation.open_heads("small");
+    let dissolved = before.iter().position(|head| !open.contains(head)).unwrap();
+    simulation.orders.clear();
+    simulation.run(4 * SECOND);
+    assert_only_leaves(&simulation, &members[dissolved]);
+    simulation.deliver_held_orders();
+    simulation.run_until(40 * SECOND, "the larger group serves", |simulation| {
+        simulation.open_heads("big").len() == 1
+    });
+    assert_sound(&simulation);
+}
+
+/// Checks that a VM was ordered to leave a group, and nothing else.
+fn assert_only_leaves(simulation: &Simulation, name: &str) {
+    let vm = VmId::of(name);
+    let orders = simulation.orders.iter().filter(|(to, _)| *to == vm);
+    let orders: Vec<&Order> = orders.map(|(_, order)| order).collect();
+    assert!(!orders.is_empty());
+    let leaves = |order: &&Order| matches!(order, Order::Leave { .. });
+    assert!(orders.iter().all(leaves), "{orders:?}");
+}
+
 /// Guards against a dissolved group that serves again (review/13): the first orders to join and to open
 /// are carried out once more, late. They name numbers of orders that no longer hold.
 #[test]
