Take out parts of the mends that no test missed, and test the others

New tests hold the rest: order_tries (units), deaf_spare_comes_last, smaller_group_gives_way_beside_deaf_spare, deaf_head_that_breaks_off_stays_deaf, use_vm_that_was_left_out_again, join_after_sole_one_names_number and former_head_that_is_back_is_ended. The last one found an order to leave that was sent twice.

--- a/crates/tanagerhub_groups/src/groups/dissolve.rs
+++ b/crates/tanagerhub_groups/src/groups/dissolve.rs
@@ -46,11 +46,10 @@
                 self.release_members_first(now, term, id);
             }
         }
-        if pending.is_empty() {
-            self.release_members(now, term, id, FormerHead::Out);
-            if let Some(group) = self.by_id.get_mut(&id) {
-                group.dissolving = Some(Dissolving::HeadLeft);
-            }
+        if pending.is_empty()
+            && let Some(group) = self.by_id.get_mut(&id)
+        {
+            group.dissolving = Some(Dissolving::HeadLeft);
         }
     }
 
@@ -67,14 +66,14 @@
     /// Orders the members of a group to leave it before its head, which can't be reached or begins no
     /// order: without them it breaks off.
     fn release_members_first(&mut self, now: Moment, term: ActiveTerm, id: GroupId) {
-        self.release_members(now, term, id, FormerHead::Ended);
+        self.release_members(now, term, id);
         if let Some(group) = self.by_id.get_mut(&id) {
             group.members_left.get_or_insert(now);
         }
     }
 
-    /// Orders the members of a group to leave it, whose head is out or is to break off.
-    fn release_members(&mut self, now: Moment, term: ActiveTerm, id: GroupId, head: FormerHead) {
+    /// Orders the members of a group to leave it, whose head is to break off.
+    fn release_members(&mut self, now: Moment, term: ActiveTerm, id: GroupId) {
         let in_group = |entry: &VmEntry| {
             let membership = entry
                 .report
@@ -87,7 +86,7 @@
         let members: Vec<(VmId, (GroupId, Epoch))> = members.collect();
         for (vm, membership) in members {
             if self.is_reachable(vm) {
-                self.send_leave(now, term, vm, membership, head);
+                self.send_leave(now, term, vm, membership, FormerHead::Ended);
             }
         }
     }
--- a/crates/tanagerhub_groups/src/groups/join_check.rs
+++ b/crates/tanagerhub_groups/src/groups/join_check.rs
@@ -94,15 +94,8 @@
         // A row may lag behind what the VM has said.
         let has_left = |it: &GroupReport| entry.has_left(it.group, it.epoch);
         let present: Vec<GroupReport> = entry.memberships().filter(|it| !has_left(it)).collect();
-        let others = present.iter().filter(|it| Some(it.group) != group);
-        let obstacles = others.map(|other| self.obstacle(now, term, vm, *other));
-        let obstacles: Vec<JoinCheck> = obstacles.collect();
-        // It is left alone while what it says, or its row, tells that its group serves.
-        if obstacles.contains(&JoinCheck::Taken) {
-            return JoinCheck::Taken;
-        }
-        if let Some(first) = obstacles.first() {
-            return *first;
+        if let Some(other) = present.iter().find(|it| Some(it.group) != group) {
+            return self.obstacle(now, term, vm, *other);
         }
         JoinCheck::Proven(JoinEvidence {
             order_count: own.order_count,
--- a/crates/tanagerhub_groups/src/groups/order_tries.rs
+++ b/crates/tanagerhub_groups/src/groups/order_tries.rs
@@ -1,7 +1,7 @@
 //! The orders to a VM that it has not begun.
 //!
 //! A VM whose reports are fine may leave orders unanswered, refuse them, or answer and do nothing. What
-//! counts is that it begins one: the number of accepted orders in its reports rises, or its row changes.
+//! counts is that it begins one: its membership, its state as a member or its models change.
 
 use std::time::Duration;
 
@@ -39,8 +39,6 @@
     last_at: Moment,
     /// Whether it is known that the last one has not begun.
     has_failed: bool,
-    /// The number of accepted orders that the VM has reported last.
-    known_count: Option<u64>,
     /// Whether operators were told that the VM ignores orders.
     is_told: bool,
 }
@@ -114,17 +112,6 @@
         }
     }
 
-    /// Records the number of accepted orders that the VM reports.
-    pub(super) fn record_count(&mut self, order_count: u64) {
-        if self
-            .known_count
-            .replace(order_count)
-            .is_some_and(|known| order_count > known)
-        {
-            self.record_begun();
-        }
-    }
-
     /// Records that the VM has begun an order.
     pub(super) const fn record_begun(&mut self) {
         self.sent = 0;
@@ -152,3 +139,6 @@
         is_over.then_some(OrderNews::Follows)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/tanagerhub_groups/src/groups/stray.rs
+++ b/crates/tanagerhub_groups/src/groups/stray.rs
@@ -41,7 +41,7 @@
         }
     }
 
-    /// Orders a VM to leave a group, and asks it whether it has. Returns whether the order was sent.
+    /// Orders a VM to leave a group, or asks it whether it has. Returns whether the order was sent.
     pub(super) fn order_to_leave(
         &mut self,
         now: Moment,
@@ -51,6 +51,7 @@
     ) -> bool {
         let is_sent = self.order_stray(now, term, vm, Order::Leave { group, epoch });
         if !is_sent {
+            // Its last report may be older than the order.
             self.ask_report(now, vm);
         }
         is_sent
--- a/crates/tanagerhub_groups/src/groups/vm_entry.rs
+++ b/crates/tanagerhub_groups/src/groups/vm_entry.rs
@@ -254,8 +254,7 @@
             busy: report.busy != Some(false),
             order_count,
         });
-        if let Some(own) = self.own {
-            self.tries.record_count(own.order_count);
+        if self.own.is_some() {
             self.report_due_since = None;
         }
         if let Some((own, it)) = self.own.and_then(|own| Some((own, own.group?))) {
--- a/crates/tanagerhub_groups/tests/formation.rs
+++ b/crates/tanagerhub_groups/tests/formation.rs
@@ -8,7 +8,7 @@
 
 use simulation::Simulation;
 use tanagerhub_catalogue::VmId;
-use tanagerhub_groups::{GroupsEvent, KnownBoots};
+use tanagerhub_groups::{Decision, GroupsEvent, KnownBoots};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -17,6 +17,9 @@
     let mut simulation = Simulation::new(6, 10);
     simulation.plan(0, KnownBoots::default());
     simulation.run(9 * SECOND);
+    // No join names the number of orders before the one to load the model.
+    let refused = |it: &&Decision| matches!(it, Decision::OrderFailed { .. });
+    assert_eq!(simulation.decisions.iter().filter(refused).count(), 0);
     assert!(simulation.open_heads("big").len() >= 6);
     assert!(simulation.open_heads("small").len() >= 12);
     assert!(
--- a/crates/tanagerhub_groups/tests/ignored_orders.rs
+++ b/crates/tanagerhub_groups/tests/ignored_orders.rs
@@ -8,7 +8,7 @@
 
 use simulation::Simulation;
 use tanagerhub_catalogue::VmId;
-use tanagerhub_groups::{Decision, KnownBoots, Order};
+use tanagerhub_groups::{Decision, GroupState, KnownBoots, Order};
 use yare::parameterized;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -66,6 +66,22 @@
     simulation.open_heads("big").len() == 1 && simulation.open_heads("small").len() == 1
 }
 
+/// Returns the VMs in no group.
+fn spares(simulation: &Simulation) -> Vec<String> {
+    let assigned = simulation.assigned(0);
+    let mut names = names(simulation);
+    names.retain(|name| !assigned.contains(name));
+    names
+}
+
+/// Stops a member of a group that is not its head, which the planner notices.
+fn stop_member(simulation: &mut Simulation, head: &str) {
+    let stopped = simulation.members(head)[1].clone();
+    simulation.stop_server(&stopped);
+    simulation.unlist(&stopped);
+    simulation.suspect(0, head);
+}
+
 fn assert_sound(simulation: &Simulation) {
     let violations = &simulation.violations;
     assert!(violations.is_empty(), "{violations:?}");
@@ -240,3 +256,94 @@
     assert_eq!(simulation.assigned(0), before);
     assert!(simulation.orders.is_empty(), "{:?}", simulation.orders);
 }
+
+/// A spare that ignored orders comes last, also once it may be tried again.
+#[test]
+fn deaf_spare_comes_last() {
+    let mut simulation = staged_domain(20);
+    simulation.plan(0, KnownBoots::default());
+    simulation.run(8 * SECOND);
+    simulation.begin_traffic();
+    let spares = spares(&simulation);
+    assert_eq!(spares.len(), 2);
+    // Whichever spare is chosen first ignores its orders.
+    for spare in &spares {
+        simulation.hold_orders(spare);
+    }
+    let head = simulation.open_heads("small").remove(0);
+    stop_member(&mut simulation, &head);
+    simulation.run_until(8 * SECOND, "a spare ignores orders", |simulation| {
+        simulation.nodes[0].groups.vms_ignoring_orders() > 0
+    });
+    let statuses = simulation.nodes[0].groups.vm_statuses();
+    let deaf = statuses
+        .iter()
+        .find(|status| status.ignores_orders)
+        .unwrap();
+    let deaf = deaf.name.clone();
+    for spare in spares.iter().filter(|spare| **spare != deaf) {
+        simulation.order_holders.remove(&VmId::of(spare));
+    }
+    simulation.run(7 * SECOND);
+    // Another spare, which comes after that one by its id.
+    let names = (0..).map(|index| format!("new-{index}"));
+    let mut names = names.filter(|name| VmId::of(name) > VmId::of(&deaf));
+    let added = names.next().unwrap();
+    simulation.add_server(&added, 0);
+    simulation.server(&added).report.staged = vec!["big".to_owned(), "small".to_owned()];
+    simulation.list_all();
+    simulation.run(SECOND);
+    let other = simulation.open_heads("small").pop().unwrap();
+    simulation.orders.clear();
+    stop_member(&mut simulation, &other);
+    simulation.run(3 * SECOND);
+    let asked = simulation
+        .orders
+        .iter()
+        .any(|(vm, _)| *vm == VmId::of(&deaf));
+    assert!(!asked, "{deaf}");
+    assert!(simulation.assigned(0).contains(&added));
+}
+
+/// Guards against a group that waits for a spare which ignores orders: a smaller group gives way, and the
+/// group is not renewed with that spare again and again.
+#[test]
+fn smaller_group_gives_way_beside_deaf_spare() {
+    let mut simulation = staged_domain(6);
+    simulation.plan(0, KnownBoots::default());
+    simulation.run_until(10 * SECOND, "both groups serve", serves_both);
+    simulation.begin_traffic();
+    let spare = spares(&simulation).remove(0);
+    simulation.hold_orders(&spare);
+    let big = simulation.open_heads("big").remove(0);
+    stop_member(&mut simulation, &big);
+    let commits = simulation.commits;
+    simulation.run(20 * SECOND);
+    assert_eq!(simulation.open_heads("big").len(), 1);
+    assert!(!simulation.assigned(0).contains(&spare));
+    assert!(
+        simulation.commits - commits < 12,
+        "{}",
+        simulation.commits - commits
+    );
+    assert_sound(&simulation);
+}
+
+/// A head that breaks off by itself has begun no order.
+#[test]
+fn deaf_head_that_breaks_off_stays_deaf() {
+    let mut simulation = staged_domain(6);
+    simulation.plan(0, KnownBoots::default());
+    simulation.run_until(10 * SECOND, "both groups serve", serves_both);
+    simulation.begin_traffic();
+    let head = simulation.open_heads("big").remove(0);
+    simulation.hold_orders(&head);
+    stop_member(&mut simulation, &head);
+    simulation.run(3 * SECOND);
+    simulation.report(&head, |report| {
+        let membership = report.group.as_mut().unwrap();
+        membership.state = GroupState::Broken;
+    });
+    simulation.run(3 * SECOND);
+    assert_eq!(simulation.nodes[0].groups.vms_ignoring_orders(), 1);
+}
--- a/crates/tanagerhub_groups/tests/outage.rs
+++ b/crates/tanagerhub_groups/tests/outage.rs
@@ -8,7 +8,7 @@
 
 use simulation::{CommitFault, Simulation};
 use tanagerhub_catalogue::VmId;
-use tanagerhub_groups::{GroupsEvent, KnownBoots};
+use tanagerhub_groups::{GroupsEvent, KnownBoots, ProbeFailure};
 use yare::parameterized;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -368,3 +368,43 @@
     simulation.run(SECOND);
     assert!(renewed(&simulation, 1));
 }
+
+/// Guards against a VM that is not used for the rest of an outage: a renewal left it out, and nobody ordered it
+/// to leave its group.
+#[test]
+fn use_vm_that_was_left_out_again() {
+    let mut simulation = Simulation::new(1, 6);
+    simulation.engine.models[0].share = 0.75;
+    simulation.engine.models[1].share = 0.25;
+    simulation.resize_groups((3, 2));
+    for server in simulation.servers.values_mut() {
+        server.report.staged = vec!["big".to_owned(), "small".to_owned()];
+    }
+    simulation.list_all();
+    simulation.add_node(2);
+    simulation.plan(0, KnownBoots::default());
+    simulation.run(6 * SECOND);
+    simulation.begin_traffic();
+    simulation.set_store_down(true);
+    simulation.run(SECOND);
+    let head = simulation.open_heads("big").remove(0);
+    let lost = simulation.members(&head)[1].clone();
+    simulation.isolate(&lost, ProbeFailure::Refused);
+    simulation.suspect(0, &head);
+    simulation.run(3 * SECOND);
+    assert!(!simulation.members(&head).contains(&lost));
+    simulation.isolated.clear();
+    simulation.run(SECOND);
+    let head = simulation.open_heads("small").remove(0);
+    let stopped = simulation.members(&head)[1].clone();
+    simulation.stop_server(&stopped);
+    simulation.suspect(0, &head);
+    simulation.run(5 * SECOND);
+    assert!(simulation.members(&head).contains(&lost));
+    assert!(simulation.open_heads("small").contains(&head));
+    assert!(
+        simulation.violations.is_empty(),
+        "{:?}",
+        simulation.violations
+    );
+}
--- a/crates/tanagerhub_groups/tests/sole_joins.rs
+++ b/crates/tanagerhub_groups/tests/sole_joins.rs
@@ -216,3 +216,24 @@
     assert_eq!(last.1, None);
     assert!(simulation.violations.is_empty());
 }
+
+/// A VM that took part by a join without a number gets the next one with it.
+#[test]
+fn join_after_sole_one_names_number() {
+    let mut simulation = before_first_join();
+    for index in 0..5 {
+        simulation.hold_such_orders(&format!("vm-0-{index}"), names_number);
+    }
+    simulation.plan(0, KnownBoots::default());
+    simulation.run(8 * SECOND);
+    simulation.begin_traffic();
+    simulation.order_holders.clear();
+    let head = simulation.open_heads("small").remove(0);
+    assert_eq!(joins(&simulation, &head).pop().unwrap().1, None);
+    let stopped = simulation.members(&head)[1].clone();
+    simulation.stop_server(&stopped);
+    simulation.suspect(0, &head);
+    simulation.run(3 * SECOND);
+    assert!(joins(&simulation, &head).pop().unwrap().1.is_some());
+    assert_eq!(simulation.open_heads("small").len(), 2);
+}
--- a/crates/tanagerhub_groups/tests/strays.rs
+++ b/crates/tanagerhub_groups/tests/strays.rs
@@ -7,7 +7,7 @@
 
 use simulation::Simulation;
 use tanagerhub_catalogue::{Epoch, VmId};
-use tanagerhub_groups::{GroupReport, GroupState, KnownBoots, Order};
+use tanagerhub_groups::{GroupReport, GroupState, KnownBoots, Order, ProbeFailure};
 use yare::parameterized;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -205,3 +205,22 @@
     let first = orders(&simulation, &head).next();
     assert_eq!(first, Some(&Order::Close { group, epoch }));
 }
+
+/// Guards against a former head that goes on serving: its group was renewed without it while nobody reached
+/// it. It is ended, and can be used.
+#[test]
+fn former_head_that_is_back_is_ended() {
+    let mut simulation = Simulation::serving(1);
+    let head = simulation.open_heads("small").remove(0);
+    simulation.isolate(&head, ProbeFailure::Refused);
+    simulation.suspect(0, &head);
+    simulation.run(3 * SECOND);
+    assert!(!simulation.assigned(0).contains(&head));
+    simulation.isolated.clear();
+    simulation.orders.clear();
+    simulation.run(REPAIR_TIME);
+    assert_eq!(simulation.server(&head).report.group, None);
+    let ends = |it: &&Order| matches!(it, Order::Close { .. } | Order::Leave { .. });
+    let ends: Vec<_> = orders(&simulation, &head).filter(ends).collect();
+    assert_eq!(ends.len(), 2, "{ends:?}");
+}
