--- a/crates/tanagerhub_groups/src/groups/members.rs
+++ b/crates/tanagerhub_groups/src/groups/members.rs
@@ -88,8 +88,9 @@
     pub(super) fn tell_ignored_orders(&mut self, now: Moment) {
         let entries = self.vms.list.values_mut();
         let news = entries.filter_map(|entry| {
+            let news = entry.tries.take_news(now)?;
             let vm = entry.report.vm.name.clone();
-            Some(match entry.tries.take_news(now)? {
+            Some(match news {
                 OrderNews::Ignores(orders) => Decision::VmIgnoresOrders { vm, orders },
                 OrderNews::Follows => Decision::VmFollowsOrders { vm },
             })
