--- a/crates/tanagerhub_groups/src/groups/lifecycle.rs
+++ b/crates/tanagerhub_groups/src/groups/lifecycle.rs
@@ -186,8 +186,7 @@
         order: Order,
     ) -> bool {
         let interval = self.settings.order_retry_interval;
-        let entry = self.vms.list.get_mut(&vm);
-        let Some((group, entry)) = self.by_id.get_mut(&id).zip(entry) else {
+        let Some((group, entry)) = self.by_id.get_mut(&id).zip(self.vms.get(vm)) else {
             return false;
         };
         let recent = |sent: &&SentOrder| {
@@ -198,6 +197,15 @@
             return false;
         }
         group.orders.insert(vm, SentOrder::new(now, order.clone()));
+        self.give_order(now, term, vm, order);
+        true
+    }
+
+    /// Gives a VM an order within the term.
+    pub(super) fn give_order(&mut self, now: Moment, term: ActiveTerm, vm: VmId, order: Order) {
+        let Some(entry) = self.vms.list.get_mut(&vm) else {
+            return;
+        };
         entry.record_order(now);
         self.actions.push(GroupsAction::Order {
             vm,
@@ -206,7 +214,6 @@
             order,
             expires_at: term.ends_at(),
         });
-        true
     }
 
     /// Handles the result of an order.
--- a/crates/tanagerhub_groups/src/groups/repair.rs
+++ b/crates/tanagerhub_groups/src/groups/repair.rs
@@ -102,8 +102,8 @@
         let Some(group) = self.by_id.get(&id) else {
             return;
         };
-        let is_missing = |vm: &VmId| self.vms.state_in(*vm, group).is_none();
-        let is_taken = |vm: &VmId| is_missing(vm) && self.is_taken(now, term, *vm, id);
+        let is_out = |vm: &VmId| self.vms.state_in(*vm, group).is_none();
+        let is_taken = |vm: &VmId| is_out(vm) && self.is_taken(now, term, *vm, id);
         let taken: Vec<VmId> = group.members.iter().copied().filter(is_taken).collect();
         let is_broken = self.is_broken(now, group);
         for vm in &taken {
--- a/crates/tanagerhub_groups/src/groups/stage.rs
+++ b/crates/tanagerhub_groups/src/groups/stage.rs
@@ -7,7 +7,7 @@
 use tanagerhub_catalogue::{DomainId, VmId};
 use tanagerhub_clock::Moment;
 
-use crate::{Decision, EngineSpec, GroupsAction, ModelSpec, Order};
+use crate::{Decision, EngineSpec, ModelSpec, Order};
 
 use super::Groups;
 use super::compose::Composition;
@@ -126,23 +126,14 @@
             return;
         };
         entry.staging = Some((model.name.clone(), now));
-        entry.record_order(now);
-        let name = entry.report.vm.name.clone();
-        let address = entry.report.vm.address;
+        let vm_name = entry.report.vm.name.clone();
         self.load_meter.record_start(now);
+        let model = model.name.clone();
         self.record(Decision::Staging {
-            vm: name.clone(),
-            model: model.name.clone(),
-        });
-        self.actions.push(GroupsAction::Order {
-            vm,
-            name,
-            address,
-            order: Order::Stage {
-                model: model.name.clone(),
-            },
-            expires_at: term.ends_at(),
+            vm: vm_name,
+            model: model.clone(),
         });
+        self.give_order(now, term, vm, Order::Stage { model });
     }
 }
 
--- a/crates/tanagerhub_groups/src/groups/stray.rs
+++ b/crates/tanagerhub_groups/src/groups/stray.rs
@@ -6,7 +6,7 @@
 use tanagerhub_catalogue::{Epoch, GroupId, VmId};
 use tanagerhub_clock::Moment;
 
-use crate::{Decision, GroupReport, GroupState, GroupsAction, Order};
+use crate::{Decision, GroupReport, GroupState, Order};
 
 use super::Groups;
 use super::group::SentOrder;
@@ -70,14 +70,7 @@
             return false;
         }
         entry.stray_order = Some(SentOrder::new(now, order.clone()));
-        entry.record_order(now);
-        self.actions.push(GroupsAction::Order {
-            vm,
-            name: entry.report.vm.name.clone(),
-            address: entry.report.vm.address,
-            order,
-            expires_at: term.ends_at(),
-        });
+        self.give_order(now, term, vm, order);
         true
     }
 
