--- a/crates/tanagerhub_groups/tests/ignored_orders.rs
+++ b/crates/tanagerhub_groups/tests/ignored_orders.rs
@@ -42,19 +42,6 @@
     matches!(order, Order::Stage { .. })
 }
 
-/// Returns a domain of VMs that have both models and no group yet.
-fn staged_domain(vms: usize) -> Simulation {
-    let mut simulation = Simulation::new(1, vms);
-    simulation.engine.models[0].share = 0.75;
-    simulation.engine.models[1].share = 0.25;
-    simulation.resize_groups((3, 2));
-    for server in simulation.servers.values_mut() {
-        server.report.staged = vec!["big".to_owned(), "small".to_owned()];
-    }
-    simulation.list_all();
-    simulation
-}
-
 fn names(simulation: &Simulation) -> Vec<String> {
     let servers = simulation.servers.values();
     servers
@@ -62,18 +49,6 @@
         .collect()
 }
 
-fn serves_both(simulation: &Simulation) -> bool {
-    simulation.open_heads("big").len() == 1 && simulation.open_heads("small").len() == 1
-}
-
-/// Returns the VMs in no group.
-fn spares(simulation: &Simulation) -> Vec<String> {
-    let assigned = simulation.assigned(0);
-    let mut names = names(simulation);
-    names.retain(|name| !assigned.contains(name));
-    names
-}
-
 /// Stops a member of a group that is not its head, which the planner notices.
 fn stop_member(simulation: &mut Simulation, head: &str) {
     let stopped = simulation.members(head)[1].clone();
@@ -95,13 +70,13 @@
     opens = { is_open },
 )]
 fn forming_groups_serve(is_held: IsHeld) {
-    let all = names(&staged_domain(6));
+    let all = names(&Simulation::staged(6));
     for name in &all {
-        let mut simulation = staged_domain(6);
+        let mut simulation = Simulation::staged(6);
         simulation.hold_such_orders(name, is_held);
         simulation.plan(0, KnownBoots::default());
         simulation.run(REPLACE_TIME);
-        assert!(serves_both(&simulation), "{name} {:?}", simulation.orders);
+        assert!(simulation.serves_both(), "{name} {:?}", simulation.orders);
         assert_sound(&simulation);
     }
 }
@@ -121,9 +96,9 @@
             heads.len()
         })
     };
-    let all = names(&staged_domain(20));
+    let all = names(&Simulation::staged(20));
     for name in &all {
-        let mut simulation = staged_domain(20);
+        let mut simulation = Simulation::staged(20);
         simulation.add_node(2);
         simulation.plan(0, KnownBoots::default());
         simulation.run(8 * SECOND);
@@ -153,12 +128,7 @@
     leaves = { is_leave },
 )]
 fn other_group_gives_way(is_held: IsHeld) {
-    let mut simulation = Simulation::new(1, 9);
-    simulation.resize_groups((4, 2));
-    for server in simulation.servers.values_mut() {
-        server.report.staged = vec!["big".to_owned(), "small".to_owned()];
-    }
-    simulation.list_all();
+    let mut simulation = Simulation::staged_for(9, (4, 2));
     simulation.plan(0, KnownBoots::default());
     simulation.run_until(10 * SECOND, "three groups serve", |simulation| {
         simulation.open_heads("big").len() == 1 && simulation.open_heads("small").len() == 2
@@ -168,10 +138,7 @@
     let first = first.iter().find(|group| group.model == "small").unwrap();
     let deaf = first.members[0].clone();
     simulation.hold_such_orders(&deaf, is_held);
-    let assigned = simulation.assigned(0);
-    let spare = names(&simulation)
-        .into_iter()
-        .find(|it| !assigned.contains(it));
+    let spare = simulation.spares().pop();
     let big = simulation.open_heads("big").remove(0);
     let stopped = [simulation.members(&big)[2].clone(), spare.unwrap()];
     for name in &stopped {
@@ -191,7 +158,7 @@
     loads = { is_load },
 )]
 fn other_vm_loads(is_held: IsHeld) {
-    for name in names(&staged_domain(6)) {
+    for name in names(&Simulation::staged(6)) {
         let mut simulation = Simulation::new(1, 6);
         simulation.engine.models[0].share = 0.75;
         simulation.engine.models[1].share = 0.25;
@@ -199,7 +166,7 @@
         simulation.hold_such_orders(&name, is_held);
         simulation.plan(0, KnownBoots::default());
         simulation.run(20 * SECOND);
-        assert!(serves_both(&simulation), "{name} {:?}", simulation.orders);
+        assert!(simulation.serves_both(), "{name} {:?}", simulation.orders);
         assert_sound(&simulation);
     }
 }
@@ -207,7 +174,7 @@
 /// A VM that has begun no order is tried again later, and less often. Operators are told.
 #[test]
 fn deaf_vm_is_tried_again() {
-    let mut simulation = staged_domain(5);
+    let mut simulation = Simulation::staged(5);
     // There is no spare, so it is needed.
     simulation.stop_server("vm-0-4");
     simulation.unlist("vm-0-4");
@@ -243,9 +210,9 @@
 /// A member that is in place stays, whatever it does with orders.
 #[test]
 fn deaf_member_in_place_stays() {
-    let mut simulation = staged_domain(6);
+    let mut simulation = Simulation::staged(6);
     simulation.plan(0, KnownBoots::default());
-    simulation.run_until(10 * SECOND, "both groups serve", serves_both);
+    simulation.run_until(10 * SECOND, "both groups serve", Simulation::serves_both);
     simulation.begin_traffic();
     let before = simulation.assigned(0);
     for name in names(&simulation) {
@@ -260,11 +227,11 @@
 /// A spare that ignored orders comes last, also once it may be tried again.
 #[test]
 fn deaf_spare_comes_last() {
-    let mut simulation = staged_domain(20);
+    let mut simulation = Simulation::staged(20);
     simulation.plan(0, KnownBoots::default());
     simulation.run(8 * SECOND);
     simulation.begin_traffic();
-    let spares = spares(&simulation);
+    let spares = simulation.spares();
     assert_eq!(spares.len(), 2);
     // Whichever spare is chosen first ignores its orders.
     for spare in &spares {
@@ -309,11 +276,11 @@
 /// group is not renewed with that spare again and again.
 #[test]
 fn smaller_group_gives_way_beside_deaf_spare() {
-    let mut simulation = staged_domain(6);
+    let mut simulation = Simulation::staged(6);
     simulation.plan(0, KnownBoots::default());
-    simulation.run_until(10 * SECOND, "both groups serve", serves_both);
+    simulation.run_until(10 * SECOND, "both groups serve", Simulation::serves_both);
     simulation.begin_traffic();
-    let spare = spares(&simulation).remove(0);
+    let spare = simulation.spares().remove(0);
     simulation.hold_orders(&spare);
     let big = simulation.open_heads("big").remove(0);
     stop_member(&mut simulation, &big);
@@ -332,9 +299,9 @@
 /// A head that breaks off by itself has begun no order.
 #[test]
 fn deaf_head_that_breaks_off_stays_deaf() {
-    let mut simulation = staged_domain(6);
+    let mut simulation = Simulation::staged(6);
     simulation.plan(0, KnownBoots::default());
-    simulation.run_until(10 * SECOND, "both groups serve", serves_both);
+    simulation.run_until(10 * SECOND, "both groups serve", Simulation::serves_both);
     simulation.begin_traffic();
     let head = simulation.open_heads("big").remove(0);
     simulation.hold_orders(&head);
--- a/crates/tanagerhub_groups/tests/outage.rs
+++ b/crates/tanagerhub_groups/tests/outage.rs
@@ -373,14 +373,7 @@
 /// to leave its group.
 #[test]
 fn use_vm_that_was_left_out_again() {
-    let mut simulation = Simulation::new(1, 6);
-    simulation.engine.models[0].share = 0.75;
-    simulation.engine.models[1].share = 0.25;
-    simulation.resize_groups((3, 2));
-    for server in simulation.servers.values_mut() {
-        server.report.staged = vec!["big".to_owned(), "small".to_owned()];
-    }
-    simulation.list_all();
+    let mut simulation = Simulation::staged(6);
     simulation.add_node(2);
     simulation.plan(0, KnownBoots::default());
     simulation.run(6 * SECOND);
--- a/crates/tanagerhub_groups/tests/repair.rs
+++ b/crates/tanagerhub_groups/tests/repair.rs
@@ -122,21 +122,11 @@
     smaller_first = { ["small", "big"] },
 )]
 fn complete_one_of_two_models(order: [&str; 2]) {
-    let mut simulation = Simulation::new(1, 6);
-    simulation.engine.models[0].share = 0.75;
-    simulation.engine.models[1].share = 0.25;
-    simulation.resize_groups((3, 2));
-    for server in simulation.servers.values_mut() {
-        server.report.staged = vec!["big".to_owned(), "small".to_owned()];
-    }
-    simulation.list_all();
+    let mut simulation = Simulation::staged(6);
     simulation.plan(0, KnownBoots::default());
     simulation.run(6 * SECOND);
     simulation.begin_traffic();
-    let assigned = simulation.assigned(0);
-    let names = (0..6).map(|index| format!("vm-0-{index}"));
-    let spare = names.into_iter().find(|name| !assigned.contains(name));
-    let spare = spare.unwrap();
+    let spare = simulation.spares().remove(0);
     simulation.stop_server(&spare);
     simulation.unlist(&spare);
     for model in order {
--- a/crates/tanagerhub_groups/tests/strays.rs
+++ b/crates/tanagerhub_groups/tests/strays.rs
@@ -27,27 +27,16 @@
 /// Returns a domain with a larger and a smaller group. A member of the larger one and the only spare have
 /// just ended.
 fn serving_groups() -> Dissolved {
-    let mut simulation = Simulation::new(1, 6);
-    simulation.engine.models[0].share = 0.75;
-    simulation.engine.models[1].share = 0.25;
-    simulation.resize_groups((3, 2));
-    for server in simulation.servers.values_mut() {
-        server.report.staged = vec!["big".to_owned(), "small".to_owned()];
-    }
-    simulation.list_all();
+    let mut simulation = Simulation::staged(6);
     simulation.plan(0, KnownBoots::default());
-    simulation.run_until(10 * SECOND, "both groups serve", |simulation| {
-        simulation.open_heads("big").len() == 1 && simulation.open_heads("small").len() == 1
-    });
+    simulation.run_until(10 * SECOND, "both groups serve", Simulation::serves_both);
     simulation.begin_traffic();
     let big = simulation.open_heads("big").remove(0);
     let head = simulation.open_heads("small").remove(0);
     let members = simulation.members(&head);
     let membership = simulation.server(&head).report.group.unwrap();
-    let assigned = simulation.assigned(0);
-    let names = (0..6).map(|index| format!("vm-0-{index}"));
-    let mut spares = names.filter(|name| !assigned.contains(name));
-    let stopped = [simulation.members(&big)[2].clone(), spares.next().unwrap()];
+    let spare = simulation.spares().remove(0);
+    let stopped = [simulation.members(&big)[2].clone(), spare];
     for name in &stopped {
         simulation.stop_server(name);
         simulation.unlist(name);
--- a/crates/tanagerhub_groups/tests/waits.rs
+++ b/crates/tanagerhub_groups/tests/waits.rs
@@ -11,25 +11,12 @@
 
 const SECOND: Duration = Duration::from_secs(1);
 
-/// Returns a domain of six VMs that have both models and no group yet.
-fn staged_domain() -> Simulation {
-    let mut simulation = Simulation::new(1, 6);
-    simulation.engine.models[0].share = 0.75;
-    simulation.engine.models[1].share = 0.25;
-    simulation.resize_groups((3, 2));
-    for server in simulation.servers.values_mut() {
-        server.report.staged = vec!["big".to_owned(), "small".to_owned()];
-    }
-    simulation.list_all();
-    simulation
-}
-
-/// Returns such a domain in which both groups serve.
+/// Returns a domain of six VMs in which both groups serve.
 fn serving_domain() -> Simulation {
-    let mut simulation = staged_domain();
+    let mut simulation = Simulation::staged(6);
     simulation.plan(0, KnownBoots::default());
     simulation.run(6 * SECOND);
-    assert!(serves_both(&simulation));
+    assert!(simulation.serves_both());
     simulation.begin_traffic();
     simulation
 }
@@ -38,16 +25,6 @@
     (0..6).map(|index| format!("vm-0-{index}"))
 }
 
-fn serves_both(simulation: &Simulation) -> bool {
-    simulation.open_heads("big").len() == 1 && simulation.open_heads("small").len() == 1
-}
-
-fn spare(simulation: &Simulation) -> String {
-    let assigned = simulation.assigned(0);
-    let mut names = names();
-    names.find(|name| !assigned.contains(name)).unwrap()
-}
-
 fn assert_sound(simulation: &Simulation) {
     let violations = &simulation.violations;
     assert!(violations.is_empty(), "{violations:?}");
@@ -57,11 +34,11 @@
 #[test]
 fn report_that_never_comes() {
     for name in names() {
-        let mut simulation = staged_domain();
+        let mut simulation = Simulation::staged(6);
         simulation.unreadable.insert(VmId::of(&name));
         simulation.plan(0, KnownBoots::default());
         simulation.run(8 * SECOND);
-        assert!(serves_both(&simulation), "{name}");
+        assert!(simulation.serves_both(), "{name}");
         assert_sound(&simulation);
     }
 }
@@ -80,7 +57,7 @@
         report.served_model = None;
     });
     simulation.run(6 * SECOND);
-    assert!(serves_both(&simulation));
+    assert!(simulation.serves_both());
     assert!(!simulation.assigned(0).contains(&silent));
     assert_sound(&simulation);
 }
@@ -89,11 +66,11 @@
 #[test]
 fn join_that_never_ends() {
     for name in names() {
-        let mut simulation = staged_domain();
+        let mut simulation = Simulation::staged(6);
         simulation.join_for_ever(&name);
         simulation.plan(0, KnownBoots::default());
         simulation.run(62 * SECOND);
-        assert!(serves_both(&simulation), "{name}");
+        assert!(simulation.serves_both(), "{name}");
         assert_sound(&simulation);
     }
 }
@@ -102,19 +79,12 @@
 /// before it, and is used once the head must have broken off.
 #[test]
 fn head_that_never_leaves() {
-    let mut simulation = Simulation::new(1, 9);
-    simulation.resize_groups((4, 3));
-    for server in simulation.servers.values_mut() {
-        server.report.staged = vec!["big".to_owned(), "small".to_owned()];
-    }
-    simulation.list_all();
+    let mut simulation = Simulation::staged_for(9, (4, 3));
     simulation.plan(0, KnownBoots::default());
     simulation.run(6 * SECOND);
-    assert!(serves_both(&simulation));
+    assert!(simulation.serves_both());
     simulation.begin_traffic();
-    let assigned = simulation.assigned(0);
-    let names = (0..9).map(|index| format!("vm-0-{index}"));
-    let spares: Vec<String> = names.filter(|name| !assigned.contains(name)).collect();
+    let spares = simulation.spares();
     assert_eq!(spares.len(), 2);
     simulation.hold_orders(&spares[0]);
     for (rank, name) in (0..).zip(&spares) {
@@ -134,7 +104,7 @@
     simulation.stop_server(&stopped);
     simulation.suspect(0, &big);
     simulation.run(18 * SECOND);
-    assert!(serves_both(&simulation));
+    assert!(simulation.serves_both());
     assert!(simulation.members(&big).contains(&spares[1]));
     assert_sound(&simulation);
 }
@@ -147,7 +117,7 @@
     let head = simulation.open_heads("small").remove(0);
     let member = simulation.members(&head)[1].clone();
     let big = simulation.open_heads("big").remove(0);
-    let spare = spare(&simulation);
+    let spare = simulation.spares().remove(0);
     let stopped = [spare, simulation.members(&big)[1].clone()];
     for name in &stopped {
         simulation.stop_server(name);
